Set up the project: design, schemas, tooling and the common layer

Cause: the repository was empty. The messages between processes, the settings and the operator files stand in schemas, and the committed code is generated from them.

Ruled out: running TypeScript directly with a loader (ts-results has no named exports for Node's ES module loader, so the tools are bundled by esbuild instead).

--- /dev/null
+++ b/src/common/Rpc.ts
@@ -0,0 +1,93 @@
+/** Connect clients and servers for calls between the processes of a deployment. */
+import {
+  createClient,
+  type Client,
+  type ConnectRouter,
+  type Interceptor,
+} from '@connectrpc/connect';
+import { connectNodeAdapter, createConnectTransport } from '@connectrpc/connect-node';
+import type { DescService } from '@bufbuild/protobuf';
+import { Agent, type IncomingMessage, type RequestListener, type ServerResponse } from 'node:http';
+import { compareSecret } from './Hashes.js';
+
+/** Header with the secret that the processes of a deployment share. */
+export const CLUSTER_SECRET_HEADER = 'x-rww-cluster';
+
+/** Path prefix of all calls. */
+export const RPC_PATH_PREFIX = '/redwingwharf.v1.';
+
+/** Largest message: a snapshot chunk or a full copy of the items. */
+const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
+
+/** Idle connections kept for each address. */
+const MAX_FREE_SOCKETS = 4;
+
+/** Makes and keeps one client for each service and address. */
+export class RpcClients {
+  private readonly _agent = new Agent({ keepAlive: true, maxFreeSockets: MAX_FREE_SOCKETS });
+  private readonly _clients = new Map<string, unknown>();
+  private readonly _addSecret: Interceptor;
+
+  constructor(clusterSecret: string) {
+    this._addSecret = (next) => (request) => {
+      request.header.set(CLUSTER_SECRET_HEADER, clusterSecret);
+      return next(request);
+    };
+  }
+
+  /**
+   * Client of a service at an internal address.
+   *
+   * @example
+   * const feed = clients.get(FeedService, '127.0.0.1:7001');
+   * const reply = await feed.sync({ haveRevision: 0n }, { timeoutMs: 1000 });
+   */
+  public get<T extends DescService>(service: T, address: string): Client<T> {
+    const id = `${service.typeName} ${address}`;
+    const known = this._clients.get(id) as Client<T> | undefined;
+    if (known !== undefined) {
+      return known;
+    }
+    const transport = createConnectTransport({
+      baseUrl: `http://${address}`,
+      httpVersion: '1.1',
+      useBinaryFormat: true,
+      interceptors: [this._addSecret],
+      nodeOptions: { agent: this._agent },
+      readMaxBytes: MAX_MESSAGE_BYTES,
+    });
+    const client = createClient(service, transport);
+    this._clients.set(id, client);
+    return client;
+  }
+
+  public dispose(): void {
+    this._agent.destroy();
+    this._clients.clear();
+  }
+}
+
+/** True when the request carries the deployment's secret. */
+export function hasClusterSecret(request: IncomingMessage, clusterSecret: string): boolean {
+  const header = request.headers[CLUSTER_SECRET_HEADER];
+  return (
+    typeof header === 'string' && compareSecret(Buffer.from(header), Buffer.from(clusterSecret))
+  );
+}
+
+/** Answers 403 to a request from outside the deployment. */
+export function refuseForeignRequest(response: ServerResponse): void {
+  response.writeHead(403, { 'content-type': 'text/plain' });
+  response.end('The cluster secret is missing or wrong; check clusterSecretFile.\n');
+}
+
+/** Request handler for the given services; other paths go to `fallback`. */
+export function createRpcHandler(
+  register: (router: ConnectRouter) => void,
+  fallback?: RequestListener,
+): RequestListener {
+  const options = { routes: register, readMaxBytes: MAX_MESSAGE_BYTES };
+  return connectNodeAdapter(
+    fallback === undefined ? options : { ...options, fallback: fallback as never },
+  );
+}
--- /dev/null
+++ b/src/common/Tasks.test.ts
@@ -0,0 +1,35 @@
+import { describe, expect, it } from 'vitest';
+import { runPeriodically, sleep } from './Tasks.js';
+
+describe('sleep', () => {
+  it('ends early on abort, so that shutdown does not wait for timers', async () => {
+    const controller = new AbortController();
+    const startedAt = performance.now();
+    const sleeping = sleep(60_000, controller.signal);
+    controller.abort();
+    await sleeping;
+    expect(performance.now() - startedAt).toBeLessThan(5_000);
+  });
+});
+
+describe('runPeriodically', () => {
+  it('goes on after a failed step, so that one lost call does not end a task', async () => {
+    const controller = new AbortController();
+    const failures: unknown[] = [];
+    let steps = 0;
+    await runPeriodically(
+      1,
+      controller.signal,
+      () => {
+        steps += 1;
+        if (steps === 3) {
+          controller.abort();
+        }
+        return steps === 1 ? Promise.reject(new Error('lost')) : Promise.resolve();
+      },
+      (error) => failures.push(error),
+    );
+    expect(steps).toBe(3);
+    expect(failures).toHaveLength(1);
+  });
+});
--- /dev/null
+++ b/tools/build.mjs
@@ -0,0 +1,70 @@
+// Bundles the program and the tools into dist. With --executable it also makes dist/redwingwharf, a
+// single executable that needs no node_modules.
+import { execFileSync } from 'node:child_process';
+import {
+  chmodSync,
+  copyFileSync,
+  existsSync,
+  mkdirSync,
+  readFileSync,
+  writeFileSync,
+} from 'node:fs';
+import { build } from 'esbuild';
+
+const SENTINEL = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+const version = JSON.parse(readFileSync('package.json', 'utf8')).version;
+
+const ENTRY_POINTS = [
+  ['src/main.ts', 'dist/redwingwharf.cjs'],
+  ['fakes/main.ts', 'dist/fakes.cjs'],
+  ['tools/demo.ts', 'dist/tools/demo.cjs'],
+  ['tools/bench.ts', 'dist/tools/bench.cjs'],
+  ['tools/slopes.ts', 'dist/tools/slopes.cjs'],
+  ['tools/soak.ts', 'dist/tools/soak.cjs'],
+  ['tools/overhead.ts', 'dist/tools/overhead.cjs'],
+];
+
+async function bundle(source, output) {
+  await build({
+    entryPoints: [source],
+    outfile: output,
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    // ts-results needs its ES module build inside a bundle.
+    mainFields: ['module', 'main'],
+    define: { __VERSION__: JSON.stringify(version) },
+    logLevel: 'warning',
+    // Switches that turn a mechanism off for the soak are compiled out of the product.
+    dropLabels: output === 'dist/redwingwharf.cjs' ? ['TEST_ONLY'] : [],
+    minifySyntax: true,
+  });
+}
+
+function makeExecutable() {
+  const config = {
+    main: 'dist/redwingwharf.cjs',
+    output: 'dist/redwingwharf.blob',
+    disableExperimentalSEAWarning: true,
+  };
+  writeFileSync('dist/sea.json', JSON.stringify(config));
+  execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json'], { stdio: 'pipe' });
+  copyFileSync(process.execPath, 'dist/redwingwharf');
+  chmodSync('dist/redwingwharf', 0o755);
+  execFileSync(
+    'node_modules/.bin/postject',
+    ['dist/redwingwharf', 'NODE_SEA_BLOB', 'dist/redwingwharf.blob', '--sentinel-fuse', SENTINEL],
+    { stdio: 'pipe' },
+  );
+}
+
+mkdirSync('dist/tools', { recursive: true });
+for (const [source, output] of ENTRY_POINTS) {
+  if (existsSync(source)) {
+    await bundle(source, output);
+  }
+}
+if (process.argv.includes('--executable')) {
+  makeExecutable();
+}
--- /dev/null
+++ b/tools/generate.mjs
@@ -0,0 +1,54 @@
+// Generates src/gen from proto/ and schema/. With --check it fails when the committed code differs.
+import { execFileSync } from 'node:child_process';
+import { mkdtempSync, readdirSync, readFileSync, rmSync, mkdirSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { delimiter, join, relative, resolve } from 'node:path';
+import { compile } from 'json-schema-to-typescript';
+
+const COMMITTED = 'src/gen';
+const isCheck = process.argv.includes('--check');
+const output = isCheck ? mkdtempSync(join(tmpdir(), 'redwingwharf-gen-')) : COMMITTED;
+
+function listFiles(folder) {
+  return readdirSync(folder, { recursive: true, withFileTypes: true })
+    .filter((entry) => entry.isFile())
+    .map((entry) => relative(folder, join(entry.parentPath ?? entry.path, entry.name)))
+    .sort();
+}
+
+async function generateSchema(name) {
+  const schema = JSON.parse(readFileSync(`schema/${name}.schema.json`, 'utf8'));
+  const banner = `// Generated from schema/${name}.schema.json. Do not edit.`;
+  const types = await compile(structuredClone(schema), name, {
+    bannerComment: banner,
+    additionalProperties: false,
+  });
+  const literal = JSON.stringify(schema, undefined, 2);
+  const constant = `${name.toUpperCase()}_SCHEMA`;
+  return `${types}\n/** JSON schema that the types above were generated from. */\nexport const ${constant} = ${literal};\n`;
+}
+
+execFileSync('node_modules/.bin/buf', ['generate', '--output', isCheck ? output : '.'], {
+  stdio: 'inherit',
+  env: { ...process.env, PATH: `${resolve('node_modules/.bin')}${delimiter}${process.env.PATH}` },
+});
+const target = isCheck ? join(output, COMMITTED) : COMMITTED;
+mkdirSync(target, { recursive: true });
+for (const name of ['settings', 'operator']) {
+  writeFileSync(join(target, `${name}.ts`), await generateSchema(name));
+}
+if (isCheck) {
+  const expected = listFiles(target);
+  const actual = listFiles(COMMITTED);
+  const differing = [...new Set([...expected, ...actual])].filter(
+    (file) =>
+      !expected.includes(file) ||
+      !actual.includes(file) ||
+      readFileSync(join(target, file), 'utf8') !== readFileSync(join(COMMITTED, file), 'utf8'),
+  );
+  rmSync(output, { recursive: true });
+  if (differing.length > 0) {
+    console.error(`Generated code is out of date: ${differing.join(', ')}. Run npm run generate.`);
+    process.exit(1);
+  }
+}
