--- /dev/null
+++ b/fakes/EngineCache.ts
@@ -0,0 +1,133 @@
+/** Prefix cache of the fake engine: chunk hashes in limited memory, with an event stream. */
+import { createHash } from 'node:crypto';
+
+/** 2,000 tokens of about four bytes each. */
+const CHUNK_BYTES = 8_000;
+
+const HASH_BYTES = 16;
+
+/** Events kept for readers that lag. */
+const MAX_EVENTS = 4_096;
+
+export interface ICacheEvent {
+  readonly seq: number;
+  readonly type: 'stored' | 'removed';
+  readonly hash: string;
+  /** Events become visible only after the publishing delay. */
+  readonly visibleAt: number;
+}
+
+export interface IEngineCacheOptions {
+  readonly capacityChunks: number;
+  /** Chunks that were not used for this long are evicted. */
+  readonly idleEvictionMs: number;
+  readonly eventDelayMs: number;
+  /** Share of events that are never published. */
+  readonly eventLoss: number;
+}
+
+/** Hash chain over whole chunks of the prompt, seeded with the cache salt. */
+export function hashPrompt(salt: string, prompt: string): string[] {
+  const bytes = Buffer.from(prompt);
+  const hashes: string[] = [];
+  let parent: Uint8Array = createHash('sha256').update(salt).digest().subarray(0, HASH_BYTES);
+  for (let end = CHUNK_BYTES; end <= bytes.length; end += CHUNK_BYTES) {
+    const hash = createHash('sha256')
+      .update(parent)
+      .update(bytes.subarray(end - CHUNK_BYTES, end));
+    parent = hash.digest().subarray(0, HASH_BYTES);
+    hashes.push(Buffer.from(parent).toString('hex'));
+  }
+  return hashes;
+}
+
+/** Least-recently-used cache of chunk hashes. */
+export class EngineCache {
+  private readonly _chunks = new Map<string, number>();
+  private readonly _events: ICacheEvent[] = [];
+  private _nextSeq = 1;
+
+  constructor(private readonly _options: IEngineCacheOptions) {}
+
+  public get usedChunks(): number {
+    return this._chunks.size;
+  }
+
+  /** Number of leading chunks of the chain that are cached; they count as used now. */
+  public touchPrefix(chain: readonly string[], now: number): number {
+    this._evictIdle(now);
+    let matched = 0;
+    for (const hash of chain) {
+      if (!this._chunks.has(hash)) {
+        break;
+      }
+      this._use(hash, now);
+      matched += 1;
+    }
+    return matched;
+  }
+
+  public insert(chain: readonly string[], now: number): void {
+    for (const hash of chain) {
+      if (!this._chunks.has(hash)) {
+        this._addEvent('stored', hash, now);
+      }
+      this._use(hash, now);
+    }
+    while (this._chunks.size > this._options.capacityChunks) {
+      this._evictOldest(now);
+    }
+  }
+
+  public has(hash: string): boolean {
+    return this._chunks.has(hash);
+  }
+
+  /** Events after `seq` that are visible at `now`. */
+  public listEvents(seq: number, now: number): ICacheEvent[] {
+    this._evictIdle(now);
+    return this._events.filter((event) => event.seq > seq && event.visibleAt <= now);
+  }
+
+  public clear(): void {
+    this._chunks.clear();
+    this._events.length = 0;
+  }
+
+  private _use(hash: string, now: number): void {
+    this._chunks.delete(hash);
+    this._chunks.set(hash, now);
+  }
+
+  private _evictIdle(now: number): void {
+    for (const [hash, usedAt] of this._chunks) {
+      if (now - usedAt < this._options.idleEvictionMs) {
+        return;
+      }
+      this._evict(hash, now);
+    }
+  }
+
+  private _evictOldest(now: number): void {
+    const [oldest] = this._chunks.keys();
+    if (oldest !== undefined) {
+      this._evict(oldest, now);
+    }
+  }
+
+  private _evict(hash: string, now: number): void {
+    this._chunks.delete(hash);
+    this._addEvent('removed', hash, now);
+  }
+
+  private _addEvent(type: ICacheEvent['type'], hash: string, now: number): void {
+    const seq = this._nextSeq++;
+    if (Math.random() < this._options.eventLoss) {
+      return;
+    }
+    this._events.push({ seq, type, hash, visibleAt: now + this._options.eventDelayMs });
+    if (this._events.length > MAX_EVENTS) {
+      this._events.shift();
+    }
+  }
+}
--- /dev/null
+++ b/fakes/main.ts
@@ -0,0 +1,95 @@
+/** Starts one fake: `fakes engine|plain|kv-store|weight-store --listen IP:PORT ...`. */
+import { parseArgs } from 'node:util';
+import { createServer, type IncomingMessage, type Server } from 'node:http';
+import { parseAddress } from '../src/common/Address.js';
+import { Engine } from './Engine.js';
+import { createEngineServer } from './EngineServer.js';
+import { createPlainServer } from './PlainServer.js';
+import { sendJson } from './Http.js';
+import { createKvStoreServer, createWeightStoreServer } from './StoreServers.js';
+
+const OPTIONS = {
+  listen: { type: 'string', default: '127.0.0.1:0' },
+  target: { type: 'string', default: 'target' },
+  ledger: { type: 'string' },
+  model: { type: 'string', default: 'model' },
+  weights: { type: 'string', default: 'w1' },
+  fencing: { type: 'string', default: 'strict' },
+  'prefill-tps': { type: 'string', default: '40000' },
+  'decode-ms': { type: 'string', default: '5' },
+  'max-running': { type: 'string', default: '16' },
+  chunks: { type: 'string', default: '64' },
+  'evict-ms': { type: 'string', default: '5000' },
+  'event-delay-ms': { type: 'string', default: '200' },
+  'event-loss': { type: 'string', default: '0.02' },
+  'load-lag-ms': { type: 'string', default: '200' },
+} as const;
+
+/** Callers' keys begin like this; none may reach a target. */
+const KEY_PATTERN = /rww_[0-9a-z]+_/i;
+
+const { values, positionals } = parseArgs({ options: OPTIONS, allowPositionals: true });
+let leakedKeys = 0;
+let requests = 0;
+
+function observeRequest(request: IncomingMessage, body: unknown): void {
+  requests += 1;
+  const text = `${request.url ?? ''} ${request.rawHeaders.join(' ')} ${JSON.stringify(body)}`;
+  if (KEY_PATTERN.test(text)) {
+    leakedKeys += 1;
+  }
+}
+
+function createEngine(): Engine {
+  return new Engine({
+    model: values.model,
+    weightsVersion: values.weights,
+    prefillTokensPerSecond: Number(values['prefill-tps']),
+    decodeMs: Number(values['decode-ms']),
+    maxRunning: Number(values['max-running']),
+    fencing: values.fencing === 'ignore' ? 'ignore' : 'strict',
+    loadLagMs: Number(values['load-lag-ms']),
+    cache: {
+      capacityChunks: Number(values.chunks),
+      idleEvictionMs: Number(values['evict-ms']),
+      eventDelayMs: Number(values['event-delay-ms']),
+      eventLoss: Number(values['event-loss']),
+    },
+  });
+}
+
+function createFake(kind: string | undefined): Server {
+  switch (kind) {
+    case 'engine':
+      return createEngineServer(createEngine(), observeRequest);
+    case 'plain':
+      return createPlainServer(
+        { target: values.target, ledgerFile: values.ledger },
+        observeRequest,
+      );
+    case 'kv-store':
+      return createKvStoreServer(Number(values.chunks));
+    case 'weight-store':
+      return createWeightStoreServer(300, 2);
+    case undefined:
+    default:
+      throw new Error(`unknown fake "${kind ?? ''}"; use engine, plain, kv-store or weight-store`);
+  }
+}
+
+const fake = createFake(positionals[0]);
+const handlers = fake.listeners('request') as ((...args: unknown[]) => void)[];
+const server = createServer((request, response) => {
+  if (request.url === '/_observed') {
+    sendJson(response, 200, { requests, leakedKeys });
+    return;
+  }
+  for (const handler of handlers) {
+    handler.call(fake, request, response);
+  }
+});
+const { host, port } = parseAddress(values.listen);
+server.listen(port, host, () => {
+  process.stdout.write(`${JSON.stringify({ message: 'listening', address: values.listen })}\n`);
+});
+process.on('SIGTERM', () => process.exit(0));
--- /dev/null
+++ b/src/entry/Entry.ts
@@ -0,0 +1,353 @@
+/** HTTP server for callers: routes each request through the pipeline. */
+import { randomUUID } from 'node:crypto';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { once } from 'node:events';
+import { parseAddress } from '../common/Address.js';
+import { describeError } from '../common/Log.js';
+import { sleep } from '../common/Tasks.js';
+import { Err, Ok, type Result } from '../common/Result.js';
+import type { Service } from '../gen/redwingwharf/v1/state_pb.js';
+import {
+  authenticate,
+  authorise,
+  isFresh,
+  stripKeyFromQuery,
+  type ICaller,
+} from './Authenticate.js';
+import type { ClaimFlow } from './ClaimFlow.js';
+import type { Directory } from './Directory.js';
+import { refuse, sendFailure, type IHttpFailure } from './Failures.js';
+import type { ModelFlow } from './ModelFlow.js';
+import { OpenRequest, type OpenRequests } from './OpenRequests.js';
+import { parseModelRequest, readBody } from './Parse.js';
+import type { PlainFlow } from './PlainFlow.js';
+import type { IFlowServices, IRequestContext } from './Types.js';
+
+const MAX_HEADER_BYTES = 16 * 1024;
+const HEADER_TIMEOUT_MS = 10_000;
+const KEEP_ALIVE_TIMEOUT_MS = 65_000;
+
+/** Interval of the checks of open requests: a withdrawn key ends them within it. */
+const CHECK_INTERVAL_MS = 250;
+
+/** Time in which the balancer notices that this instance is not ready, while requests are served. */
+const DRAIN_NOTICE_MS = 2_000;
+
+const DRAIN_POLL_MS = 50;
+
+const MODEL_PATHS: ReadonlySet<string> = new Set(['/v1/chat/completions', '/v1/completions']);
+
+/** Flows that the entry hands requests to. */
+export interface IEntryFlows {
+  readonly model: ModelFlow;
+  readonly plain: PlainFlow;
+  readonly claim: ClaimFlow;
+}
+
+/** What a path leads to. */
+type Destination =
+  | { readonly kind: 'model' }
+  | { readonly kind: 'models' }
+  | {
+      readonly kind: 'plain';
+      readonly service: Service;
+      readonly isOpen: boolean;
+      readonly isNonRepeatable: boolean;
+    };
+
+/**
+ * Entry role.
+ *
+ * @example
+ * const entry = new Entry('127.0.0.1:8080', directory, openRequests, flows, services);
+ * await entry.listen();
+ */
+export class Entry {
+  private readonly _server: Server;
+  private readonly _checkTimer: NodeJS.Timeout;
+  private _isDraining = false;
+
+  constructor(
+    private readonly _address: string,
+    private readonly _directory: Directory,
+    private readonly _openRequests: OpenRequests,
+    private readonly _flows: IEntryFlows,
+    private readonly _services: IFlowServices,
+  ) {
+    this._server = createServer(
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        headersTimeout: HEADER_TIMEOUT_MS,
+        // Bodies have a timer of their own and answers the deadline of their service.
+        requestTimeout: 0,
+        keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      },
+      (request, response) => {
+        void this._handle(request, response);
+      },
+    );
+    this._server.on('clientError', answerClientError);
+    this._checkTimer = setInterval(() => {
+      this._openRequests.check(this._services.clock.now());
+    }, CHECK_INTERVAL_MS);
+  }
+
+  public get isDraining(): boolean {
+    return this._isDraining;
+  }
+
+  /** True when the balancer may send requests here. */
+  public isReady(now: number): boolean {
+    return !this._isDraining && isFresh(this._services.feed, now);
+  }
+
+  public async listen(): Promise<void> {
+    const { host, port } = parseAddress(this._address);
+    this._server.listen(port, host);
+    await once(this._server, 'listening');
+  }
+
+  /**
+   * Shuts down without cutting a request: tells the balancer, goes on serving while it notices, stops
+   * accepting, and waits for the open requests.
+   */
+  public async drain(timeoutMs: number, signal: AbortSignal): Promise<void> {
+    this._isDraining = true;
+    const { clock } = this._services;
+    const giveUpAt = clock.now() + timeoutMs;
+    await sleep(Math.min(DRAIN_NOTICE_MS, timeoutMs), signal);
+    this._server.close();
+    this._server.closeIdleConnections();
+    while (this._openRequests.size > 0 && clock.now() < giveUpAt && !signal.aborted) {
+      await sleep(DRAIN_POLL_MS, signal);
+    }
+  }
+
+  public dispose(): void {
+    clearInterval(this._checkTimer);
+    this._server.close();
+    this._server.closeAllConnections();
+  }
+
+  private async _handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const requestId = randomUUID();
+    const startedAt = this._services.clock.now();
+    if (this._isDraining) {
+      response.setHeader('connection', 'close');
+    }
+    try {
+      const failure = await this._route(request, response, requestId, startedAt);
+      if (failure !== undefined) {
+        this._refuse(response, failure, requestId);
+      }
+    } catch (error) {
+      this._services.log.error('request failed', { requestId, error: describeError(error) });
+      const message = 'An error inside the router; report the request id to the operator.';
+      sendFailure(response, { ...refuse('internal', message), ran: 'unknown' }, requestId);
+    }
+  }
+
+  private async _route(
+    request: IncomingMessage,
+    response: ServerResponse,
+    requestId: string,
+    startedAt: number,
+  ): Promise<IHttpFailure | undefined> {
+    const url = parseUrl(request.url ?? '/');
+    if (url === undefined) {
+      return refuse('bad_request', 'Send a valid path.');
+    }
+    if (url.pathname === '/healthz' || url.pathname === '/readyz') {
+      this._answerProbe(url.pathname, response);
+      return undefined;
+    }
+    const destination = this._findDestination(url.pathname, request.method ?? 'GET');
+    if (destination.err) {
+      return destination.val;
+    }
+    const caller = this._authenticate(request, url, destination.val);
+    if (caller.err) {
+      return caller.val;
+    }
+    if (destination.val.kind === 'models') {
+      this._answerModels(response, caller.val, requestId);
+      return undefined;
+    }
+    const body = await readBody(request);
+    if (body.err) {
+      return body.val;
+    }
+    return this._serve(
+      { request, response, requestId, startedAt, path: stripKeyFromQuery(url) },
+      destination.val,
+      caller.val,
+      body.val,
+    );
+  }
+
+  private _findDestination(path: string, method: string): Result<Destination, IHttpFailure> {
+    if (MODEL_PATHS.has(path)) {
+      return method === 'POST' ? Ok({ kind: 'model' }) : Err(describeMethod('POST'));
+    }
+    if (path === '/v1/models') {
+      return method === 'GET' ? Ok({ kind: 'models' }) : Err(describeMethod('GET'));
+    }
+    const match = this._directory.findRoute(path);
+    if (match === undefined) {
+      return Err(refuse('route_unknown', 'No service has this path; check the path.'));
+    }
+    const { service, route } = match;
+    if (route.methods.length > 0 && !route.methods.includes(method)) {
+      return Err(describeMethod(route.methods.join(', ')));
+    }
+    const isNonRepeatable = route.nonRepeatable && method !== 'GET' && method !== 'HEAD';
+    return Ok({ kind: 'plain', service, isOpen: route.open, isNonRepeatable });
+  }
+
+  private _authenticate(
+    request: IncomingMessage,
+    url: URL,
+    destination: Destination,
+  ): Result<ICaller | undefined, IHttpFailure> {
+    if (destination.kind === 'plain' && destination.isOpen) {
+      return Ok(undefined);
+    }
+    const caller = authenticate(
+      request.headers,
+      url.searchParams,
+      this._directory,
+      this._services.feed,
+      this._services.clock.now(),
+    );
+    if (caller.err || destination.kind !== 'plain') {
+      return caller;
+    }
+    return authorise(caller.val, destination.service.name);
+  }
+
+  private async _serve(
+    base: Pick<IRequestContext, 'request' | 'response' | 'requestId' | 'startedAt' | 'path'>,
+    destination: Exclude<Destination, { kind: 'models' }>,
+    caller: ICaller | undefined,
+    body: Buffer,
+  ): Promise<IHttpFailure | undefined> {
+    if (destination.kind === 'plain') {
+      const flow = destination.isNonRepeatable ? this._flows.claim : this._flows.plain;
+      await this._runOpen(base, destination.service, caller, (context) => flow.run(context, body));
+      return undefined;
+    }
+    const model = parseModelRequest(body);
+    if (model.err) {
+      return model.val;
+    }
+    const service = this._directory.findModelService(model.val.model);
+    if (service === undefined || caller === undefined) {
+      return refuse('model_unknown', 'No service offers this model; GET /v1/models lists them.');
+    }
+    const allowed = authorise(caller, service.name);
+    if (allowed.err) {
+      return allowed.val;
+    }
+    await this._runOpen(base, service, caller, (context) =>
+      this._flows.model.run(context, model.val),
+    );
+    return undefined;
+  }
+
+  /** Runs a flow while the request stands in the registry of open requests. */
+  private async _runOpen(
+    base: Pick<IRequestContext, 'request' | 'response' | 'requestId' | 'startedAt' | 'path'>,
+    service: Service,
+    caller: ICaller | undefined,
+    run: (context: IRequestContext) => Promise<void>,
+  ): Promise<void> {
+    const open = new OpenRequest(base.requestId, caller, base.startedAt + service.timeoutMs);
+    const endOpen = (): void => {
+      if (!base.response.writableFinished) {
+        open.end('client_gone');
+      }
+    };
+    base.response.once('close', endOpen);
+    this._openRequests.add(open);
+    try {
+      await run({ ...base, service, caller, open });
+    } finally {
+      this._openRequests.remove(open);
+    }
+  }
+
+  private _answerProbe(path: string, response: ServerResponse): void {
+    const isOk = path === '/healthz' || this.isReady(this._services.clock.now());
+    response.writeHead(isOk ? 200 : 503, { 'content-type': 'text/plain' });
+    response.end(isOk ? 'ok\n' : 'not ready\n');
+  }
+
+  private _answerModels(
+    response: ServerResponse,
+    caller: ICaller | undefined,
+    requestId: string,
+  ): void {
+    const models = caller === undefined ? [] : this._directory.listModels(caller.account);
+    const data = models.map((id) => ({ id, object: 'model', owned_by: 'redwingwharf' }));
+    const body = JSON.stringify({ object: 'list', data });
+    response.writeHead(200, { 'content-type': 'application/json', 'x-request-id': requestId });
+    response.end(body);
+  }
+
+  private _refuse(response: ServerResponse, failure: IHttpFailure, requestId: string): void {
+    const { metrics, decisions } = this._services;
+    metrics.increment('refusals_total', { code: failure.code });
+    decisions.record(requestId, 'refused', { code: failure.code, ran: failure.ran });
+    sendFailure(response, failure, requestId);
+  }
+}
+
+function parseUrl(text: string): URL | undefined {
+  try {
+    return new URL(text, 'http://entry');
+  } catch {
+    return undefined;
+  }
+}
+
+function describeMethod(allowed: string): IHttpFailure {
+  return refuse('method_not_allowed', `Use one of these methods: ${allowed}.`);
+}
+
+/** Answers requests that Node's parser refused before there was a request object. */
+function answerClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy();
+    return;
+  }
+  const { status, failure } = describeClientError(error.code);
+  const { code, message } = failure;
+  const body = JSON.stringify({
+    error: { type: 'invalid_request_error', code, message, request_id: randomUUID() },
+  });
+  socket.end(
+    `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\nx-rww-ran: no\r\n` +
+      `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
+  );
+}
+
+function describeClientError(code: string | undefined): { status: string; failure: IHttpFailure } {
+  switch (code) {
+    case 'HPE_HEADER_OVERFLOW': {
+      const message = `Send at most ${MAX_HEADER_BYTES} bytes of headers.`;
+      return {
+        status: '431 Request Header Fields Too Large',
+        failure: refuse('header_too_large', message),
+      };
+    }
+    case 'ERR_HTTP_REQUEST_TIMEOUT':
+      return {
+        status: '408 Request Timeout',
+        failure: refuse('request_timeout', 'Send the headers faster.'),
+      };
+    case undefined:
+    default:
+      return { status: '400 Bad Request', failure: refuse('bad_request', 'Send valid HTTP/1.1.') };
+  }
+}
--- /dev/null
+++ b/src/entry/Failures.ts
@@ -0,0 +1,109 @@
+/** Typed errors of the HTTP edge. Each message names the remedy. */
+import type { ServerResponse } from 'node:http';
+
+/** Whether the request reached a target. `no` is said only when it is provable. */
+export type Ran = 'no' | 'yes' | 'unknown';
+
+/** Codes with their status and OpenAI-style error type. */
+const FAILURE_KINDS = {
+  bad_request: { status: 400, type: 'invalid_request_error' },
+  bad_json: { status: 400, type: 'invalid_request_error' },
+  body_too_large: { status: 413, type: 'invalid_request_error' },
+  header_too_large: { status: 431, type: 'invalid_request_error' },
+  request_timeout: { status: 408, type: 'invalid_request_error' },
+  key_missing: { status: 401, type: 'authentication_error' },
+  key_invalid: { status: 401, type: 'authentication_error' },
+  key_ambiguous: { status: 400, type: 'invalid_request_error' },
+  service_not_allowed: { status: 403, type: 'permission_error' },
+  route_unknown: { status: 404, type: 'invalid_request_error' },
+  model_unknown: { status: 404, type: 'invalid_request_error' },
+  method_not_allowed: { status: 405, type: 'invalid_request_error' },
+  in_progress: { status: 409, type: 'conflict_error' },
+  idempotency_key_reused: { status: 422, type: 'invalid_request_error' },
+  answer_not_kept: { status: 410, type: 'conflict_error' },
+  rate_limited: { status: 429, type: 'rate_limit_error' },
+  request_too_costly: { status: 400, type: 'invalid_request_error' },
+  overloaded: { status: 503, type: 'overloaded_error' },
+  freshness_unknown: { status: 503, type: 'server_error' },
+  control_unavailable: { status: 503, type: 'server_error' },
+  claims_full: { status: 503, type: 'server_error' },
+  no_target: { status: 503, type: 'server_error' },
+  draining: { status: 503, type: 'server_error' },
+  target_failed: { status: 502, type: 'server_error' },
+  outcome_unknown: { status: 502, type: 'server_error' },
+  key_withdrawn: { status: 401, type: 'authentication_error' },
+  stream_broken: { status: 502, type: 'server_error' },
+  deadline_exceeded: { status: 504, type: 'server_error' },
+  internal: { status: 500, type: 'server_error' },
+} as const;
+
+export type FailureCode = keyof typeof FAILURE_KINDS;
+
+/** An error as the caller sees it. */
+export interface IHttpFailure {
+  readonly code: FailureCode;
+  readonly message: string;
+  readonly ran: Ran;
+  /** Time after which a new try makes sense. */
+  readonly retryAfterMs: number | undefined;
+}
+
+/**
+ * Creates a failure of a request that did not run.
+ *
+ * @example
+ * return Err(refuse('key_missing', 'Send the key in the header Authorization: Bearer.'));
+ */
+export function refuse(code: FailureCode, message: string, retryAfterMs?: number): IHttpFailure {
+  return { code, message, ran: 'no', retryAfterMs };
+}
+
+/** Creates a failure of a request that ran, or of which that is not known. */
+export function fail(
+  code: FailureCode,
+  message: string,
+  ran: Ran,
+  retryAfterMs?: number,
+): IHttpFailure {
+  return { code, message, ran, retryAfterMs };
+}
+
+/** HTTP status of a failure. */
+export function getStatus(failure: IHttpFailure): number {
+  return FAILURE_KINDS[failure.code].status;
+}
+
+/** JSON text of a failure: `{error:{type,code,message,request_id}}`. */
+export function formatFailure(failure: IHttpFailure, requestId: string): string {
+  const { code, message } = failure;
+  const { type } = FAILURE_KINDS[code];
+  return JSON.stringify({ error: { type, code, message, request_id: requestId } });
+}
+
+/** Answers a request with a failure; a response that already started is cut off. */
+export function sendFailure(
+  response: ServerResponse,
+  failure: IHttpFailure,
+  requestId: string,
+): void {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  const body = formatFailure(failure, requestId);
+  const headers: Record<string, string | number> = {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+    'x-request-id': requestId,
+    'x-rww-ran': failure.ran,
+  };
+  if (failure.retryAfterMs !== undefined) {
+    headers['retry-after'] = Math.max(1, Math.ceil(failure.retryAfterMs / 1_000));
+  }
+  if (failure.code === 'body_too_large' || failure.code === 'request_timeout') {
+    // The rest of the body is not read, so the connection cannot be used again.
+    headers.connection = 'close';
+  }
+  response.writeHead(getStatus(failure), headers);
+  response.end(body);
+}
--- /dev/null
+++ b/src/entry/Parse.ts
@@ -0,0 +1,151 @@
+/** First stage: reads and checks what the caller sent. */
+import type { IncomingMessage } from 'node:http';
+import { Err, Ok, type Result } from '../common/Result.js';
+import { refuse, type IHttpFailure } from './Failures.js';
+
+/** Largest body of a request. */
+export const MAX_BODY_BYTES = 8 * 1024 * 1024;
+
+/** Longest wait for the whole body. */
+const BODY_TIMEOUT_MS = 60_000;
+
+/** Rough length of a token in UTF-8 bytes, used before the engine counts exactly. */
+const BYTES_PER_TOKEN = 4;
+
+const MAX_OUTPUT_TOKENS = 1_000_000;
+
+/** A completion request after its body was checked. */
+export interface IModelRequest {
+  readonly model: string;
+  readonly isStream: boolean;
+  /** Output limit that the caller set. */
+  readonly maxTokens: number | undefined;
+  /** Text that decides which cached chunks match. */
+  readonly prompt: string;
+  readonly promptTokens: number;
+  /** The parsed body, to which the entry adds its own fields. */
+  readonly body: Readonly<Record<string, unknown>>;
+}
+
+/** Reads the body up to the limit. */
+export async function readBody(request: IncomingMessage): Promise<Result<Buffer, IHttpFailure>> {
+  const declared = Number(request.headers['content-length'] ?? 0);
+  if (declared > MAX_BODY_BYTES) {
+    return Err(describeTooLarge());
+  }
+  const timer = setTimeout(() => {
+    request.destroy(new Error('body timeout'));
+  }, BODY_TIMEOUT_MS);
+  try {
+    return await collectBody(request);
+  } catch {
+    return Err(refuse('request_timeout', 'The body did not arrive completely; send it again.'));
+  } finally {
+    clearTimeout(timer);
+  }
+}
+
+async function collectBody(request: IncomingMessage): Promise<Result<Buffer, IHttpFailure>> {
+  const parts: Buffer[] = [];
+  let size = 0;
+  for await (const part of request) {
+    const bytes = part as Buffer;
+    size += bytes.length;
+    if (size > MAX_BODY_BYTES) {
+      return Err(describeTooLarge());
+    }
+    parts.push(bytes);
+  }
+  return Ok(Buffer.concat(parts));
+}
+
+function describeTooLarge(): IHttpFailure {
+  return refuse('body_too_large', `Send at most ${MAX_BODY_BYTES} bytes in one request.`);
+}
+
+/**
+ * Parses the body of a completion request.
+ *
+ * @example
+ * const parsed = parseModelRequest(Buffer.from('{"model":"lace-1","prompt":"Hi"}'));
+ */
+export function parseModelRequest(body: Buffer): Result<IModelRequest, IHttpFailure> {
+  const fields = parseJsonObject(body);
+  if (fields === undefined) {
+    return Err(refuse('bad_json', 'Send a JSON object as the body.'));
+  }
+  const { model, stream, max_tokens, max_completion_tokens } = fields;
+  if (typeof model !== 'string' || model === '') {
+    return Err(
+      refuse('bad_request', 'Set "model" to the name of a model; GET /v1/models lists them.'),
+    );
+  }
+  if (stream !== undefined && typeof stream !== 'boolean') {
+    return Err(refuse('bad_request', 'Set "stream" to true or false.'));
+  }
+  const maxTokens = max_completion_tokens ?? max_tokens;
+  if (maxTokens !== undefined && !isTokenCount(maxTokens)) {
+    return Err(
+      refuse('bad_request', `Set "max_tokens" to a whole number from 1 to ${MAX_OUTPUT_TOKENS}.`),
+    );
+  }
+  const prompt = joinPrompt(fields);
+  if (prompt === undefined) {
+    return Err(
+      refuse(
+        'bad_request',
+        'Send "messages" (objects with role and text content) or a "prompt" text.',
+      ),
+    );
+  }
+  return Ok({
+    model,
+    isStream: stream === true,
+    maxTokens,
+    prompt,
+    promptTokens: Math.max(1, Math.ceil(Buffer.byteLength(prompt) / BYTES_PER_TOKEN)),
+    body: fields,
+  });
+}
+
+function parseJsonObject(body: Buffer): Record<string, unknown> | undefined {
+  try {
+    const value: unknown = JSON.parse(body.toString('utf8'));
+    const isObject = typeof value === 'object' && value !== null && !Array.isArray(value);
+    return isObject ? (value as Record<string, unknown>) : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function isTokenCount(value: unknown): value is number {
+  return (
+    Number.isInteger(value) && (value as number) >= 1 && (value as number) <= MAX_OUTPUT_TOKENS
+  );
+}
+
+/** The prompt as one text, in the form in which engines hash it. */
+function joinPrompt(fields: Record<string, unknown>): string | undefined {
+  if (typeof fields.prompt === 'string') {
+    return fields.prompt;
+  }
+  if (!Array.isArray(fields.messages) || fields.messages.length === 0) {
+    return undefined;
+  }
+  const texts = fields.messages.map(formatMessage);
+  return texts.includes(undefined) ? undefined : texts.join('');
+}
+
+function formatMessage(message: unknown): string | undefined {
+  if (typeof message !== 'object' || message === null) {
+    return undefined;
+  }
+  const { role, content } = message as { role?: unknown; content?: unknown };
+  const text = Array.isArray(content) ? content.map(formatPart).join('') : content;
+  return typeof role === 'string' && typeof text === 'string' ? `${role}:${text}\n` : undefined;
+}
+
+function formatPart(part: unknown): string {
+  const text = (part as { text?: unknown } | null)?.text;
+  return typeof text === 'string' ? text : '';
+}
--- /dev/null
+++ b/src/entry/PlainFlow.ts
@@ -0,0 +1,149 @@
+/** Repeatable calls of plain services and of routes that are open to all. */
+import type { Chooser, IChooseInput } from './Chooser.js';
+import type { Dispatcher, IDispatched } from './Dispatcher.js';
+import { fail, sendFailure, type IHttpFailure } from './Failures.js';
+import { pickAnswerHeaders, pickRequestHeaders } from './ForwardHeaders.js';
+import type { OpenRequests } from './OpenRequests.js';
+import { describeEnd, recordPlainEnd, recordRefusal } from './Outcomes.js';
+import type { IAdmitter, IFlowServices, IRequestContext } from './Types.js';
+import { AnswerTooLargeError, readAnswer, sendAnswer } from './WholeAnswer.js';
+
+/** Fresh starts after an answer broke off. */
+const MAX_STARTS = 2;
+
+/** Rough length of a token in bytes; a plain call is charged by its body. */
+const BYTES_PER_TOKEN = 4;
+
+/** Tokens that a plain call is charged: at least one. */
+export function countPlainTokens(body: Buffer): number {
+  return Math.max(1, Math.ceil(body.length / BYTES_PER_TOKEN));
+}
+
+/** What the choice of a plain target depends on. */
+export function buildPlainInput(context: IRequestContext, body: Buffer): IChooseInput {
+  return {
+    requestId: context.requestId,
+    clientAccount: context.caller?.account.id ?? '',
+    service: context.service.name,
+    model: '',
+    prompt: Buffer.alloc(0),
+    promptTokens: countPlainTokens(body),
+    priority: context.caller?.account.priority ?? 0,
+    deadlineMs: context.open.deadlineAt,
+  };
+}
+
+/** Serves calls that may be repeated. */
+export class PlainFlow {
+  constructor(
+    private readonly _admitter: IAdmitter,
+    private readonly _chooser: Chooser,
+    private readonly _dispatcher: Dispatcher,
+    private readonly _openRequests: OpenRequests,
+    private readonly _services: IFlowServices,
+  ) {}
+
+  public async run(context: IRequestContext, body: Buffer): Promise<void> {
+    const failure = await this._admit(context, body);
+    if (failure !== undefined) {
+      this._refuse(context, failure);
+      return;
+    }
+    const tried = new Set<string>();
+    for (let start = 1; start <= MAX_STARTS; start++) {
+      const dispatched = await this._dispatcher.run(
+        context,
+        buildPlainInput(context, body),
+        () => buildOutgoing(context, body),
+        tried,
+      );
+      if (dispatched.err) {
+        this._refuse(context, describeEnd(context) ?? dispatched.val);
+        return;
+      }
+      if (await this._relay(context, dispatched.val)) {
+        return;
+      }
+      tried.add(dispatched.val.choice.view.id);
+    }
+    this._refuse(context, fail('target_failed', 'The targets broke off; try again.', 'unknown'));
+  }
+
+  private async _admit(context: IRequestContext, body: Buffer): Promise<IHttpFailure | undefined> {
+    const account = context.caller?.account;
+    if (account === undefined) {
+      return undefined;
+    }
+    const tokens = countPlainTokens(body);
+    const admitted = await this._admitter.admit(account, tokens, context.open.signal);
+    if (admitted.err) {
+      return admitted.val;
+    }
+    admitted.val.settle(tokens);
+    return undefined;
+  }
+
+  /** False when the answer broke off and the call may be repeated. */
+  private async _relay(context: IRequestContext, dispatched: IDispatched): Promise<boolean> {
+    const { response: answer } = dispatched.outcome;
+    const { clock } = this._services;
+    let body: Buffer;
+    try {
+      body = await readAnswer(answer.body);
+    } catch (error) {
+      answer.body.destroy();
+      this._chooser.recordFailure(dispatched.choice, clock.now());
+      return this._handleBreak(context, error);
+    }
+    this._chooser.recordAnswer(
+      dispatched.choice,
+      { cachedPromptTokens: 0, ttftMs: clock.now() - context.startedAt, load: undefined },
+      clock.now(),
+    );
+    this._openRequests.checkRequest(context.open, clock.now());
+    await context.open.waitReleased();
+    const end = describeEnd(context);
+    if (end !== undefined) {
+      this._refuse(context, end);
+      return true;
+    }
+    const headers = pickAnswerHeaders(answer.headers);
+    sendAnswer(context.response, answer.statusCode, headers, body, context.requestId);
+    recordPlainEnd(this._services, context, {
+      status: answer.statusCode,
+      target: dispatched.choice.view.id,
+    });
+    return true;
+  }
+
+  private _handleBreak(context: IRequestContext, error: unknown): boolean {
+    if (error instanceof AnswerTooLargeError) {
+      const message = `The answer of the service is too large: ${error.message}.`;
+      this._refuse(context, fail('target_failed', message, 'yes'));
+      return true;
+    }
+    if (!context.open.signal.aborted) {
+      return false;
+    }
+    const failure = describeEnd(context);
+    if (failure !== undefined) {
+      this._refuse(context, failure);
+    }
+    return true;
+  }
+
+  private _refuse(context: IRequestContext, failure: IHttpFailure): void {
+    recordRefusal(this._services, context, failure);
+    sendFailure(context.response, failure, context.requestId);
+  }
+}
+
+/** Headers and body for the target. */
+export function buildOutgoing(
+  context: IRequestContext,
+  body: Buffer,
+): { headers: Record<string, string>; body: Buffer | undefined } {
+  const { method, headers } = context.request;
+  const hasBody = method !== 'GET' && method !== 'HEAD';
+  return { headers: pickRequestHeaders(headers), body: hasBody ? body : undefined };
+}
--- /dev/null
+++ b/src/entry/WholeAnswer.ts
@@ -0,0 +1,39 @@
+/** Reads and sends answers that are buffered, so that the caller gets all of one or a typed error. */
+import type { ServerResponse } from 'node:http';
+import type { Dispatcher } from 'undici';
+
+/** Largest buffered answer. */
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
+/** Raised when an answer exceeds the limit. */
+export class AnswerTooLargeError extends Error {}
+
+/** Reads the body to its end; throws when it breaks off. */
+export async function readAnswer(body: Dispatcher.ResponseData['body']): Promise<Buffer> {
+  const parts: Buffer[] = [];
+  let size = 0;
+  for await (const part of body as AsyncIterable<Buffer>) {
+    size += part.length;
+    if (size > MAX_ANSWER_BYTES) {
+      throw new AnswerTooLargeError(`the answer exceeds ${MAX_ANSWER_BYTES} bytes`);
+    }
+    parts.push(part);
+  }
+  return Buffer.concat(parts);
+}
+
+/** Sends a complete answer. */
+export function sendAnswer(
+  response: ServerResponse,
+  status: number,
+  headers: Readonly<Record<string, string | string[]>>,
+  body: Uint8Array,
+  requestId: string,
+): void {
+  response.writeHead(status, {
+    ...headers,
+    'content-length': body.length,
+    'x-request-id': requestId,
+  });
+  response.end(body);
+}
--- /dev/null
+++ b/src/sidecar/Dispatches.ts
@@ -0,0 +1,309 @@
+/** Handles dispatches from entries: gate, claim, target, answer. */
+import { create } from '@bufbuild/protobuf';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { pipeline } from 'node:stream/promises';
+import type { Dispatcher } from 'undici';
+import {
+  decodeHeader,
+  encodeHeader,
+  RECEIPT_HEADER,
+  REQUEST_ID_HEADER,
+  STREAM_HEADER,
+  TICKET_HEADER,
+} from '../common/Headers.js';
+import type { ILog } from '../common/Log.js';
+import type { IFeed } from '../feed/Types.js';
+import {
+  ReceiptSchema,
+  RefusalReason,
+  TicketSchema,
+  type Ticket,
+} from '../gen/redwingwharf/v1/control_pb.js';
+import { AnswerSchema, type Answer } from '../gen/redwingwharf/v1/state_pb.js';
+import type { ClaimTable } from './ClaimTable.js';
+import {
+  copyForwardHeaders,
+  forwardOnce,
+  forwardRequest,
+  HOP_HEADERS,
+  type ForwardFailure,
+  type IForwardRequest,
+} from './Forwarder.js';
+import { checkTicket, type IGateState } from './Gate.js';
+import type { ITargetWatcher } from './Types.js';
+
+/** Status of a refusal: the entry reads the reason from the receipt. */
+const REFUSED_STATUS = 409;
+
+/** Status of a call that reached the target and gave no answer. */
+const BROKEN_STATUS = 502;
+
+/** Largest answer of a claimed call. */
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
+export interface IDispatchOptions {
+  readonly targetAddress: string;
+  readonly getGateState: () => IGateState;
+}
+
+/** One handler for all dispatches to the target beside this sidecar. */
+export class Dispatches {
+  private _open = 0;
+
+  constructor(
+    private readonly _options: IDispatchOptions,
+    private readonly _watcher: ITargetWatcher,
+    private readonly _claims: ClaimTable,
+    private readonly _feed: IFeed,
+    private readonly _http: Dispatcher,
+    private readonly _log: ILog,
+  ) {}
+
+  /** Dispatches that have not ended yet. */
+  public get open(): number {
+    return this._open;
+  }
+
+  public async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const ticket = decodeHeader(TicketSchema, request.headers[TICKET_HEADER]);
+    if (ticket === undefined) {
+      this._refuse(request, response, create(TicketSchema), RefusalReason.BAD_TICKET);
+      return;
+    }
+    const refusal = this._checkTicket(ticket);
+    if (refusal !== undefined) {
+      this._refuse(request, response, ticket, refusal);
+      return;
+    }
+    this._open += 1;
+    try {
+      await this._forward(request, response, ticket);
+    } finally {
+      this._open -= 1;
+    }
+  }
+
+  private _checkTicket(ticket: Ticket): RefusalReason | undefined {
+    const { claimId, claimAttempt } = ticket;
+    const hasClaim = claimId > 0n;
+    if (hasClaim && this._claims.has(claimId, claimAttempt)) {
+      return RefusalReason.CLAIM_SEEN;
+    }
+    if (ticket.nonRepeatable && !hasClaim) {
+      return RefusalReason.BAD_TICKET;
+    }
+    const refusal = checkTicket(ticket, this._options.getGateState(), this._feed);
+    if (refusal !== undefined && hasClaim) {
+      this._claims.refuse(claimId, claimAttempt);
+    }
+    return refusal;
+  }
+
+  private async _forward(
+    request: IncomingMessage,
+    response: ServerResponse,
+    ticket: Ticket,
+  ): Promise<void> {
+    const controller = new AbortController();
+    const onClose = (): void => {
+      controller.abort();
+    };
+    if (ticket.claimId > 0n) {
+      // A claimed call goes on when its entry is gone, so that its answer can be asked for.
+      await this._forwardClaimed(request, response, ticket);
+      return;
+    }
+    response.once('close', onClose);
+    const resumeId = request.headers[STREAM_HEADER];
+    const forward = this._buildForward(request, ticket, request);
+    const result = await forwardRequest(
+      this._http,
+      this._options.targetAddress,
+      typeof resumeId === 'string' ? buildResume(forward, resumeId) : forward,
+      controller.signal,
+    );
+    if (result.err) {
+      this._answerFailure(response, ticket, result.val);
+      return;
+    }
+    await this._relay(result.val, response, ticket);
+  }
+
+  private _buildForward(
+    request: IncomingMessage,
+    ticket: Ticket,
+    body: Buffer | IncomingMessage,
+  ): IForwardRequest {
+    const hasBody = request.method !== 'GET' && request.method !== 'HEAD';
+    return {
+      method: request.method ?? 'GET',
+      path: request.url ?? '/',
+      headers: copyForwardHeaders(request, ticket.requestId),
+      body: hasBody ? body : undefined,
+      timeoutMs: ticket.deadlineMs,
+    };
+  }
+
+  private async _forwardClaimed(
+    request: IncomingMessage,
+    response: ServerResponse,
+    ticket: Ticket,
+  ): Promise<void> {
+    // The body is complete before the claim is accepted: a caller that breaks off has run nothing.
+    const body = await readWhole(request);
+    if (body === undefined || !this._claims.accept(ticket.claimId, ticket.claimAttempt)) {
+      this._refuse(request, response, ticket, RefusalReason.CLAIM_SEEN);
+      return;
+    }
+    let answer: Answer | undefined;
+    const result = await forwardOnce(
+      this._options.targetAddress,
+      this._buildForward(request, ticket, body),
+      AbortSignal.timeout(ticket.deadlineMs),
+      async (reply) => {
+        answer = await readAnswer(reply);
+      },
+    );
+    this._recordOutcome(
+      ticket,
+      result.ok ? answer : undefined,
+      result.err ? result.val : undefined,
+    );
+    if (answer === undefined) {
+      const failure = result.err ? result.val : undefined;
+      this._answerFailure(response, ticket, failure ?? { kind: 'broken', message: 'no answer' });
+      return;
+    }
+    response.writeHead(answer.status, {
+      ...answer.headers,
+      [RECEIPT_HEADER]: this._formatReceipt(ticket, true, RefusalReason.UNSPECIFIED),
+    });
+    response.end(answer.body);
+  }
+
+  private _recordOutcome(
+    ticket: Ticket,
+    answer: Answer | undefined,
+    failure: ForwardFailure | undefined,
+  ): void {
+    if (answer !== undefined) {
+      this._claims.finish(ticket.claimId, ticket.claimAttempt, answer);
+    } else if (failure?.kind === 'not_connected') {
+      this._claims.markNotRun(ticket.claimId, ticket.claimAttempt);
+    } else {
+      this._claims.markUnknown(ticket.claimId, ticket.claimAttempt);
+    }
+  }
+
+  private async _relay(
+    reply: Dispatcher.ResponseData,
+    response: ServerResponse,
+    ticket: Ticket,
+  ): Promise<void> {
+    const echoedId = reply.headers[REQUEST_ID_HEADER];
+    if (typeof echoedId === 'string' && echoedId !== ticket.requestId) {
+      reply.body.destroy();
+      this._log.error('target answered another request', { requestId: ticket.requestId });
+      const message = 'the target answered another request';
+      this._answerFailure(response, ticket, { kind: 'broken', message });
+      return;
+    }
+    const headers = copyAnswerHeaders(reply.headers);
+    headers[RECEIPT_HEADER] = this._formatReceipt(ticket, true, RefusalReason.UNSPECIFIED);
+    const streamId = reply.headers['x-stream-id'];
+    if (typeof streamId === 'string') {
+      headers[STREAM_HEADER] = streamId;
+    }
+    response.writeHead(reply.statusCode, headers);
+    response.flushHeaders();
+    // A break on either side destroys the other one; the entry sees an incomplete answer.
+    await pipeline(reply.body, response).catch(() => undefined);
+  }
+
+  private _refuse(
+    request: IncomingMessage,
+    response: ServerResponse,
+    ticket: Ticket,
+    reason: RefusalReason,
+  ): void {
+    request.resume();
+    response.writeHead(REFUSED_STATUS, {
+      [RECEIPT_HEADER]: this._formatReceipt(ticket, false, reason),
+    });
+    response.end();
+  }
+
+  private _answerFailure(response: ServerResponse, ticket: Ticket, failure: ForwardFailure): void {
+    if (response.headersSent || response.destroyed) {
+      response.destroy();
+      return;
+    }
+    const isNotRun = failure.kind === 'not_connected';
+    const reason = isNotRun ? RefusalReason.TARGET_DOWN : RefusalReason.OUTCOME_UNKNOWN;
+    response.writeHead(isNotRun ? REFUSED_STATUS : BROKEN_STATUS, {
+      [RECEIPT_HEADER]: this._formatReceipt(ticket, !isNotRun, reason),
+    });
+    response.end();
+  }
+
+  private _formatReceipt(ticket: Ticket, ran: boolean, refusal: RefusalReason): string {
+    const state = this._watcher.state;
+    return encodeHeader(
+      ReceiptSchema,
+      create(ReceiptSchema, {
+        requestId: ticket.requestId,
+        ran,
+        refusal,
+        sidecarIncarnation: this._options.getGateState().sidecarIncarnation,
+        targetIncarnation: state.incarnation,
+        load: state.load,
+      }),
+    );
+  }
+}
+
+function buildResume(forward: IForwardRequest, streamId: string): IForwardRequest {
+  const path = `/v1/streams/${encodeURIComponent(streamId)}`;
+  return { ...forward, method: 'GET', path, body: undefined };
+}
+
+function copyAnswerHeaders(headers: Dispatcher.ResponseData['headers']): Record<string, string> {
+  const copy: Record<string, string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (typeof value === 'string' && !HOP_HEADERS.has(name) && !name.startsWith('x-rww-')) {
+      copy[name] = value;
+    }
+  }
+  return copy;
+}
+
+async function readWhole(request: IncomingMessage): Promise<Buffer | undefined> {
+  const parts: Buffer[] = [];
+  try {
+    for await (const part of request) {
+      parts.push(part as Buffer);
+    }
+    return Buffer.concat(parts);
+  } catch {
+    return undefined;
+  }
+}
+
+async function readAnswer(reply: Dispatcher.ResponseData): Promise<Answer> {
+  const parts: Buffer[] = [];
+  let size = 0;
+  for await (const part of reply.body as AsyncIterable<Buffer>) {
+    parts.push(part);
+    size += part.length;
+    if (size > MAX_ANSWER_BYTES) {
+      throw new Error(`the answer is larger than ${MAX_ANSWER_BYTES} bytes`);
+    }
+  }
+  const headers = copyAnswerHeaders(reply.headers);
+  delete headers['content-length'];
+  return create(AnswerSchema, {
+    status: reply.statusCode,
+    headers,
+    body: Buffer.concat(parts),
+  });
+}
--- /dev/null
+++ b/src/sidecar/Forwarder.ts
@@ -0,0 +1,114 @@
+/** Sends accepted dispatches to the target. */
+import { Client, type Dispatcher } from 'undici';
+import type { IncomingMessage } from 'node:http';
+import { REQUEST_ID_HEADER } from '../common/Headers.js';
+import { Err, Ok, type IFailure, type Result } from '../common/Result.js';
+
+/** Errors that prove that no connection was made, so that nothing reached the target. */
+const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'EADDRNOTAVAIL',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/** Why a dispatch got no answer. */
+export type ForwardFailure = IFailure<'not_connected'> | IFailure<'broken'>;
+
+/** A request as it goes to the target. */
+export interface IForwardRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer | IncomingMessage | undefined;
+  readonly timeoutMs: number;
+}
+
+/** Copies the request's headers without those of the internal hop. */
+export function copyForwardHeaders(
+  request: IncomingMessage,
+  requestId: string,
+): Record<string, string> {
+  const headers: Record<string, string> = {};
+  for (const [name, value] of Object.entries(request.headers)) {
+    const isInternal = name.startsWith('x-rww-');
+    if (typeof value === 'string' && !isInternal && !HOP_HEADERS.has(name)) {
+      headers[name] = value;
+    }
+  }
+  headers[REQUEST_ID_HEADER] = requestId;
+  return headers;
+}
+
+/** Headers that belong to one connection, or that the client library sets itself. */
+export const HOP_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'transfer-encoding',
+  'upgrade',
+  'te',
+  'trailer',
+  'host',
+  'expect',
+]);
+
+/** Sends a repeatable request over a pooled connection. */
+export async function forwardRequest(
+  http: Dispatcher,
+  address: string,
+  request: IForwardRequest,
+  signal: AbortSignal,
+): Promise<Result<Dispatcher.ResponseData, ForwardFailure>> {
+  try {
+    const response = await http.request({
+      origin: `http://${address}`,
+      path: request.path,
+      method: request.method,
+      headers: request.headers,
+      body: request.body ?? null,
+      headersTimeout: request.timeoutMs,
+      bodyTimeout: request.timeoutMs,
+      signal,
+    });
+    return Ok(response);
+  } catch (error) {
+    return Err(describeFailure(error));
+  }
+}
+
+/**
+ * Sends a request over a connection of its own. An idle pooled connection may break just when it is
+ * used, which would leave open whether the call ran; with a new one a connect failure is a proof.
+ */
+export async function forwardOnce(
+  address: string,
+  request: IForwardRequest,
+  signal: AbortSignal,
+  readAnswer: (response: Dispatcher.ResponseData) => Promise<void>,
+): Promise<Result<void, ForwardFailure>> {
+  const client = new Client(`http://${address}`, { connect: { timeout: CONNECT_TIMEOUT_MS } });
+  try {
+    const response = await forwardRequest(client, address, request, signal);
+    if (response.err) {
+      return Err(response.val);
+    }
+    await readAnswer(response.val);
+    return Ok(undefined);
+  } catch (error) {
+    return Err({ kind: 'broken', message: `the answer broke off: ${String(error)}` });
+  } finally {
+    await client.destroy();
+  }
+}
+
+function describeFailure(error: unknown): ForwardFailure {
+  const code = (error as { code?: unknown }).code;
+  if (typeof code === 'string' && CONNECT_ERROR_CODES.has(code)) {
+    return { kind: 'not_connected', message: `no connection to the target: ${code}` };
+  }
+  return { kind: 'broken', message: `the call to the target broke off: ${String(error)}` };
+}
--- /dev/null
+++ b/src/sidecar/Sidecar.ts
@@ -0,0 +1,133 @@
+/** Sidecar role: announces the target and guards it. */
+import { create } from '@bufbuild/protobuf';
+import type { ConnectRouter } from '@connectrpc/connect';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { Agent } from 'undici';
+import { generateIdentifier, hasSameBytes } from '../common/Hashes.js';
+import type { ILog } from '../common/Log.js';
+import type { RpcClients } from '../common/Rpc.js';
+import { isAborted, sleep } from '../common/Tasks.js';
+import type { IFeed } from '../feed/Types.js';
+import {
+  ClaimProgress,
+  DrainResponseSchema,
+  QueryClaimResponseSchema,
+  SidecarService,
+  type DrainResponse,
+  type QueryClaimRequest,
+  type QueryClaimResponse,
+} from '../gen/redwingwharf/v1/control_pb.js';
+import type { SidecarSettings } from '../gen/settings.js';
+import { Announcer } from './Announcer.js';
+import { ClaimTable } from './ClaimTable.js';
+import { Dispatches } from './Dispatches.js';
+import type { IGateState } from './Gate.js';
+import { TargetWatcher } from './TargetWatcher.js';
+
+/** Longer than the entries keep idle connections, so that the entry closes them first. */
+export const SIDECAR_KEEP_ALIVE_MS = 10_000;
+
+const DRAIN_POLL_MS = 50;
+
+/** Entries learn of the draining target within one announcement. */
+const DRAIN_NOTICE_MS = 700;
+
+/** Everything beside one target. */
+export class Sidecar {
+  private readonly _incarnation = generateIdentifier();
+  private readonly _http = new Agent({ headersTimeout: 0, bodyTimeout: 0 });
+  private readonly _claims = new ClaimTable();
+  private readonly _watcher: TargetWatcher;
+  private readonly _announcer: Announcer;
+  private readonly _dispatches: Dispatches;
+
+  constructor(
+    private readonly _settings: SidecarSettings,
+    dataCentre: string,
+    address: string,
+    feed: IFeed,
+    clients: RpcClients,
+    private readonly _log: ILog,
+  ) {
+    const { target, announceTo } = _settings;
+    this._watcher = new TargetWatcher(target, this._http, _log);
+    this._announcer = new Announcer(
+      { target, dataCentre, address, sidecarIncarnation: this._incarnation, announceTo },
+      this._watcher,
+      clients,
+      _log,
+    );
+    this._dispatches = new Dispatches(
+      { targetAddress: target.address, getGateState: () => this._getGateState() },
+      this._watcher,
+      this._claims,
+      feed,
+      this._http,
+      _log,
+    );
+    this._watcher.onChange((state) => {
+      this._log.info('target state changed', {
+        target: target.id,
+        isHealthy: state.isHealthy,
+        incarnation: state.incarnation,
+        weightsVersion: state.weightsVersion,
+      });
+      this._announcer.notify();
+    });
+  }
+
+  /** Watches and announces until the signal is aborted. */
+  public async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([this._watcher.run(signal), this._announcer.run(signal)]);
+  }
+
+  /** Handles a dispatch from an entry. */
+  public async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    await this._dispatches.handle(request, response);
+  }
+
+  public registerRpc(router: ConnectRouter): void {
+    router.service(SidecarService, {
+      queryClaim: (request) => this._queryClaim(request),
+      drainTarget: () => this._startDraining(),
+    });
+  }
+
+  /** Takes no new work and waits for what is running. */
+  public async drain(timeoutMs: number, signal: AbortSignal): Promise<void> {
+    this._startDraining();
+    const giveUpAt = performance.now() + timeoutMs;
+    await sleep(DRAIN_NOTICE_MS, signal);
+    while (this._dispatches.open > 0 && performance.now() < giveUpAt && !isAborted(signal)) {
+      await sleep(DRAIN_POLL_MS, signal);
+    }
+  }
+
+  public async dispose(): Promise<void> {
+    await this._http.destroy();
+  }
+
+  private _startDraining(): DrainResponse {
+    this._announcer.startDraining();
+    return create(DrainResponseSchema, { openRequests: this._dispatches.open });
+  }
+
+  private _queryClaim(request: QueryClaimRequest): QueryClaimResponse {
+    if (!hasSameBytes(request.sidecarIncarnation, this._incarnation)) {
+      return create(QueryClaimResponseSchema, { progress: ClaimProgress.OTHER_INCARNATION });
+    }
+    return this._claims.query(request.claimId, request.attempt);
+  }
+
+  private _getGateState(): IGateState {
+    const { state } = this._watcher;
+    return {
+      target: this._settings.target.id,
+      sidecarIncarnation: this._incarnation,
+      targetIncarnation: state.incarnation,
+      weightsVersion: state.weightsVersion,
+      isHealthy: state.isHealthy,
+      isDraining: this._announcer.isDraining,
+    };
+  }
+}
--- /dev/null
+++ b/src/sidecar/TargetWatcher.ts
@@ -0,0 +1,147 @@
+/** Task that watches the target's health, incarnation, weights, load and cache events. */
+import { create } from '@bufbuild/protobuf';
+import type { Dispatcher } from 'undici';
+import { Emitter } from '../common/Lifecycle.js';
+import { describeError, type ILog } from '../common/Log.js';
+import { limitSignal, runPeriodically } from '../common/Tasks.js';
+import { TargetLoadSchema } from '../gen/redwingwharf/v1/control_pb.js';
+import type { TargetSettings } from '../gen/settings.js';
+import { CacheIndex } from './CacheIndex.js';
+import type { ITargetState, ITargetWatcher } from './Types.js';
+
+const POLL_INTERVAL_MS = 250;
+const POLL_TIMEOUT_MS = 500;
+
+/** Failed polls in a row after which the target counts as down. */
+const MAX_FAILED_POLLS = 3;
+
+interface IHealthReply {
+  readonly incarnation?: string;
+  readonly weights_version?: string;
+}
+
+interface ILoadReply {
+  readonly queued: number;
+  readonly running: number;
+  readonly queued_prompt_tokens: number;
+  readonly free_blocks: number;
+  readonly total_blocks: number;
+}
+
+interface IEventsReply {
+  readonly incarnation: string;
+  readonly events: readonly { seq: number; type: 'stored' | 'removed'; hash: string }[];
+}
+
+/** Polls the target and keeps its last known state. */
+export class TargetWatcher implements ITargetWatcher {
+  private readonly _changeEmitter = new Emitter<ITargetState>();
+  private readonly _cache = new CacheIndex();
+  private _failedPolls = 0;
+  private _state: ITargetState = {
+    isHealthy: false,
+    incarnation: '',
+    weightsVersion: '',
+    load: create(TargetLoadSchema),
+  };
+
+  /** Fires when health, incarnation or weights change. */
+  public readonly onChange = this._changeEmitter.onFire;
+
+  constructor(
+    private readonly _target: TargetSettings,
+    private readonly _http: Dispatcher,
+    private readonly _log: ILog,
+  ) {}
+
+  public get state(): ITargetState {
+    return this._state;
+  }
+
+  public takeEvicted(limit: number): Uint8Array[] {
+    return this._cache.takeEvicted(limit);
+  }
+
+  /** Polls until the signal is aborted. */
+  public async run(signal: AbortSignal): Promise<void> {
+    await runPeriodically(
+      POLL_INTERVAL_MS,
+      signal,
+      () => this.pollOnce(signal),
+      (error) => {
+        this._countFailure(error);
+      },
+    );
+  }
+
+  public async pollOnce(signal: AbortSignal): Promise<void> {
+    const health = (await this._get(this._target.healthPath ?? '/health', signal)) as IHealthReply;
+    this._failedPolls = 0;
+    const incarnation = health.incarnation ?? '';
+    if (incarnation !== this._state.incarnation) {
+      this._cache.reset();
+    }
+    this._update({
+      ...this._state,
+      isHealthy: true,
+      incarnation,
+      weightsVersion: health.weights_version ?? '',
+    });
+    if (this._target.kind === 'engine') {
+      await this._pollEngine(signal);
+    }
+  }
+
+  private async _pollEngine(signal: AbortSignal): Promise<void> {
+    const load = (await this._get('/load', signal)) as ILoadReply;
+    this._state = {
+      ...this._state,
+      load: create(TargetLoadSchema, {
+        queued: load.queued,
+        running: load.running,
+        queuedPromptTokens: load.queued_prompt_tokens,
+        freeBlocks: Math.max(0, load.free_blocks),
+        totalBlocks: load.total_blocks,
+      }),
+    };
+    const path = `/events?after=${this._cache.lastSeq}`;
+    const reply = (await this._get(path, signal)) as IEventsReply;
+    if (reply.incarnation === this._state.incarnation) {
+      this._cache.apply(reply.events);
+    }
+  }
+
+  private async _get(path: string, signal: AbortSignal): Promise<unknown> {
+    const response = await this._http.request({
+      origin: `http://${this._target.address}`,
+      path,
+      method: 'GET',
+      signal: limitSignal(signal, POLL_TIMEOUT_MS),
+    });
+    if (response.statusCode !== 200) {
+      await response.body.dump();
+      throw new Error(`target answered ${response.statusCode} to GET ${path}`);
+    }
+    return response.body.json();
+  }
+
+  private _countFailure(error: unknown): void {
+    this._failedPolls += 1;
+    if (this._failedPolls >= MAX_FAILED_POLLS && this._state.isHealthy) {
+      this._log.warn('target is down', { error: describeError(error) });
+      this._update({ ...this._state, isHealthy: false });
+    }
+  }
+
+  private _update(state: ITargetState): void {
+    const previous = this._state;
+    this._state = state;
+    const isChanged =
+      previous.isHealthy !== state.isHealthy ||
+      previous.incarnation !== state.incarnation ||
+      previous.weightsVersion !== state.weightsVersion;
+    if (isChanged) {
+      this._changeEmitter.fire(state);
+    }
+  }
+}
