Describe names and addresses in the schemas

Cause: a failed pattern printed a regular expression and no remedy. The description of the value is now part of the schema, where the loader's messages take it from. Ruled out: a table of remedies by pattern in the loader; it would drift from the schema. Conclusion: only descriptions change; every file that was valid stays valid.

--- a/src/gen/operator.ts
+++ b/src/gen/operator.ts
@@ -1,5 +1,8 @@
 // Generated from schema/operator.schema.json. Do not edit.
 
+/**
+ * 1 to 63 lower-case letters, digits, dots, underscores and hyphens, starting with a letter or digit.
+ */
 export type Name = string;
 
 /**
@@ -76,7 +79,8 @@
   "definitions": {
     "name": {
       "type": "string",
-      "pattern": "^[a-z0-9][a-z0-9._-]{0,62}$"
+      "pattern": "^[a-z0-9][a-z0-9._-]{0,62}$",
+      "description": "1 to 63 lower-case letters, digits, dots, underscores and hyphens, starting with a letter or digit."
     },
     "service": {
       "title": "ServiceEntry",
--- a/src/gen/settings.ts
+++ b/src/gen/settings.ts
@@ -1,8 +1,11 @@
 // Generated from schema/settings.schema.json. Do not edit.
 
+/**
+ * 1 to 63 lower-case letters, digits, dots, underscores and hyphens, starting with a letter or digit.
+ */
 export type Name = string;
 /**
- * IP number and port.
+ * IP number and port, such as 10.0.0.5:7001 or [fd00::5]:7001.
  */
 export type Address = string;
 
@@ -25,7 +28,7 @@
    */
   clusterSecretFile: string;
   /**
-   * Processes to copy the configuration from: control members for an entry, entries for a sidecar.
+   * Processes to copy the configuration from: control members for an entry (by default those of entry.control), entries for a sidecar.
    *
    * @minItems 1
    */
@@ -37,7 +40,7 @@
 }
 export interface EntrySettings {
   /**
-   * IP number and port.
+   * IP number and port, such as 10.0.0.5:7001 or [fd00::5]:7001.
    */
   listen: string;
   /**
@@ -122,7 +125,7 @@
       "items": {
         "$ref": "#/definitions/address"
       },
-      "description": "Processes to copy the configuration from: control members for an entry, entries for a sidecar."
+      "description": "Processes to copy the configuration from: control members for an entry (by default those of entry.control), entries for a sidecar."
     },
     "entry": {
       "$ref": "#/definitions/entry"
@@ -146,12 +149,13 @@
   "definitions": {
     "name": {
       "type": "string",
-      "pattern": "^[a-z0-9][a-z0-9._-]{0,62}$"
+      "pattern": "^[a-z0-9][a-z0-9._-]{0,62}$",
+      "description": "1 to 63 lower-case letters, digits, dots, underscores and hyphens, starting with a letter or digit."
     },
     "address": {
       "type": "string",
       "pattern": "^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]+\\]):[0-9]{1,5}$",
-      "description": "IP number and port."
+      "description": "IP number and port, such as 10.0.0.5:7001 or [fd00::5]:7001."
     },
     "entry": {
       "title": "EntrySettings",
