--- /dev/null
+++ b/src/state/Items.test.ts
@@ -0,0 +1,55 @@
+import { create } from '@bufbuild/protobuf';
+import { describe, expect, it } from 'vitest';
+import { ItemChangeSchema, type ItemChange } from '../gen/redwingwharf/v1/state_pb.js';
+import { Items, TOMBSTONE_REVISIONS } from './Items.js';
+
+function set(key: string, value = 'v'): ItemChange {
+  return create(ItemChangeSchema, { key, value: Buffer.from(value) });
+}
+
+function remove(key: string): ItemChange {
+  return create(ItemChangeSchema, { key, delete: true });
+}
+
+describe('Items', () => {
+  it('lists deltas with tombstones, so that a revoked key does not stay on a copy', () => {
+    const items = new Items();
+    items.applyChanges([set('key/a'), set('key/b')], 5);
+    items.applyChanges([remove('key/a')], 9);
+    const since = items.listChangedSince(5);
+    expect(since.full).toBe(false);
+    expect(since.items.map((item) => [item.key, item.deleted])).toEqual([['key/a', true]]);
+    expect(items.listChangedSince(9).items).toEqual([]);
+    expect(items.get('key/a')).toBeUndefined();
+  });
+
+  it('requires a full copy once a tombstone that the reader misses was dropped', () => {
+    const items = new Items();
+    items.applyChanges([set('key/a'), set('key/b')], 5);
+    items.applyChanges([remove('key/a')], 9);
+    items.compact(9 + TOMBSTONE_REVISIONS - 1);
+    expect(items.listChangedSince(8).full).toBe(false);
+    items.compact(9 + TOMBSTONE_REVISIONS);
+    expect(items.listChangedSince(8).full).toBe(true);
+    expect(items.listChangedSince(8).items.map((item) => item.key)).toEqual(['key/b']);
+    expect(items.listChangedSince(9).full).toBe(false);
+  });
+
+  it('keeps an item that was created again after its deletion', () => {
+    const items = new Items();
+    items.applyChanges([set('key/a')], 1);
+    items.applyChanges([remove('key/a')], 2);
+    items.applyChanges([set('key/a', 'w')], 3);
+    items.compact(2 + TOMBSTONE_REVISIONS);
+    expect(items.get('key/a')?.revision).toBe(3n);
+    expect(items.compactedRevision).toBe(0);
+  });
+
+  it('treats an empty value as deletion, and the deletion of nothing as no change', () => {
+    const items = new Items();
+    items.applyChanges([set('weights/m')], 1);
+    expect(items.applyChanges([set('weights/m', '')], 2)).toHaveLength(1);
+    expect(items.applyChanges([remove('weights/m'), remove('weights/n')], 3)).toEqual([]);
+    expect(items.list('weights/')).toEqual([]);
+  });
+});
