--- /dev/null
+++ b/src/policy/CreatePolicy.ts
@@ -0,0 +1,31 @@
+/** Creates the policy that the settings name. */
+import { DefaultPolicy } from './DefaultPolicy.js';
+import { LeastLoad } from './LeastLoad.js';
+import { PrefixHash } from './PrefixHash.js';
+import { RoundRobin } from './RoundRobin.js';
+import type { IRandom, IRoutingPolicy } from './Types.js';
+
+export type PolicyName = 'default' | 'round-robin' | 'least-load' | 'prefix-hash';
+
+/**
+ * Creates a policy for one service.
+ *
+ * @example
+ * const policy = createPolicy('default', 'dar-1');
+ */
+export function createPolicy(
+  name: PolicyName,
+  dataCentre: string,
+  random: IRandom = Math.random,
+): IRoutingPolicy {
+  switch (name) {
+    case 'default':
+      return new DefaultPolicy({ dataCentre, random });
+    case 'round-robin':
+      return new RoundRobin();
+    case 'least-load':
+      return new LeastLoad();
+    case 'prefix-hash':
+      return new PrefixHash();
+  }
+}
--- /dev/null
+++ b/src/run/EntryRole.ts
@@ -0,0 +1,161 @@
+/** Builds the entry role from its modules. */
+import { create } from '@bufbuild/protobuf';
+import type { ConnectRouter } from '@connectrpc/connect';
+import { Admitter } from '../admission/Admitter.js';
+import { GrantWallet } from '../admission/GrantWallet.js';
+import { RetryBudget } from '../admission/RetryBudget.js';
+import type { IClock } from '../common/Clock.js';
+import { generateIdentifier } from '../common/Hashes.js';
+import type { ILog } from '../common/Log.js';
+import type { Metrics } from '../common/Metrics.js';
+import type { RpcClients } from '../common/Rpc.js';
+import { ControlClient } from '../control/ControlClient.js';
+import { Chooser } from '../entry/Chooser.js';
+import { ClaimFlow } from '../entry/ClaimFlow.js';
+import { DecisionLog } from '../entry/DecisionLog.js';
+import { Directory } from '../entry/Directory.js';
+import { DispatchClient } from '../entry/DispatchClient.js';
+import { Dispatcher } from '../entry/Dispatcher.js';
+import { Entry } from '../entry/Entry.js';
+import { ModelFlow } from '../entry/ModelFlow.js';
+import { OpenRequests } from '../entry/OpenRequests.js';
+import { PlainFlow } from '../entry/PlainFlow.js';
+import { AdmissionStage } from '../entry/AdmissionStage.js';
+import type { IFeedSync, IFlowServices } from '../entry/Types.js';
+import type { IFeed } from '../feed/Types.js';
+import {
+  AnnounceResponseSchema,
+  DrainResponseSchema,
+  ExplainResponseSchema,
+  GetEntryStatusResponseSchema,
+  RosterService,
+  type GetEntryStatusResponse,
+} from '../gen/redwingwharf/v1/control_pb.js';
+import { createPolicy } from '../policy/CreatePolicy.js';
+import { Roster } from '../roster/Roster.js';
+import type { ILoadedSettings, IEntryRole } from '../settings/Types.js';
+
+/** Everything that the entry role holds. */
+export class EntryRole {
+  public readonly entry: Entry;
+  private readonly _roster = new Roster();
+  private readonly _decisions: DecisionLog;
+  private readonly _directory: Directory;
+  private readonly _openRequests: OpenRequests;
+  private readonly _chooser: Chooser;
+  private readonly _client: DispatchClient;
+  private readonly _admitter: Admitter;
+  private readonly _shutdown = new AbortController();
+
+  constructor(
+    private readonly _settings: ILoadedSettings,
+    role: IEntryRole,
+    private readonly _feed: IFeed,
+    feedSync: IFeedSync,
+    rpc: RpcClients,
+    private readonly _clock: IClock,
+    log: ILog,
+    metrics: Metrics,
+    private readonly _onDrainRequested: () => void,
+  ) {
+    const control = new ControlClient(rpc, role.control, log);
+    this._decisions = new DecisionLog(log);
+    const services: IFlowServices = {
+      clock: _clock,
+      log,
+      metrics,
+      decisions: this._decisions,
+      feed: _feed,
+      feedSync,
+    };
+    this._directory = new Directory(_feed);
+    this._openRequests = new OpenRequests(this._directory, _feed);
+    this._client = new DispatchClient(_settings.clusterSecret);
+    this._chooser = new Chooser(
+      this._roster,
+      () => createPolicy(role.policy, _settings.dataCentre),
+      _settings.clusterSecret,
+    );
+    const wallet = new GrantWallet(_settings.instance, generateIdentifier());
+    this._admitter = new Admitter(wallet, control, _clock, log, metrics);
+    const admission = new AdmissionStage(this._admitter, _clock);
+    const budget = new RetryBudget(_clock.now());
+    const dispatcher = new Dispatcher(this._chooser, this._client, budget, services);
+    this.entry = new Entry(
+      role.listen,
+      this._directory,
+      this._openRequests,
+      {
+        model: new ModelFlow(
+          admission,
+          this._chooser,
+          dispatcher,
+          this._client,
+          this._openRequests,
+          services,
+        ),
+        plain: new PlainFlow(admission, this._chooser, dispatcher, this._openRequests, services),
+        claim: new ClaimFlow(
+          admission,
+          this._chooser,
+          this._client,
+          control,
+          this._roster,
+          rpc,
+          services,
+          this._shutdown.signal,
+        ),
+      },
+      services,
+    );
+    metrics.addGauge('open_requests', () => this._openRequests.size);
+    metrics.addGauge('feed_revision', () => _feed.revision);
+  }
+
+  public async run(signal: AbortSignal): Promise<void> {
+    await this._admitter.run(signal);
+  }
+
+  public registerRpc(router: ConnectRouter): void {
+    router.service(RosterService, {
+      announce: (request) => {
+        this._roster.announce(request, this._clock.now());
+        return create(AnnounceResponseSchema, { instance: this._settings.instance });
+      },
+      getEntryStatus: () => this._describeStatus(),
+      explain: ({ requestId }) =>
+        create(ExplainResponseSchema, { records: this._decisions.explain(requestId) }),
+      drain: () => {
+        this._onDrainRequested();
+        return create(DrainResponseSchema, { openRequests: this._openRequests.size });
+      },
+    });
+  }
+
+  public async dispose(): Promise<void> {
+    this._shutdown.abort();
+    this.entry.dispose();
+    this._chooser.dispose();
+    this._directory.dispose();
+    await this._client.close();
+  }
+
+  private _describeStatus(): GetEntryStatusResponse {
+    const now = this._clock.now();
+    const confirmedAt = this._feed.getConfirmedAt();
+    return create(GetEntryStatusResponseSchema, {
+      instance: this._settings.instance,
+      dataCentre: this._settings.dataCentre,
+      ready: this.entry.isReady(now),
+      draining: this.entry.isDraining,
+      revision: BigInt(this._feed.revision),
+      version: BigInt(this._feed.version),
+      ...(confirmedAt === undefined ? {} : { confirmedAgeMs: Math.round(now - confirmedAt) }),
+      openRequests: this._openRequests.size,
+      targets: this._roster.listAll(now).map(({ announcement, announcedAt }) => ({
+        announcement,
+        ageMs: Math.round(now - announcedAt),
+      })),
+    });
+  }
+}
--- /dev/null
+++ b/src/run/Process.ts
@@ -0,0 +1,181 @@
+/** Runs the roles that the settings name in this process, until it is told to stop. */
+import type { ConnectRouter } from '@connectrpc/connect';
+import { MonotonicClock, type IClock } from '../common/Clock.js';
+import { createLog, describeError, type ILog } from '../common/Log.js';
+import { Metrics } from '../common/Metrics.js';
+import { RpcClients } from '../common/Rpc.js';
+import { FeedClient } from '../feed/FeedClient.js';
+import { FeedCopy } from '../feed/FeedCopy.js';
+import { FeedService } from '../gen/redwingwharf/v1/control_pb.js';
+import type { ILoadedSettings } from '../settings/Types.js';
+import { Sidecar } from '../sidecar/Sidecar.js';
+import { ControlRole } from './ControlRole.js';
+import { EntryRole } from './EntryRole.js';
+import { InternalServer } from './InternalServer.js';
+
+/** Exit codes of `run`. */
+const EXIT_OK = 0;
+const EXIT_FAILED = 1;
+
+/** Longest wait of a sidecar for its open dispatches. */
+const SIDECAR_DRAIN_TIMEOUT_MS = 600_000;
+
+/** One process of the deployment. */
+export class Process {
+  private readonly _clock: IClock = new MonotonicClock();
+  private readonly _metrics = new Metrics();
+  private readonly _stop = new AbortController();
+  private readonly _drainRequested = new AbortController();
+  private readonly _rpc: RpcClients;
+  private readonly _copy = new FeedCopy();
+  private readonly _feedClient: FeedClient;
+  private readonly _control: ControlRole | undefined;
+  private readonly _entry: EntryRole | undefined;
+  private readonly _sidecar: Sidecar | undefined;
+  private readonly _server: InternalServer;
+
+  constructor(
+    private readonly _settings: ILoadedSettings,
+    private readonly _log: ILog,
+  ) {
+    const { control, entry, sidecar, internal, clusterSecret } = _settings;
+    this._rpc = new RpcClients(clusterSecret);
+    this._feedClient = new FeedClient(
+      this._copy,
+      listFeedServers(_settings),
+      _settings.instance,
+      this._rpc,
+      this._clock,
+      _log,
+    );
+    this._control = control && new ControlRole(control, internal, this._rpc, this._clock, _log);
+    this._entry =
+      entry &&
+      new EntryRole(
+        _settings,
+        entry,
+        this._copy,
+        this._feedClient,
+        this._rpc,
+        this._clock,
+        _log,
+        this._metrics,
+        () => {
+          this._drainRequested.abort();
+        },
+      );
+    this._sidecar =
+      sidecar && new Sidecar(sidecar, _settings.dataCentre, internal, this._copy, this._rpc, _log);
+    this._server = new InternalServer(internal, clusterSecret, {
+      registerRpc: (router) => {
+        this._registerRpc(router);
+      },
+      handleDispatch:
+        this._sidecar &&
+        ((request, response) => this._sidecar?.handle(request, response) ?? Promise.resolve()),
+      metrics: this._metrics,
+    });
+  }
+
+  /** Runs until `signal` is aborted, then drains and stops. Returns the exit code. */
+  public async run(signal: AbortSignal): Promise<number> {
+    const failed = new AbortController();
+    const tasks: Promise<void>[] = [];
+    try {
+      await this._control?.open(this._stop.signal);
+      await this._server.listen();
+      tasks.push(...this._startTasks(failed));
+      await this._entry?.entry.listen();
+      this._log.info('started', { internal: this._settings.internal });
+      await waitAborted(AbortSignal.any([signal, failed.signal, this._drainRequested.signal]));
+      await this._drain(failed.signal);
+    } catch (error) {
+      this._log.error('process failed', { error: describeError(error) });
+      failed.abort();
+    }
+    await this._dispose();
+    await Promise.allSettled(tasks);
+    this._log.info('stopped', {});
+    return failed.signal.aborted ? EXIT_FAILED : EXIT_OK;
+  }
+
+  private _startTasks(failed: AbortController): Promise<void>[] {
+    const { signal } = this._stop;
+    const tasks = [this._feedClient.run(signal)];
+    if (this._control !== undefined) {
+      tasks.push(this._control.run(signal));
+    }
+    if (this._entry !== undefined) {
+      tasks.push(this._entry.run(signal));
+    }
+    if (this._sidecar !== undefined) {
+      tasks.push(this._sidecar.run(signal));
+    }
+    return tasks.map((task) =>
+      task.catch((error: unknown) => {
+        this._log.error('task failed', { error: describeError(error) });
+        failed.abort();
+      }),
+    );
+  }
+
+  private async _drain(signal: AbortSignal): Promise<void> {
+    this._log.info('draining', {});
+    const entryTimeoutMs = this._settings.entry?.drainTimeoutMs ?? 0;
+    await Promise.all([
+      this._entry?.entry.drain(entryTimeoutMs, signal),
+      this._sidecar?.drain(SIDECAR_DRAIN_TIMEOUT_MS, signal),
+    ]);
+  }
+
+  private async _dispose(): Promise<void> {
+    this._stop.abort();
+    await this._entry?.dispose();
+    await this._sidecar?.dispose();
+    await this._control?.dispose();
+    this._server.dispose();
+    this._rpc.dispose();
+  }
+
+  private _registerRpc(router: ConnectRouter): void {
+    this._control?.registerRpc(router);
+    this._entry?.registerRpc(router);
+    this._sidecar?.registerRpc(router);
+    router.service(FeedService, {
+      sync: (request) => {
+        const node = this._control?.node;
+        const source = node?.isOrigin === true ? node : this._copy;
+        return source.sync(request, this._clock.now());
+      },
+    });
+  }
+}
+
+/** The control role of this process is asked over the same interface as the others. */
+function listFeedServers(settings: ILoadedSettings): readonly string[] {
+  const own = settings.control === undefined ? [] : [settings.internal];
+  return [...new Set([...settings.feed, ...own])];
+}
+
+async function waitAborted(signal: AbortSignal): Promise<void> {
+  if (signal.aborted) {
+    return;
+  }
+  await new Promise<void>((resolve) => {
+    signal.addEventListener(
+      'abort',
+      () => {
+        resolve();
+      },
+      { once: true },
+    );
+  });
+}
+
+/** Runs one process with its log on standard output. */
+export async function runProcess(settings: ILoadedSettings, signal: AbortSignal): Promise<number> {
+  const log = createLog(settings.instance, settings.logLevel, (line) => {
+    process.stdout.write(`${line}\n`);
+  });
+  return new Process(settings, log).run(signal);
+}
--- a/src/sidecar/Announcer.ts
+++ b/src/sidecar/Announcer.ts
@@ -9,7 +9,7 @@
   TargetKind,
   type AnnounceRequest,
 } from '../gen/redwingwharf/v1/control_pb.js';
-import type { TargetSettings } from '../gen/settings.js';
+import type { ITargetRole } from '../settings/Types.js';
 import type { ITargetWatcher } from './Types.js';
 
 /** Four announcements fit into the expiry at the entry. */
@@ -20,7 +20,7 @@
 const MAX_EVICTED_HASHES = 32;
 
 export interface IAnnouncerOptions {
-  readonly target: TargetSettings;
+  readonly target: ITargetRole;
   readonly dataCentre: string;
   /** Internal address of this sidecar. */
   readonly address: string;
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -17,7 +17,7 @@
   type QueryClaimRequest,
   type QueryClaimResponse,
 } from '../gen/redwingwharf/v1/control_pb.js';
-import type { SidecarSettings } from '../gen/settings.js';
+import type { ISidecarRole } from '../settings/Types.js';
 import { Announcer } from './Announcer.js';
 import { ClaimTable } from './ClaimTable.js';
 import { Dispatches } from './Dispatches.js';
@@ -42,7 +42,7 @@
   private readonly _dispatches: Dispatches;
 
   constructor(
-    private readonly _settings: SidecarSettings,
+    private readonly _settings: ISidecarRole,
     dataCentre: string,
     address: string,
     feed: IFeed,
--- a/src/sidecar/TargetWatcher.ts
+++ b/src/sidecar/TargetWatcher.ts
@@ -5,7 +5,7 @@
 import { describeError, type ILog } from '../common/Log.js';
 import { limitSignal, runPeriodically } from '../common/Tasks.js';
 import { TargetLoadSchema } from '../gen/redwingwharf/v1/control_pb.js';
-import type { TargetSettings } from '../gen/settings.js';
+import type { ITargetRole } from '../settings/Types.js';
 import { CacheIndex } from './CacheIndex.js';
 import type { ITargetState, ITargetWatcher } from './Types.js';
 
@@ -49,7 +49,7 @@
   public readonly onChange = this._changeEmitter.onFire;
 
   constructor(
-    private readonly _target: TargetSettings,
+    private readonly _target: ITargetRole,
     private readonly _http: Dispatcher,
     private readonly _log: ILog,
   ) {}
@@ -75,7 +75,7 @@
   }
 
   public async pollOnce(signal: AbortSignal): Promise<void> {
-    const health = (await this._get(this._target.healthPath ?? '/health', signal)) as IHealthReply;
+    const health = (await this._get(this._target.healthPath, signal)) as IHealthReply;
     this._failedPolls = 0;
     const incarnation = health.incarnation ?? '';
     if (incarnation !== this._state.incarnation) {
--- /dev/null
+++ b/tools/demo.ts
@@ -0,0 +1,240 @@
+/** Starts a small deployment, sends a mixed load through it and checks what came back. */
+import { readFileSync } from 'node:fs';
+import { Deployment } from './harness/Deployment.js';
+import { FRANCHISE_PLAN } from './harness/Franchise.js';
+
+/** A pricking standard of a few cached chunks that all prompts share. */
+const STANDARD = 'A lace pattern is checked line by line against the standard. '.repeat(600);
+
+interface ICheck {
+  readonly name: string;
+  readonly ok: boolean;
+  readonly detail: string;
+}
+
+const checks: ICheck[] = [];
+
+function recordCheck(name: string, ok: boolean, detail: string): void {
+  checks.push({ name, ok, detail });
+  process.stdout.write(`${ok ? 'ok  ' : 'FAIL'} ${name}: ${detail}\n`);
+}
+
+interface IAnswer {
+  readonly status: number;
+  readonly text: string;
+  readonly headers: Headers;
+}
+
+async function call(
+  url: string,
+  key: string | undefined,
+  init: RequestInit = {},
+): Promise<IAnswer> {
+  const headers = new Headers(init.headers);
+  if (key !== undefined) {
+    headers.set('authorization', `Bearer ${key}`);
+  }
+  const response = await fetch(url, { ...init, headers });
+  return { status: response.status, text: await response.text(), headers: response.headers };
+}
+
+async function streamCompletion(url: string, key: string, maxTokens: number): Promise<IAnswer> {
+  return call(`${url}/v1/chat/completions`, key, {
+    method: 'POST',
+    body: JSON.stringify({
+      model: 'lace-1',
+      stream: true,
+      max_tokens: maxTokens,
+      messages: [
+        { role: 'system', content: STANDARD },
+        { role: 'user', content: 'Is row 12 correct?' },
+      ],
+    }),
+  });
+}
+
+/** Text deltas of a stream, in order. */
+function listDeltas(stream: string): string[] {
+  return stream
+    .split('\n')
+    .filter((line) => line.startsWith('data: {'))
+    .map((line) => JSON.parse(line.slice('data: '.length)) as IChunk)
+    .map((chunk) => chunk.choices[0]?.delta.content ?? '')
+    .filter((delta) => delta !== '');
+}
+
+interface IChunk {
+  readonly choices: readonly { readonly delta: { readonly content?: string } }[];
+  readonly usage?: { readonly prompt_tokens_details?: { readonly cached_tokens: number } };
+}
+
+function isCompleteStream(stream: string, tokens: number): boolean {
+  const expected = Array.from({ length: tokens }, (_, index) => `t${index} `).join('');
+  return listDeltas(stream).join('') === expected && stream.endsWith('data: [DONE]\n\n');
+}
+
+async function prepareDeployment(deployment: Deployment): Promise<string> {
+  await deployment.start();
+  await deployment.waitFor('a control leader', async () => {
+    const status = await deployment.runOperator(['status', '--json']);
+    return status.code === 0 && status.stdout.includes('"leader"');
+  });
+  const published = await deployment.runOperator([
+    'publish',
+    `${deployment.folder}/services`,
+    '--operator',
+    'demo',
+  ]);
+  recordCheck('publish', published.code === 0, published.stdout.trim() || published.stderr.trim());
+  const given = await deployment.runOperator(['key', 'give', 'pag']);
+  const key = /rww_\S+/.exec(given.stdout)?.[0] ?? '';
+  for (const entry of deployment.listEntries()) {
+    await deployment.waitFor(`${entry} to serve`, async () => {
+      const stock = await call(`${deployment.getUrl(entry)}/stock/linen`, key);
+      const models = await call(`${deployment.getUrl(entry)}/v1/models`, key);
+      const answer = await streamCompletion(deployment.getUrl(entry), key, 1);
+      return stock.status === 200 && models.status === 200 && answer.status === 200;
+    });
+  }
+  return key;
+}
+
+async function checkModel(deployment: Deployment, key: string): Promise<void> {
+  const url = deployment.getUrl('entry-1');
+  const first = await streamCompletion(url, key, 20);
+  recordCheck('streamed answer', isCompleteStream(first.text, 20), '20 tokens in order');
+  const second = await streamCompletion(deployment.getUrl('entry-2'), key, 5);
+  const cached = Number(/"cached_tokens":(\d+)/.exec(second.text)?.[1] ?? 0);
+  recordCheck('cached prefix', cached > 0, `${cached} prompt tokens came from the cache`);
+}
+
+async function checkPlain(deployment: Deployment, key: string): Promise<void> {
+  const url = deployment.getUrl('entry-2');
+  const stock = await call(`${url}/stock/linen`, key);
+  recordCheck('lookup', stock.status === 200, stock.text);
+  const open = await call(`${url}/opening-hours`, undefined);
+  recordCheck('open route without a key', open.status === 200, `status ${open.status}`);
+  const order = { method: 'POST', body: '{"order":"40 m cotton"}' };
+  const headers = { 'idempotency-key': 'order-1', 'content-type': 'application/json' };
+  const first = await call(`${url}/orders`, key, { ...order, headers });
+  const resent = await call(`${deployment.getUrl('entry-3')}/orders`, key, { ...order, headers });
+  recordCheck('order', first.status === 201, first.text);
+  const isSame = resent.text === first.text && resent.headers.get('x-rww-replayed') === 'true';
+  recordCheck('resent order gets the same answer', isSame, `status ${resent.status}`);
+  const other = await call(`${url}/orders`, key, {
+    method: 'POST',
+    body: '{"order":"x"}',
+    headers,
+  });
+  recordCheck('same key for another order is refused', other.status === 422, other.text);
+}
+
+async function checkKeys(deployment: Deployment, key: string): Promise<void> {
+  const url = deployment.getUrl('entry-1');
+  const missing = await call(`${url}/stock/linen`, undefined);
+  recordCheck('missing key', missing.status === 401, missing.text);
+  const wrong = await call(`${url}/stock/linen`, `${key.slice(0, -4)}AAAA`);
+  recordCheck('wrong key', wrong.status === 401, wrong.text);
+  const hvar = await deployment.runOperator(['key', 'give', 'hvar']);
+  const hvarKey = /rww_([0-9a-f]+)_\S+/.exec(hvar.stdout);
+  await deployment.waitFor('the new key', async () => {
+    const stock = await call(`${url}/stock/linen`, hvarKey?.[0]);
+    return stock.status === 200;
+  });
+  const forbidden = await streamCompletion(url, hvarKey?.[0] ?? '', 1);
+  recordCheck('service of another account', forbidden.status === 403, forbidden.text);
+  await deployment.runOperator(['key', 'withdraw', hvarKey?.[1] ?? '']);
+  const withdrawnAt = performance.now();
+  await deployment.waitFor('the key to stop', async () => {
+    const answers = await Promise.all(
+      deployment
+        .listEntries()
+        .map((entry) => call(`${deployment.getUrl(entry)}/stock/linen`, hvarKey?.[0])),
+    );
+    return answers.every(({ status }) => status === 401);
+  });
+  const tookMs = Math.round(performance.now() - withdrawnAt);
+  recordCheck('withdrawn key stops everywhere', tookMs < 4_000, `after ${tookMs} ms`);
+}
+
+async function checkRestart(deployment: Deployment, key: string): Promise<void> {
+  const stream = streamCompletion(deployment.getUrl('entry-1'), key, 200);
+  await deployment.getChild('entry-3')?.stop('SIGKILL');
+  const during = await call(`${deployment.getUrl('entry-2')}/stock/linen`, key);
+  recordCheck('an entry is killed, the others serve', during.status === 200, during.text);
+  const restartedAt = performance.now();
+  deployment.startEntry('entry-3');
+  await deployment.waitFor('entry-3 to be ready', () => deployment.isReady('entry-3'));
+  const after = await deployment.waitForAnswer('entry-3', key);
+  const tookMs = Math.round(performance.now() - restartedAt);
+  recordCheck('the restarted entry serves', after, `first answer after ${tookMs} ms`);
+  const { text } = await stream;
+  recordCheck('the open stream is complete', isCompleteStream(text, 200), '200 tokens in order');
+}
+
+async function checkTargets(deployment: Deployment): Promise<void> {
+  const effects = readFileSync(deployment.ledgerFile, 'utf8').trim().split('\n');
+  recordCheck('effects of the order', effects.length === 1, `${effects.length} recorded`);
+  let leakedKeys = 0;
+  let requests = 0;
+  for (const id of deployment.listTargets()) {
+    const { text } = await call(`${deployment.getTargetUrl(id)}/_observed`, undefined);
+    const observed = JSON.parse(text) as { leakedKeys: number; requests: number };
+    leakedKeys += observed.leakedKeys;
+    requests += observed.requests;
+  }
+  const detail = `${leakedKeys} keys in ${requests} requests`;
+  recordCheck('no target saw a key', leakedKeys === 0 && requests > 0, detail);
+}
+
+async function checkShutdown(deployment: Deployment, key: string): Promise<void> {
+  const stream = streamCompletion(deployment.getUrl('entry-2'), key, 300);
+  await deployment.waitFor('the stream to start', async () => {
+    const status = await deployment.runOperator([
+      'status',
+      '--entries',
+      deployment.getInternalAddress('entry-2'),
+      '--json',
+    ]);
+    return /"openRequests":\s*[1-9]/.test(status.stdout);
+  });
+  const child = deployment.getChild('entry-2');
+  await child?.stop('SIGTERM');
+  const { text } = await stream;
+  const isComplete = isCompleteStream(text, 300) && child?.exitCode === 0;
+  recordCheck('graceful shutdown cuts no stream', isComplete, '300 tokens in order, exit code 0');
+}
+
+async function runChecks(deployment: Deployment): Promise<void> {
+  const key = await prepareDeployment(deployment);
+  await checkModel(deployment, key);
+  await checkPlain(deployment, key);
+  await checkKeys(deployment, key);
+  await checkRestart(deployment, key);
+  await checkTargets(deployment);
+  await checkShutdown(deployment, key);
+}
+
+async function main(): Promise<void> {
+  const startedAt = performance.now();
+  const deployment = await Deployment.create(FRANCHISE_PLAN);
+  try {
+    await runChecks(deployment);
+  } catch (error) {
+    recordCheck('the demo ran to its end', false, String(error));
+  } finally {
+    await deployment.stop();
+  }
+  const ok = checks.every((check) => check.ok);
+  if (ok) {
+    deployment.deleteFolder();
+  } else {
+    process.stdout.write(`logs: ${deployment.folder}\n`);
+  }
+  const seconds = Math.round((performance.now() - startedAt) / 100) / 10;
+  const failed = checks.filter((check) => !check.ok).map(({ name }) => name);
+  process.stdout.write(`${JSON.stringify({ ok, checks: checks.length, failed, seconds })}\n`);
+  process.exitCode = ok ? 0 : 1;
+}
+
+void main();
--- /dev/null
+++ b/tools/harness/Deployment.ts
@@ -0,0 +1,305 @@
+/** A small deployment of separate processes on loopback, for the demo, the soak and measurements. */
+import { execFile } from 'node:child_process';
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
+import { Child } from './Child.js';
+import { findFreePorts } from './Ports.js';
+
+const PROGRAM = 'dist/redwingwharf.cjs';
+const FAKES = 'dist/fakes.cjs';
+const START_TIMEOUT_MS = 20_000;
+
+/** One target with its sidecar. */
+export interface ITargetPlan {
+  readonly id: string;
+  readonly service: string;
+  readonly kind: 'engine' | 'plain';
+  readonly model?: string;
+  readonly dataCentre: string;
+  /** Further arguments of the fake. */
+  readonly fakeArgs?: readonly string[];
+}
+
+/** What to deploy. */
+export interface IDeploymentPlan {
+  readonly region: string;
+  readonly entries: readonly { readonly name: string; readonly dataCentre: string }[];
+  readonly targets: readonly ITargetPlan[];
+  /** Content of the operator's files, by folder. */
+  readonly operatorFiles: Readonly<Record<string, unknown>>;
+  readonly policy?: string;
+}
+
+interface IEntryPorts {
+  readonly public: number;
+  readonly internal: number;
+}
+
+interface ITargetPorts {
+  readonly target: number;
+  readonly sidecar: number;
+}
+
+/** Result of a command of the program. */
+export interface ICommandResult {
+  readonly code: number;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+/** Processes, settings and data folders of one deployment. */
+export class Deployment {
+  private readonly _children = new Map<string, Child>();
+
+  private constructor(
+    public readonly folder: string,
+    private readonly _plan: IDeploymentPlan,
+    private readonly _entryPorts: ReadonlyMap<string, IEntryPorts>,
+    private readonly _targetPorts: ReadonlyMap<string, ITargetPorts>,
+  ) {}
+
+  /** Writes the settings of a deployment into a new folder. */
+  public static async create(plan: IDeploymentPlan): Promise<Deployment> {
+    const folder = mkdtempSync(join(tmpdir(), 'redwingwharf-'));
+    const ports = await findFreePorts((plan.entries.length + plan.targets.length) * 2);
+    const takePort = (): number => ports.shift() ?? 0;
+    const entryPorts = new Map(
+      plan.entries.map(({ name }) => [name, { public: takePort(), internal: takePort() }]),
+    );
+    const targetPorts = new Map(
+      plan.targets.map(({ id }) => [id, { target: takePort(), sidecar: takePort() }]),
+    );
+    const deployment = new Deployment(folder, plan, entryPorts, targetPorts);
+    deployment._writeFiles();
+    return deployment;
+  }
+
+  public get secretFile(): string {
+    return join(this.folder, 'secret');
+  }
+
+  /** File to which the plain fakes write their effects. */
+  public get ledgerFile(): string {
+    return join(this.folder, 'effects.jsonl');
+  }
+
+  public listEntries(): string[] {
+    return [...this._entryPorts.keys()];
+  }
+
+  public listTargets(): string[] {
+    return [...this._targetPorts.keys()];
+  }
+
+  public getChild(name: string): Child | undefined {
+    return this._children.get(name);
+  }
+
+  /** Base URL for callers. */
+  public getUrl(entry: string): string {
+    return `http://127.0.0.1:${this._entryPorts.get(entry)?.public ?? 0}`;
+  }
+
+  public getInternalAddress(name: string): string {
+    const port = this._entryPorts.get(name)?.internal ?? this._targetPorts.get(name)?.sidecar;
+    return `127.0.0.1:${port ?? 0}`;
+  }
+
+  public getTargetUrl(id: string): string {
+    return `http://127.0.0.1:${this._targetPorts.get(id)?.target ?? 0}`;
+  }
+
+  public listControlAddresses(): string[] {
+    return this.listEntries().map((name) => this.getInternalAddress(name));
+  }
+
+  /** Founds the control group on the first entry's disk and starts everything. */
+  public async start(): Promise<void> {
+    const [first = ''] = this.listEntries();
+    const founded = await this.runCommand(['init', '--data', this.getDataFolder(first)]);
+    if (founded.code !== 0) {
+      throw new Error(`init failed: ${founded.stderr}${founded.stdout}`);
+    }
+    for (const name of this.listEntries()) {
+      this.startEntry(name);
+    }
+    for (const id of this.listTargets()) {
+      this.startFake(id);
+      this.startSidecar(id);
+    }
+  }
+
+  public startEntry(name: string): Child {
+    return this._spawn(name, [PROGRAM, 'run', '--settings', this._getSettingsFile(name)]);
+  }
+
+  public startSidecar(id: string): Child {
+    const name = `sidecar-${id}`;
+    return this._spawn(name, [PROGRAM, 'run', '--settings', this._getSettingsFile(name)]);
+  }
+
+  public startFake(id: string): Child {
+    const plan = this._plan.targets.find((target) => target.id === id);
+    const port = this._targetPorts.get(id)?.target ?? 0;
+    const model = plan?.model === undefined ? [] : ['--model', plan.model];
+    return this._spawn(`fake-${id}`, [
+      FAKES,
+      plan?.kind ?? 'plain',
+      '--listen',
+      `127.0.0.1:${port}`,
+      '--target',
+      id,
+      '--ledger',
+      this.ledgerFile,
+      ...model,
+      ...(plan?.fakeArgs ?? []),
+    ]);
+  }
+
+  public getDataFolder(entry: string): string {
+    return join(this.folder, `${entry}-data`);
+  }
+
+  /** Deletes the disk of a stopped entry. */
+  public deleteDisk(entry: string): void {
+    rmSync(this.getDataFolder(entry), { recursive: true, force: true });
+  }
+
+  /** Runs a command of the program. */
+  public async runCommand(args: readonly string[]): Promise<ICommandResult> {
+    return new Promise((resolve) => {
+      execFile(process.execPath, [PROGRAM, ...args], (error, stdout, stderr) => {
+        const code = error === null ? 0 : Number(error.code ?? 1);
+        resolve({ code, stdout, stderr });
+      });
+    });
+  }
+
+  /** Runs an operator's command against this deployment. */
+  public async runOperator(args: readonly string[]): Promise<ICommandResult> {
+    const control = this.listControlAddresses().join(',');
+    return this.runCommand([...args, '--control', control, '--secret-file', this.secretFile]);
+  }
+
+  /** Waits until the condition holds; throws with the last error after a time limit. */
+  public async waitFor(
+    what: string,
+    condition: () => Promise<boolean>,
+    timeoutMs = START_TIMEOUT_MS,
+  ): Promise<void> {
+    const giveUpAt = performance.now() + timeoutMs;
+    let lastError = '';
+    while (performance.now() < giveUpAt) {
+      try {
+        if (await condition()) {
+          return;
+        }
+      } catch (error) {
+        lastError = String(error);
+      }
+      await delay(50);
+    }
+    throw new Error(`timed out waiting for ${what} ${lastError}; logs are in ${this.folder}`);
+  }
+
+  public async isReady(entry: string): Promise<boolean> {
+    const response = await fetch(`${this.getUrl(entry)}/readyz`);
+    return response.status === 200;
+  }
+
+  /** Waits until an entry answers a keyed lookup; false after a time limit. */
+  public async waitForAnswer(entry: string, key: string): Promise<boolean> {
+    const headers = { authorization: `Bearer ${key}` };
+    const url = `${this.getUrl(entry)}/stock/linen`;
+    await this.waitFor(`${entry} to answer`, async () => {
+      const response = await fetch(url, { headers });
+      return response.status === 200;
+    });
+    return true;
+  }
+
+  /** Kills all processes. */
+  public async stop(): Promise<void> {
+    await Promise.all([...this._children.values()].map((child) => child.stop('SIGKILL')));
+  }
+
+  public deleteFolder(): void {
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+
+  private _spawn(name: string, args: readonly string[]): Child {
+    const child = new Child(name, args, join(this.folder, `${name}.log`));
+    this._children.set(name, child);
+    return child;
+  }
+
+  private _getSettingsFile(name: string): string {
+    return join(this.folder, `${name}.json`);
+  }
+
+  private _writeFiles(): void {
+    writeFileSync(this.secretFile, 'demo-cluster-secret-0123456789\n');
+    for (const [name, content] of Object.entries(this._plan.operatorFiles)) {
+      const folder = join(this.folder, 'services', name);
+      mkdirSync(folder, { recursive: true });
+      writeFileSync(join(folder, 'redwingwharf.json'), JSON.stringify(content, undefined, 2));
+    }
+    for (const entry of this._plan.entries) {
+      this._writeSettings(entry.name, this._buildEntrySettings(entry.name, entry.dataCentre));
+    }
+    for (const target of this._plan.targets) {
+      this._writeSettings(`sidecar-${target.id}`, this._buildSidecarSettings(target));
+    }
+  }
+
+  private _writeSettings(name: string, settings: unknown): void {
+    writeFileSync(this._getSettingsFile(name), JSON.stringify(settings, undefined, 2));
+  }
+
+  private _buildEntrySettings(name: string, dataCentre: string): unknown {
+    const control = this.listControlAddresses();
+    const own = this.getInternalAddress(name);
+    return {
+      instance: name,
+      region: this._plan.region,
+      dataCentre,
+      internal: own,
+      clusterSecretFile: 'secret',
+      feed: control,
+      entry: {
+        listen: this.getUrl(name).slice('http://'.length),
+        control,
+        ...(this._plan.policy === undefined ? {} : { policy: this._plan.policy }),
+      },
+      control: {
+        memberId: name,
+        dataFolder: `${name}-data`,
+        peers: control.filter((address) => address !== own),
+      },
+    };
+  }
+
+  private _buildSidecarSettings(target: ITargetPlan): unknown {
+    const entries = this.listControlAddresses();
+    return {
+      instance: `sidecar-${target.id}`,
+      region: this._plan.region,
+      dataCentre: target.dataCentre,
+      internal: this.getInternalAddress(target.id),
+      clusterSecretFile: 'secret',
+      feed: entries,
+      sidecar: {
+        announceTo: entries,
+        target: {
+          id: target.id,
+          service: target.service,
+          kind: target.kind,
+          address: this.getTargetUrl(target.id).slice('http://'.length),
+          ...(target.model === undefined ? {} : { model: target.model }),
+        },
+      },
+    };
+  }
+}
