--- /dev/null
+++ b/src/policy/DefaultPolicy.ts
@@ -0,0 +1,269 @@
+/** Policy that weighs cached prefixes against queued work. */
+import { BasePolicy, explainNone, isUsable } from './BasePolicy.js';
+import { CacheLifetime } from './CacheLifetime.js';
+import { Estimator } from './Estimator.js';
+import { CHUNK_TOKENS } from './PrefixChain.js';
+import { PrefixHeat } from './PrefixHeat.js';
+import { PrefixHomes } from './PrefixHomes.js';
+import { PrefixIndex, type IPrefixIndexLimits, type IPrefixMatch } from './PrefixIndex.js';
+import { TargetTable } from './TargetTable.js';
+import {
+  MAX_LOGGED_CANDIDATES,
+  type ChainHash,
+  type IAnswer,
+  type ICandidate,
+  type IRandom,
+  type IRouteDecision,
+  type IRouteRequest,
+  type ITargetView,
+  type RouteReason,
+} from './Types.js';
+
+/** Fleets up to this size are scored as a whole; larger ones by a sample. */
+const SMALL_FLEET = 32;
+
+/** Targets drawn at random in a large fleet, in case that all homes and holders are busy. */
+const SAMPLED_TARGETS = 8;
+
+/** Targets with evidence that are scored, those with the longest prefix first. */
+const MAX_MATCHES = 32;
+
+/** Estimates within this distance of the smallest count as equal. */
+const NEAR_MS = 5;
+const NEAR_SHARE = 0.1;
+
+/** Settings that differ between experiments. */
+export interface IDefaultPolicyOptions {
+  /** Data centre of this process. */
+  readonly dataCentre: string;
+  readonly random: IRandom;
+  readonly index?: Partial<IPrefixIndexLimits>;
+}
+
+interface IScored {
+  readonly target: ITargetView;
+  readonly reason: RouteReason;
+  readonly cachedTokens: number;
+  readonly waitMs: number;
+  readonly ttftMs: number;
+  /** Estimate that is compared; it includes preferences that are not part of the time. */
+  readonly cost: number;
+}
+
+interface IDispatch {
+  readonly request: IRouteRequest;
+  readonly target: ITargetView;
+  /** Ages of the evidence at the dispatch, chunk by chunk. */
+  readonly ages: readonly number[];
+}
+
+/**
+ * Chooses the target with the smallest estimated time to first token among those with evidence of
+ * the prefix and the homes of the prefix.
+ *
+ * @example
+ * const policy = new DefaultPolicy({ dataCentre: 'dar-1', random: Math.random });
+ * const decision = policy.choose(request, roster.listTargets('assessor', now), now);
+ */
+export class DefaultPolicy extends BasePolicy {
+  public readonly name = 'default';
+  private readonly _random: IRandom;
+  private readonly _table = new TargetTable();
+  private readonly _heat = new PrefixHeat();
+  private readonly _homes = new PrefixHomes(this._table, this._heat);
+  private readonly _index: PrefixIndex;
+  private readonly _lifetime = new CacheLifetime();
+  private readonly _estimator: Estimator;
+  private readonly _dispatches = new Map<string, IDispatch>();
+  private readonly _getLifetime = (targetId: string): number => this._lifetime.get(targetId);
+
+  constructor(options: IDefaultPolicyOptions) {
+    super();
+    this._random = options.random;
+    this._index = new PrefixIndex(options.index);
+    this._estimator = new Estimator(options.dataCentre);
+  }
+
+  public override choose(
+    request: IRouteRequest,
+    targets: readonly ITargetView[],
+    now: number,
+  ): IRouteDecision {
+    this._table.refresh(targets);
+    const scored = this._scoreAll(request, targets, now);
+    if (scored.length === 0) {
+      return this._chooseFallback(request, targets, now);
+    }
+    const best = this._pickBest(scored);
+    return {
+      kind: 'target',
+      target: best.target,
+      expectedCachedTokens: best.cachedTokens,
+      estimatedTtftMs: best.ttftMs,
+      reason: best.reason,
+      candidates: listCandidates(scored),
+    };
+  }
+
+  public override onDispatched(request: IRouteRequest, target: ITargetView, now: number): void {
+    this._index.reconcile(target);
+    const ages = this._index.listAges(target, request.chain, now);
+    const lifetime = this._lifetime.get(target.id);
+    const expired = ages.findIndex((age) => age > lifetime);
+    const chunks = expired < 0 ? ages.length : expired;
+    const missedTokens = Math.max(0, request.promptTokens - chunks * CHUNK_TOKENS);
+    const workMs = this._estimator.estimatePrefill(target.id, missedTokens);
+    this.loads.open(request.requestId, target.id, workMs, now);
+    this._heat.record(request.chain, now);
+    this._index.record(target, request.chain, request.chain.length, now);
+    this._dispatches.set(request.requestId, { request, target, ages });
+  }
+
+  public override onAnswered(requestId: string, answer: IAnswer, now: number): void {
+    this.loads.close(requestId, now);
+    const dispatch = this._dispatches.get(requestId);
+    if (dispatch === undefined) {
+      return;
+    }
+    this._dispatches.delete(requestId);
+    const { request, target, ages } = dispatch;
+    if (answer.load !== undefined) {
+      this.loads.report(target.id, answer.load);
+    }
+    const missedTokens = Math.max(0, request.promptTokens - answer.cachedPromptTokens);
+    this._estimator.observe(target, missedTokens, answer.ttftMs);
+    this._lifetime.observe(target.id, ages, Math.floor(answer.cachedPromptTokens / CHUNK_TOKENS));
+  }
+
+  public override onFailed(requestId: string, now: number): void {
+    this.loads.close(requestId, now);
+    const dispatch = this._dispatches.get(requestId);
+    if (dispatch !== undefined) {
+      this._dispatches.delete(requestId);
+      this._index.forget(dispatch.target, dispatch.request.chain);
+    }
+  }
+
+  public override onEvicted(target: ITargetView, hashes: readonly ChainHash[]): void {
+    this._index.forget(target, hashes);
+  }
+
+  public override onTargetGone(targetId: string): void {
+    this.loads.drop(targetId);
+    this._index.dropTarget(targetId);
+    this._lifetime.drop(targetId);
+    this._estimator.drop(targetId);
+  }
+
+  private _scoreAll(
+    request: IRouteRequest,
+    targets: readonly ITargetView[],
+    now: number,
+  ): IScored[] {
+    const chunks = new Map<number, number>();
+    for (const match of this._findMatches(request, now)) {
+      const position = this._table.find(match.targetId);
+      const target = position === undefined ? undefined : targets[position];
+      if (position !== undefined && target !== undefined) {
+        this._index.reconcile(target);
+        chunks.set(position, match.chunks);
+      }
+    }
+    const homes = new Set(this._homes.find(request.chain, now));
+    const scored: IScored[] = [];
+    for (const position of new Set([...homes, ...chunks.keys(), ...this._listSpill(targets)])) {
+      const target = targets[position];
+      if (target !== undefined && isUsable(target)) {
+        const known = this._index.listAges(target, request.chain.slice(0, 1), now).length > 0;
+        const cachedChunks = known ? (chunks.get(position) ?? 0) : 0;
+        const reason = homes.has(position) ? 'home' : cachedChunks > 0 ? 'evidence' : 'spill';
+        scored.push(this._score(request, target, cachedChunks, reason, now));
+      }
+    }
+    return scored;
+  }
+
+  private _findMatches(request: IRouteRequest, now: number): IPrefixMatch[] {
+    const matches = this._index.match(request.chain, now, this._getLifetime);
+    if (matches.length <= MAX_MATCHES) {
+      return matches;
+    }
+    return matches.sort((a, b) => b.chunks - a.chunks).slice(0, MAX_MATCHES);
+  }
+
+  /** Positions of targets that are scored without regard to the prefix. */
+  private _listSpill(targets: readonly ITargetView[]): number[] {
+    if (targets.length <= SMALL_FLEET) {
+      return [...targets.keys()];
+    }
+    return Array.from({ length: SAMPLED_TARGETS }, () =>
+      Math.floor(this._random() * targets.length),
+    );
+  }
+
+  private _score(
+    request: IRouteRequest,
+    target: ITargetView,
+    chunks: number,
+    reason: RouteReason,
+    now: number,
+  ): IScored {
+    this.loads.refresh(target);
+    const cachedTokens = chunks * CHUNK_TOKENS;
+    const missedTokens = Math.max(0, request.promptTokens - cachedTokens);
+    const serviceMs = this._estimator.getServiceMs(target.id);
+    const waitMs = this.loads.estimateWait(target.id, serviceMs, now);
+    const ttftMs = this._estimator.estimateTtft(target, waitMs, missedTokens);
+    return { target, reason, cachedTokens, waitMs, ttftMs, cost: ttftMs };
+  }
+
+  /** Power of two choices among the estimates close to the smallest. */
+  private _pickBest(scored: readonly IScored[]): IScored {
+    const least = scored.reduce((a, b) => (b.cost < a.cost ? b : a));
+    const limit = least.cost + Math.max(NEAR_MS, least.cost * NEAR_SHARE);
+    const near = scored.filter((item) => item.cost <= limit);
+    const first = near[Math.floor(this._random() * near.length)] ?? least;
+    const second = near[Math.floor(this._random() * near.length)] ?? least;
+    const firstOpen = this.loads.countOpen(first.target.id);
+    const secondOpen = this.loads.countOpen(second.target.id);
+    if (firstOpen === secondOpen) {
+      return first.cost <= second.cost ? first : second;
+    }
+    return firstOpen < secondOpen ? first : second;
+  }
+
+  /** Any usable target, for a large fleet of which every scored target is unusable. */
+  private _chooseFallback(
+    request: IRouteRequest,
+    targets: readonly ITargetView[],
+    now: number,
+  ): IRouteDecision {
+    const target = targets.find(isUsable);
+    if (target === undefined) {
+      return explainNone(targets);
+    }
+    const scored = this._score(request, target, 0, 'spill', now);
+    return {
+      kind: 'target',
+      target,
+      expectedCachedTokens: 0,
+      estimatedTtftMs: scored.ttftMs,
+      reason: 'spill',
+      candidates: listCandidates([scored]),
+    };
+  }
+}
+
+function listCandidates(scored: readonly IScored[]): ICandidate[] {
+  const best = scored.length <= MAX_LOGGED_CANDIDATES ? scored : sortBest(scored);
+  return best.map(({ target, cachedTokens, waitMs, ttftMs }) => ({
+    targetId: target.id,
+    cachedTokens,
+    waitMs,
+    ttftMs,
+  }));
+}
+
+function sortBest(scored: readonly IScored[]): IScored[] {
+  return [...scored].sort((a, b) => a.cost - b.cost).slice(0, MAX_LOGGED_CANDIDATES);
+}
--- /dev/null
+++ b/src/policy/PrefixHash.ts
@@ -0,0 +1,39 @@
+/** Baseline: rendezvous hashing by the head of the prefix. */
+import { BasePolicy, explainNone, isUsable } from './BasePolicy.js';
+import { hashText, TargetTable } from './TargetTable.js';
+import type { IRandom, IRouteDecision, IRouteRequest, ITargetView } from './Types.js';
+
+/** Number of leading chunks that select the target, if the prompt has as many. */
+const DEFAULT_HEAD_CHUNKS = 4;
+
+/** Targets ranked at first; all of them are ranked when none of these is usable. */
+const FIRST_RANKS = 3;
+
+/** Sends a prefix always to the same target while that is usable, regardless of load. */
+export class PrefixHash extends BasePolicy {
+  public readonly name = 'prefix-hash';
+  private readonly _random: IRandom;
+  private readonly _headChunks: number;
+  private readonly _table = new TargetTable();
+
+  constructor(random: IRandom, headChunks = DEFAULT_HEAD_CHUNKS) {
+    super();
+    this._random = random;
+    this._headChunks = headChunks;
+  }
+
+  public choose(request: IRouteRequest, targets: readonly ITargetView[]): IRouteDecision {
+    this._table.refresh(targets);
+    const head = request.chain[Math.min(this._headChunks, request.chain.length) - 1];
+    const key = head === undefined ? Math.floor(this._random() * 2 ** 32) : hashText(head);
+    for (const count of [FIRST_RANKS, targets.length]) {
+      for (const position of this._table.rankAll(key, count)) {
+        const target = targets[position];
+        if (target !== undefined && isUsable(target)) {
+          return this.decide(target, 'home');
+        }
+      }
+    }
+    return explainNone(targets);
+  }
+}
--- /dev/null
+++ b/src/policy/PrefixIndex.ts
@@ -0,0 +1,274 @@
+/** Bounded index of evidence that targets hold prefixes in their cache. */
+import type { ChainHash, ITargetView } from './Types.js';
+
+/** Entries of one index. At the measured 120 to 190 bytes each they stay below 20 MB. */
+export const DEFAULT_MAX_ENTRIES = 100_000;
+
+/** Evidence older than this is dropped: engines evict unused blocks within seconds. */
+export const DEFAULT_MAX_AGE_MS = 60_000;
+
+/** Holders kept of one hash. More would lengthen the walk without improving a decision. */
+const MAX_HOLDERS = 64;
+
+/** One run of one target with one weights version. */
+interface IHolder {
+  readonly targetId: string;
+  readonly incarnation: string;
+  readonly weightsVersion: string;
+  alive: boolean;
+  /** Scratch values of the walk in progress. */
+  walk: number;
+  depth: number;
+}
+
+interface IEntry {
+  readonly hash: ChainHash;
+  readonly holder: IHolder;
+  seenAt: number;
+  older: IEntry | undefined;
+  newer: IEntry | undefined;
+}
+
+/** A target with evidence of the first `chunks` chunks of a chain. */
+export interface IPrefixMatch {
+  readonly targetId: string;
+  readonly chunks: number;
+}
+
+export interface IPrefixIndexLimits {
+  readonly maxEntries: number;
+  readonly maxAgeMs: number;
+}
+
+/** Longest time that a target keeps an unused chunk, as far as known. */
+export type IGetLifetime = (targetId: string) => number;
+
+/**
+ * Remembers which run of which target was seen with which chunk. The hash of a chunk covers its
+ * client account, weights version and all chunks before it.
+ */
+export class PrefixIndex {
+  private readonly _limits: IPrefixIndexLimits;
+  private readonly _holders = new Map<string, IHolder>();
+  private readonly _entries = new Map<ChainHash, IEntry[]>();
+  private _size = 0;
+  private _walk = 0;
+  private _oldest: IEntry | undefined;
+  private _newest: IEntry | undefined;
+
+  constructor(limits: Partial<IPrefixIndexLimits> = {}) {
+    this._limits = {
+      maxEntries: limits.maxEntries ?? DEFAULT_MAX_ENTRIES,
+      maxAgeMs: limits.maxAgeMs ?? DEFAULT_MAX_AGE_MS,
+    };
+  }
+
+  /** Number of entries, including those of dead incarnations that were not reached yet. */
+  public get size(): number {
+    return this._size;
+  }
+
+  /** Records that the target holds the first `chunks` chunks of the chain. */
+  public record(
+    target: ITargetView,
+    chain: readonly ChainHash[],
+    chunks: number,
+    now: number,
+  ): void {
+    const holder = this._ensureHolder(target);
+    // Deepest first: an engine evicts the end of a prefix before its head.
+    for (let i = Math.min(chunks, chain.length) - 1; i >= 0; i -= 1) {
+      const hash = chain[i];
+      if (hash !== undefined) {
+        this._touch(holder, hash, now);
+      }
+    }
+    this._prune(now);
+  }
+
+  /** Forgets the chunks from the given one on. */
+  public forget(target: ITargetView, chain: readonly ChainHash[], fromChunk = 0): void {
+    const holder = this._findHolder(target);
+    if (holder === undefined) {
+      return;
+    }
+    for (let i = fromChunk; i < chain.length; i += 1) {
+      const hash = chain[i];
+      const entry = hash === undefined ? undefined : this._findEntry(holder, hash);
+      if (entry !== undefined) {
+        this._remove(entry);
+      }
+    }
+  }
+
+  /** Forgets everything about a target. The entries are released when they are next reached. */
+  public dropTarget(targetId: string): void {
+    const holder = this._holders.get(targetId);
+    if (holder !== undefined) {
+      holder.alive = false;
+      this._holders.delete(targetId);
+    }
+  }
+
+  /** Drops the evidence of a target unless it is of this incarnation and weights version. */
+  public reconcile(target: ITargetView): void {
+    if (this._holders.has(target.id) && this._findHolder(target) === undefined) {
+      this.dropTarget(target.id);
+    }
+  }
+
+  /** Targets with fresh evidence of at least the first chunk. */
+  public match(
+    chain: readonly ChainHash[],
+    now: number,
+    getLifetime: IGetLifetime,
+  ): IPrefixMatch[] {
+    this._walk += 1;
+    const found: IHolder[] = [];
+    for (let depth = 0; depth < chain.length; depth += 1) {
+      if (!this._matchChunk(chain[depth] ?? '', depth, now, getLifetime, found)) {
+        break;
+      }
+    }
+    return found.map((holder) => ({ targetId: holder.targetId, chunks: holder.depth }));
+  }
+
+  /** Ages of the evidence of one target, one for each chunk up to the first without evidence. */
+  public listAges(target: ITargetView, chain: readonly ChainHash[], now: number): number[] {
+    const holder = this._findHolder(target);
+    const ages: number[] = [];
+    for (const hash of holder === undefined ? [] : chain) {
+      const entry = holder === undefined ? undefined : this._findEntry(holder, hash);
+      if (entry === undefined) {
+        break;
+      }
+      ages.push(now - entry.seenAt);
+    }
+    return ages;
+  }
+
+  private _matchChunk(
+    hash: ChainHash,
+    depth: number,
+    now: number,
+    getLifetime: IGetLifetime,
+    found: IHolder[],
+  ): boolean {
+    let advanced = false;
+    for (const entry of this._entries.get(hash) ?? []) {
+      const holder = entry.holder;
+      const reached = depth === 0 || (holder.walk === this._walk && holder.depth === depth);
+      const age = now - entry.seenAt;
+      if (!holder.alive || !reached || age > this._limits.maxAgeMs) {
+        continue;
+      }
+      if (age > getLifetime(holder.targetId)) {
+        continue;
+      }
+      if (depth === 0) {
+        holder.walk = this._walk;
+        found.push(holder);
+      }
+      holder.depth = depth + 1;
+      advanced = true;
+    }
+    return advanced;
+  }
+
+  private _findHolder(target: ITargetView): IHolder | undefined {
+    const holder = this._holders.get(target.id);
+    const isCurrent =
+      holder?.incarnation === target.incarnation && holder.weightsVersion === target.weightsVersion;
+    return isCurrent ? holder : undefined;
+  }
+
+  private _ensureHolder(target: ITargetView): IHolder {
+    const known = this._findHolder(target);
+    if (known !== undefined) {
+      return known;
+    }
+    this.dropTarget(target.id);
+    const holder = {
+      targetId: target.id,
+      incarnation: target.incarnation,
+      weightsVersion: target.weightsVersion,
+      alive: true,
+      walk: 0,
+      depth: 0,
+    };
+    this._holders.set(target.id, holder);
+    return holder;
+  }
+
+  private _findEntry(holder: IHolder, hash: ChainHash): IEntry | undefined {
+    return this._entries.get(hash)?.find((entry) => entry.holder === holder);
+  }
+
+  private _touch(holder: IHolder, hash: ChainHash, now: number): void {
+    const known = this._findEntry(holder, hash);
+    if (known !== undefined) {
+      known.seenAt = now;
+      this._detach(known);
+      this._append(known);
+      return;
+    }
+    const siblings = this._entries.get(hash) ?? [];
+    if (siblings.length >= MAX_HOLDERS) {
+      this._remove(siblings.reduce((a, b) => (b.seenAt < a.seenAt ? b : a)));
+    }
+    const entry = { hash, holder, seenAt: now, older: undefined, newer: undefined };
+    siblings.push(entry);
+    this._entries.set(hash, siblings);
+    this._size += 1;
+    this._append(entry);
+  }
+
+  private _prune(now: number): void {
+    while (this._oldest !== undefined) {
+      const entry = this._oldest;
+      const isStale = !entry.holder.alive || now - entry.seenAt > this._limits.maxAgeMs;
+      if (!isStale && this._size <= this._limits.maxEntries) {
+        return;
+      }
+      this._remove(entry);
+    }
+  }
+
+  private _remove(entry: IEntry): void {
+    const siblings = this._entries.get(entry.hash) ?? [];
+    const position = siblings.indexOf(entry);
+    if (position < 0) {
+      return;
+    }
+    siblings.splice(position, 1);
+    if (siblings.length === 0) {
+      this._entries.delete(entry.hash);
+    }
+    this._size -= 1;
+    this._detach(entry);
+  }
+
+  private _append(entry: IEntry): void {
+    entry.older = this._newest;
+    entry.newer = undefined;
+    if (this._newest === undefined) {
+      this._oldest = entry;
+    } else {
+      this._newest.newer = entry;
+    }
+    this._newest = entry;
+  }
+
+  private _detach(entry: IEntry): void {
+    if (entry.older === undefined) {
+      this._oldest = entry.newer;
+    } else {
+      entry.older.newer = entry.newer;
+    }
+    if (entry.newer === undefined) {
+      this._newest = entry.older;
+    } else {
+      entry.newer.older = entry.older;
+    }
+  }
+}
