Add the routing bench

Cause: the targets of the policy need a measurement on equal arrivals. Discrete-event simulation of engines with continuous batching, an LRU cache and late, gappy announcements; three entries with their own policy each; an oracle that knows each cache and queue.

--- /dev/null
+++ b/tools/bench.ts
@@ -0,0 +1,96 @@
+/**
+ * Compares routing policies on simulated engines.
+ *
+ * npm run bench -- --deployment authority|franchise --policy NAME --seed N [--seeds M]
+ *   [--seconds S] [--faults on|off] [--load FACTOR] [--compare] [--decision-times]
+ */
+import { parseArgs } from 'node:util';
+import { measureDecisionTimes } from './bench/DecisionTimes.js';
+import { DEPLOYMENTS, type IDeployment } from './bench/Deployments.js';
+import type { IRunFigures } from './bench/Measures.js';
+import { POLICY_NAMES, type PolicyName } from './bench/Policies.js';
+import {
+  checkTargets,
+  formatChecks,
+  formatResult,
+  formatTable,
+  summariseRuns,
+} from './bench/Report.js';
+import { runOnce } from './bench/Simulation.js';
+
+interface IBenchOptions {
+  readonly deployment: IDeployment;
+  readonly policy: PolicyName;
+  readonly seeds: readonly number[];
+  readonly seconds: number;
+  readonly hasFaults: boolean;
+  readonly isComparison: boolean;
+}
+
+function readOptions(): IBenchOptions | undefined {
+  const { values } = parseArgs({
+    options: {
+      deployment: { type: 'string', default: 'authority' },
+      policy: { type: 'string', default: 'default' },
+      seed: { type: 'string', default: '1' },
+      seeds: { type: 'string', default: '1' },
+      seconds: { type: 'string', default: '120' },
+      faults: { type: 'string', default: 'off' },
+      load: { type: 'string', default: '1' },
+      compare: { type: 'boolean', default: false },
+      'decision-times': { type: 'boolean', default: false },
+    },
+  });
+  if (values['decision-times']) {
+    return undefined;
+  }
+  const deployment = DEPLOYMENTS[values.deployment];
+  const policy = POLICY_NAMES.find((name) => name === values.policy);
+  if (deployment === undefined || policy === undefined) {
+    const names = `${Object.keys(DEPLOYMENTS).join(', ')}; policies: ${POLICY_NAMES.join(', ')}`;
+    throw new Error(`unknown deployment or policy; deployments: ${names}`);
+  }
+  const first = Number(values.seed);
+  const requestsPerSecond = deployment.requestsPerSecond * Number(values.load);
+  return {
+    deployment: { ...deployment, requestsPerSecond },
+    policy,
+    seeds: Array.from({ length: Number(values.seeds) }, (_, index) => first + index),
+    seconds: Number(values.seconds),
+    hasFaults: values.faults === 'on',
+    isComparison: values.compare,
+  };
+}
+
+function runSeeds(options: IBenchOptions, policy: PolicyName | 'oracle'): IRunFigures[] {
+  const { deployment, seconds, hasFaults } = options;
+  return options.seeds.map((seed) => runOnce({ deployment, policy, seed, seconds, hasFaults }));
+}
+
+function main(): void {
+  const options = readOptions();
+  if (options === undefined) {
+    console.log(JSON.stringify(measureDecisionTimes()));
+    return;
+  }
+  const names = options.isComparison
+    ? [...POLICY_NAMES, 'oracle' as const]
+    : [options.policy, 'oracle' as const];
+  const rows = new Map(names.map((name) => [name as string, runSeeds(options, name)]));
+  console.log(formatTable(rows));
+  if (options.isComparison) {
+    console.log(formatChecks(checkTargets(rows, options.hasFaults)));
+  }
+  const context = {
+    deployment: options.deployment.name,
+    policy: options.policy,
+    seeds: options.seeds,
+    seconds: options.seconds,
+    faults: options.hasFaults ? 'on' : 'off',
+    requestsPerSecond: options.deployment.requestsPerSecond,
+  };
+  const policy = summariseRuns(rows.get(options.policy) ?? []);
+  console.log(formatResult(context, policy, summariseRuns(rows.get('oracle') ?? [])));
+}
+
+main();
