--- a/src/control/ControlClient.ts
+++ b/src/control/ControlClient.ts
@@ -52,7 +52,7 @@
   readonly timeoutMs?: number;
 }
 
-type CallOutcome =
+export type CallOutcome =
   | { readonly kind: 'result'; readonly result: CommandResult }
   | { readonly kind: 'not_leader'; readonly leader: string | undefined }
   | { readonly kind: 'not_connected'; readonly reason: string }
@@ -77,7 +77,8 @@
   return false;
 }
 
-function describeCallError(error: unknown): CallOutcome {
+/** What a failed call proves about the command. */
+export function describeCallError(error: unknown): CallOutcome {
   if (isNotConnected(error)) {
     return { kind: 'not_connected', reason: 'connection refused' };
   }
