--- /dev/null
+++ b/src/state/ControlState.test.ts
@@ -0,0 +1,193 @@
+import { create, fromBinary, toBinary, type MessageInitShape } from '@bufbuild/protobuf';
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import {
+  ClientAccountSchema,
+  CommandResultSchema,
+  CommandSchema,
+  type CommandResult,
+} from '../gen/redwingwharf/v1/state_pb.js';
+import { ControlState, SYNC_KEPT_MS } from './ControlState.js';
+
+type Body = NonNullable<MessageInitShape<typeof CommandSchema>['body']>;
+
+const SEED = 20_261_204;
+
+function encodeCommand(timeMs: number, body: Body): Uint8Array {
+  return toBinary(CommandSchema, create(CommandSchema, { timeMs: BigInt(timeMs), body }));
+}
+
+function buildAccountChange(version: number, burstTokens: number, id = 'lab'): Body {
+  const account = create(ClientAccountSchema, { id, tokensPerSecond: 100, burstTokens });
+  const value = burstTokens > 0 ? toBinary(ClientAccountSchema, account) : new Uint8Array();
+  const items = [{ key: `clientAccount/${id}`, value }];
+  const operationId = `op-${version}`;
+  return { case: 'change', value: { operationId, version: BigInt(version), items } };
+}
+
+interface ISyncOptions {
+  readonly incarnation?: number;
+  readonly wanted?: number;
+  readonly spentGrant?: number;
+  readonly refund?: number;
+}
+
+function buildSync(sequence: number, options: ISyncOptions = {}): Body {
+  const { incarnation = 1, wanted = 100, spentGrant, refund } = options;
+  const reports =
+    spentGrant === undefined ? [] : [{ grantId: BigInt(spentGrant), spentTokens: wanted }];
+  const refunds =
+    refund === undefined ? [] : [{ clientAccount: 'lab', epoch: BigInt(refund), tokens: 30.5 }];
+  return {
+    case: 'syncGrants',
+    value: {
+      instance: 'entry-1',
+      incarnation: Uint8Array.of(incarnation),
+      sequence: BigInt(sequence),
+      requests: [{ clientAccount: 'lab', reports, wantedTokens: wanted }],
+      refunds,
+    },
+  };
+}
+
+class Applier {
+  public readonly state = new ControlState();
+  private _index = 0;
+
+  public apply(timeMs: number, body: Body): CommandResult['body'] {
+    this._index += 1;
+    const result = this.state.apply(encodeCommand(timeMs, body), this._index);
+    return fromBinary(CommandResultSchema, result).body;
+  }
+
+  public sync(timeMs: number, sequence: number, options: ISyncOptions = {}): number | undefined {
+    const body = this.apply(timeMs, buildSync(sequence, options));
+    return body.case === 'syncGrants' ? body.value.grants[0]?.tokens : undefined;
+  }
+}
+
+/** Any command, often on the same few keys. */
+const bodies: fc.Arbitrary<Body> = fc.oneof(
+  fc
+    .tuple(fc.nat(12), fc.nat(3), fc.constantFrom('lab', 'mill'))
+    .map(([version, burst, id]) => buildAccountChange(version, burst * 333.3, id)),
+  fc
+    .tuple(fc.nat(30), fc.nat(2), fc.nat(40), fc.integer({ min: 118, max: 160 }))
+    .map(([sequence, incarnation, spentGrant, refund]) =>
+      buildSync(sequence, { incarnation, wanted: 10 * spentGrant, spentGrant, refund }),
+    ),
+  fc.tuple(fc.nat(5), fc.nat(2), fc.nat(2)).map(([key, digest, replacesAttempt]): Body => ({
+    case: 'claim',
+    value: {
+      key: { clientAccount: 'lab', service: 'desk', idempotencyKey: `${key}` },
+      bodyDigest: Uint8Array.of(digest === 2 ? 1 : 0),
+      binding: { target: `t${digest}`, sidecarIncarnation: Uint8Array.of(1) },
+      replacesAttempt,
+      requestId: `r${key}${digest}`,
+    },
+  })),
+  fc
+    .tuple(fc.nat(60), fc.integer({ min: 1, max: 2 }), fc.boolean())
+    .map(([claimId, attempt, unknown]): Body => ({
+      case: 'settleClaim',
+      value: {
+        claimId: BigInt(claimId),
+        attempt,
+        unknown,
+        answer: { status: 200, headers: { b: '1', a: '2' }, body: new Uint8Array(claimId) },
+      },
+    })),
+  fc.tuple(fc.nat(4), fc.boolean()).map(([target, release]): Body => ({
+    case: 'loadSlot',
+    value: { target: `t${target}`, sidecarIncarnation: Uint8Array.of(1), release },
+  })),
+);
+
+describe('ControlState', () => {
+  it('goes on from a snapshot byte for byte, so that a restarted member never diverges', () => {
+    const step = fc.record({ body: bodies, afterMs: fc.oneof(fc.nat(300), fc.nat(40_000)) });
+    const property = fc.property(
+      fc.array(step, { maxLength: 120, size: 'max' }),
+      fc.nat(120),
+      (steps, cut) => {
+        const original = new ControlState();
+        let restored: ControlState | undefined;
+        let timeMs = 0;
+        for (const [position, { body, afterMs }] of steps.entries()) {
+          if (position === cut) {
+            restored = new ControlState();
+            restored.restore(original.snapshot());
+          }
+          timeMs += afterMs;
+          const command = encodeCommand(timeMs, body);
+          const result = original.apply(command, position + 1);
+          if (restored !== undefined) {
+            expect(restored.apply(command, position + 1)).toEqual(result);
+          }
+        }
+        if (restored !== undefined) {
+          expect(Buffer.compare(restored.snapshot(), original.snapshot())).toBe(0);
+        }
+      },
+    );
+    fc.assert(property, { seed: SEED, numRuns: 300 });
+  });
+
+  it('answers a repeated exchange from the record and ignores a late one', () => {
+    const applier = new Applier();
+    applier.apply(0, buildAccountChange(1, 1_000));
+    expect(applier.sync(0, 2, { wanted: 100 })).toBe(100);
+    expect(applier.sync(50, 2, { wanted: 100 })).toBe(100);
+    expect(applier.sync(50, 1, { wanted: 900 })).toBeUndefined();
+    // Only one grant of 100 tokens is outstanding.
+    expect(applier.sync(50, 1, { incarnation: 2, wanted: 1_000 })).toBe(900);
+  });
+
+  it('refunds once when an exchange is applied again after its record is gone', () => {
+    const applier = new Applier();
+    applier.apply(0, buildAccountChange(1, 100_000));
+    applier.sync(0, 1, { wanted: 50_000 });
+    applier.sync(1_000, 2, { wanted: 50_000, spentGrant: 2, refund: 120 });
+    const before = applier.state.snapshot();
+    const again = new ControlState();
+    again.restore(before);
+    const late = encodeCommand(SYNC_KEPT_MS + 1_000, buildSync(2, { wanted: 0, refund: 120 }));
+    const idle = encodeCommand(SYNC_KEPT_MS + 1_000, buildSync(3, { wanted: 0 }));
+    applier.state.apply(idle, 4);
+    again.apply(late, 4);
+    const [left, right] = [applier.state, again].map((state) => {
+      const probe = encodeCommand(SYNC_KEPT_MS + 1_000, buildSync(4, { wanted: 100_000 }));
+      return state.apply(probe, 5);
+    });
+    expect(left).toEqual(right);
+  });
+
+  it('never lets time go back, so that a leader with an old clock refills nothing twice', () => {
+    const applier = new Applier();
+    applier.apply(10_000, buildAccountChange(1, 1_000));
+    applier.sync(10_000, 1, { wanted: 1_000 });
+    applier.sync(10_000, 2, { wanted: 0, spentGrant: 2 });
+    applier.apply(3_000, { case: 'loadSlot', value: { target: 't' } });
+    expect(applier.state.timeMs).toBe(10_000);
+    expect(applier.sync(10_000, 3, { wanted: 1_000 })).toBe(0);
+  });
+
+  it('treats bytes that are no command as one without effect, so that no member stops', () => {
+    const state = new ControlState();
+    expect(state.apply(Uint8Array.of(255, 255, 255), 1)).toHaveLength(0);
+    expect(state.revision).toBe(1);
+  });
+
+  it('tells readers of changed items once for each accepted change, and after a restore', () => {
+    const applier = new Applier();
+    const seen: number[] = [];
+    applier.state.onItemsChange(({ revision, items }) => seen.push(revision, items.length));
+    applier.apply(0, buildAccountChange(1, 1_000));
+    applier.apply(0, buildAccountChange(1, 1_000));
+    applier.apply(0, buildAccountChange(1, 2_000));
+    applier.state.restore(applier.state.snapshot());
+    expect(seen).toEqual([1, 1, 3, 1]);
+    expect(applier.state.version).toBe(1);
+    expect(applier.state.listChangedSince(0).items).toHaveLength(1);
+  });
+});
