Let a call finish that began before the deadline

Cause: a call that was cut off by the total deadline had an unknown outcome although the member would have answered "not leader"; the caller then heard "indeterminate" in place of "not run". A call begun before the deadline now gets at least 250 ms. Its limit is rounded up to whole milliseconds: the server refuses a fractional Connect-Timeout-Ms as an invalid argument. Ruled out: treating a call that was cut off as "not run"; the member may still carry it out.

--- a/src/control/ControlClient.ts
+++ b/src/control/ControlClient.ts
@@ -4,7 +4,7 @@
 import type { ILog } from '../common/Log.js';
 import { Err, Ok, type IFailure, type Result } from '../common/Result.js';
 import type { RpcClients } from '../common/Rpc.js';
-import { addJitter, isAborted, limitSignal, sleep } from '../common/Tasks.js';
+import { addJitter, isAborted, sleep } from '../common/Tasks.js';
 import { ControlService } from '../gen/redwingwharf/v1/control_pb.js';
 import type { CommandResult, CommandSchema } from '../gen/redwingwharf/v1/state_pb.js';
 
@@ -14,6 +14,12 @@
 /** Limit of one call, so that a member that hangs leaves time for the others. */
 const CALL_TIMEOUT_MS = 2_000;
 
+/**
+ * A call begun before the deadline gets at least this long; cut off earlier, its outcome would be unknown
+ * without need.
+ */
+const SHORTEST_CALL_MS = 250;
+
 const FIRST_PAUSE_MS = 50;
 const LONGEST_PAUSE_MS = 800;
 
@@ -64,6 +70,8 @@
   hasAnswer: boolean;
   unknownReason: string | undefined;
   lastReason: string;
+  /** End of the total time, in the process's monotonic milliseconds. */
+  readonly endsAt: number;
 }
 
 function isNotConnected(error: unknown): boolean {
@@ -95,6 +103,10 @@
   return { kind: 'indeterminate', reason: rawMessage };
 }
 
+function isOver(progress: IProgress, signal: AbortSignal): boolean {
+  return isAborted(signal) || performance.now() >= progress.endsAt;
+}
+
 function createGivenUp(progress: IProgress): ControlFailure {
   if (progress.unknownReason !== undefined) {
     const message = `The outcome is unknown (${progress.unknownReason}); resend with the same operation id.`;
@@ -136,19 +148,20 @@
     signal: AbortSignal,
     options: IExecuteOptions = {},
   ): Promise<Result<CommandResult, ControlFailure>> {
-    const limit = limitSignal(signal, options.timeoutMs ?? DEFAULT_TIMEOUT_MS);
     const progress: IProgress = {
       hasAnswer: false,
       unknownReason: undefined,
       lastReason: 'no time left',
+      endsAt: performance.now() + (options.timeoutMs ?? DEFAULT_TIMEOUT_MS),
     };
     let pauseMs = FIRST_PAUSE_MS;
-    while (!isAborted(limit)) {
-      const end = await this._tryAll(command, limit, options.isIdempotent === true, progress);
+    while (!isOver(progress, signal)) {
+      const end = await this._tryAll(command, signal, options.isIdempotent === true, progress);
       if (end !== undefined) {
         return end;
       }
-      await sleep(addJitter(pauseMs), limit);
+      const leftMs = Math.max(progress.endsAt - performance.now(), 0);
+      await sleep(Math.min(addJitter(pauseMs), leftMs), signal);
       pauseMs = Math.min(pauseMs * 2, LONGEST_PAUSE_MS);
     }
     return Err(createGivenUp(progress));
@@ -157,18 +170,18 @@
   /** Tries the known leader, the leaders named by others and each address once. */
   private async _tryAll(
     command: ICommandBody,
-    limit: AbortSignal,
+    signal: AbortSignal,
     isIdempotent: boolean,
     progress: IProgress,
   ): Promise<Result<CommandResult, ControlFailure> | undefined> {
     const tried = new Set<string>();
     for (;;) {
       const address = this._pickNext(tried);
-      if (address === undefined || isAborted(limit)) {
+      if (address === undefined || isOver(progress, signal)) {
         return undefined;
       }
       tried.add(address);
-      const outcome = await this._call(address, command, limit);
+      const outcome = await this._call(address, command, signal, progress.endsAt);
       const end = this._handleOutcome(address, outcome, isIdempotent, progress);
       if (end !== undefined) {
         return end;
@@ -186,13 +199,16 @@
   private async _call(
     address: string,
     command: ICommandBody,
-    limit: AbortSignal,
+    signal: AbortSignal,
+    endsAt: number,
   ): Promise<CallOutcome> {
+    // The header that carries the limit takes whole milliseconds only.
+    const leftMs = Math.ceil(Math.max(endsAt - performance.now(), SHORTEST_CALL_MS));
     try {
       const client = this._clients.get(ControlService, address);
       const { outcome } = await client.execute(
         { command: { body: command } },
-        { signal: limit, timeoutMs: CALL_TIMEOUT_MS },
+        { signal, timeoutMs: Math.min(leftMs, CALL_TIMEOUT_MS) },
       );
       switch (outcome.case) {
         case 'result':
