--- a/src/cli/Commands.ts
+++ b/src/cli/Commands.ts
@@ -76,6 +76,12 @@
   }
 }
 
+/** The parser reads `--json=x` as a flag and an argument x; no flag has a value. */
+function findFlagWithValue(argv: readonly string[]): string | undefined {
+  const prefixes = listOptionNames(true).map((name) => `--${name}=`);
+  return argv.find((argument) => prefixes.some((prefix) => argument.startsWith(prefix)));
+}
+
 /** Positionals that the usage allows; `undefined` stands for "any number". */
 function countPositionals(spec: ICommandSpec): number | undefined {
   const words = spec.usage.split(' ');
@@ -127,6 +133,11 @@
   version: string,
   context: ICommandContext,
 ): Promise<number> {
+  const flag = findFlagWithValue(argv);
+  if (flag !== undefined) {
+    context.output.warn(`${flag}: the option takes no value. Run "${PROGRAM} --help".`);
+    return EXIT_CODE.usage;
+  }
   const program = createProgram(version);
   let line: sade.LazyOutput | undefined;
   try {
--- a/src/cli/ControlAccess.ts
+++ b/src/cli/ControlAccess.ts
@@ -148,6 +148,7 @@
   /** Reads all items from the leader; a follower's copy may lack the last change. */
   public async readItems(signal: AbortSignal): Promise<Result<IItemsCopy, ControlFailure>> {
     const limit = limitSignal(signal, this._timeoutMs);
+    let earlier: ControlFailure | undefined;
     for (;;) {
       const members = await fetchMemberStatus(this._clients, this._addresses, limit);
       const leader = findLeader(members);
@@ -156,9 +157,14 @@
         return Ok(copy);
       }
       const failure = explainNoLeader(members);
-      if (isAborted(limit) || failure.kind === 'forbidden') {
+      if (failure.kind === 'forbidden') {
         return Err(failure);
       }
+      if (isAborted(limit)) {
+        // The last round was cut off and says nothing about the members.
+        return Err(earlier ?? failure);
+      }
+      earlier = failure;
       await sleep(addJitter(RETRY_PAUSE_MS), limit);
     }
   }
