--- a/src/cli/CommandSpecs.ts
+++ b/src/cli/CommandSpecs.ts
@@ -182,12 +182,12 @@
   },
   {
     usage: 'init',
-    summary: 'Make a data folder the first control member of a new cluster.',
+    summary: 'Make the disk of a control member the first one of a new cluster.',
     options: [
-      { name: 'data', kind: 'text', summary: 'Data folder', isRequired: true },
+      { name: 'settings', kind: 'text', summary: 'Settings file of the member', isRequired: true },
       JSON_OPTION,
     ],
-    examples: ['init --data /var/lib/redwingwharf'],
+    examples: ['init --settings /etc/redwingwharf/entry-1.json'],
     loadHandler: async () => (await import('./commands/Init.js')).initialiseFolder,
   },
   {
--- a/src/cli/Types.ts
+++ b/src/cli/Types.ts
@@ -29,11 +29,11 @@
 }
 
 /** Why a data folder was not initialised. */
-export type InitFailure = IFailure<'not_empty' | 'unwritable' | 'not_available'>;
+export type InitFailure = IFailure<'not_empty' | 'unwritable' | 'no_control_role'>;
 
-/** Makes a data folder the first control member of a new cluster; returns the cluster id. */
+/** Makes the disk of a control member the first one of a new cluster; returns the cluster id. */
 export interface IInitialiser {
-  init(dataFolder: string): Promise<Result<string, InitFailure>>;
+  init(settings: ILoadedSettings): Promise<Result<string, InitFailure>>;
 }
 
 /** What commands are given besides their arguments. */
--- a/src/cli/commands/Init.ts
+++ b/src/cli/commands/Init.ts
@@ -1,20 +1,25 @@
-/** `init`: makes a data folder the first control member of a new cluster. */
-import { resolve } from 'node:path';
+/** `init`: makes the disk of a control member the first one of a new cluster. */
+import { loadSettings } from '../../settings/SettingsLoader.js';
 import { printResult, reportFailure } from '../Report.js';
 import { EXIT_CODE, type ICommandContext, type ICommandInput } from '../Types.js';
 
-/** Initialises the folder of --data. */
+/** Initialises the data folder that the settings name. */
 export async function initialiseFolder(
   input: ICommandInput,
   context: ICommandContext,
 ): Promise<number> {
-  const dataFolder = resolve(input.getText('data') ?? '');
-  const done = await context.initialiser.init(dataFolder);
+  const loaded = await loadSettings(input.getText('settings') ?? '');
+  if (loaded.err) {
+    reportFailure(input, context, loaded.val, { problems: loaded.val.problems });
+    return EXIT_CODE.refused;
+  }
+  const done = await context.initialiser.init(loaded.val);
   if (done.err) {
     reportFailure(input, context, done.val);
     return EXIT_CODE.refused;
   }
   const clusterId = done.val;
+  const dataFolder = loaded.val.control?.dataFolder ?? '';
   printResult(input, context, { dataFolder, clusterId }, [
     `${dataFolder} is the first member of cluster ${clusterId}`,
   ]);
--- a/src/common/Tasks.test.ts
+++ b/src/common/Tasks.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { runPeriodically, sleep } from './Tasks.js';
+import { limitSignal, runPeriodically, sleep } from './Tasks.js';
 
 describe('sleep', () => {
   it('ends early on abort, so that shutdown does not wait for timers', async () => {
@@ -33,3 +33,11 @@
     expect(failures).toHaveLength(1);
   });
 });
+
+describe('limitSignal', () => {
+  it('accepts the remaining time of a deadline, which is no whole number', async () => {
+    const signal = limitSignal(new AbortController().signal, 0.5);
+    await sleep(5_000, signal);
+    expect(signal.aborted).toBe(true);
+  });
+});
--- a/src/common/Tasks.ts
+++ b/src/common/Tasks.ts
@@ -31,9 +31,14 @@
   return signal.aborted;
 }
 
+/** A signal that is aborted after `ms` milliseconds; Node accepts whole numbers only. */
+export function createTimeoutSignal(ms: number): AbortSignal {
+  return AbortSignal.timeout(Math.max(0, Math.ceil(ms)));
+}
+
 /** A signal that is aborted with its parent or after `ms` milliseconds. */
 export function limitSignal(parent: AbortSignal, ms: number): AbortSignal {
-  return AbortSignal.any([parent, AbortSignal.timeout(ms)]);
+  return AbortSignal.any([parent, createTimeoutSignal(ms)]);
 }
 
 /**
--- a/src/entry/AdmissionStage.ts
+++ b/src/entry/AdmissionStage.ts
@@ -1,6 +1,5 @@
 /** Third stage: turns failures of the admitter into errors that the caller understands. */
 import type { Admitter, AdmitFailure } from '../admission/Admitter.js';
-import type { IClock } from '../common/Clock.js';
 import { Err, Ok, type Result } from '../common/Result.js';
 import type { ClientAccount } from '../gen/redwingwharf/v1/state_pb.js';
 import { refuse, type IHttpFailure } from './Failures.js';
@@ -8,10 +7,7 @@
 
 /** Admits requests through the wallet of this entry. */
 export class AdmissionStage implements IAdmitter {
-  constructor(
-    private readonly _admitter: Admitter,
-    private readonly _clock: IClock,
-  ) {}
+  constructor(private readonly _admitter: Admitter) {}
 
   public async admit(
     account: ClientAccount,
@@ -28,7 +24,7 @@
     const reservation = admitted.val;
     return Ok({
       settle: (usedTokens) => {
-        this._admitter.settle(reservation, usedTokens, this._clock.now());
+        this._admitter.settle(reservation, usedTokens);
       },
     });
   }
--- a/src/entry/ClaimFlow.ts
+++ b/src/entry/ClaimFlow.ts
@@ -4,7 +4,7 @@
 import { describeError } from '../common/Log.js';
 import { Err, Ok, type Result } from '../common/Result.js';
 import type { RpcClients } from '../common/Rpc.js';
-import { addJitter, sleep } from '../common/Tasks.js';
+import { addJitter, createTimeoutSignal, sleep } from '../common/Tasks.js';
 import {
   ClaimProgress,
   RefusalReason,
@@ -259,7 +259,7 @@
       headers: outgoing.headers,
       body: outgoing.body,
       // The caller's leaving does not break off a call whose outcome is to be recorded.
-      signal: AbortSignal.timeout(Math.max(1, context.open.deadlineAt - clock.now())),
+      signal: createTimeoutSignal(context.open.deadlineAt - clock.now()),
     });
     switch (outcome.kind) {
       case 'not_run':
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,37 +1,30 @@
 /** Program entry: connects the command line to the process. */
 import { runCommand } from './cli/Commands.js';
-import {
-  EXIT_CODE,
-  type IInitialiser,
-  type InitFailure,
-  type IOutput,
-  type IRunner,
-} from './cli/Types.js';
-import { Err } from './common/Result.js';
+import { type IInitialiser, type IOutput, type IRunner } from './cli/Types.js';
 
 /** Set by tools/build.mjs. */
 declare const __VERSION__: string;
 
-const NOT_AVAILABLE: InitFailure = {
-  kind: 'not_available',
-  message: 'This command is not available in this build. Use a build that contains the roles.',
-};
-
 const output: IOutput = {
   print: (line) => process.stdout.write(`${line}\n`),
   warn: (line) => process.stderr.write(`${line}\n`),
 };
 
-/** Stands in until the roles are connected. */
+/** The roles are loaded only when a process runs, so that other commands start fast. */
 const runner: IRunner = {
-  run: () => {
-    output.warn(NOT_AVAILABLE.message);
-    return Promise.resolve(EXIT_CODE.refused);
+  run: async (settings, signal) => {
+    const { runProcess } = await import('./run/Process.js');
+    return runProcess(settings, signal);
   },
 };
 
-/** Stands in until the storage is connected. */
-const initialiser: IInitialiser = { init: () => Promise.resolve(Err(NOT_AVAILABLE)) };
+/** Loaded only for this command. */
+const initialiser: IInitialiser = {
+  init: async (settings) => {
+    const { initialiseControl } = await import('./run/ControlRole.js');
+    return initialiseControl(settings);
+  },
+};
 
 function createStopSignal(): AbortSignal {
   const controller = new AbortController();
--- a/src/policy/CreatePolicy.ts
+++ b/src/policy/CreatePolicy.ts
@@ -24,8 +24,8 @@
     case 'round-robin':
       return new RoundRobin();
     case 'least-load':
-      return new LeastLoad();
+      return new LeastLoad(random);
     case 'prefix-hash':
-      return new PrefixHash();
+      return new PrefixHash(random);
   }
 }
--- a/src/run/ControlRole.ts
+++ b/src/run/ControlRole.ts
@@ -1,36 +1,99 @@
-/** Builds the control role: replicated log, state and node. */
+/** Builds the control role: disk, replicated log, state and node. */
 import type { ConnectRouter } from '@connectrpc/connect';
 import type { IClock } from '../common/Clock.js';
 import type { ILog } from '../common/Log.js';
 import type { RpcClients } from '../common/Rpc.js';
-import { SoloLog } from '../consensus/SoloLog.js';
+import { initialiseDataFolder, ReplicatedLog } from '../consensus/ReplicatedLog.js';
+import { DEFAULT_TIMINGS } from '../consensus/Timings.js';
+import { RpcConsensusTransport } from '../consensus/Transport.js';
 import { ControlNode } from '../control/ControlNode.js';
-import type { IControlRole } from '../settings/Types.js';
+import { ConsensusService } from '../gen/redwingwharf/v1/consensus_pb.js';
+import { Err, Ok, type IFailure, type Result } from '../common/Result.js';
+import { encodeHex } from '../common/Hashes.js';
+import type { IControlRole, ILoadedSettings } from '../settings/Types.js';
 import { ControlState } from '../state/ControlState.js';
+import { DataDirectory } from '../storage/DataDirectory.js';
 
 /** One control member. */
 export class ControlRole {
-  public readonly node: ControlNode;
+  private constructor(
+    public readonly node: ControlNode,
+    private readonly _log: ReplicatedLog,
+    private readonly _directory: DataDirectory,
+  ) {}
 
-  constructor(_role: IControlRole, address: string, _rpc: RpcClients, clock: IClock, _log: ILog) {
+  /** Opens the disk; throws an error with the remedy when it is damaged or in use. */
+  public static async open(
+    role: IControlRole,
+    address: string,
+    rpc: RpcClients,
+    clock: IClock,
+    log: ILog,
+  ): Promise<ControlRole> {
     const state = new ControlState();
-    this.node = new ControlNode(new SoloLog(state, clock, address), state, clock, address);
+    const directory = await DataDirectory.open(role.dataFolder);
+    const opened = await ReplicatedLog.open(directory, {
+      memberId: role.memberId,
+      address,
+      peers: role.peers,
+      machine: state,
+      transport: new RpcConsensusTransport(rpc),
+      clock,
+      log,
+      timings: DEFAULT_TIMINGS,
+      random: Math.random,
+    });
+    if (opened.err) {
+      await directory.close();
+      throw opened.val;
+    }
+    const node = new ControlNode(opened.val, state, clock, address);
+    opened.val.onRoleChange(({ role: memberRole, term, leaderAddress }) => {
+      log.info('control role changed', { role: memberRole, term, leaderAddress });
+    });
+    return new ControlRole(node, opened.val, directory);
   }
 
-  /** Opens the disk; fails when it is damaged or in use. */
-  public open(_signal: AbortSignal): Promise<void> {
-    return Promise.resolve();
-  }
-
-  public run(_signal: AbortSignal): Promise<void> {
-    return Promise.resolve();
+  /** Takes part in the group until the signal is aborted; rejects when the member fails. */
+  public async run(signal: AbortSignal): Promise<void> {
+    this._log.start();
+    await new Promise<void>((resolve, reject) => {
+      this._log.onFailure((error) => {
+        reject(error instanceof Error ? error : new Error(String(error)));
+      });
+      signal.addEventListener('abort', () => {
+        resolve();
+      });
+    });
   }
 
   public registerRpc(router: ConnectRouter): void {
     this.node.registerRpc(router);
+    router.service(ConsensusService, this._log.handlers);
   }
 
-  public dispose(): Promise<void> {
-    return Promise.resolve();
+  public async dispose(): Promise<void> {
+    await this._log.stop();
+    await this._directory.close();
+  }
+}
+
+/** Why a disk was not initialised. */
+export type InitialiseFailure = IFailure<'not_empty' | 'unwritable' | 'no_control_role'>;
+
+/** Founds a new group on the disk of the control member that the settings describe. */
+export async function initialiseControl(
+  settings: ILoadedSettings,
+): Promise<Result<string, InitialiseFailure>> {
+  const { control, internal } = settings;
+  if (control === undefined) {
+    const message = 'The settings have no control role; use those of a control member.';
+    return Err({ kind: 'no_control_role', message });
+  }
+  const founded = await initialiseDataFolder(control.dataFolder, control.memberId, internal);
+  if (founded.ok) {
+    return Ok(encodeHex(founded.val.clusterId));
   }
+  const { kind, message } = founded.val;
+  return Err({ kind: kind === 'not_empty' ? 'not_empty' : 'unwritable', message });
 }
--- a/src/run/EntryRole.ts
+++ b/src/run/EntryRole.ts
@@ -76,9 +76,12 @@
       () => createPolicy(role.policy, _settings.dataCentre),
       _settings.clusterSecret,
     );
-    const wallet = new GrantWallet(_settings.instance, generateIdentifier());
+    const wallet = new GrantWallet({
+      instance: _settings.instance,
+      incarnation: generateIdentifier(),
+    });
     this._admitter = new Admitter(wallet, control, _clock, log, metrics);
-    const admission = new AdmissionStage(this._admitter, _clock);
+    const admission = new AdmissionStage(this._admitter);
     const budget = new RetryBudget(_clock.now());
     const dispatcher = new Dispatcher(this._chooser, this._client, budget, services);
     this.entry = new Entry(
--- a/src/run/Process.ts
+++ b/src/run/Process.ts
@@ -29,16 +29,16 @@
   private readonly _rpc: RpcClients;
   private readonly _copy = new FeedCopy();
   private readonly _feedClient: FeedClient;
-  private readonly _control: ControlRole | undefined;
+  private _control: ControlRole | undefined;
   private readonly _entry: EntryRole | undefined;
   private readonly _sidecar: Sidecar | undefined;
-  private readonly _server: InternalServer;
+  private _server: InternalServer | undefined;
 
   constructor(
     private readonly _settings: ILoadedSettings,
     private readonly _log: ILog,
   ) {
-    const { control, entry, sidecar, internal, clusterSecret } = _settings;
+    const { entry, sidecar, internal, clusterSecret } = _settings;
     this._rpc = new RpcClients(clusterSecret);
     this._feedClient = new FeedClient(
       this._copy,
@@ -48,7 +48,6 @@
       this._clock,
       _log,
     );
-    this._control = control && new ControlRole(control, internal, this._rpc, this._clock, _log);
     this._entry =
       entry &&
       new EntryRole(
@@ -66,15 +65,6 @@
       );
     this._sidecar =
       sidecar && new Sidecar(sidecar, _settings.dataCentre, internal, this._copy, this._rpc, _log);
-    this._server = new InternalServer(internal, clusterSecret, {
-      registerRpc: (router) => {
-        this._registerRpc(router);
-      },
-      handleDispatch:
-        this._sidecar &&
-        ((request, response) => this._sidecar?.handle(request, response) ?? Promise.resolve()),
-      metrics: this._metrics,
-    });
   }
 
   /** Runs until `signal` is aborted, then drains and stops. Returns the exit code. */
@@ -82,7 +72,8 @@
     const failed = new AbortController();
     const tasks: Promise<void>[] = [];
     try {
-      await this._control?.open(this._stop.signal);
+      this._control = await this._openControl();
+      this._server = this._createServer();
       await this._server.listen();
       tasks.push(...this._startTasks(failed));
       await this._entry?.entry.listen();
@@ -99,6 +90,23 @@
     return failed.signal.aborted ? EXIT_FAILED : EXIT_OK;
   }
 
+  private _createServer(): InternalServer {
+    const { internal, clusterSecret } = this._settings;
+    const sidecar = this._sidecar;
+    return new InternalServer(internal, clusterSecret, {
+      registerRpc: (router) => {
+        this._registerRpc(router);
+      },
+      handleDispatch: sidecar && ((request, response) => sidecar.handle(request, response)),
+      metrics: this._metrics,
+    });
+  }
+
+  private async _openControl(): Promise<ControlRole | undefined> {
+    const { control, internal } = this._settings;
+    return control && ControlRole.open(control, internal, this._rpc, this._clock, this._log);
+  }
+
   private _startTasks(failed: AbortController): Promise<void>[] {
     const { signal } = this._stop;
     const tasks = [this._feedClient.run(signal)];
@@ -133,7 +141,7 @@
     await this._entry?.dispose();
     await this._sidecar?.dispose();
     await this._control?.dispose();
-    this._server.dispose();
+    this._server?.dispose();
     this._rpc.dispose();
   }
 
--- a/src/sidecar/Dispatches.ts
+++ b/src/sidecar/Dispatches.ts
@@ -12,6 +12,7 @@
   TICKET_HEADER,
 } from '../common/Headers.js';
 import type { ILog } from '../common/Log.js';
+import { createTimeoutSignal } from '../common/Tasks.js';
 import type { IFeed } from '../feed/Types.js';
 import {
   ReceiptSchema,
@@ -159,7 +160,7 @@
     const result = await forwardOnce(
       this._options.targetAddress,
       this._buildForward(request, ticket, body),
-      AbortSignal.timeout(ticket.deadlineMs),
+      createTimeoutSignal(ticket.deadlineMs),
       async (reply) => {
         answer = await readAnswer(reply);
       },
--- a/src/sidecar/Gate.test.ts
+++ b/src/sidecar/Gate.test.ts
@@ -1,4 +1,4 @@
-import { create, toBinary } from '@bufbuild/protobuf';
+import { create, toBinary, type MessageInitShape } from '@bufbuild/protobuf';
 import { describe, expect, it } from 'vitest';
 import { FeedCopy } from '../feed/FeedCopy.js';
 import {
@@ -43,7 +43,9 @@
   return feed;
 }
 
-function createTicket(fields: Partial<Ticket> = {}): Ticket {
+type ITicketFields = MessageInitShape<typeof TicketSchema>;
+
+function createTicket(fields: ITicketFields = {}): Ticket {
   return create(TicketSchema, {
     target: 'lace-1',
     clientAccount: 'pag',
@@ -76,7 +78,7 @@
     ['a deleted account', { clientAccount: 'gone' }, RefusalReason.CLIENT_ACCOUNT_NOT_ALLOWED],
     ['a service not allowed', { service: 'other' }, RefusalReason.CLIENT_ACCOUNT_NOT_ALLOWED],
   ] as const)('refuses a dispatch meant for %s', (_name, fields, reason) => {
-    expect(checkTicket(createTicket(fields as Partial<Ticket>), STATE, feed)).toBe(reason);
+    expect(checkTicket(createTicket(fields as ITicketFields), STATE, feed)).toBe(reason);
   });
 
   it('refuses new work while draining and while the target is down', () => {
--- a/tools/harness/Deployment.ts
+++ b/tools/harness/Deployment.ts
@@ -118,7 +118,8 @@
   /** Founds the control group on the first entry's disk and starts everything. */
   public async start(): Promise<void> {
     const [first = ''] = this.listEntries();
-    const founded = await this.runCommand(['init', '--data', this.getDataFolder(first)]);
+    const settings = this._getSettingsFile(first);
+    const founded = await this.runCommand(['init', '--settings', settings]);
     if (founded.code !== 0) {
       throw new Error(`init failed: ${founded.stderr}${founded.stdout}`);
     }
@@ -267,7 +268,6 @@
       dataCentre,
       internal: own,
       clusterSecretFile: 'secret',
-      feed: control,
       entry: {
         listen: this.getUrl(name).slice('http://'.length),
         control,
