--- /dev/null
+++ b/src/storage/RecordLog.test.ts
@@ -0,0 +1,242 @@
+import fc from 'fast-check';
+import { mkdtemp, readdir, readFile, rm, truncate, unlink, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { RecordLog } from './RecordLog.js';
+import { StorageError } from './StorageError.js';
+
+let folder: string;
+
+beforeEach(async () => {
+  folder = await mkdtemp(join(tmpdir(), 'redwingwharf-log-'));
+});
+
+afterEach(async () => {
+  await rm(folder, { recursive: true, force: true });
+});
+
+function encode(text: string): Uint8Array {
+  return new Uint8Array(Buffer.from(text));
+}
+
+async function readAll(): Promise<string[]> {
+  const { log, records } = await RecordLog.open(folder);
+  await log.close();
+  return records.map((record) => Buffer.from(record).toString());
+}
+
+/** Paths of the segment files in order. */
+async function listSegments(): Promise<string[]> {
+  const names = await readdir(folder);
+  return names
+    .filter((name) => name.endsWith('.segment'))
+    .sort()
+    .map((name) => join(folder, name));
+}
+
+async function writeBatches(batches: readonly (readonly string[])[]): Promise<void> {
+  const { log } = await RecordLog.open(folder, { segmentBytes: 128 });
+  for (const batch of batches) {
+    await log.append(batch.map(encode));
+  }
+  await log.close();
+}
+
+async function replaceByte(path: string, position: number, xor: number): Promise<void> {
+  const bytes = await readFile(path);
+  bytes.writeUInt8(bytes.readUInt8(position) ^ xor, position);
+  await writeFile(path, bytes);
+}
+
+async function openResult(): Promise<string[] | StorageError> {
+  try {
+    return await readAll();
+  } catch (error) {
+    if (error instanceof StorageError) {
+      return error;
+    }
+    throw error;
+  }
+}
+
+/** Appends a batch that a crash interrupts before its sync: the mark doesn't cover it. */
+async function appendUnsynced(texts: readonly string[]): Promise<{ path: string; start: number }> {
+  const markPath = join(folder, 'synced');
+  const mark = await readFile(markPath);
+  const path = (await listSegments()).at(-1) ?? '';
+  const start = (await readFile(path)).length;
+  const { log } = await RecordLog.open(folder);
+  await log.append(texts.map(encode));
+  await log.close();
+  await writeFile(markPath, mark);
+  return { path, start };
+}
+
+const batchesArbitrary = fc.array(
+  fc.array(fc.string({ maxLength: 24 }), { minLength: 1, maxLength: 4 }),
+  { minLength: 1, maxLength: 8 },
+);
+
+async function runInFreshFolder(body: () => Promise<void>): Promise<void> {
+  const parent = folder;
+  folder = await mkdtemp(join(parent, 'run-'));
+  try {
+    await body();
+  } finally {
+    folder = parent;
+  }
+}
+
+describe('RecordLog', () => {
+  it('returns what was appended, across segments and restarts', async () => {
+    await writeBatches([['a', 'b'], ['c'.repeat(200)], ['d']]);
+    expect(await readAll()).toEqual(['a', 'b', 'c'.repeat(200), 'd']);
+    expect((await listSegments()).length).toBeGreaterThan(1);
+  });
+
+  it('shares syncs between concurrent appends, so that throughput is not one sync per append', async () => {
+    const { log } = await RecordLog.open(folder);
+    const appends = Array.from({ length: 500 }, (_, n) => log.append([encode(String(n))]));
+    await Promise.all(appends);
+    await log.close();
+    const bytes = await readFile((await listSegments())[0] ?? '');
+    const starts = (await readAll()).length;
+    expect(starts).toBe(500);
+    // The top bit of the length field marks a batch start; 500 appends of one turn are one batch.
+    let batches = 0;
+    for (let offset = 20; offset < bytes.length;) {
+      const field = bytes.readUInt32LE(offset);
+      batches += field >= 0x8000_0000 ? 1 : 0;
+      offset += 8 + (field % 0x8000_0000);
+    }
+    expect(batches).toBeLessThan(5);
+  });
+
+  it('refuses any changed byte of synced data, so that no synced record is dropped or altered', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        batchesArbitrary,
+        fc.nat(),
+        fc.nat(),
+        fc.integer({ min: 1, max: 255 }),
+        async (batches, fileSeed, byteSeed, xor) => {
+          await runInFreshFolder(async () => {
+            await writeBatches(batches);
+            const segments = await listSegments();
+            const path = segments[fileSeed % segments.length] ?? '';
+            const size = (await readFile(path)).length;
+            await replaceByte(path, byteSeed % size, xor);
+            const result = await openResult();
+            expect(result).toBeInstanceOf(StorageError);
+            expect(result).toMatchObject({ kind: 'damaged', file: path });
+          });
+        },
+      ),
+      { numRuns: 60 },
+    );
+  });
+
+  it('refuses a segment cut within synced data, so that a shortened file is not a torn tail', async () => {
+    await fc.assert(
+      fc.asyncProperty(batchesArbitrary, fc.nat(), fc.nat(), async (batches, fileSeed, cut) => {
+        await runInFreshFolder(async () => {
+          await writeBatches(batches);
+          const segments = await listSegments();
+          const path = segments[fileSeed % segments.length] ?? '';
+          await truncate(path, cut % (await readFile(path)).length);
+          expect(await openResult()).toBeInstanceOf(StorageError);
+        });
+      }),
+      { numRuns: 40 },
+    );
+  });
+
+  it('recovers everything synced when the unsynced batch is torn or damaged anywhere', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        batchesArbitrary,
+        fc.array(fc.string({ maxLength: 24 }), { minLength: 1, maxLength: 4 }),
+        fc.nat(),
+        fc.integer({ min: 0, max: 255 }),
+        async (batches, unsynced, position, xor) => {
+          await runInFreshFolder(async () => {
+            await writeBatches(batches);
+            const synced = batches.flat();
+            const { path, start } = await appendUnsynced(unsynced);
+            const size = (await readFile(path)).length;
+            const place = start + (position % (size - start));
+            // A zero mask stands for a torn write.
+            await (xor === 0 ? truncate(path, place) : replaceByte(path, place, xor));
+            const result = await openResult();
+            if (result instanceof StorageError) {
+              throw result;
+            }
+            expect(result.slice(0, synced.length)).toEqual(synced);
+            const rest = result.slice(synced.length);
+            expect(rest).toEqual(unsynced.slice(0, rest.length));
+            expect(rest.length).toBeLessThan(unsynced.length);
+            expect(await readAll()).toEqual(result);
+          });
+        },
+      ),
+      { numRuns: 60 },
+    );
+  });
+
+  it('refuses damage before a later batch even when the mark lags, as after a power loss', async () => {
+    await writeBatches([['first']]);
+    const mark = await readFile(join(folder, 'synced'));
+    await writeBatches([['second'], ['third']]);
+    await writeFile(join(folder, 'synced'), mark);
+    const path = (await listSegments())[0] ?? '';
+    const offset = (await readFile(path)).indexOf('second');
+    await replaceByte(path, offset, 1);
+    const result = await openResult();
+    expect(result).toMatchObject({ kind: 'damaged', file: path, offset: offset - 8 });
+    expect(String(result)).toContain('start this member with an empty data directory');
+  });
+
+  it('refuses a missing segment, at the end, at the start and in the middle', async () => {
+    for (const position of [0, 1, -1]) {
+      await runInFreshFolder(async () => {
+        await writeBatches([['a'.repeat(150)], ['b'.repeat(150)], ['c'.repeat(150)], ['d']]);
+        const path = (await listSegments()).at(position) ?? '';
+        await unlink(path);
+        const result = await openResult();
+        // Without its first segment the log is a compacted one; the owner compares it with its snapshot.
+        expect(result instanceof StorageError).toBe(position !== 0);
+      });
+    }
+  });
+
+  it('keeps indexes right after truncation, dropped prefixes and reset', async () => {
+    const { log } = await RecordLog.open(folder, { segmentBytes: 64 });
+    for (let n = 1; n <= 20; n += 1) {
+      await log.append([encode(`record ${n}`)]);
+    }
+    await log.truncateSuffix(15);
+    expect(log.nextIndex).toBe(15);
+    await log.append([encode('replaced 15')]);
+    await log.dropPrefix(8);
+    expect(log.firstIndex).toBeGreaterThan(1);
+    expect(log.firstIndex).toBeLessThanOrEqual(8);
+    const first = log.firstIndex;
+    await log.close();
+    const records = await readAll();
+    expect(records[0]).toBe(`record ${first}`);
+    expect(records.at(-1)).toBe('replaced 15');
+
+    const opened = await RecordLog.open(folder);
+    await opened.log.reset(100);
+    await opened.log.append([encode('record 100')]);
+    await opened.log.close();
+    expect(await readAll()).toEqual(['record 100']);
+  });
+
+  it('fails every later append after a failed one, so that nothing is acknowledged on a broken disk', async () => {
+    const { log } = await RecordLog.open(folder);
+    await log.close();
+    await expect(log.append([encode('late')])).rejects.toMatchObject({ kind: 'io_failed' });
+  });
+});
--- /dev/null
+++ b/src/storage/RecordLog.ts
@@ -0,0 +1,429 @@
+/**
+ * A log of records in segment files.
+ *
+ * Recovery tells a torn tail from damage as follows. A batch of appends is written after the batch
+ * before it was synced, so a crash can only damage the last batch. An invalid record is a torn tail if
+ * and only if it stands in the last segment, at or after the sync mark, and no valid batch start
+ * follows it. Anything else is damage to data that had been synced, and opening fails.
+ */
+import { randomBytes } from 'node:crypto';
+import { mkdir, open, readdir, readFile, unlink, type FileHandle } from 'node:fs/promises';
+import { join } from 'node:path';
+import { replaceFile, syncDirectory, TEMPORARY_SUFFIX } from './Files.js';
+import {
+  decodeSegmentHeader,
+  encodeRecordHeader,
+  encodeSegmentHeader,
+  findBatchStart,
+  MAX_PAYLOAD_BYTES,
+  readRecords,
+  SEGMENT_HEADER_BYTES,
+  type ISegmentHeader,
+} from './Segment.js';
+import { createDamageError, StorageError } from './StorageError.js';
+import { SyncMark, type ISyncedPosition } from './SyncMark.js';
+
+const MARK_FILE = 'synced';
+
+const SEGMENT_SUFFIX = '.segment';
+
+/** A new segment is begun when the last one is at least this long. */
+const SEGMENT_BYTES = 1024 * 1024;
+
+/** Digits of a first index in a file name, so that names sort like numbers. */
+const INDEX_DIGITS = 16;
+
+interface ISegment extends ISegmentHeader {
+  readonly path: string;
+  /** Start offset of each record. */
+  readonly offsets: number[];
+  size: number;
+}
+
+interface IRecoveredSegment {
+  readonly segment: ISegment;
+  readonly bytes: Buffer;
+  readonly payloads: readonly Uint8Array[];
+}
+
+interface IWaiter {
+  readonly resolve: () => void;
+  readonly reject: (error: unknown) => void;
+}
+
+/** Consecutive appends share one operation and one sync; other operations run alone. */
+type Operation =
+  | { readonly kind: 'append'; readonly payloads: Uint8Array[]; readonly waiters: IWaiter[] }
+  | { readonly kind: 'exclusive'; readonly run: () => Promise<void>; readonly waiters: IWaiter[] };
+
+export interface IRecordLogOptions {
+  readonly segmentBytes?: number;
+}
+
+/** What a log held when it was opened. */
+export interface IOpenedLog {
+  readonly log: RecordLog;
+  readonly records: readonly Uint8Array[];
+}
+
+/**
+ * Records with consecutive indexes.
+ *
+ * @example
+ * const { log, records } = await RecordLog.open('/data/log');
+ * await log.append([payload]); // durable when it resolves
+ */
+export class RecordLog {
+  private readonly _queue: Operation[] = [];
+  private _isWorking = false;
+  private _failure: StorageError | undefined;
+  private _handle: FileHandle | undefined;
+
+  private constructor(
+    private readonly _folder: string,
+    private readonly _segmentBytes: number,
+    private readonly _mark: SyncMark,
+    private readonly _segments: ISegment[],
+  ) {}
+
+  /** True if a log was ever created in the folder. */
+  public static async isPresent(folder: string): Promise<boolean> {
+    const names = await readdir(folder).catch(() => []);
+    return names.some((name) => name === MARK_FILE || name.endsWith(SEGMENT_SUFFIX));
+  }
+
+  /** Opens or creates a log. Throws a `StorageError` on damage to synced data. */
+  public static async open(folder: string, options: IRecordLogOptions = {}): Promise<IOpenedLog> {
+    await mkdir(folder, { recursive: true });
+    const names = await listSegmentFiles(folder);
+    const mark = await openMark(folder, names);
+    try {
+      const recovered = await recoverSegments(folder, names, mark.position);
+      const segments = recovered.map((part) => part.segment);
+      const segmentBytes = options.segmentBytes ?? SEGMENT_BYTES;
+      const log = new RecordLog(folder, segmentBytes, mark, segments);
+      await log._openLastSegment();
+      return { log, records: recovered.flatMap((part) => part.payloads) };
+    } catch (error) {
+      await mark.close();
+      throw error;
+    }
+  }
+
+  /** Index of the oldest record kept, or of the next one if there is none. */
+  public get firstIndex(): number {
+    return this._segments[0]?.firstIndex ?? 1;
+  }
+
+  /** Index of the next record, counting only completed appends. */
+  public get nextIndex(): number {
+    const last = this._segments.at(-1);
+    return last === undefined ? 1 : last.firstIndex + last.offsets.length;
+  }
+
+  /**
+   * Appends records. When the promise resolves they and everything appended before are durable; an
+   * empty list waits for what was appended before.
+   */
+  public append(payloads: readonly Uint8Array[]): Promise<void> {
+    const last = this._queue.at(-1);
+    if (last?.kind === 'append') {
+      last.payloads.push(...payloads);
+      return this._wait(last);
+    }
+    return this._enqueue({ kind: 'append', payloads: [...payloads], waiters: [] });
+  }
+
+  /** Removes the records from `index` on. */
+  public truncateSuffix(index: number): Promise<void> {
+    return this._runExclusively(() => this._truncate(index));
+  }
+
+  /** Deletes the segments that hold only records before `index`. */
+  public dropPrefix(index: number): Promise<void> {
+    return this._runExclusively(() => this._dropSegmentsBefore(index));
+  }
+
+  /** Removes all records; the next one gets the index `nextIndex`. */
+  public reset(nextIndex: number): Promise<void> {
+    return this._runExclusively(() => this._startAnew(nextIndex));
+  }
+
+  /** Finishes the queued operations and closes the files. */
+  public async close(): Promise<void> {
+    await this._runExclusively(() => Promise.resolve()).catch(() => undefined);
+    this._failure ??= this._createFailure('the log was closed');
+    await this._handle?.close();
+    this._handle = undefined;
+    await this._mark.close();
+  }
+
+  private _runExclusively(run: () => Promise<void>): Promise<void> {
+    return this._enqueue({ kind: 'exclusive', run, waiters: [] });
+  }
+
+  private _wait(operation: Operation): Promise<void> {
+    return new Promise((resolve, reject) => {
+      operation.waiters.push({ resolve, reject });
+    });
+  }
+
+  private _enqueue(operation: Operation): Promise<void> {
+    this._queue.push(operation);
+    const done = this._wait(operation);
+    if (!this._isWorking) {
+      void this._runQueue();
+    }
+    return done;
+  }
+
+  private async _runQueue(): Promise<void> {
+    this._isWorking = true;
+    // Appends of the same turn of the event loop join the first operation.
+    await Promise.resolve();
+    for (let next = this._queue.shift(); next !== undefined; next = this._queue.shift()) {
+      await this._execute(next);
+    }
+    this._isWorking = false;
+  }
+
+  private async _execute(operation: Operation): Promise<void> {
+    try {
+      if (this._failure !== undefined) {
+        throw this._failure;
+      }
+      await (operation.kind === 'append' ? this._write(operation.payloads) : operation.run());
+    } catch (error) {
+      // After a failed write or sync the content of the file is unknown until it is read again.
+      this._failure ??= error instanceof StorageError ? error : this._createFailure(String(error));
+      const failure = this._failure;
+      operation.waiters.forEach((waiter) => {
+        waiter.reject(failure);
+      });
+      return;
+    }
+    operation.waiters.forEach((waiter) => {
+      waiter.resolve();
+    });
+  }
+
+  private _createFailure(problem: string): StorageError {
+    const remedy = 'Check the disk and restart this member.';
+    return new StorageError('io_failed', this._folder, undefined, problem, remedy);
+  }
+
+  private async _write(payloads: readonly Uint8Array[]): Promise<void> {
+    if (payloads.length === 0) {
+      return;
+    }
+    if (payloads.some((payload) => payload.length > MAX_PAYLOAD_BYTES)) {
+      throw this._createFailure('a record is longer than the limit');
+    }
+    const segment = await this._prepareSegment();
+    const parts: Uint8Array[] = [];
+    const offsets: number[] = [];
+    let end = segment.size;
+    for (const payload of payloads) {
+      const header = encodeRecordHeader(segment.salt, end, payload, offsets.length === 0);
+      parts.push(header, payload);
+      offsets.push(end);
+      end += header.length + payload.length;
+    }
+    const bytes = Buffer.concat(parts);
+    await this._writeFully(bytes, segment.size);
+    await this._handle?.datasync();
+    segment.offsets.push(...offsets);
+    segment.size = end;
+    await this._mark.advance(describePosition(segment));
+  }
+
+  private async _writeFully(bytes: Buffer, start: number): Promise<void> {
+    let written = 0;
+    while (written < bytes.length) {
+      const length = bytes.length - written;
+      const result = await this._handle?.write(bytes, written, length, start + written);
+      written += result?.bytesWritten ?? 0;
+    }
+  }
+
+  /** The last segment, or a new one if it is full. */
+  private async _prepareSegment(): Promise<ISegment> {
+    const last = this._segments.at(-1);
+    if (last === undefined || last.size >= this._segmentBytes) {
+      return this._createSegment(this.nextIndex);
+    }
+    return last;
+  }
+
+  private async _createSegment(firstIndex: number): Promise<ISegment> {
+    const header = { firstIndex, salt: randomBytes(4).readUInt32LE() };
+    const name = String(firstIndex).padStart(INDEX_DIGITS, '0') + SEGMENT_SUFFIX;
+    const path = join(this._folder, name);
+    await replaceFile(path, [encodeSegmentHeader(header)]);
+    const segment = { ...header, path, offsets: [], size: SEGMENT_HEADER_BYTES };
+    await this._handle?.close();
+    this._handle = await open(path, 'r+');
+    this._segments.push(segment);
+    await this._mark.advance(describePosition(segment));
+    return segment;
+  }
+
+  /** Removes a torn tail, and makes durable what an earlier process wrote but did not sync. */
+  private async _openLastSegment(): Promise<void> {
+    const last = this._segments.at(-1);
+    if (last === undefined) {
+      await this._createSegment(1);
+      return;
+    }
+    this._handle = await open(last.path, 'r+');
+    await this._handle.truncate(last.size);
+    await this._handle.sync();
+    await this._mark.advance(describePosition(last));
+  }
+
+  private async _truncate(index: number): Promise<void> {
+    if (index >= this.nextIndex) {
+      return;
+    }
+    if (index < this.firstIndex) {
+      throw this._createFailure(`records before index ${index} were dropped`);
+    }
+    const kept = this._segments.findLast((segment) => segment.firstIndex <= index);
+    if (kept === undefined) {
+      return;
+    }
+    const count = index - kept.firstIndex;
+    const size = kept.offsets[count] ?? kept.size;
+    await this._mark.replace({ segment: kept.firstIndex, offset: size });
+    while (this._segments.at(-1) !== kept) {
+      await this._deleteSegment(this._segments.pop());
+    }
+    await this._handle?.close();
+    this._handle = await open(kept.path, 'r+');
+    await this._handle.truncate(size);
+    await this._handle.sync();
+    kept.offsets.length = count;
+    kept.size = size;
+  }
+
+  private async _dropSegmentsBefore(index: number): Promise<void> {
+    for (let next = this._segments[1]; next !== undefined; next = this._segments[1]) {
+      if (next.firstIndex > index) {
+        return;
+      }
+      await this._deleteSegment(this._segments.shift());
+    }
+  }
+
+  private async _startAnew(nextIndex: number): Promise<void> {
+    await this._mark.replace({ segment: 0, offset: 0 });
+    while (this._segments.length > 0) {
+      await this._deleteSegment(this._segments.pop());
+    }
+    await this._createSegment(nextIndex);
+  }
+
+  /** Syncs after each deletion, so that a crash leaves no gap between segments. */
+  private async _deleteSegment(segment: ISegment | undefined): Promise<void> {
+    if (segment !== undefined) {
+      await unlink(segment.path);
+      await syncDirectory(this._folder);
+    }
+  }
+}
+
+function describePosition(segment: ISegment): ISyncedPosition {
+  return { segment: segment.firstIndex, offset: segment.size };
+}
+
+/** Names of the segment files in order. Deletes files whose creation was not finished. */
+async function listSegmentFiles(folder: string): Promise<string[]> {
+  const names = await readdir(folder);
+  for (const name of names.filter((candidate) => candidate.endsWith(TEMPORARY_SUFFIX))) {
+    await unlink(join(folder, name));
+  }
+  return names.filter((name) => name.endsWith(SEGMENT_SUFFIX)).sort();
+}
+
+async function openMark(folder: string, segmentNames: readonly string[]): Promise<SyncMark> {
+  const path = join(folder, MARK_FILE);
+  const mark = await SyncMark.open(path);
+  if (mark !== undefined) {
+    return mark;
+  }
+  if (segmentNames.length > 0) {
+    throw createDamageError(path, undefined, 'the sync mark is missing');
+  }
+  await SyncMark.create(path);
+  const created = await SyncMark.open(path);
+  if (created === undefined) {
+    throw createDamageError(path, undefined, 'the sync mark vanished');
+  }
+  return created;
+}
+
+async function recoverSegments(
+  folder: string,
+  names: readonly string[],
+  synced: ISyncedPosition,
+): Promise<IRecoveredSegment[]> {
+  const recovered: IRecoveredSegment[] = [];
+  for (const name of names) {
+    const part = await recoverSegment(join(folder, name));
+    const before = recovered.at(-1)?.segment;
+    if (before !== undefined) {
+      checkSequence(before, part.segment);
+    }
+    recovered.push(part);
+  }
+  recovered.forEach((part, position) => {
+    checkTail(part, position === recovered.length - 1, synced);
+  });
+  const last = recovered.at(-1)?.segment;
+  if (synced.segment > (last?.firstIndex ?? 0)) {
+    const path = join(folder, String(synced.segment).padStart(INDEX_DIGITS, '0') + SEGMENT_SUFFIX);
+    throw createDamageError(path, undefined, 'a synced segment file is missing');
+  }
+  return recovered;
+}
+
+async function recoverSegment(path: string): Promise<IRecoveredSegment> {
+  const bytes = await readFile(path);
+  const header = decodeSegmentHeader(bytes);
+  const nameIndex = Number.parseInt(path.slice(path.lastIndexOf('/') + 1), 10);
+  // A segment gets its name only after its header was synced, so a bad header is never a torn write.
+  if (header?.firstIndex !== nameIndex) {
+    throw createDamageError(path, 0, 'the segment header is damaged');
+  }
+  const content = readRecords(bytes, header.salt);
+  const segment = { ...header, path, offsets: [...content.offsets], size: content.end };
+  return { segment, bytes, payloads: content.payloads };
+}
+
+function checkSequence(before: ISegment, next: ISegment): void {
+  const expected = before.firstIndex + before.offsets.length;
+  if (next.firstIndex !== expected) {
+    const problem = `index ${expected} is damaged or missing; the next segment begins at ${next.firstIndex}`;
+    throw createDamageError(before.path, before.size, problem);
+  }
+}
+
+/** Throws unless everything after the valid records is a torn tail. */
+function checkTail(part: IRecoveredSegment, isLast: boolean, synced: ISyncedPosition): void {
+  const { segment, bytes } = part;
+  const minimum = segment.firstIndex === synced.segment ? synced.offset : 0;
+  if (segment.size < minimum) {
+    throw createDamageError(segment.path, segment.size, 'a synced record is damaged or missing');
+  }
+  if (segment.size === bytes.length) {
+    return;
+  }
+  if (!isLast) {
+    throw createDamageError(segment.path, segment.size, 'a record is damaged');
+  }
+  const later = findBatchStart(bytes, segment.size, segment.salt);
+  if (later !== undefined) {
+    const problem = `a record is damaged; the batch at offset ${later} proves that it was synced`;
+    throw createDamageError(segment.path, segment.size, problem);
+  }
+}
