--- a/src/storage/DataDirectory.ts
+++ b/src/storage/DataDirectory.ts
@@ -1,7 +1,7 @@
 /** The one directory that holds a member's durable state. */
 import { mkdir, readdir, unlink } from 'node:fs/promises';
-import { join } from 'node:path';
-import { readCheckedFile, replaceCheckedFile, TEMPORARY_SUFFIX } from './Files.js';
+import { dirname, join } from 'node:path';
+import { readCheckedFile, replaceCheckedFile, syncDirectory, TEMPORARY_SUFFIX } from './Files.js';
 import { LockFile } from './LockFile.js';
 import { RecordLog, type IOpenedLog, type IRecordLogOptions } from './RecordLog.js';
 
@@ -36,7 +36,11 @@
 
   /** Creates the directory if needed and locks it. Throws `StorageError` of kind `locked`. */
   public static async open(path: string): Promise<DataDirectory> {
-    await mkdir(path, { recursive: true });
+    const created = await mkdir(path, { recursive: true });
+    if (created !== undefined) {
+      await syncDirectory(dirname(path));
+      await syncDirectory(dirname(created));
+    }
     const lock = await LockFile.acquire(join(path, LOCK_FILE));
     for (const name of await readdir(path)) {
       if (name.endsWith(TEMPORARY_SUFFIX)) {
