--- a/src/consensus/ConsensusStore.ts
+++ b/src/consensus/ConsensusStore.ts
@@ -103,6 +103,8 @@
 /** Durable state of one member. */
 export class ConsensusStore {
   private readonly _snapshotting = new Exclusive();
+  /** Memberships set by the entries after the snapshot, in order. */
+  private _memberships: IIndexedMembership[];
 
   private constructor(
     private readonly _directory: IDataDirectory,
@@ -111,7 +113,9 @@
     private _snapshot: ISnapshotPosition,
     private _entries: LogEntry[],
     private _firstIndex: number,
-  ) {}
+  ) {
+    this._memberships = listMemberships(_entries, _snapshot.index);
+  }
 
   /** Opens the state, or gives an empty directory a new disk id. Throws `StorageError`. */
   public static async open(directory: IDataDirectory, memberId: string): Promise<ConsensusStore> {
@@ -168,13 +172,7 @@
 
   /** The membership that was in force at an index not before the snapshot. */
   public getMembershipAt(index: number): IIndexedMembership {
-    for (let position = index; position > this._snapshot.index; position -= 1) {
-      const body = this.getEntry(position)?.body;
-      if (body?.case === 'membership') {
-        return { index: position, membership: body.value };
-      }
-    }
-    return this._snapshot;
+    return this._memberships.findLast((change) => change.index <= index) ?? this._snapshot;
   }
 
   public getEntry(index: number): LogEntry | undefined {
@@ -240,12 +238,14 @@
       }
       this._entries.push(entry);
     }
+    this._memberships.push(...listMemberships(entries, this._snapshot.index));
     return this._log.append(entries.map((entry) => toBinary(LogEntrySchema, entry)));
   }
 
   /** Removes the entries from an index on. */
   public async truncateSuffix(index: number): Promise<void> {
     this._entries.length = Math.max(0, index - this._firstIndex);
+    this._memberships = this._memberships.filter((change) => change.index < index);
     await this._log.truncateSuffix(index);
   }
 
@@ -293,10 +293,12 @@
     });
     await this._directory.replace(SNAPSHOT_FILE, toBinary(SnapshotFileSchema, file));
     this._snapshot = position;
+    this._memberships = this._memberships.filter((change) => change.index > position.index);
   }
 
   private async _startAfterSnapshot(): Promise<void> {
     this._entries = [];
+    this._memberships = [];
     this._firstIndex = this._snapshot.index + 1;
     await this._log.reset(this._firstIndex);
   }
@@ -360,6 +362,17 @@
   return { index: Number(file.lastIndex), term: Number(file.lastTerm), membership };
 }
 
+function listMemberships(
+  entries: readonly LogEntry[],
+  snapshotIndex: number,
+): IIndexedMembership[] {
+  return entries.flatMap(({ index, body }) =>
+    body.case === 'membership' && Number(index) > snapshotIndex
+      ? [{ index: Number(index), membership: body.value }]
+      : [],
+  );
+}
+
 /** Throws unless the entries have consecutive indexes and reach back to the snapshot. */
 function checkEntries(
   directory: IDataDirectory,
--- a/src/consensus/Elections.ts
+++ b/src/consensus/Elections.ts
@@ -1,6 +1,6 @@
 /** Elections: the task that stands for election, and the answers to requests for a vote. */
 import { create } from '@bufbuild/protobuf';
-import { limitSignal, isAborted, sleep } from '../common/Tasks.js';
+import { isAborted, sleep } from '../common/Tasks.js';
 import {
   VoteRequestSchema,
   VoteResponseSchema,
@@ -8,6 +8,7 @@
   type VoteRequest,
   type VoteResponse,
 } from '../gen/redwingwharf/v1/consensus_pb.js';
+import { runWithLimit } from './CallLimit.js';
 import type { MemberState } from './MemberState.js';
 import { countMajority, isSamePair, listVoters, toPair } from './Memberships.js';
 import type { IConsensusTimings } from './Timings.js';
@@ -138,11 +139,7 @@
     });
     const others = listVoters(membership).filter((voter) => !isSamePair(toPair(voter), state.pair));
     const needed = countMajority(membership) - 1;
-    const limited = limitSignal(
-      signal,
-      Math.min(this._timings.callMs, this._timings.electionMinMs),
-    );
-    const votes = others.map((voter) => this._requestVote(voter, request, term, limited));
+    const votes = others.map((voter) => this._requestVote(voter, request, term, signal));
     return hasAtLeast(votes, needed);
   }
 
@@ -153,7 +150,10 @@
     signal: AbortSignal,
   ): Promise<boolean> {
     try {
-      const response = await this._transport.requestVote(voter.address, request, signal);
+      const limitMs = Math.min(this._timings.callMs, this._timings.electionMinMs);
+      const response = await runWithLimit(signal, limitMs, (limited) =>
+        this._transport.requestVote(voter.address, request, limited),
+      );
       if (!this._state.isExpectedResponse(response.sender, toPair(voter))) {
         return false;
       }
--- a/src/consensus/Leadership.ts
+++ b/src/consensus/Leadership.ts
@@ -5,7 +5,7 @@
 import { create } from '@bufbuild/protobuf';
 import { crc32 } from 'node:zlib';
 import { Err, type Result } from '../common/Result.js';
-import { isAborted, limitSignal, sleep } from '../common/Tasks.js';
+import { isAborted, sleep } from '../common/Tasks.js';
 import {
   AppendRequestSchema,
   LogEntrySchema,
@@ -16,6 +16,7 @@
   type Member,
   type SnapshotFile,
 } from '../gen/redwingwharf/v1/consensus_pb.js';
+import { runWithLimit } from './CallLimit.js';
 import type { IActiveLeadership, MemberState } from './MemberState.js';
 import {
   findMember,
@@ -217,8 +218,9 @@
         return await this._sendSnapshot(peer, signal);
       }
       const request = this._createAppend(peer.nextIndex, previousTerm);
-      const limited = limitSignal(signal, this._timings.callMs);
-      const response = await this._transport.appendEntries(peer.member.address, request, limited);
+      const response = await runWithLimit(signal, this._timings.callMs, (limited) =>
+        this._transport.appendEntries(peer.member.address, request, limited),
+      );
       return await this._handleAppendResponse(peer, request, response, startedAt);
     } catch (error) {
       this._state.log.debug('append failed', { address: peer.member.address, error });
@@ -298,9 +300,9 @@
     do {
       const startedAt = this._state.clock.now();
       const request = this._createSnapshotPart(file, offset);
-      const limited = limitSignal(signal, this._timings.callMs);
-      const { address } = peer.member;
-      const response = await this._transport.installSnapshot(address, request, limited);
+      const response = await runWithLimit(signal, this._timings.callMs, (limited) =>
+        this._transport.installSnapshot(peer.member.address, request, limited),
+      );
       if (!(await this._acceptResponse(peer, response.sender, startedAt))) {
         return false;
       }
--- a/src/consensus/MemberState.ts
+++ b/src/consensus/MemberState.ts
@@ -128,7 +128,8 @@
       diskId: this.pair.diskId,
       clusterId: this.store.clusterId,
       leaderAddress: this._leaderAddress,
-      membership: this.membership,
+      // A change that isn't committed yet may be undone, so nobody may rely on it.
+      membership: this.store.getMembershipAt(this._commitIndex).membership,
     };
   }
 
--- a/src/consensus/MembershipChanges.ts
+++ b/src/consensus/MembershipChanges.ts
@@ -2,7 +2,7 @@
 import { create } from '@bufbuild/protobuf';
 import { hasSameBytes } from '../common/Hashes.js';
 import { Err, Ok, type IFailure, type Result } from '../common/Result.js';
-import { isAborted, limitSignal, sleep } from '../common/Tasks.js';
+import { isAborted, sleep } from '../common/Tasks.js';
 import {
   JoinResponseSchema,
   type JoinRequest,
@@ -10,6 +10,7 @@
   type Member,
   type Membership,
 } from '../gen/redwingwharf/v1/consensus_pb.js';
+import { runWithLimit } from './CallLimit.js';
 import { Exclusive } from './Exclusive.js';
 import type { Leadership } from './Leadership.js';
 import type { MemberState } from './MemberState.js';
@@ -55,8 +56,9 @@
     if (leadership === undefined) {
       return this._respond('This member does not lead; ask the leader.');
     }
-    const limited = limitSignal(signal, this._timings.joinMs);
-    const result = await this._changes.run(() => this._admit(leadership, request, limited));
+    const result = await runWithLimit(signal, this._timings.joinMs, (limited) =>
+      this._changes.run(() => this._admit(leadership, request, limited)),
+    );
     return this._respond(result.ok ? undefined : result.val.message);
   }
 
--- a/src/consensus/ReplicatedLog.ts
+++ b/src/consensus/ReplicatedLog.ts
@@ -6,7 +6,7 @@
 import type { IEvent } from '../common/Lifecycle.js';
 import { describeError, type ILog } from '../common/Log.js';
 import { Err, Ok, type Result } from '../common/Result.js';
-import { addJitter, isAborted, limitSignal, sleep } from '../common/Tasks.js';
+import { addJitter, isAborted, sleep } from '../common/Tasks.js';
 import {
   JoinRequestSchema,
   type AppendRequest,
@@ -20,6 +20,7 @@
 } from '../gen/redwingwharf/v1/consensus_pb.js';
 import { DataDirectory, type IDataDirectory } from '../storage/DataDirectory.js';
 import { StorageError } from '../storage/StorageError.js';
+import { runWithLimit } from './CallLimit.js';
 import { ConsensusStore, initialiseStore, type IFoundedGroup } from './ConsensusStore.js';
 import { Elections } from './Elections.js';
 import { Follower } from './Follower.js';
@@ -291,8 +292,9 @@
       clusterId: this._store.clusterId,
     });
     try {
-      const limited = limitSignal(signal, timings.joinMs);
-      const response = await transport.join(address, request, limited);
+      const response = await runWithLimit(signal, timings.joinMs, (limited) =>
+        transport.join(address, request, limited),
+      );
       if (response.accepted) {
         await this._enterGroup(response.clusterId);
       } else {
