Make the test of a repeated refund sensitive to a short record

Cause: the bucket was full at the begin of the epoch, so the refund had no effect and the test passed even with records kept for 5 s only.

--- a/src/state/ControlState.test.ts
+++ b/src/state/ControlState.test.ts
@@ -147,19 +147,19 @@
     const applier = new Applier();
     applier.apply(0, buildAccountChange(1, 100_000));
     applier.sync(0, 1, { wanted: 50_000 });
-    applier.sync(1_000, 2, { wanted: 50_000, spentGrant: 2, refund: 120 });
-    const before = applier.state.snapshot();
-    const again = new ControlState();
-    again.restore(before);
-    const late = encodeCommand(SYNC_KEPT_MS + 1_000, buildSync(2, { wanted: 0, refund: 120 }));
-    const idle = encodeCommand(SYNC_KEPT_MS + 1_000, buildSync(3, { wanted: 0 }));
-    applier.state.apply(idle, 4);
-    again.apply(late, 4);
-    const [left, right] = [applier.state, again].map((state) => {
-      const probe = encodeCommand(SYNC_KEPT_MS + 1_000, buildSync(4, { wanted: 100_000 }));
-      return state.apply(probe, 5);
+    applier.sync(500, 2, { wanted: 50_000, spentGrant: 2 });
+    // The bucket is not full when epoch 121 begins, so a refund for it has room.
+    applier.sync(2_000, 3, { wanted: 50_000, spentGrant: 3, refund: 121 });
+    const saved = applier.state.snapshot();
+    const lateMs = SYNC_KEPT_MS + 2_000;
+    const [late, idle] = [121, undefined].map((refund) => {
+      const state = new ControlState();
+      state.restore(saved);
+      const options = refund === undefined ? { wanted: 0 } : { wanted: 0, refund };
+      state.apply(encodeCommand(lateMs, buildSync(3, options)), 5);
+      return state.apply(encodeCommand(lateMs, buildSync(4, { wanted: 100_000 })), 6);
     });
-    expect(left).toEqual(right);
+    expect(late).toEqual(idle);
   });
 
   it('never lets time go back, so that a leader with an old clock refills nothing twice', () => {
