--- a/src/state/Claims.ts
+++ b/src/state/Claims.ts
@@ -2,14 +2,14 @@
  * Claims of non-repeatable calls (design 3.5). A claim is committed before its call is dispatched, and
  * it is bound to one sidecar at a time, so that the call runs at most once.
  */
-import { create } from '@bufbuild/protobuf';
+import { create, toBinary } from '@bufbuild/protobuf';
 import { hasSameBytes } from '../common/Hashes.js';
 import {
   AnswerSchema,
   ClaimResultSchema,
-  ClaimSnapshotSchema,
   ClaimState,
   SettleClaimResultSchema,
+  StateSnapshotSchema,
   type Answer,
   type ClaimBinding,
   type ClaimCommand,
@@ -49,6 +49,8 @@
   answer: Answer | undefined;
   updatedAtMs: number;
   requestId: string;
+  /** Part of the snapshot, kept until the claim changes. */
+  encoded: Uint8Array | undefined;
 }
 
 /** Without an idempotency key each request is its own claim. */
@@ -158,16 +160,15 @@
     }
   }
 
-  public snapshot(): ClaimSnapshot[] {
+  /**
+   * Encoded state snapshots of one claim each; appended to an encoded snapshot they add the claims to
+   * it. Unchanged claims are not encoded again: encoding a full table takes longer than an election
+   * timeout.
+   */
+  public snapshot(): Uint8Array[] {
     return [...this._byKey.values()].map((claim) => {
-      const { id, updatedAtMs, answer, ...common } = claim;
-      const outcome = answer === undefined ? {} : { answer };
-      return create(ClaimSnapshotSchema, {
-        ...common,
-        ...outcome,
-        claimId: id,
-        updatedAtMs: BigInt(updatedAtMs),
-      });
+      claim.encoded ??= this._encode(claim);
+      return claim.encoded;
     });
   }
 
@@ -194,12 +195,21 @@
       answer: saved.answer,
       updatedAtMs: Number(saved.updatedAtMs),
       requestId: saved.requestId,
+      encoded: undefined,
     };
     this._byKey.set(buildTableKey(key, claim.requestId), claim);
     this._byId.set(claim.id, claim);
     this._addBody(claim);
   }
 
+  private _encode(claim: IClaim): Uint8Array {
+    const { id, key, bodyDigest, binding, attempt, state, answer, updatedAtMs, requestId } = claim;
+    const common = { key, bodyDigest, binding, attempt, state, requestId };
+    const outcome = answer === undefined ? {} : { answer };
+    const saved = { ...common, ...outcome, claimId: id, updatedAtMs: BigInt(updatedAtMs) };
+    return toBinary(StateSnapshotSchema, create(StateSnapshotSchema, { claims: [saved] }));
+  }
+
   private _open(
     tableKey: string,
     key: ClaimKey,
@@ -225,6 +235,7 @@
       answer: undefined,
       updatedAtMs: timeMs,
       requestId: command.requestId,
+      encoded: undefined,
     };
     this._byKey.set(tableKey, claim);
     this._byId.set(claim.id, claim);
@@ -297,6 +308,7 @@
       this._removeBody(claim);
       if (claim.answer !== undefined) {
         claim.answer = this._copyWithoutBody(claim.answer);
+        claim.encoded = undefined;
       }
     }
   }
@@ -304,6 +316,7 @@
   /** Moves a changed claim to the end of the order of expiry. */
   private _touch(tableKey: string, claim: IClaim, timeMs: number): void {
     claim.updatedAtMs = timeMs;
+    claim.encoded = undefined;
     this._byKey.delete(tableKey);
     this._byKey.set(tableKey, claim);
   }
--- a/src/state/ControlState.ts
+++ b/src/state/ControlState.ts
@@ -120,7 +120,8 @@
 
   public apply(command: Uint8Array, index: number): Uint8Array {
     this._revision = index;
-    const decoded = decodeCommand(command);
+    // Decoded byte fields share the buffer; a copy keeps what is stored from holding a whole batch.
+    const decoded = decodeCommand(new Uint8Array(command));
     const result = decoded === undefined ? create(CommandResultSchema) : this._run(decoded, index);
     return toBinary(CommandResultSchema, result);
   }
@@ -134,11 +135,12 @@
       items: this._items.snapshot(),
       changes: this._changes.snapshot(),
       ledgers: this._ledger.snapshot(),
-      claims: this._claims.snapshot(),
       loadSlots: this._loadSlots.snapshot(),
       syncs: [...this._syncs.values()],
     });
-    return toBinary(StateSnapshotSchema, snapshot);
+    // Encoded messages that follow each other merge into one: repeated fields are joined.
+    const parts = [toBinary(StateSnapshotSchema, snapshot), ...this._claims.snapshot()];
+    return new Uint8Array(Buffer.concat(parts));
   }
 
   public restore(snapshot: Uint8Array): void {
