--- a/src/cli/OperatorFiles.test.ts
+++ b/src/cli/OperatorFiles.test.ts
@@ -1,4 +1,4 @@
-import { mkdirSync, mkdtempSync, rmSync, symlinkSync, writeFileSync } from 'node:fs';
+import { mkdirSync, mkdtempSync, readFileSync, rmSync, symlinkSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { dirname, join } from 'node:path';
 import fc from 'fast-check';
@@ -67,6 +67,14 @@
     expect(encodeHex(((await load()) as IOperatorItems).digest)).not.toBe(encodeHex(first.digest));
   });
 
+  it('accepts the example in docs/operations.md, so that a first publication does not fail', async () => {
+    const page = readFileSync('docs/operations.md', 'utf8');
+    const blocks = [...page.matchAll(/```json\n(.*?)```/gs)].map((match) => match[1] ?? '');
+    const example = blocks.find((block) => block.includes('"clientAccounts"'));
+    writeOperatorFile('a', example ?? '');
+    expect(((await load()) as IOperatorItems).items).toHaveLength(4);
+  });
+
   it('skips links, node_modules and dot folders, so that copies are not published', async () => {
     writeOperatorFile('a', { services: [PLAIN] });
     writeOperatorFile('node_modules/x', 'not JSON');
--- a/src/settings/SettingsLoader.test.ts
+++ b/src/settings/SettingsLoader.test.ts
@@ -1,4 +1,4 @@
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import fc from 'fast-check';
@@ -165,3 +165,16 @@
     expect(await loadText(inside)).toMatchObject({ kind: 'invalid' });
   });
 });
+
+describe('examples in docs/operations.md', () => {
+  it('load, so that a first deployment does not begin with an error', async () => {
+    const page = readFileSync('docs/operations.md', 'utf8');
+    writeFileSync(join(folder, 'cluster-secret'), 'sixteen-characters-or-more');
+    const blocks = [...page.matchAll(/```json\n(.*?)```/gs)].map((match) => match[1] ?? '');
+    const settings = blocks.filter((block) => block.includes('"instance"'));
+    expect(settings).toHaveLength(3);
+    for (const text of settings) {
+      expect(await loadText(text)).toHaveProperty('clusterSecret');
+    }
+  });
+});
