Answer odd arguments with the usage code

Cause: "redwingwharf constructor" and "--constructor" ended with a stack trace, because the argument parser looks words up on plain objects. Any exception of the parser is now wrong usage, exit code 2. Conclusion: 500 random argument lists give a documented exit code (npx vitest run src/cli).

--- a/src/cli/Commands.test.ts
+++ b/src/cli/Commands.test.ts
@@ -4,6 +4,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { create, fromBinary, toBinary, type MessageInitShape } from '@bufbuild/protobuf';
+import fc from 'fast-check';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { parseCallerKey, verifyCallerKey } from '../common/CallerKeys.js';
 import { encodeHex } from '../common/Hashes.js';
@@ -30,7 +31,7 @@
 import { runCommand } from './Commands.js';
 import { COMMANDS } from './CommandSpecs.js';
 import { digestEdits } from './Items.js';
-import type { ICommandContext } from './Types.js';
+import { EXIT_CODE, type ICommandContext } from './Types.js';
 
 type ExecuteReply = MessageInitShape<typeof ExecuteResponseSchema>;
 
@@ -606,6 +607,8 @@
   it.each([
     [[]],
     [['bogus']],
+    [['constructor']],
+    [['status', '--constructor', '5']],
     [['publish']],
     [['key', 'give']],
     [['check', 'x', '--jsn']],
@@ -622,6 +625,26 @@
     expect((await run(...argv)).exitCode).toBe(2);
   });
 
+  it('never throws on arbitrary arguments, so that a typing error shows no stack', async () => {
+    vi.spyOn(console, 'error').mockImplementation(() => undefined);
+    vi.spyOn(console, 'log').mockImplementation(() => undefined);
+    const words = COMMANDS.flatMap(({ usage, options }) => [
+      ...usage.split(' ').filter((part) => /^[a-z]/.test(part)),
+      ...options.map((option) => `--${option.name}`),
+    ]);
+    const odd = ['constructor', '__proto__', '__all__', '--constructor', '-', '--', '--=', '--no-'];
+    // Without slashes and dots "check" stays below the working folder.
+    const noise = fc.string().filter((text) => !/[/.]/.test(text));
+    const word = fc.oneof(fc.constantFrom(...words, ...odd), noise);
+    await fc.assert(
+      fc.asyncProperty(fc.array(word, { maxLength: 8 }), async (argv) => {
+        const { exitCode } = await run(...argv);
+        expect(Object.values(EXIT_CODE)).toContain(exitCode);
+      }),
+      { numRuns: 500 },
+    );
+  });
+
   it('shows help with an example for every command', async () => {
     const printed: string[] = [];
     vi.spyOn(console, 'log').mockImplementation((text: string) => printed.push(text));
--- a/src/cli/Commands.ts
+++ b/src/cli/Commands.ts
@@ -106,6 +106,7 @@
   const named = args.slice(0, -1).filter((value) => typeof value === 'string');
   const positionals = [...named, ...raw._.map(String)];
   if (spec === undefined) {
+    context.output.warn(`Unknown command: ${line.name}. Run "${PROGRAM} --help".`);
     return undefined;
   }
   const limit = countPositionals(spec);
@@ -143,10 +144,11 @@
   try {
     line = parseLine(program, convertVersionOption(argv));
   } catch (error) {
-    if (error instanceof ParserExit) {
-      return EXIT_CODE.usage;
+    // The parser looks words up on plain objects and fails on names such as "constructor".
+    if (!(error instanceof ParserExit)) {
+      context.output.warn(`The arguments cannot be parsed. Run "${PROGRAM} --help".`);
     }
-    throw error;
+    return EXIT_CODE.usage;
   }
   if (line === undefined) {
     return EXIT_CODE.ok;
