Initialise control members by their settings file

Cause: init needs the member id and the address besides the data folder, and the settings file of the member holds all three. Passing them as options was ruled out: they could differ from what the process later runs with.

--- a/src/cli/Commands.test.ts
+++ b/src/cli/Commands.test.ts
@@ -185,7 +185,8 @@
       },
     },
     initialiser: {
-      init: (dataFolder) => {
+      init: (settings) => {
+        const dataFolder = settings.control?.dataFolder ?? '';
         initialisedFolders.push(dataFolder);
         const failure = { kind: 'not_empty' as const, message: 'The folder is not empty.' };
         return Promise.resolve(dataFolder.endsWith('full') ? Err(failure) : Ok('c1'));
@@ -578,9 +579,6 @@
 
 describe('init and run', () => {
   it('hand over absolute paths and complete settings, so that nothing depends on the folder', async () => {
-    expect((await run('init', '--data', 'x')).out).toContain('cluster c1');
-    expect(initialisedFolders.at(-1)).toBe(join(process.cwd(), 'x'));
-    expect((await run('init', '--data', 'full')).exitCode).toBe(1);
     const settings = {
       instance: 'c1',
       region: 'dar-coast',
@@ -591,8 +589,13 @@
     };
     const file = join(folder, 'settings.json');
     writeFileSync(file, JSON.stringify(settings));
+    expect((await run('init', '--settings', file)).out).toContain('cluster c1');
+    expect(initialisedFolders.at(-1)).toBe(join(folder, 'data'));
     expect((await run('run', '--settings', file)).exitCode).toBe(0);
     expect(ranSettings.at(-1)).toMatchObject({ control: { dataFolder: join(folder, 'data') } });
+    const full = { ...settings, control: { memberId: 'm1', dataFolder: 'full' } };
+    writeFileSync(file, JSON.stringify(full));
+    expect((await run('init', '--settings', file)).exitCode).toBe(1);
   });
 
   it('starts no role with faulty settings', async () => {
--- a/tools/overhead.ts
+++ b/tools/overhead.ts
@@ -131,12 +131,12 @@
   return { requests: total, events };
 }
 
-function roundTo(value: number, digits: number): number {
+function limitDigits(value: number, digits: number): number {
   return Number(value.toFixed(digits));
 }
 
 function describeMs(histogram: Histogram, percentile: number): number {
-  return roundTo(histogram.getValueAtPercentile(percentile) / 1_000, 2);
+  return limitDigits(histogram.getValueAtPercentile(percentile) / 1_000, 2);
 }
 
 async function measure(deployment: Deployment): Promise<Record<string, unknown>> {
@@ -155,12 +155,12 @@
     ttftDirectP99Ms: describeMs(direct, 99),
     ttftRoutedP50Ms: describeMs(routed, 50),
     ttftRoutedP99Ms: describeMs(routed, 99),
-    entryUsPerRequest: roundTo(perRequest.entryUs, 0),
-    sidecarUsPerRequest: roundTo(perRequest.sidecarUs, 0),
-    entryUsPerEvent: roundTo(perEvent.entryUs, 2),
-    sidecarUsPerEvent: roundTo(perEvent.sidecarUs, 2),
-    entryPeakMb: roundTo(readPeakMemoryMb(deployment.getChild(ENTRY)?.pid ?? 0), 0),
-    sidecarPeakMb: roundTo(readPeakMemoryMb(deployment.getChild(SIDECAR)?.pid ?? 0), 0),
+    entryUsPerRequest: limitDigits(perRequest.entryUs, 0),
+    sidecarUsPerRequest: limitDigits(perRequest.sidecarUs, 0),
+    entryUsPerEvent: limitDigits(perEvent.entryUs, 2),
+    sidecarUsPerEvent: limitDigits(perEvent.sidecarUs, 2),
+    entryPeakMb: limitDigits(readPeakMemoryMb(deployment.getChild(ENTRY)?.pid ?? 0), 0),
+    sidecarPeakMb: limitDigits(readPeakMemoryMb(deployment.getChild(SIDECAR)?.pid ?? 0), 0),
   };
 }
 
