Charge targets that are neither home nor holder of a prefix

Cause: any target whose estimated wait was short drew hot prefixes away from their homes; each spill displaced another prefix, and three entries spilled to different targets. Ruled out: estimates of the wait alone.

--- a/src/policy/DefaultPolicy.ts
+++ b/src/policy/DefaultPolicy.ts
@@ -32,6 +32,12 @@
 const NEAR_MS = 5;
 const NEAR_SHARE = 0.1;
 
+/**
+ * Charge on a target that is neither home nor holder, as a multiple of its prefill time. A spilled
+ * prefix displaces another one and makes later requests of other entries miss.
+ */
+const SPILL_CHARGE = 1;
+
 /** Settings that differ between experiments. */
 export interface IDefaultPolicyOptions {
   /** Data centre of this process. */
@@ -214,7 +220,9 @@
     const serviceMs = this._estimator.getServiceMs(target.id);
     const waitMs = this.loads.estimateWait(target.id, serviceMs, now);
     const ttftMs = this._estimator.estimateTtft(target, waitMs, missedTokens);
-    return { target, reason, cachedTokens, waitMs, ttftMs, cost: ttftMs };
+    const prefillMs = this._estimator.estimatePrefill(target.id, missedTokens);
+    const charge = reason === 'spill' ? SPILL_CHARGE * prefillMs : 0;
+    return { target, reason, cachedTokens, waitMs, ttftMs, cost: ttftMs + charge };
   }
 
   /** Power of two choices among the estimates close to the smallest. */
