--- a/src/policy/BasePolicy.ts
+++ b/src/policy/BasePolicy.ts
@@ -43,8 +43,11 @@
     this.loads.markFirstToken(requestId, now);
   }
 
-  public onAnswered(requestId: string, _answer: IAnswer, now: number): void {
-    this.loads.close(requestId, now);
+  public onAnswered(requestId: string, answer: IAnswer, now: number): void {
+    const targetId = this.loads.close(requestId, now);
+    if (targetId !== undefined && answer.load !== undefined) {
+      this.loads.report(targetId, answer.load);
+    }
   }
 
   public onFailed(requestId: string, now: number): void {
--- a/src/policy/DefaultPolicy.ts
+++ b/src/policy/DefaultPolicy.ts
@@ -126,16 +126,13 @@
   }
 
   public override onAnswered(requestId: string, answer: IAnswer, now: number): void {
-    this.loads.close(requestId, now);
+    super.onAnswered(requestId, answer, now);
     const dispatch = this._dispatches.get(requestId);
     if (dispatch === undefined) {
       return;
     }
     this._dispatches.delete(requestId);
     const { request, target, ages } = dispatch;
-    if (answer.load !== undefined) {
-      this.loads.report(target.id, answer.load);
-    }
     const missedTokens = Math.max(0, request.promptTokens - answer.cachedPromptTokens);
     this._estimator.observe(target, missedTokens, answer.ttftMs);
     this._lifetime.observe(target.id, ages, Math.floor(answer.cachedPromptTokens / CHUNK_TOKENS));
--- a/src/policy/LoadView.ts
+++ b/src/policy/LoadView.ts
@@ -71,15 +71,16 @@
     state.progressAt = now;
   }
 
-  /** Ends a dispatch, whatever its result. */
-  public close(requestId: string, now: number): void {
+  /** Ends a dispatch, whatever its result, and returns its target. */
+  public close(requestId: string, now: number): string | undefined {
     const dispatch = this._dispatches.get(requestId);
     if (dispatch === undefined) {
-      return;
+      return undefined;
     }
     this.markFirstToken(requestId, now);
     this._ensure(dispatch.targetId).open -= 1;
     this._dispatches.delete(requestId);
+    return dispatch.targetId;
   }
 
   /** Open dispatches of this process to the target. */
--- a/tools/bench/Engine.ts
+++ b/tools/bench/Engine.ts
@@ -64,12 +64,16 @@
   readonly prefillTokensPerMs: number;
 }
 
-/** What an engine announces. */
-export interface IEngineReport {
-  readonly incarnation: string;
+/** Load at one instant. */
+export interface IEngineLoad {
   readonly queued: number;
   readonly running: number;
   readonly freeBlocks: number;
+}
+
+/** What an engine announces. */
+export interface IEngineReport extends IEngineLoad {
+  readonly incarnation: string;
   readonly evicted: readonly ChainHash[];
 }
 
@@ -141,11 +145,18 @@
     const evicted = this._evicted.slice(-MAX_ANNOUNCED_EVICTIONS);
     this._evicted = [];
     return {
+      ...this.getLoad(),
       incarnation: this.incarnation,
+      evicted: evicted.filter((hash) => !this._cache.has(hash)),
+    };
+  }
+
+  /** Load that an answer carries. */
+  public getLoad(): IEngineLoad {
+    return {
       queued: this._queue.length + (this._prefill === undefined ? 0 : 1),
       running: this._running.size,
       freeBlocks: this._spec.chunks - this._cache.size - this._privateChunks,
-      evicted: evicted.filter((hash) => !this._cache.has(hash)),
     };
   }
 
--- a/tools/bench/Entry.ts
+++ b/tools/bench/Entry.ts
@@ -169,8 +169,10 @@
         });
       },
       onDone: (cachedPromptTokens: number, at: number) => {
+        const reported = engine.getLoad();
         events.schedule(at + hopMs, (arrivedAt) => {
-          const answer = { cachedPromptTokens, ttftMs, load: undefined };
+          const load = { ...reported, reportedAt: arrivedAt };
+          const answer = { cachedPromptTokens, ttftMs, load };
           this.policy.onAnswered(requestId, answer, arrivedAt);
           this._finish(request, arrivedAt);
         });
