Let announcements tell which hot prefixes were used

Cause: an entry knows only its own third of the placements, so three entries keep three copies of a prefix.

onCached takes up to 8 hashes of used hot chunks, 128 bytes in an announcement.

--- a/src/policy/BasePolicy.ts
+++ b/src/policy/BasePolicy.ts
@@ -60,6 +60,12 @@
     return;
   }
 
+  /** Policies without an index of prefixes have nothing to learn. */
+  public onCached(target: ITargetView, hashes: readonly ChainHash[], now: number): void;
+  public onCached(): void {
+    return;
+  }
+
   public onTargetGone(targetId: string): void {
     this.loads.drop(targetId);
   }
--- a/src/policy/DefaultPolicy.ts
+++ b/src/policy/DefaultPolicy.ts
@@ -151,6 +151,11 @@
     this._index.forget(target, hashes);
   }
 
+  public override onCached(target: ITargetView, hashes: readonly ChainHash[], now: number): void {
+    this._index.reconcile(target);
+    this._index.record(target, hashes, hashes.length, now);
+  }
+
   public override onTargetGone(targetId: string): void {
     this.loads.drop(targetId);
     this._index.dropTarget(targetId);
--- a/src/policy/Types.ts
+++ b/src/policy/Types.ts
@@ -93,5 +93,7 @@
   /** The dispatch ended without a complete response. */
   onFailed(requestId: string, now: number): void;
   onEvicted(target: ITargetView, hashes: readonly ChainHash[]): void;
+  /** The target reported that these chunks, which may be of any chain, were just used. */
+  onCached(target: ITargetView, hashes: readonly ChainHash[], now: number): void;
   onTargetGone(targetId: string): void;
 }
--- a/tools/bench.ts
+++ b/tools/bench.ts
@@ -2,7 +2,8 @@
  * Compares routing policies on simulated engines.
  *
  * npm run bench -- --deployment authority|franchise --policy NAME --seed N [--seeds M]
- *   [--seconds S] [--faults on|off] [--load FACTOR] [--compare] [--decision-times]
+ *   [--seconds S] [--faults on|off] [--load FACTOR]
+ *   [--notices evicted|used] [--compare] [--decision-times]
  */
 import { parseArgs } from 'node:util';
 import { measureDecisionTimes } from './bench/DecisionTimes.js';
@@ -24,6 +25,7 @@
   readonly seeds: readonly number[];
   readonly seconds: number;
   readonly hasFaults: boolean;
+  readonly hasUseNotices: boolean;
   readonly isComparison: boolean;
 }
 
@@ -37,6 +39,7 @@
       seconds: { type: 'string', default: '120' },
       faults: { type: 'string', default: 'off' },
       load: { type: 'string', default: '1' },
+      notices: { type: 'string', default: 'evicted' },
       compare: { type: 'boolean', default: false },
       'decision-times': { type: 'boolean', default: false },
     },
@@ -58,13 +61,13 @@
     seeds: Array.from({ length: Number(values.seeds) }, (_, index) => first + index),
     seconds: Number(values.seconds),
     hasFaults: values.faults === 'on',
+    hasUseNotices: values.notices === 'used',
     isComparison: values.compare,
   };
 }
 
 function runSeeds(options: IBenchOptions, policy: PolicyName | 'oracle'): IRunFigures[] {
-  const { deployment, seconds, hasFaults } = options;
-  return options.seeds.map((seed) => runOnce({ deployment, policy, seed, seconds, hasFaults }));
+  return options.seeds.map((seed) => runOnce({ ...options, policy, seed }));
 }
 
 function main(): void {
@@ -87,6 +90,7 @@
     seeds: options.seeds,
     seconds: options.seconds,
     faults: options.hasFaults ? 'on' : 'off',
+    notices: options.hasUseNotices ? 'used' : 'evicted',
     requestsPerSecond: options.deployment.requestsPerSecond,
   };
   const policy = summariseRuns(rows.get(options.policy) ?? []);
--- a/tools/bench/Engine.ts
+++ b/tools/bench/Engine.ts
@@ -14,6 +14,9 @@
 /** Evicted hashes in one announcement. */
 const MAX_ANNOUNCED_EVICTIONS = 32;
 
+/** Hashes of used hot chunks in one announcement, the latest ones. */
+const MAX_ANNOUNCED_USES = 8;
+
 /** A chunk used at least as often counts as hot in announcements. */
 const HOT_USES = 2;
 
@@ -75,6 +78,7 @@
 export interface IEngineReport extends IEngineLoad {
   readonly incarnation: string;
   readonly evicted: readonly ChainHash[];
+  readonly used: readonly ChainHash[];
 }
 
 export class Engine {
@@ -95,6 +99,8 @@
   private _prefillEndsAt = 0;
   private readonly _running = new Set<IRunningJob>();
   private _evicted: ChainHash[] = [];
+  /** Hot chunks used since the last announcement, the latest last. */
+  private readonly _used = new Set<ChainHash>();
 
   constructor(spec: IEngineSpec, events: EventQueue, meter: IFleetMeter, random: IRandom) {
     this.id = spec.id;
@@ -132,6 +138,7 @@
     this._prefill = undefined;
     this._privateChunks = 0;
     this._evicted = [];
+    this._used.clear();
     this._events.schedule(now + RESTART_MS, () => {
       this.isUp = true;
     });
@@ -143,9 +150,12 @@
   /** State for an announcement; evictions are announced once. */
   public report(): IEngineReport {
     const evicted = this._evicted.slice(-MAX_ANNOUNCED_EVICTIONS);
+    const used = [...this._used].filter((hash) => this._cache.has(hash));
     this._evicted = [];
+    this._used.clear();
     return {
       ...this.getLoad(),
+      used: used.slice(-MAX_ANNOUNCED_USES),
       incarnation: this.incarnation,
       evicted: evicted.filter((hash) => !this._cache.has(hash)),
     };
@@ -295,6 +305,10 @@
       const chunk = this._cache.get(hash) ?? { pins: 0, uses: 0 };
       chunk.pins += 1;
       chunk.uses += 1;
+      if (chunk.uses >= HOT_USES) {
+        this._used.delete(hash);
+        this._used.add(hash);
+      }
       this._cache.set(hash, chunk);
     }
   }
--- a/tools/bench/Entry.ts
+++ b/tools/bench/Entry.ts
@@ -35,6 +35,8 @@
   readonly measures: Measures;
   /** Arrivals before this time warm the caches and are not measured. */
   readonly warmupMs: number;
+  /** Whether announcements carry used chunks besides evicted ones. */
+  readonly hasUseNotices: boolean;
   /** One-way hop in milliseconds. */
   readonly hopOf: (engine: Engine) => number;
 }
@@ -83,6 +85,9 @@
     this._targets[position] = target;
     this._announcedAt[position] = now;
     this.policy.onEvicted(target, report.evicted);
+    if (this._context.hasUseNotices) {
+      this.policy.onCached(target, report.used, now);
+    }
   }
 
   /** A request that was admitted. */
--- a/tools/bench/Simulation.ts
+++ b/tools/bench/Simulation.ts
@@ -44,6 +44,8 @@
   readonly seed: number;
   readonly seconds: number;
   readonly hasFaults: boolean;
+  /** Whether announcements carry used chunks besides evicted ones. */
+  readonly hasUseNotices: boolean;
 }
 
 class Simulation {
@@ -189,6 +191,7 @@
         weights: ACCOUNT_SHARES,
         measures: this._measures,
         warmupMs: this._warmupMs,
+        hasUseNotices: this._options.hasUseNotices,
         hopOf,
       };
       const random = createRandom(seed, `policy-${number}`);
@@ -205,7 +208,7 @@
  * Runs one policy on the arrivals of one seed.
  *
  * @example
- * const figures = runOnce({ deployment, policy: 'default', seed: 1, seconds: 60, hasFaults: false });
+ * const figures = runOnce({ ...options, policy: 'default', seed: 1 });
  */
 export function runOnce(options: IRunOptions): IRunFigures {
   return new Simulation(options).run();
