--- /dev/null
+++ b/src/policy/Learning.test.ts
@@ -0,0 +1,74 @@
+import { describe, expect, it } from 'vitest';
+import { CacheLifetime } from './CacheLifetime.js';
+import { Estimator } from './Estimator.js';
+import { createLoad, createTarget } from './Fixtures.js';
+import { LoadView } from './LoadView.js';
+
+describe('CacheLifetime', () => {
+  it('shrinks after misses of young evidence, so that evicted chunks are not counted on', () => {
+    const lifetime = new CacheLifetime();
+    for (let i = 0; i < 50; i += 1) {
+      lifetime.observe('t', [100, 3_000], 1);
+    }
+    expect(lifetime.get('t')).toBeLessThan(4_000);
+    expect(lifetime.get('t')).toBeGreaterThan(500);
+  });
+
+  it('grows after hits of old evidence, so that long-lived chunks are not given up', () => {
+    const lifetime = new CacheLifetime();
+    for (let i = 0; i < 50; i += 1) {
+      lifetime.observe('t', [30_000], 1);
+    }
+    expect(lifetime.get('t')).toBeGreaterThan(29_000);
+  });
+});
+
+describe('Estimator', () => {
+  it('learns the speed of each target, so that a slow one is not taken for an average one', () => {
+    const estimator = new Estimator('dc-0');
+    const slow = createTarget('slow');
+    const fast = createTarget('fast');
+    for (let i = 0; i < 300; i += 1) {
+      estimator.observe(slow, 10_000, 2_000);
+      estimator.observe(fast, 10_000, 500);
+    }
+    expect(estimator.estimatePrefill('slow', 10_000)).toBeGreaterThan(1_700);
+    expect(estimator.estimatePrefill('fast', 10_000)).toBeLessThan(600);
+  });
+
+  it('gives waiting little weight, so that a busy target is not taken for a slow one', () => {
+    const estimator = new Estimator('dc-0');
+    const target = createTarget('t');
+    for (let i = 0; i < 300; i += 1) {
+      estimator.observe(target, 10_000, i % 2 === 0 ? 500 : 2_000);
+    }
+    expect(estimator.estimatePrefill('t', 10_000)).toBeLessThan(700);
+  });
+});
+
+describe('LoadView', () => {
+  it('does not count own waiting dispatches twice when a report includes them', () => {
+    const view = new LoadView();
+    view.open('r1', 't', 100, 0);
+    view.report('t', createLoad(1, 10));
+    expect(view.countAll('t')).toBe(1);
+    expect(view.estimateWait('t', 100, 10)).toBe(90);
+  });
+
+  it('ignores a report older than the known one', () => {
+    const view = new LoadView();
+    view.report('t', createLoad(5, 20));
+    view.report('t', createLoad(1, 10));
+    expect(view.countAll('t')).toBe(5);
+  });
+
+  it('releases a dispatch once, however often it ends', () => {
+    const view = new LoadView();
+    view.open('r1', 't', 100, 0);
+    view.markFirstToken('r1', 5);
+    view.close('r1', 10);
+    view.close('r1', 11);
+    expect(view.countOpen('t')).toBe(0);
+    expect(view.countAll('t')).toBe(0);
+  });
+});
--- /dev/null
+++ b/src/policy/Policies.test.ts
@@ -0,0 +1,158 @@
+import { describe, expect, it } from 'vitest';
+import { DefaultPolicy } from './DefaultPolicy.js';
+import { createChain, createLoad, createRequest, createTarget, createTargets } from './Fixtures.js';
+import { LeastLoad } from './LeastLoad.js';
+import { PrefixHash } from './PrefixHash.js';
+import { RoundRobin } from './RoundRobin.js';
+import {
+  MAX_LOGGED_CANDIDATES,
+  type IRouteDecision,
+  type IRoutingPolicy,
+  type ITargetView,
+} from './Types.js';
+
+function createPolicies(): IRoutingPolicy[] {
+  const random = (): number => 0;
+  return [
+    new RoundRobin(),
+    new LeastLoad(random),
+    new PrefixHash(random),
+    new DefaultPolicy({ dataCentre: 'dc-0', random }),
+  ];
+}
+
+function createDefault(random = 0): DefaultPolicy {
+  return new DefaultPolicy({ dataCentre: 'dc-0', random: () => random });
+}
+
+function expectTarget(decision: IRouteDecision): ITargetView {
+  if (decision.kind !== 'target') {
+    throw new Error(`no target: ${decision.reason}`);
+  }
+  return decision.target;
+}
+
+/** Sends a request to a target and completes it. */
+function serve(
+  policy: IRoutingPolicy,
+  requestId: string,
+  chain: readonly string[],
+  target: ITargetView,
+  now: number,
+): void {
+  const request = createRequest(requestId, chain);
+  policy.onDispatched(request, target, now);
+  policy.onFirstToken(requestId, now + 10);
+  const answer = { cachedPromptTokens: chain.length * 2_000, ttftMs: 10, load: undefined };
+  policy.onAnswered(requestId, answer, now + 20);
+}
+
+describe.each(createPolicies())('$name', (policy) => {
+  it('never chooses a draining or unhealthy target', () => {
+    const targets = [
+      createTarget('draining', { draining: true }),
+      createTarget('usable'),
+      createTarget('unhealthy', { healthy: false }),
+    ];
+    for (let i = 0; i < 20; i += 1) {
+      const request = createRequest(`r${i}`, createChain(`p${i}`, 3));
+      expect(expectTarget(policy.choose(request, targets, i)).id).toBe('usable');
+    }
+  });
+
+  it('says why there is no target, instead of failing', () => {
+    const request = createRequest('r', []);
+    const draining = [createTarget('t', { draining: true })];
+    expect(policy.choose(request, [], 0)).toEqual({ kind: 'none', reason: 'no-target' });
+    expect(policy.choose(request, draining, 0).kind).toBe('none');
+  });
+});
+
+describe('LeastLoad', () => {
+  it('counts own dispatches since the last report, so that a burst does not hit one target', () => {
+    const policy: IRoutingPolicy = new LeastLoad(() => 0);
+    const targets = [
+      createTarget('a', { load: createLoad(0, 1) }),
+      createTarget('b', { load: createLoad(1, 1) }),
+    ];
+    const chosen = ['r1', 'r2', 'r3'].map((id) => {
+      const target = expectTarget(policy.choose(createRequest(id, []), targets, 2));
+      policy.onDispatched(createRequest(id, []), target, 2);
+      return target.id;
+    });
+    expect(new Set(chosen)).toEqual(new Set(['a', 'b']));
+  });
+});
+
+describe('DefaultPolicy', () => {
+  const chain = createChain('p', 8);
+
+  it('follows evidence, so that a cached prefix is not computed again elsewhere', () => {
+    const policy = createDefault();
+    const targets = createTargets(13);
+    serve(policy, 'r1', chain, createTarget('t-7'), 0);
+    const decision = policy.choose(createRequest('r2', chain), targets, 1_000);
+    expect(expectTarget(decision).id).toBe('t-7');
+    expect(decision).toMatchObject({ expectedCachedTokens: 16_000 });
+  });
+
+  it('does not count on the cache of a dead incarnation or of older weights', () => {
+    for (const change of [{ incarnation: 't-7/1' }, { weightsVersion: 'w2' }]) {
+      const policy = createDefault();
+      serve(policy, 'r1', chain, createTarget('t-7'), 0);
+      const targets = createTargets(13).map((target) =>
+        target.id === 't-7' ? { ...target, ...change } : target,
+      );
+      const decision = policy.choose(createRequest('r2', chain), targets, 1_000);
+      expect(decision).toMatchObject({ expectedCachedTokens: 0 });
+    }
+  });
+
+  it('does not count on chunks that were evicted, reported or missed', () => {
+    const policy = createDefault();
+    const target = createTarget('t-7');
+    serve(policy, 'r1', chain, target, 0);
+    policy.onEvicted(target, chain.slice(2));
+    const decision = policy.choose(createRequest('r2', chain), [target], 1_000);
+    expect(decision).toMatchObject({ expectedCachedTokens: 4_000 });
+    policy.onDispatched(createRequest('r3', chain), target, 2_000);
+    policy.onFailed('r3', 2_100);
+    const later = policy.choose(createRequest('r4', chain), [target], 2_200);
+    expect(later).toMatchObject({ expectedCachedTokens: 0 });
+  });
+
+  it('uses what a target reports of the dispatches of other entries', () => {
+    const policy = createDefault();
+    policy.onCached(createTarget('t-3'), chain.slice(0, 4), 0);
+    const decision = policy.choose(createRequest('r1', chain), createTargets(13), 100);
+    expect(decision).toMatchObject({ target: { id: 't-3' }, expectedCachedTokens: 8_000 });
+  });
+
+  it('agrees with other entries on the home of a new prefix', () => {
+    const targets = createTargets(13);
+    const homes = [0.1, 0.5, 0.9].map((random) => {
+      const decision = createDefault(random).choose(createRequest('r', chain), targets, 0);
+      return expectTarget(decision).id;
+    });
+    expect(new Set(homes).size).toBe(1);
+  });
+
+  it('gives up a busy holder when waiting costs more than computing', () => {
+    const policy = createDefault();
+    serve(policy, 'r1', chain, createTarget('t-7'), 0);
+    const targets = createTargets(13).map((target) =>
+      target.id === 't-7' ? { ...target, load: createLoad(500, 50) } : target,
+    );
+    const target = expectTarget(policy.choose(createRequest('r2', chain), targets, 100));
+    expect(target.id).not.toBe('t-7');
+  });
+
+  it('bounds the candidates of a decision and weighs only a part of a large fleet', () => {
+    const policy = createDefault(0.5);
+    const targets = createTargets(5_600);
+    const decision = policy.choose(createRequest('r', chain), targets, 0);
+    expect(decision.kind === 'target' && decision.candidates.length).toBeLessThanOrEqual(
+      MAX_LOGGED_CANDIDATES,
+    );
+  });
+});
