--- a/src/policy/BasePolicy.ts
+++ b/src/policy/BasePolicy.ts
@@ -43,8 +43,11 @@
     this.loads.markFirstToken(requestId, now);
   }
 
-  public onAnswered(requestId: string, _answer: IAnswer, now: number): void {
-    this.loads.close(requestId, now);
+  public onAnswered(requestId: string, answer: IAnswer, now: number): void {
+    const targetId = this.loads.close(requestId, now);
+    if (targetId !== undefined && answer.load !== undefined) {
+      this.loads.report(targetId, answer.load);
+    }
   }
 
   public onFailed(requestId: string, now: number): void {
@@ -57,6 +60,12 @@
     return;
   }
 
+  /** Policies without an index of prefixes have nothing to learn. */
+  public onCached(target: ITargetView, hashes: readonly ChainHash[], now: number): void;
+  public onCached(): void {
+    return;
+  }
+
   public onTargetGone(targetId: string): void {
     this.loads.drop(targetId);
   }
--- a/src/policy/DefaultPolicy.ts
+++ b/src/policy/DefaultPolicy.ts
@@ -32,6 +32,12 @@
 const NEAR_MS = 5;
 const NEAR_SHARE = 0.1;
 
+/**
+ * Charge on a target that is neither home nor holder, as a multiple of its prefill time. A spilled
+ * prefix displaces another one and makes later requests of other entries miss.
+ */
+const SPILL_CHARGE = 1;
+
 /** Settings that differ between experiments. */
 export interface IDefaultPolicyOptions {
   /** Data centre of this process. */
@@ -120,16 +126,13 @@
   }
 
   public override onAnswered(requestId: string, answer: IAnswer, now: number): void {
-    this.loads.close(requestId, now);
+    super.onAnswered(requestId, answer, now);
     const dispatch = this._dispatches.get(requestId);
     if (dispatch === undefined) {
       return;
     }
     this._dispatches.delete(requestId);
     const { request, target, ages } = dispatch;
-    if (answer.load !== undefined) {
-      this.loads.report(target.id, answer.load);
-    }
     const missedTokens = Math.max(0, request.promptTokens - answer.cachedPromptTokens);
     this._estimator.observe(target, missedTokens, answer.ttftMs);
     this._lifetime.observe(target.id, ages, Math.floor(answer.cachedPromptTokens / CHUNK_TOKENS));
@@ -148,6 +151,11 @@
     this._index.forget(target, hashes);
   }
 
+  public override onCached(target: ITargetView, hashes: readonly ChainHash[], now: number): void {
+    this._index.reconcile(target);
+    this._index.record(target, hashes, hashes.length, now);
+  }
+
   public override onTargetGone(targetId: string): void {
     this.loads.drop(targetId);
     this._index.dropTarget(targetId);
@@ -214,7 +222,9 @@
     const serviceMs = this._estimator.getServiceMs(target.id);
     const waitMs = this.loads.estimateWait(target.id, serviceMs, now);
     const ttftMs = this._estimator.estimateTtft(target, waitMs, missedTokens);
-    return { target, reason, cachedTokens, waitMs, ttftMs, cost: ttftMs };
+    const prefillMs = this._estimator.estimatePrefill(target.id, missedTokens);
+    const charge = reason === 'spill' ? SPILL_CHARGE * prefillMs : 0;
+    return { target, reason, cachedTokens, waitMs, ttftMs, cost: ttftMs + charge };
   }
 
   /** Power of two choices among the estimates close to the smallest. */
