Add the Quint models of claims and grants (draft)

Cause: sections 3.4 and 3.5 of the design rest on arguments only.

Conclusion: the correct models and the other variants are still to be run.

--- /dev/null
+++ b/model/claims.qnt
@@ -0,0 +1,521 @@
+// Claims for non-repeatable calls (docs/design.md, section 3.5).
+//
+// An attempt is one HTTP request of a caller, handled by one entry. An entry that crashes ends its
+// attempt. Each binding of a claim to a sidecar incarnation has a token (the log index of the command
+// that made it), and a ticket names that token.
+module claims {
+  // Name of the rule that is broken, or "none".
+  const VARIANT: str
+
+  type Outcome =
+    // Tombstone, or the connection to the target was refused: this token can never run here.
+    | NotRun
+    | Connecting
+    | Connected
+    | Finished(int)
+    // The connection broke after it was made.
+    | Unknown
+
+  type Binding = { token: int, target: int, incarnation: int }
+
+  type Claim = { binding: Binding, response: int }
+
+  type Phase =
+    | Idle
+    // The command to the leader is under way.
+    | Asking
+    // A claim that another attempt made is bound to this binding; the bound sidecar has to be asked.
+    | Querying
+    // The token was granted to this attempt; the ticket was not sent yet.
+    | Granted
+    | Waiting
+    // The binding is known not to have run and never to run.
+    | Proven
+    | Answering(int)
+    | Ended
+
+  type Attempt = {
+    key: int,
+    phase: Phase,
+    // Binding the attempt works on; token 0 before the first answer of the leader.
+    binding: Binding,
+    // The bind command of the attempt that is not committed yet.
+    hasCommand: bool,
+    // Token that the command proves "not run" for; 0 when it brings no proof.
+    proof: int,
+    choice: Binding,
+    tokens: Set[int]
+  }
+
+  type Ticket = { key: int, attempt: int, binding: Binding }
+
+  // Response that a sidecar or the leader sends to the entry of an attempt.
+  type Reply = { attempt: int, token: int, outcome: Outcome }
+
+  type Effect = { key: int, token: int }
+
+  pure val KEYS = Set(1)
+  pure val TARGETS = Set(1, 2)
+  pure val ATTEMPTS = Set(1, 2, 3)
+  pure val MAX_INCARNATION = 2
+  pure val MAX_TOKENS = 5
+  pure val NO_BINDING: Binding = { token: 0, target: 0, incarnation: 0 }
+  pure val NO_RESPONSE = 0
+
+  // Replicated state of the control members.
+  var claims: int -> Claim
+  var lastToken: int
+  // Sidecars: the incarnation and what it holds in memory.
+  var incarnations: int -> int
+  var seen: int -> (int -> Outcome)
+  // Requests that reached a target and may take effect at any time or never.
+  var pending: Set[Ticket]
+  var tickets: Set[Ticket]
+  var replies: Set[Reply]
+  var attempts: int -> Attempt
+  // What happened in fact, as seen from outside.
+  var effects: List[Effect]
+  var answers: Set[{ key: int, response: int }]
+  var toldNotRun: Set[int]
+  // Attempts that began when the key already had an effect.
+  var beganAfterEffect: Set[int]
+
+  def hasEffect(key: int): bool = effects.select(e => e.key == key).length() > 0
+
+  action init = all {
+    claims' = Map(),
+    lastToken' = 0,
+    incarnations' = TARGETS.mapBy(_ => 1),
+    seen' = TARGETS.mapBy(_ => Map()),
+    pending' = Set(),
+    tickets' = Set(),
+    replies' = Set(),
+    attempts' = ATTEMPTS.mapBy(_ => {
+      key: 0,
+      phase: Idle,
+      binding: NO_BINDING,
+      hasCommand: false,
+      proof: 0,
+      choice: NO_BINDING,
+      tokens: Set()
+    }),
+    effects' = [],
+    answers' = Set(),
+    toldNotRun' = Set(),
+    beganAfterEffect' = Set(),
+  }
+
+  action keepControl = all { claims' = claims, lastToken' = lastToken }
+
+  action keepSidecars = all {
+    incarnations' = incarnations,
+    seen' = seen,
+    pending' = pending,
+    effects' = effects,
+  }
+
+  action keepMessages = all { tickets' = tickets, replies' = replies }
+
+  action keepHistory = all {
+    answers' = answers,
+    toldNotRun' = toldNotRun,
+    beganAfterEffect' = beganAfterEffect,
+  }
+
+  // The entry chooses a target and sends a bind command. A caller may send the same key again at any
+  // time. With a proof the command asks to bind the claim again.
+  action ask(id: int): bool = {
+    val a = attempts.get(id)
+    nondet key = KEYS.oneOf()
+    nondet target = TARGETS.oneOf()
+    all {
+      or { a.phase == Idle, a.phase == Proven, a.phase == Asking },
+      not(a.hasCommand),
+      attempts' = attempts.set(id, { ...a,
+        key: if (a.phase == Idle) key else a.key,
+        phase: Asking,
+        hasCommand: true,
+        proof: if (a.phase == Proven) a.binding.token else 0,
+        choice: { token: 0, target: target, incarnation: incarnations.get(target) }
+      }),
+      beganAfterEffect' =
+        if (a.phase == Idle and hasEffect(key)) beganAfterEffect.union(Set(id))
+        else beganAfterEffect,
+      answers' = answers,
+      toldNotRun' = toldNotRun,
+      keepControl,
+      keepSidecars,
+      keepMessages,
+    }
+  }
+
+  // The leader commits the command, possibly after the attempt has ended. The answer may be lost; then
+  // the attempt stays in Asking and either gives up or asks again, without the proof.
+  action commitBind(id: int): bool = {
+    val a = attempts.get(id)
+    val isNew = not(claims.keys().contains(a.key))
+    val claim = if (isNew) { binding: NO_BINDING, response: NO_RESPONSE } else claims.get(a.key)
+    val isSettled = claim.response != NO_RESPONSE
+    val hasProof = or {
+      a.proof != 0 and a.proof == claim.binding.token,
+      a.proof != 0 and VARIANT == "rebindWithoutCompare",
+      VARIANT == "rebindWithoutProof",
+    }
+    val isGranted = isNew or (hasProof and not(isSettled))
+    val binding = { ...a.choice, token: lastToken + 1 }
+    nondet lost = 1.to(6).oneOf()
+    val isLost = lost == 1
+    all {
+      a.hasCommand,
+      isGranted implies lastToken < MAX_TOKENS,
+      lastToken' = if (isGranted) lastToken + 1 else lastToken,
+      claims' = if (isGranted) claims.put(a.key, { binding: binding, response: NO_RESPONSE }) else claims,
+      attempts' = attempts.set(id, { ...a,
+        hasCommand: false,
+        phase:
+          if (a.phase != Asking) a.phase
+          else if (isLost) Asking
+          else if (isGranted) Granted
+          else if (isSettled) Answering(claim.response)
+          else Querying,
+        binding:
+          if (a.phase != Asking or isLost) a.binding
+          else if (isGranted) binding
+          else claim.binding,
+      }),
+      keepSidecars,
+      keepMessages,
+      keepHistory,
+    }
+  }
+
+  action dispatch(id: int): bool = {
+    val a = attempts.get(id)
+    all {
+      a.phase == Granted,
+      tickets' = tickets.union(Set({ key: a.key, attempt: id, binding: a.binding })),
+      attempts' = attempts.set(id, { ...a,
+        phase: Waiting,
+        tokens: a.tokens.union(Set(a.binding.token))
+      }),
+      replies' = replies,
+      keepControl,
+      keepSidecars,
+      keepHistory,
+    }
+  }
+
+  // A ticket reaches the sidecar at any time. A ticket is sent once; in the variant "resendTicket" the
+  // HTTP client of the entry sends it again after a broken connection.
+  action deliver: bool = all {
+    tickets.size() > 0,
+    nondet ticket = tickets.oneOf()
+    nondet isResent = oneOf(if (VARIANT == "resendTicket") Set(false, true) else Set(false))
+    val b = ticket.binding
+    val isOwn = b.incarnation == incarnations.get(b.target)
+    val isSeen = seen.get(b.target).keys().contains(b.token)
+    val isAccepted = (isOwn or VARIANT == "acceptOtherIncarnation") and not(isSeen)
+    all {
+      tickets' = if (isResent) tickets else tickets.exclude(Set(ticket)),
+      seen' =
+        if (isAccepted) seen.setBy(b.target, old => old.put(b.token, Connecting)) else seen,
+      replies' =
+        if (isAccepted) replies
+        else replies.union(Set({ attempt: ticket.attempt, token: b.token, outcome: NotRun })),
+      incarnations' = incarnations,
+      pending' = pending,
+      effects' = effects,
+      attempts' = attempts,
+      keepControl,
+      keepHistory,
+    },
+  }
+
+  def ticketOf(token: int): Ticket = {
+    val owner = ATTEMPTS.filter(id => attempts.get(id).tokens.contains(token))
+    val id = owner.fold(0, (_, x) => x)
+    { key: attempts.get(id).key, attempt: id, binding: { ...NO_BINDING, token: token } }
+  }
+
+  // The sidecar opens a new connection to the target: it is refused, or the request goes out.
+  action connect: bool = {
+    nondet target = TARGETS.oneOf()
+    val waiting = seen.get(target).keys().filter(t => seen.get(target).get(t) == Connecting)
+    all {
+      waiting.size() > 0,
+      nondet token = waiting.oneOf()
+      nondet chance = 1.to(6).oneOf()
+      val isConnected = chance > 1
+      val ticket = ticketOf(token)
+      all {
+        seen' = seen.setBy(target, old => old.put(token, if (isConnected) Connected else NotRun)),
+        pending' = if (isConnected) pending.union(Set({ ...ticket, binding: { token: token,
+          target: target, incarnation: incarnations.get(target) } })) else pending,
+        replies' =
+          if (isConnected) replies
+          else replies.union(Set({ attempt: ticket.attempt, token: token, outcome: NotRun })),
+        incarnations' = incarnations,
+        tickets' = tickets,
+        effects' = effects,
+        attempts' = attempts,
+        keepControl,
+        keepHistory,
+      },
+    }
+  }
+
+  // The target executes the request. The response reaches the sidecar only while the connection is up.
+  action execute: bool = all {
+    pending.size() > 0,
+    nondet ticket = pending.oneOf()
+    val b = ticket.binding
+    val isUp = and {
+      incarnations.get(b.target) == b.incarnation,
+      seen.get(b.target).get(b.token) == Connected,
+    }
+    // The response identifies the effect.
+    val response = 100 + effects.length() + 1
+    all {
+      pending' = pending.exclude(Set(ticket)),
+      effects' = effects.append({ key: ticket.key, token: b.token }),
+      seen' = if (isUp) seen.setBy(b.target, old => old.put(b.token, Finished(response))) else seen,
+      replies' =
+        if (isUp)
+          replies.union(Set({ attempt: ticket.attempt, token: b.token, outcome: Finished(response) }))
+        else replies,
+      incarnations' = incarnations,
+      tickets' = tickets,
+      attempts' = attempts,
+      keepControl,
+      keepHistory,
+    },
+  }
+
+  // The connection between sidecar and target breaks; the target may still execute the request.
+  action breakConnection: bool = {
+    nondet target = TARGETS.oneOf()
+    val open = seen.get(target).keys().filter(t => seen.get(target).get(t) == Connected)
+    all {
+      open.size() > 0,
+      nondet token = open.oneOf()
+      all {
+        seen' = seen.setBy(target, old => old.put(token, Unknown)),
+        incarnations' = incarnations,
+        pending' = pending,
+        effects' = effects,
+        attempts' = attempts,
+        keepControl,
+        keepMessages,
+        keepHistory,
+      },
+    }
+  }
+
+  // A sidecar restarts with a new incarnation and an empty memory.
+  action restart: bool = {
+    nondet target = TARGETS.oneOf()
+    all {
+      incarnations.get(target) < MAX_INCARNATION,
+      incarnations' = incarnations.setBy(target, i => i + 1),
+      seen' = seen.set(target, Map()),
+      pending' = pending,
+      effects' = effects,
+      attempts' = attempts,
+      keepControl,
+      keepMessages,
+      keepHistory,
+    }
+  }
+
+  // The entry gets the receipt or the response to its ticket.
+  action receive: bool = all {
+    replies.size() > 0,
+    nondet reply = replies.oneOf()
+    val a = attempts.get(reply.attempt)
+    val isExpected = a.phase == Waiting and a.binding.token == reply.token
+    all {
+      replies' = replies.exclude(Set(reply)),
+      attempts' =
+        if (not(isExpected)) attempts
+        else attempts.set(reply.attempt, { ...a,
+          phase: match reply.outcome {
+            | NotRun => Proven
+            | Finished(response) => Answering(response)
+            | _ => Ended
+          }
+        }),
+      tickets' = tickets,
+      keepControl,
+      keepSidecars,
+      keepHistory,
+    },
+  }
+
+  // QueryClaim, on a resend or after the connection to the sidecar broke. The answer may be lost.
+  action query(id: int): bool = {
+    val a = attempts.get(id)
+    val b = a.binding
+    val isOwn = or {
+      b.incarnation == incarnations.get(b.target),
+      VARIANT == "queryOtherIncarnation",
+    }
+    val isSeen = seen.get(b.target).keys().contains(b.token)
+    val outcome =
+      if (not(isOwn)) Unknown
+      else if (isSeen) seen.get(b.target).get(b.token)
+      else NotRun
+    nondet lost = 1.to(6).oneOf()
+    val isLost = lost == 1
+    all {
+      or { a.phase == Querying, a.phase == Waiting },
+      // Connecting and Connected are "running": the caller gets 409 and resends later.
+      outcome != Connecting,
+      outcome != Connected,
+      seen' =
+        if (isOwn and not(isSeen) and VARIANT != "noTombstone")
+          seen.setBy(b.target, old => old.put(b.token, NotRun))
+        else seen,
+      attempts' = attempts.set(id, { ...a,
+        phase:
+          if (isLost) a.phase
+          else match outcome {
+            | NotRun => Proven
+            | Finished(response) => Answering(response)
+            | _ => Ended
+          }
+      }),
+      incarnations' = incarnations,
+      pending' = pending,
+      effects' = effects,
+      keepControl,
+      keepMessages,
+      keepHistory,
+    }
+  }
+
+  // The entry settles the claim and then answers its caller.
+  action settle(id: int): bool = {
+    val a = attempts.get(id)
+    val response = match a.phase {
+      | Answering(r) => r
+      | _ => NO_RESPONSE
+    }
+    all {
+      response != NO_RESPONSE,
+      claims' = claims.setBy(a.key, claim => { ...claim, response: response }),
+      attempts' = attempts.set(id, { ...a, phase: Ended }),
+      answers' = answers.union(Set({ key: a.key, response: response })),
+      lastToken' = lastToken,
+      toldNotRun' = toldNotRun,
+      beganAfterEffect' = beganAfterEffect,
+      keepSidecars,
+      keepMessages,
+    }
+  }
+
+  // The entry refuses with "not run". It has a proof for the last binding that it knows of. An entry
+  // that has not learned the state of the claim must say "unknown" instead (abandon), because an
+  // earlier attempt with the same key may have run.
+  action refuse(id: int): bool = {
+    val a = attempts.get(id)
+    all {
+      or {
+        a.phase == Proven,
+        a.phase == Asking and a.proof != 0,
+        a.phase == Asking and VARIANT == "refuseBeforeLookup",
+        a.phase == Waiting and VARIANT == "refuseWithoutProof",
+      },
+      attempts' = attempts.set(id, { ...a, phase: Ended }),
+      toldNotRun' = toldNotRun.union(Set(id)),
+      answers' = answers,
+      beganAfterEffect' = beganAfterEffect,
+      keepControl,
+      keepSidecars,
+      keepMessages,
+    }
+  }
+
+  // The entry crashes, the caller gives up, or the entry answers "outcome unknown".
+  action abandon(id: int): bool = {
+    val a = attempts.get(id)
+    all {
+      a.phase != Idle,
+      a.phase != Ended,
+      attempts' = attempts.set(id, { ...a, phase: Ended }),
+      keepControl,
+      keepSidecars,
+      keepMessages,
+      keepHistory,
+    }
+  }
+
+  // Failures and refusals are tried less often than the regular steps, so that random runs get far
+  // enough for a claim to be bound again.
+  action step = {
+    nondet id = ATTEMPTS.oneOf()
+    nondet chance = 1.to(12).oneOf()
+    any {
+      ask(id),
+      commitBind(id),
+      dispatch(id),
+      query(id),
+      settle(id),
+      deliver,
+      connect,
+      execute,
+      receive,
+      all { chance == 1, refuse(id) },
+      all { chance == 2, abandon(id) },
+      all { chance == 3, breakConnection },
+      all { chance >= 10, restart },
+    }
+  }
+
+  // Each idempotency key has at most one effect.
+  val atMostOnce: bool = KEYS.forall(k => effects.select(e => e.key == k).length() <= 1)
+
+  // No ticket of an attempt that was told "not run" has an effect, before or after the refusal.
+  val notRunIsTrue: bool = toldNotRun.forall(id =>
+    effects.select(e => attempts.get(id).tokens.contains(e.token)).length() == 0
+  )
+
+  // "Not run" is told for a key only if no earlier attempt with that key had run when this one began.
+  val notRunForKey: bool = toldNotRun.intersect(beganAfterEffect) == Set()
+
+  // An answer is the answer of an effect of the same key.
+  val answerIsOfEffect: bool = answers.forall(a => and {
+    a.response > 100,
+    a.response <= 100 + effects.length(),
+    effects[a.response - 101].key == a.key,
+  })
+
+  val safe: bool = atMostOnce and notRunIsTrue and notRunForKey and answerIsOfEffect
+}
+
+module claimsCorrect {
+  import claims(VARIANT = "none").*
+}
+module claimsNoTombstone {
+  import claims(VARIANT = "noTombstone").*
+}
+module claimsAcceptOtherIncarnation {
+  import claims(VARIANT = "acceptOtherIncarnation").*
+}
+module claimsQueryOtherIncarnation {
+  import claims(VARIANT = "queryOtherIncarnation").*
+}
+module claimsRebindWithoutProof {
+  import claims(VARIANT = "rebindWithoutProof").*
+}
+module claimsRebindWithoutCompare {
+  import claims(VARIANT = "rebindWithoutCompare").*
+}
+module claimsResendTicket {
+  import claims(VARIANT = "resendTicket").*
+}
+module claimsRefuseBeforeLookup {
+  import claims(VARIANT = "refuseBeforeLookup").*
+}
+module claimsRefuseWithoutProof {
+  import claims(VARIANT = "refuseWithoutProof").*
+}
--- /dev/null
+++ b/model/grants.qnt
@@ -0,0 +1,343 @@
+// Token grants of one client account (docs/design.md, section 3.4).
+//
+// Time is discrete. A tick is half a second and an epoch is two ticks (one second). Logical time, which
+// the ledger uses, may fall behind real time but never runs ahead of it.
+module grants {
+  // Name of the rule that is broken, or "none".
+  const VARIANT: str
+
+  pure val RATE = 1 // tokens per tick
+  pure val BURST = 3 // tokens
+  pure val EPOCH = 2 // ticks
+  pure val LEASE = 4 // ticks from the time the entry sent its request
+  pure val EXPIRY = 8 // ticks of logical time from the commit of the grant
+  pure val EPOCHS_KEPT = 4
+  pure val MAX_TIME = 16 // ticks
+  pure val MAX_GRANTS = 6
+
+  // `left` is the part of the grant that still counts in `outstanding`. `reported` is the highest total
+  // of spent tokens that the ledger has seen. `spent` and `returned` are what the entry knows.
+  type Grant = {
+    sentAt: int,
+    committedAt: int,
+    epoch: int,
+    amount: int,
+    left: int,
+    reported: int,
+    spent: int,
+    returned: int,
+    // Whether the ledger has applied the return.
+    isReturned: bool
+  }
+
+  type Admission = { grant: int, at: int, charge: int, refund: int, isRefunded: bool }
+
+  type Message =
+    | Want({ sentAt: int, amount: int })
+    // Total of spent tokens of a grant.
+    | Spent({ grant: int, total: int })
+    | Returned({ grant: int, amount: int })
+    // Unused part of an admission.
+    | Refund({ admission: int, amount: int })
+
+  var now: int
+  var logical: int
+  // Ledger.
+  var level: int
+  var outstanding: int
+  var grants: List[Grant]
+  // Shadow levels by epoch.
+  var shadows: int -> int
+  // Messages to the ledger under way; each may arrive at any time or never.
+  var messages: Set[Message]
+  var admissions: List[Admission]
+  // Net admitted tokens since each start tick.
+  var admittedSince: int -> int
+
+  action init = all {
+    now' = 0,
+    logical' = 0,
+    level' = BURST,
+    outstanding' = 0,
+    grants' = [],
+    shadows' = Map(0 -> BURST),
+    messages' = Set(),
+    admissions' = [],
+    admittedSince' = Map(0 -> 0),
+  }
+
+  action keepLedger = all {
+    level' = level,
+    outstanding' = outstanding,
+    grants' = grants,
+    shadows' = shadows,
+  }
+
+  action keepTime = all { now' = now, logical' = logical }
+
+  action keepEntries = all { admissions' = admissions, admittedSince' = admittedSince }
+
+  pure def min(a: int, b: int): int = if (a < b) a else b
+  pure def max(a: int, b: int): int = if (a > b) a else b
+
+  def refill(value: int): int = min(BURST, value + RATE)
+
+  // What was not reported within EXPIRY of logical time counts as spent.
+  pure def isExpired(g: Grant, t: int): bool = g.left > 0 and t - g.committedAt >= EXPIRY
+
+  // Real time advances; logical time follows, except around a failover.
+  action tick: bool = {
+    nondet isLagging = Set(1, 2, 3, 4, 5, 6).oneOf()
+    val t = if (isLagging == 1) logical else logical + 1
+    val gone = grants.foldl(0, (sum, g) => if (isExpired(g, t)) sum + g.left else sum)
+    val o = outstanding - gone
+    // Expiry counts as reported spending, and it happens before the refill of the tick.
+    val l =
+      if (t == logical) level
+      else if (VARIANT == "outstandingNotCounted") refill(level)
+      else refill(level + o) - o
+    val levels = shadows.keys().mapBy(e => {
+      val s = shadows.get(e) - gone
+      if (t == logical) s else refill(s)
+    })
+    val epoch = t / EPOCH
+    all {
+      now < MAX_TIME,
+      now' = now + 1,
+      logical' = t,
+      outstanding' = o,
+      level' = l,
+      grants' = grants.foldl([], (list, g) =>
+        list.append(if (isExpired(g, t)) { ...g, left: 0 } else g)),
+      shadows' = (if (levels.keys().contains(epoch)) levels else levels.put(epoch, BURST))
+        .keys().filter(e => e > epoch - EPOCHS_KEPT)
+        .mapBy(e => if (levels.keys().contains(e)) levels.get(e) else BURST),
+      admittedSince' = admittedSince.put(now + 1, 0),
+      messages' = messages,
+      admissions' = admissions,
+    }
+  }
+
+  action want: bool = {
+    nondet amount = Set(1, BURST).oneOf()
+    all {
+      grants.length() < MAX_GRANTS,
+      messages' = messages.union(Set(Want({ sentAt: now, amount: amount }))),
+      keepTime,
+      keepLedger,
+      keepEntries,
+    }
+  }
+
+  // An entry admits a request with tokens of a grant while its lease lasts.
+  action admit: bool = all {
+    grants.length() > 0,
+    nondet index = grants.indices().oneOf()
+    val g = grants[index]
+    val free = g.amount - g.spent - g.returned
+    nondet charge = Set(1, 2, BURST).oneOf()
+    all {
+      charge <= free,
+      now < g.sentAt + LEASE or VARIANT == "spendAfterLease",
+      grants' = grants.replaceAt(index, { ...g, spent: g.spent + charge }),
+      admissions' = admissions.append(
+        { grant: index, at: now, charge: charge, refund: 0, isRefunded: false }),
+      admittedSince' = admittedSince.keys().mapBy(s => admittedSince.get(s) + charge),
+      messages' = messages,
+      level' = level,
+      outstanding' = outstanding,
+      shadows' = shadows,
+      keepTime,
+    },
+  }
+
+  // An entry sends the total it has spent of a grant.
+  action report: bool = all {
+    grants.length() > 0,
+    nondet index = grants.indices().oneOf()
+    val g = grants[index]
+    all {
+      g.spent > g.reported,
+      messages' = messages.union(Set(Spent({ grant: index, total: g.spent }))),
+      keepTime,
+      keepLedger,
+      keepEntries,
+    },
+  }
+
+  // An entry gives unspent tokens back; it cannot spend them from then on.
+  action giveBack: bool = all {
+    grants.length() > 0,
+    nondet index = grants.indices().oneOf()
+    val g = grants[index]
+    val free = g.amount - g.spent - g.returned
+    all {
+      free > 0,
+      g.returned == 0,
+      grants' = grants.replaceAt(index, { ...g, returned: free }),
+      messages' = messages.union(Set(Returned({ grant: index, amount: free }))),
+      level' = level,
+      outstanding' = outstanding,
+      shadows' = shadows,
+      keepTime,
+      keepEntries,
+    },
+  }
+
+  // A request ends and used less than it was charged.
+  action settle: bool = all {
+    admissions.length() > 0,
+    nondet index = admissions.indices().oneOf()
+    val a = admissions[index]
+    nondet unused = Set(1, a.charge).oneOf()
+    all {
+      a.refund == 0,
+      admissions' = admissions.replaceAt(index, { ...a, refund: unused }),
+      admittedSince' = admittedSince.keys().mapBy(s =>
+        if (s <= a.at) admittedSince.get(s) - unused else admittedSince.get(s)),
+      messages' = messages.union(Set(Refund({ admission: index, amount: unused }))),
+      keepTime,
+      keepLedger,
+    },
+  }
+
+  // The ledger applies a message. The message may stay under way, because the entry sends it again
+  // when the answer was lost.
+  action deliver: bool = all {
+    messages.size() > 0,
+    nondet message = messages.oneOf()
+    nondet isResent = Set(false, false, true).oneOf()
+    all {
+      messages' = if (isResent) messages else messages.exclude(Set(message)),
+      match message {
+        | Want(w) => all {
+            val amount = min(w.amount, level)
+            all {
+              grants' =
+                if (amount <= 0 or grants.length() >= MAX_GRANTS) grants
+                else grants.append({
+                  sentAt: w.sentAt,
+                  committedAt: logical,
+                  epoch: logical / EPOCH,
+                  amount: amount,
+                  left: amount,
+                  reported: 0,
+                  spent: 0,
+                  returned: 0,
+                  isReturned: false
+                }),
+              level' = if (grants.length() >= MAX_GRANTS) level else level - max(0, amount),
+              outstanding' =
+                if (grants.length() >= MAX_GRANTS) outstanding else outstanding + max(0, amount),
+            },
+            shadows' = shadows,
+            admissions' = admissions,
+          }
+        | Spent(m) => {
+            val g = grants[m.grant]
+            val news =
+              if (VARIANT == "duplicateReport") m.total else max(0, m.total - g.reported)
+            val used =
+              if (VARIANT == "duplicateReport" or VARIANT == "lateReport") min(outstanding, news)
+              else min(g.left, news)
+            all {
+              grants' = grants.replaceAt(m.grant,
+                { ...g, reported: max(g.reported, m.total), left: max(0, g.left - used) }),
+              outstanding' = outstanding - used,
+              shadows' = shadows.keys().mapBy(e => shadows.get(e) - used),
+              level' = level,
+              admissions' = admissions,
+            }
+          }
+        | Returned(m) => {
+            val g = grants[m.grant]
+            // An entry returns all that it has left, once. What has expired stays spent.
+            val back =
+              if (g.isReturned and VARIANT != "duplicateReturn") 0 else min(m.amount, g.left)
+            all {
+              grants' = grants.replaceAt(m.grant, { ...g, isReturned: true, left: g.left - back }),
+              outstanding' = outstanding - back,
+              level' = level + back,
+              shadows' = shadows,
+              admissions' = admissions,
+            }
+          }
+        | Refund(m) => {
+            val a = admissions[m.admission]
+            val epoch = grants[a.grant].epoch
+            val isKept = shadows.keys().contains(epoch)
+            val isApplied = and {
+              isKept or VARIANT == "plainRefund",
+              not(a.isRefunded) or VARIANT == "duplicateRefund",
+            }
+            val p = level + outstanding
+            val cap =
+              if (VARIANT == "plainRefund") BURST
+              else if (isKept) shadows.get(epoch)
+              else 0
+            all {
+              level' = if (isApplied) max(p, min(p + m.amount, cap)) - outstanding else level,
+              shadows' =
+                if (not(isApplied)) shadows
+                else shadows.keys().mapBy(e =>
+                  if (e < epoch) max(shadows.get(e), min(shadows.get(e) + m.amount, cap))
+                  else shadows.get(e)),
+              admissions' = admissions.replaceAt(m.admission, { ...a, isRefunded: true }),
+              outstanding' = outstanding,
+              grants' = grants,
+            }
+          }
+      },
+      admittedSince' = admittedSince,
+      keepTime,
+    },
+  }
+
+  action step = any {
+    tick,
+    want,
+    admit,
+    report,
+    giveBack,
+    settle,
+    deliver,
+  }
+
+  // For every start tick, the net admitted tokens since then are at most rate x elapsed + burst.
+  val withinRateAndBurst: bool = admittedSince.keys().forall(s =>
+    admittedSince.get(s) <= RATE * (now - s) + BURST)
+
+  // The ledger's own bound.
+  val levelWithinBurst: bool = level >= 0 and outstanding >= 0 and level + outstanding <= BURST
+
+  // No entry holds tokens that the ledger does not count as outstanding.
+  val heldIsOutstanding: bool = grants.foldl(0, (sum, g) =>
+    if (now < g.sentAt + LEASE) sum + g.amount - g.spent - g.returned else sum) <= outstanding
+
+  val safe: bool = withinRateAndBurst and levelWithinBurst and heldIsOutstanding
+}
+
+module grantsCorrect {
+  import grants(VARIANT = "none").*
+}
+module grantsPlainRefund {
+  import grants(VARIANT = "plainRefund").*
+}
+module grantsOutstandingNotCounted {
+  import grants(VARIANT = "outstandingNotCounted").*
+}
+module grantsSpendAfterLease {
+  import grants(VARIANT = "spendAfterLease").*
+}
+module grantsDuplicateReport {
+  import grants(VARIANT = "duplicateReport").*
+}
+module grantsLateReport {
+  import grants(VARIANT = "lateReport").*
+}
+module grantsDuplicateReturn {
+  import grants(VARIANT = "duplicateReturn").*
+}
+module grantsDuplicateRefund {
+  import grants(VARIANT = "duplicateRefund").*
+}
