Add the Quint model of the replicated log (draft)

Cause: section 3.1 of the design claims that a repaired group survives the loss of a second disk.

Conclusion: which invariant each variant violates is still to be checked.

--- /dev/null
+++ b/model/consensus.qnt
@@ -0,0 +1,430 @@
+// Replicated log with membership changes and lost disks (docs/design.md, section 3.1).
+//
+// A member is a pair (member id, disk id). Disk ids are never used twice, so a disk id alone names the
+// pair; the record of a disk holds its member id. Processes do not crash otherwise: a frozen or isolated
+// process is one that takes no steps. Requests and their responses are one step, and a response may be
+// lost after the receiver has acted on the request.
+module consensus {
+  // Name of the rule that is broken, or "none".
+  const VARIANT: str
+  // Voters at the start; disk i belongs to member i.
+  const INITIAL_VOTERS: Set[int]
+
+  type Entry = {
+    term: int,
+    // Disk of the leader that appended the entry; with the term and the index it stands for the value.
+    author: int,
+    // Configuration in force from this entry on.
+    voters: Set[int],
+    learners: Set[int],
+    // Disk that this entry promotes, or 0, and the commit index when the promotion was proposed.
+    promoted: int,
+    base: int
+  }
+
+  type Role = Follower | Candidate | Leader
+
+  type Disk = {
+    member: int,
+    isAlive: bool,
+    term: int,
+    votedFor: int,
+    role: Role,
+    votes: Set[int],
+    log: List[Entry],
+    // Entries known to be stored on each other disk; leader only.
+    matched: int -> int,
+    commit: int
+  }
+
+  pure val MAX_TERM = 4
+  pure val MAX_LOG = 9
+  pure val MAX_DISKS = 6
+  pure val FIRST_ENTRY: Entry =
+    { term: 0, author: 0, voters: INITIAL_VOTERS, learners: Set(), promoted: 0, base: 0 }
+
+  var disks: int -> Disk
+  // Disks that may still be lost before the next repair is complete.
+  var lossesLeft: int
+  // What happened in fact: all committed entries and the term in which each was committed.
+  var committed: List[Entry]
+  var committedIn: List[int]
+  // Whether a leader has committed another entry in place of a committed one.
+  var isReplaced: bool
+  // Disks that were leader, by term.
+  var leaders: int -> Set[int]
+
+  pure def emptyDisk(member: int): Disk = {
+    member: member,
+    isAlive: true,
+    term: 0,
+    votedFor: 0,
+    role: Follower,
+    votes: Set(),
+    log: [],
+    matched: Map(),
+    commit: 0
+  }
+
+  action init = all {
+    disks' = INITIAL_VOTERS.mapBy(i => { ...emptyDisk(i), log: [FIRST_ENTRY] }),
+    lossesLeft' = 1,
+    committed' = [FIRST_ENTRY],
+    committedIn' = [0],
+    isReplaced' = false,
+    leaders' = Map(),
+  }
+
+  action keepHistory = all {
+    committed' = committed,
+    committedIn' = committedIn,
+    isReplaced' = isReplaced,
+    leaders' = leaders,
+  }
+
+  pure def min(a: int, b: int): int = if (a < b) a else b
+  pure def max(a: int, b: int): int = if (a > b) a else b
+
+  pure def last(log: List[Entry]): Entry = log[log.length() - 1]
+
+  pure def votersOf(d: Disk): Set[int] = if (d.log.length() == 0) Set() else last(d.log).voters
+  pure def learnersOf(d: Disk): Set[int] = if (d.log.length() == 0) Set() else last(d.log).learners
+
+  pure def isMajority(part: Set[int], whole: Set[int]): bool =
+    2 * part.intersect(whole).size() > whole.size()
+
+  pure def isUpToDate(candidate: List[Entry], voter: List[Entry]): bool =
+    if (voter.length() == 0) true
+    else if (candidate.length() == 0) false
+    else or {
+      last(candidate).term > last(voter).term,
+      last(candidate).term == last(voter).term and candidate.length() >= voter.length(),
+    }
+
+  pure def isPrefix(part: List[Entry], whole: List[Entry]): bool = and {
+    part.length() <= whole.length(),
+    part == whole.slice(0, part.length()),
+  }
+
+  // The disk as it is after it has seen a message of this term.
+  pure def seeTerm(d: Disk, term: int): Disk =
+    if (term > d.term) { ...d, term: term, votedFor: 0, role: Follower, votes: Set() } else d
+
+  val alive: Set[int] = disks.keys().filter(i => disks.get(i).isAlive)
+  val leading: Set[int] = alive.filter(i => disks.get(i).role == Leader)
+
+  action startElection: bool = {
+    val able = alive.filter(i => and {
+      disks.get(i).role != Leader,
+      disks.get(i).term < MAX_TERM,
+      votersOf(disks.get(i)).contains(i),
+    })
+    all {
+      able.size() > 0,
+      nondet i = able.oneOf()
+      val d = disks.get(i)
+      disks' = disks.set(i,
+        { ...d, term: d.term + 1, votedFor: i, role: Candidate, votes: Set(i) }),
+      lossesLeft' = lossesLeft,
+      keepHistory,
+    }
+  }
+
+  // A disk answers a vote request. The answer may be lost.
+  action vote: bool = {
+    val candidates = alive.filter(i => disks.get(i).role == Candidate)
+    all {
+      candidates.size() > 0,
+      nondet c = candidates.oneOf()
+      nondet v = alive.oneOf()
+      nondet chance = 1.to(6).oneOf()
+      val candidate = disks.get(c)
+      val voter = seeTerm(disks.get(v), candidate.term)
+      val isGranted = and {
+        voter.term == candidate.term,
+        voter.votedFor == 0 or voter.votedFor == c,
+        isUpToDate(candidate.log, voter.log),
+      }
+      val isCounted = isGranted and chance > 1
+      all {
+        v != c,
+        not(candidate.votes.contains(v)),
+        disks' = disks
+          .set(v, if (isGranted) { ...voter, votedFor: c } else voter)
+          .set(c, if (isCounted) { ...candidate, votes: candidate.votes.union(Set(v)) }
+            else candidate),
+        lossesLeft' = lossesLeft,
+        keepHistory,
+      },
+    }
+  }
+
+  action becomeLeader: bool = {
+    val elected = alive.filter(i =>
+      disks.get(i).role == Candidate and isMajority(disks.get(i).votes, votersOf(disks.get(i))))
+    all {
+      elected.size() > 0,
+      nondet i = elected.oneOf()
+      val d = disks.get(i)
+      all {
+        disks' = disks.set(i, { ...d,
+          role: Leader,
+          matched: Map(),
+          log: d.log.append({ ...last(d.log), term: d.term, author: i, promoted: 0, base: 0 })
+        }),
+        leaders' = leaders.put(d.term,
+          (if (leaders.keys().contains(d.term)) leaders.get(d.term) else Set()).union(Set(i))),
+        committed' = committed,
+        committedIn' = committedIn,
+        isReplaced' = isReplaced,
+        lossesLeft' = lossesLeft,
+      },
+    }
+  }
+
+  action appendValue: bool = all {
+    leading.size() > 0,
+    nondet i = leading.oneOf()
+    val d = disks.get(i)
+    all {
+      d.log.length() < MAX_LOG - 4,
+      disks' = disks.set(i, { ...d,
+        log: d.log.append({ ...last(d.log), term: d.term, author: i, promoted: 0, base: 0 })
+      }),
+      lossesLeft' = lossesLeft,
+      keepHistory,
+    },
+  }
+
+  // A disk stores a part of the leader's log and acknowledges it. The acknowledgement may be lost.
+  action replicate: bool = all {
+    leading.size() > 0,
+    nondet i = leading.oneOf()
+    val leader = disks.get(i)
+    val others = alive.intersect(votersOf(leader).union(learnersOf(leader))).exclude(Set(i))
+    all {
+      others.size() > 0,
+      nondet f = others.oneOf()
+      nondet chance = 1.to(6).oneOf()
+      nondet part = 1.to(leader.log.length()).oneOf()
+      val count = if (chance <= 4) leader.log.length() else part
+      val sent = leader.log.slice(0, count)
+      val follower = seeTerm(disks.get(f), leader.term)
+      val isAccepted = leader.term >= follower.term
+      val log = if (isPrefix(sent, follower.log)) follower.log else sent
+      val known = if (leader.matched.keys().contains(f)) leader.matched.get(f) else 0
+      all {
+        // A message that changes nothing is left out.
+        or { known < count, follower.term != disks.get(f).term, not(isAccepted) },
+        disks' =
+          if (not(isAccepted)) disks.set(i, seeTerm(leader, follower.term))
+          else disks
+            .set(f, { ...follower, role: Follower, log: log })
+            .set(i, if (chance == 6) leader
+              else { ...leader, matched: leader.matched.put(f, max(known, count)) }),
+        lossesLeft' = lossesLeft,
+        keepHistory,
+      },
+    },
+  }
+
+  action commit: bool = all {
+    leading.size() > 0,
+    nondet i = leading.oneOf()
+    val d = disks.get(i)
+    val able = 1.to(d.log.length()).filter(k => and {
+      k > d.commit,
+      d.log[k - 1].term == d.term,
+      isMajority(
+        votersOf(d).filter(f =>
+          if (f == i) true else d.matched.keys().contains(f) and d.matched.get(f) >= k),
+        votersOf(d)),
+    })
+    all {
+      able.size() > 0,
+      val k = able.fold(0, (a, b) => max(a, b))
+      val entries = d.log.slice(0, k)
+      val isNew = k > committed.length()
+      val news = if (isNew) entries.slice(committed.length(), k) else []
+      all {
+        disks' = disks.set(i, { ...d, commit: k }),
+        committed' = committed.concat(news),
+        committedIn' = committedIn.concat(news.foldl([], (list, _) => list.append(d.term))),
+        isReplaced' = or {
+          isReplaced,
+          entries.slice(0, min(k, committed.length())) !=
+            committed.slice(0, min(k, committed.length())),
+        },
+        // A repair is complete when the promotion of the new disk is committed.
+        lossesLeft' = if (news.select(e => e.promoted != 0).length() > 0) 1 else lossesLeft,
+        leaders' = leaders,
+      },
+    },
+  }
+
+  // One membership change at a time, and only after the leader has committed an entry of its own term.
+  def mayChange(d: Disk): bool = and {
+    d.log.length() < MAX_LOG,
+    d.commit > 0,
+    d.commit > 0 implies d.log[d.commit - 1].term == d.term,
+    d.commit > 0 implies and {
+      d.log[d.commit - 1].voters == votersOf(d),
+      d.log[d.commit - 1].learners == learnersOf(d),
+    },
+  }
+
+  action changeMembership(voters: Set[int], learners: Set[int], promoted: int, i: int): bool = {
+    val d = disks.get(i)
+    all {
+      disks' = disks.set(i, { ...d,
+        log: d.log.append({
+          term: d.term,
+          author: i,
+          voters: voters,
+          learners: learners,
+          promoted: promoted,
+          base: d.commit
+        })
+      }),
+      lossesLeft' = lossesLeft,
+      keepHistory,
+    }
+  }
+
+  // Other pairs of the same member among the voters.
+  def oldPairs(i: int, voters: Set[int]): Set[int] =
+    voters.filter(v => v != i and disks.get(v).member == disks.get(i).member)
+
+  // The member came back with a new disk: its old pair is removed.
+  action remove: bool = all {
+    leading.size() > 0,
+    nondet i = leading.oneOf()
+    val d = disks.get(i)
+    val old = votersOf(d).filter(v => not(disks.get(v).isAlive) and or {
+      VARIANT != "removalAfterPromotion",
+      oldPairs(v, votersOf(d)) != Set(),
+    })
+    all {
+      mayChange(d),
+      old.size() > 0,
+      nondet o = old.oneOf()
+      changeMembership(votersOf(d).exclude(Set(o)), learnersOf(d), 0, i),
+    },
+  }
+
+  action addLearner: bool = all {
+    leading.size() > 0,
+    nondet i = leading.oneOf()
+    val d = disks.get(i)
+    val able = alive.exclude(votersOf(d)).exclude(learnersOf(d)).filter(n => or {
+      oldPairs(n, votersOf(d)) == Set(),
+      VARIANT == "removalAfterPromotion",
+    })
+    all {
+      mayChange(d),
+      able.size() > 0,
+      nondet n = able.oneOf()
+      changeMembership(votersOf(d), learnersOf(d).union(Set(n)), 0, i),
+    },
+  }
+
+  // A learner is promoted once it holds everything that was committed when this is proposed.
+  action promote: bool = all {
+    leading.size() > 0,
+    nondet i = leading.oneOf()
+    val d = disks.get(i)
+    val able = learnersOf(d).filter(n => or {
+      d.matched.keys().contains(n) and d.matched.get(n) >= d.commit,
+      VARIANT == "promoteWithoutCatchUp",
+    })
+    all {
+      mayChange(d),
+      able.size() > 0,
+      nondet n = able.oneOf()
+      changeMembership(votersOf(d).union(Set(n)), learnersOf(d).exclude(Set(n)), n, i),
+    },
+  }
+
+  // A voter loses its disk and returns with a new disk id and an empty log. One disk may be lost until
+  // the repair is complete.
+  action loseDisk: bool = all {
+    lossesLeft > 0,
+    val newDisk = disks.keys().size() + 1
+    val able = alive.intersect(last(committed).voters)
+    all {
+      newDisk <= MAX_DISKS,
+      able.size() > 0,
+      nondet i = able.oneOf()
+      disks' =
+        if (VARIANT == "returnsWithOldDiskId") disks.set(i, emptyDisk(disks.get(i).member))
+        else disks
+          .set(i, { ...disks.get(i), isAlive: false, role: Follower })
+          .put(newDisk, emptyDisk(disks.get(i).member)),
+      lossesLeft' = lossesLeft - 1,
+      keepHistory,
+    },
+  }
+
+  action step = {
+    nondet chance = 1.to(12).oneOf()
+    any {
+      vote,
+      becomeLeader,
+      replicate,
+      commit,
+      remove,
+      addLearner,
+      promote,
+      all { chance <= 4, appendValue },
+      all { chance <= 2 or leading == Set(), startElection },
+      all { chance >= 11, loseDisk },
+    }
+  }
+
+  val oneLeaderPerTerm: bool = leaders.keys().forall(t => leaders.get(t).size() <= 1)
+
+  // A leader has every entry that was committed in its term or before.
+  val committedIsKept: bool = and {
+    not(isReplaced),
+    leading.forall(i => committed.indices().forall(k =>
+      committedIn[k] <= disks.get(i).term implies and {
+        k < disks.get(i).log.length(),
+        k < disks.get(i).log.length() implies disks.get(i).log[k] == committed[k],
+      })),
+  }
+
+  // With one disk lost for each completed repair, a majority of the voters is always alive.
+  val quorumIsAlive: bool = isMajority(alive, last(committed).voters)
+
+  // What was committed when the last promotion was proposed is on two living voters at least, also
+  // after another disk was lost.
+  val twoCopiesAfterRepair: bool = {
+    val base = committed.foldl(0, (b, e) => if (e.promoted != 0) e.base else b)
+    val holders = alive.intersect(last(committed).voters)
+      .filter(i => isPrefix(committed.slice(0, base), disks.get(i).log))
+    base == 0 or holders.size() >= 2
+  }
+
+  val safe: bool = and {
+    oneLeaderPerTerm,
+    committedIsKept,
+    quorumIsAlive,
+    twoCopiesAfterRepair,
+  }
+}
+
+module consensusCorrect {
+  import consensus(VARIANT = "none", INITIAL_VOTERS = Set(1, 2, 3)).*
+}
+module consensusCorrectFour {
+  import consensus(VARIANT = "none", INITIAL_VOTERS = Set(1, 2, 3, 4)).*
+}
+module consensusReturnsWithOldDiskId {
+  import consensus(VARIANT = "returnsWithOldDiskId", INITIAL_VOTERS = Set(1, 2, 3)).*
+}
+module consensusPromoteWithoutCatchUp {
+  import consensus(VARIANT = "promoteWithoutCatchUp", INITIAL_VOTERS = Set(1, 2, 3)).*
+}
+module consensusRemovalAfterPromotion {
+  import consensus(VARIANT = "removalAfterPromotion", INITIAL_VOTERS = Set(1, 2, 3)).*
+}
--- a/model/grants.qnt
+++ b/model/grants.qnt
@@ -1,16 +1,19 @@
 // Token grants of one client account (docs/design.md, section 3.4).
 //
-// Time is discrete. A tick is half a second and an epoch is two ticks (one second). Logical time, which
-// the ledger uses, may fall behind real time but never runs ahead of it.
+// Time is discrete. Logical time, which the ledger uses, may fall behind real time but never runs ahead
+// of it. Commands take effect between two ticks.
 module grants {
   // Name of the rule that is broken, or "none".
   const VARIANT: str
+  const BURST: int // tokens
+  // Ticks of one second. With 2, an epoch has start instants in its middle; with 1, a run of the same
+  // number of steps covers twice the time.
+  const SECOND: int
 
   pure val RATE = 1 // tokens per tick
-  pure val BURST = 3 // tokens
-  pure val EPOCH = 2 // ticks
-  pure val LEASE = 4 // ticks from the time the entry sent its request
-  pure val EXPIRY = 8 // ticks of logical time from the commit of the grant
+  pure val EPOCH = SECOND // ticks
+  pure val LEASE = 2 * SECOND // ticks from the time the entry sent its request
+  pure val EXPIRY = 4 * SECOND // ticks of logical time from the commit of the grant
   pure val EPOCHS_KEPT = 4
   pure val MAX_TIME = 16 // ticks
   pure val MAX_GRANTS = 6
@@ -40,6 +43,9 @@
     // Unused part of an admission.
     | Refund({ admission: int, amount: int })
 
+  // How rarely entries admit in this run, from 1 to 4. Runs with different values reach different
+  // states: unspent grants expire only when admissions are rare.
+  var pace: int
   var now: int
   var logical: int
   // Ledger.
@@ -54,16 +60,20 @@
   // Net admitted tokens since each start tick.
   var admittedSince: int -> int
 
-  action init = all {
-    now' = 0,
-    logical' = 0,
-    level' = BURST,
-    outstanding' = 0,
-    grants' = [],
-    shadows' = Map(0 -> BURST),
-    messages' = Set(),
-    admissions' = [],
-    admittedSince' = Map(0 -> 0),
+  action init = {
+    nondet chosen = Set(1, 2, 4).oneOf()
+    all {
+      pace' = chosen,
+      now' = 0,
+      logical' = 0,
+      level' = BURST,
+      outstanding' = 0,
+      grants' = [],
+      shadows' = Map(0 -> BURST),
+      messages' = Set(),
+      admissions' = [],
+      admittedSince' = Map(0 -> 0),
+    }
   }
 
   action keepLedger = all {
@@ -73,7 +83,7 @@
     shadows' = shadows,
   }
 
-  action keepTime = all { now' = now, logical' = logical }
+  action keepTime = all { now' = now, logical' = logical, pace' = pace }
 
   action keepEntries = all { admissions' = admissions, admittedSince' = admittedSince }
 
@@ -115,14 +125,18 @@
       admittedSince' = admittedSince.put(now + 1, 0),
       messages' = messages,
       admissions' = admissions,
+      pace' = pace,
     }
   }
 
+  // An entry asks for as many tokens as it can get.
   action want: bool = {
-    nondet amount = Set(1, BURST).oneOf()
+    val message = Want({ sentAt: now, amount: BURST })
     all {
       grants.length() < MAX_GRANTS,
-      messages' = messages.union(Set(Want({ sentAt: now, amount: amount }))),
+      level > 0,
+      not(messages.contains(message)),
+      messages' = messages.union(Set(message)),
       keepTime,
       keepLedger,
       keepEntries,
@@ -135,9 +149,9 @@
     nondet index = grants.indices().oneOf()
     val g = grants[index]
     val free = g.amount - g.spent - g.returned
-    nondet charge = Set(1, 2, BURST).oneOf()
+    nondet charge = oneOf(Set(1, free))
     all {
-      charge <= free,
+      free > 0,
       now < g.sentAt + LEASE or VARIANT == "spendAfterLease",
       grants' = grants.replaceAt(index, { ...g, spent: g.spent + charge }),
       admissions' = admissions.append(
@@ -156,9 +170,11 @@
     grants.length() > 0,
     nondet index = grants.indices().oneOf()
     val g = grants[index]
+    val message = Spent({ grant: index, total: g.spent })
     all {
       g.spent > g.reported,
-      messages' = messages.union(Set(Spent({ grant: index, total: g.spent }))),
+      not(messages.contains(message)),
+      messages' = messages.union(Set(message)),
       keepTime,
       keepLedger,
       keepEntries,
@@ -206,7 +222,11 @@
   action deliver: bool = all {
     messages.size() > 0,
     nondet message = messages.oneOf()
-    nondet isResent = Set(false, false, true).oneOf()
+    nondet chance = 1.to(5).oneOf()
+    val isResent = match message {
+      | Want(_) => false
+      | _ => chance == 1
+    }
     all {
       messages' = if (isResent) messages else messages.exclude(Set(message)),
       match message {
@@ -253,9 +273,11 @@
             val g = grants[m.grant]
             // An entry returns all that it has left, once. What has expired stays spent.
             val back =
-              if (g.isReturned and VARIANT != "duplicateReturn") 0 else min(m.amount, g.left)
+              if (VARIANT == "duplicateReturn") min(m.amount, outstanding)
+              else if (g.isReturned) 0
+              else min(m.amount, g.left)
             all {
-              grants' = grants.replaceAt(m.grant, { ...g, isReturned: true, left: g.left - back }),
+              grants' = grants.replaceAt(m.grant, { ...g, isReturned: true, left: max(0, g.left - back) }),
               outstanding' = outstanding - back,
               level' = level + back,
               shadows' = shadows,
@@ -293,14 +315,19 @@
     },
   }
 
-  action step = any {
-    tick,
-    want,
-    admit,
-    report,
-    giveBack,
-    settle,
-    deliver,
+  action step = {
+    nondet chance = 1.to(4).oneOf()
+    any {
+      tick,
+      tick,
+      deliver,
+      deliver,
+      report,
+      all { chance == 1, settle },
+      all { chance * pace <= 4, admit },
+      all { chance >= 3, want },
+      all { chance == 1, giveBack },
+    }
   }
 
   // For every start tick, the net admitted tokens since then are at most rate x elapsed + burst.
@@ -318,26 +345,32 @@
 }
 
 module grantsCorrect {
-  import grants(VARIANT = "none").*
+  import grants(VARIANT = "none", BURST = 3, SECOND = 2).*
+}
+module grantsCorrectShort {
+  import grants(VARIANT = "none", BURST = 2, SECOND = 1).*
+}
+module grantsCorrectLargeBurst {
+  import grants(VARIANT = "none", BURST = 4, SECOND = 1).*
 }
 module grantsPlainRefund {
-  import grants(VARIANT = "plainRefund").*
+  import grants(VARIANT = "plainRefund", BURST = 2, SECOND = 1).*
 }
 module grantsOutstandingNotCounted {
-  import grants(VARIANT = "outstandingNotCounted").*
+  import grants(VARIANT = "outstandingNotCounted", BURST = 2, SECOND = 1).*
 }
 module grantsSpendAfterLease {
-  import grants(VARIANT = "spendAfterLease").*
+  import grants(VARIANT = "spendAfterLease", BURST = 2, SECOND = 1).*
 }
 module grantsDuplicateReport {
-  import grants(VARIANT = "duplicateReport").*
+  import grants(VARIANT = "duplicateReport", BURST = 2, SECOND = 1).*
 }
 module grantsLateReport {
-  import grants(VARIANT = "lateReport").*
+  import grants(VARIANT = "lateReport", BURST = 2, SECOND = 1).*
 }
 module grantsDuplicateReturn {
-  import grants(VARIANT = "duplicateReturn").*
+  import grants(VARIANT = "duplicateReturn", BURST = 2, SECOND = 1).*
 }
 module grantsDuplicateRefund {
-  import grants(VARIANT = "duplicateRefund").*
+  import grants(VARIANT = "duplicateRefund", BURST = 3, SECOND = 1).*
 }
