--- a/model/claims.qnt
+++ b/model/claims.qnt
@@ -6,6 +6,7 @@
 module claims {
   // Name of the rule that is broken, or "none".
   const VARIANT: str
+  const KEYS: Set[int]
 
   type Outcome =
     // Tombstone, or the connection to the target was refused: this token can never run here.
@@ -54,7 +55,6 @@
 
   type Effect = { key: int, token: int }
 
-  pure val KEYS = Set(1)
   pure val TARGETS = Set(1, 2)
   pure val ATTEMPTS = Set(1, 2, 3)
   pure val MAX_INCARNATION = 2
@@ -62,6 +62,9 @@
   pure val NO_BINDING: Binding = { token: 0, target: 0, incarnation: 0 }
   pure val NO_RESPONSE = 0
 
+  // Tokens whose tickets are usually delivered late in this run. Without them nearly every ticket arrives
+  // before the claim could be bound again and run elsewhere.
+  var slow: Set[int]
   // Replicated state of the control members.
   var claims: int -> Claim
   var lastToken: int
@@ -75,7 +78,7 @@
   var attempts: int -> Attempt
   // What happened in fact, as seen from outside.
   var effects: List[Effect]
-  var answers: Set[{ key: int, response: int }]
+  var answers: Set[{ attempt: int, key: int, response: int }]
   var toldNotRun: Set[int]
   // Attempts that began when the key already had an effect.
   var beganAfterEffect: Set[int]
@@ -83,6 +86,8 @@
   def hasEffect(key: int): bool = effects.select(e => e.key == key).length() > 0
 
   action init = all {
+    nondet chosen = 1.to(3).powerset().oneOf()
+    slow' = chosen,
     claims' = Map(),
     lastToken' = 0,
     incarnations' = TARGETS.mapBy(_ => 1),
@@ -105,7 +110,7 @@
     beganAfterEffect' = Set(),
   }
 
-  action keepControl = all { claims' = claims, lastToken' = lastToken }
+  action keepControl = all { claims' = claims, lastToken' = lastToken, slow' = slow }
 
   action keepSidecars = all {
     incarnations' = incarnations,
@@ -169,6 +174,7 @@
       a.hasCommand,
       isGranted implies lastToken < MAX_TOKENS,
       lastToken' = if (isGranted) lastToken + 1 else lastToken,
+      slow' = slow,
       claims' = if (isGranted) claims.put(a.key, { binding: binding, response: NO_RESPONSE }) else claims,
       attempts' = attempts.set(id, { ...a,
         hasCommand: false,
@@ -207,28 +213,31 @@
 
   // A ticket reaches the sidecar at any time. A ticket is sent once; in the variant "resendTicket" the
   // HTTP client of the entry sends it again after a broken connection.
-  action deliver: bool = all {
-    tickets.size() > 0,
-    nondet ticket = tickets.oneOf()
-    nondet isResent = oneOf(if (VARIANT == "resendTicket") Set(false, true) else Set(false))
-    val b = ticket.binding
-    val isOwn = b.incarnation == incarnations.get(b.target)
-    val isSeen = seen.get(b.target).keys().contains(b.token)
-    val isAccepted = (isOwn or VARIANT == "acceptOtherIncarnation") and not(isSeen)
+  action deliver(isLate: bool): bool = {
+    val able = tickets.filter(t => isLate or not(slow.contains(t.binding.token)))
     all {
-      tickets' = if (isResent) tickets else tickets.exclude(Set(ticket)),
-      seen' =
-        if (isAccepted) seen.setBy(b.target, old => old.put(b.token, Connecting)) else seen,
-      replies' =
-        if (isAccepted) replies
-        else replies.union(Set({ attempt: ticket.attempt, token: b.token, outcome: NotRun })),
-      incarnations' = incarnations,
-      pending' = pending,
-      effects' = effects,
-      attempts' = attempts,
-      keepControl,
-      keepHistory,
-    },
+      able.size() > 0,
+      nondet ticket = able.oneOf()
+      nondet isResent = oneOf(if (VARIANT == "resendTicket") Set(false, true) else Set(false))
+      val b = ticket.binding
+      val isOwn = b.incarnation == incarnations.get(b.target)
+      val isSeen = seen.get(b.target).keys().contains(b.token)
+      val isAccepted = (isOwn or VARIANT == "acceptOtherIncarnation") and not(isSeen)
+      all {
+        tickets' = if (isResent) tickets else tickets.exclude(Set(ticket)),
+        seen' =
+          if (isAccepted) seen.setBy(b.target, old => old.put(b.token, Connecting)) else seen,
+        replies' =
+          if (isAccepted) replies
+          else replies.union(Set({ attempt: ticket.attempt, token: b.token, outcome: NotRun })),
+        incarnations' = incarnations,
+        pending' = pending,
+        effects' = effects,
+        attempts' = attempts,
+        keepControl,
+        keepHistory,
+      },
+    }
   }
 
   def ticketOf(token: int): Ticket = {
@@ -327,17 +336,24 @@
     }
   }
 
-  // The entry gets the receipt or the response to its ticket.
+  // The entry gets a receipt or a response. It may be that of another request; the entry compares the
+  // ids and drops it then.
   action receive: bool = all {
     replies.size() > 0,
     nondet reply = replies.oneOf()
-    val a = attempts.get(reply.attempt)
-    val isExpected = a.phase == Waiting and a.binding.token == reply.token
+    nondet other = ATTEMPTS.oneOf()
+    nondet chance = 1.to(6).oneOf()
+    val id = if (chance == 1) other else reply.attempt
+    val a = attempts.get(id)
+    val isExpected = and {
+      a.phase == Waiting,
+      a.binding.token == reply.token or VARIANT == "acceptOtherReceipt",
+    }
     all {
       replies' = replies.exclude(Set(reply)),
       attempts' =
         if (not(isExpected)) attempts
-        else attempts.set(reply.attempt, { ...a,
+        else attempts.set(id, { ...a,
           phase: match reply.outcome {
             | NotRun => Proven
             | Finished(response) => Answering(response)
@@ -404,8 +420,9 @@
       response != NO_RESPONSE,
       claims' = claims.setBy(a.key, claim => { ...claim, response: response }),
       attempts' = attempts.set(id, { ...a, phase: Ended }),
-      answers' = answers.union(Set({ key: a.key, response: response })),
+      answers' = answers.union(Set({ attempt: id, key: a.key, response: response })),
       lastToken' = lastToken,
+      slow' = slow,
       toldNotRun' = toldNotRun,
       beganAfterEffect' = beganAfterEffect,
       keepSidecars,
@@ -460,7 +477,7 @@
       dispatch(id),
       query(id),
       settle(id),
-      deliver,
+      deliver(chance == 4),
       connect,
       execute,
       receive,
@@ -489,33 +506,46 @@
     effects[a.response - 101].key == a.key,
   })
 
+  // States that the runs have to reach, so that the invariants are not checked on trivial runs only.
+  val ranAfterRebinding: bool = effects.select(e => e.token > 1).length() > 0
+  val wasRefused: bool = toldNotRun != Set()
+  val wasReplayed: bool = answers.exists(a => attempts.get(a.attempt).tokens == Set())
+  val lateTicketWasRefused: bool = replies.exists(r =>
+    r.outcome == NotRun and effects.select(e => e.token > r.token).length() > 0)
+
   val safe: bool = atMostOnce and notRunIsTrue and notRunForKey and answerIsOfEffect
 }
 
 module claimsCorrect {
-  import claims(VARIANT = "none").*
+  import claims(VARIANT = "none", KEYS = Set(1)).*
+}
+module claimsCorrectTwoKeys {
+  import claims(VARIANT = "none", KEYS = Set(1, 2)).*
+}
+module claimsAcceptOtherReceipt {
+  import claims(VARIANT = "acceptOtherReceipt", KEYS = Set(1, 2)).*
 }
 module claimsNoTombstone {
-  import claims(VARIANT = "noTombstone").*
+  import claims(VARIANT = "noTombstone", KEYS = Set(1)).*
 }
 module claimsAcceptOtherIncarnation {
-  import claims(VARIANT = "acceptOtherIncarnation").*
+  import claims(VARIANT = "acceptOtherIncarnation", KEYS = Set(1)).*
 }
 module claimsQueryOtherIncarnation {
-  import claims(VARIANT = "queryOtherIncarnation").*
+  import claims(VARIANT = "queryOtherIncarnation", KEYS = Set(1)).*
 }
 module claimsRebindWithoutProof {
-  import claims(VARIANT = "rebindWithoutProof").*
+  import claims(VARIANT = "rebindWithoutProof", KEYS = Set(1)).*
 }
 module claimsRebindWithoutCompare {
-  import claims(VARIANT = "rebindWithoutCompare").*
+  import claims(VARIANT = "rebindWithoutCompare", KEYS = Set(1)).*
 }
 module claimsResendTicket {
-  import claims(VARIANT = "resendTicket").*
+  import claims(VARIANT = "resendTicket", KEYS = Set(1)).*
 }
 module claimsRefuseBeforeLookup {
-  import claims(VARIANT = "refuseBeforeLookup").*
+  import claims(VARIANT = "refuseBeforeLookup", KEYS = Set(1)).*
 }
 module claimsRefuseWithoutProof {
-  import claims(VARIANT = "refuseWithoutProof").*
+  import claims(VARIANT = "refuseWithoutProof", KEYS = Set(1)).*
 }
--- a/model/consensus.qnt
+++ b/model/consensus.qnt
@@ -405,6 +405,14 @@
     base == 0 or holders.size() >= 2
   }
 
+  // States that the runs have to reach, so that the invariants are not checked on trivial runs only.
+  val repairIsComplete: bool = committed.select(e => e.promoted != 0).length() > 0
+  val secondDiskIsLost: bool =
+    repairIsComplete and disks.keys().filter(i => not(disks.get(i).isAlive)).size() >= 2
+  val leaderAfterSecondLoss: bool =
+    secondDiskIsLost and leading.exists(i => disks.get(i).log.length() > committed.length())
+  val severalLeaders: bool = leaders.keys().size() >= 2
+
   val safe: bool = and {
     oneLeaderPerTerm,
     committedIsKept,
--- a/model/grants.qnt
+++ b/model/grants.qnt
@@ -341,6 +341,26 @@
   val heldIsOutstanding: bool = grants.foldl(0, (sum, g) =>
     if (now < g.sentAt + LEASE) sum + g.amount - g.spent - g.returned else sum) <= outstanding
 
+  // States that the runs have to reach, so that the invariants are not checked on trivial runs only.
+  val refundWasApplied: bool = admissions.foldl(false, (found, a) => found or a.isRefunded)
+  val refundMeetsCap: bool = messages.exists(message => match message {
+    | Refund(m) => {
+        val epoch = grants[admissions[m.admission].grant].epoch
+        and {
+          not(admissions[m.admission].isRefunded),
+          shadows.keys().contains(epoch),
+          shadows.keys().contains(epoch) implies and {
+            shadows.get(epoch) < BURST,
+            level + outstanding + m.amount > shadows.get(epoch),
+          },
+        }
+      }
+    | _ => false
+  })
+  val grantExpired: bool = grants.foldl(false, (found, g) =>
+    found or (g.left == 0 and not(g.isReturned) and g.reported < g.amount))
+  val logicalTimeLags: bool = logical < now
+
   val safe: bool = withinRateAndBurst and levelWithinBurst and heldIsOutstanding
 }
 
--- /dev/null
+++ b/tools/model.mjs
@@ -0,0 +1,197 @@
+// Checks the Quint models in model/ by random simulation (docs/model.md). Each correct model must keep
+// its invariants; each broken variant must violate the named one, otherwise the check proves nothing.
+// With --quick it runs one broken variant for each invariant and fewer samples.
+import { spawn } from 'node:child_process';
+import { createRequire } from 'node:module';
+
+const MAX_PROCESSES = 4;
+const QUINT = createRequire(import.meta.url).resolve('@informalsystems/quint/dist/src/cli.js');
+const isQuick = process.argv.includes('--quick');
+
+const MODELS = [
+  {
+    file: 'model/claims.qnt',
+    steps: 50,
+    invariant: 'safe',
+    witnesses: ['ranAfterRebinding', 'wasRefused', 'wasReplayed', 'lateTicketWasRefused'],
+    correct: [
+      { module: 'claimsCorrect', seeds: [1, 2], samples: 450, quickSamples: 100 },
+      { module: 'claimsCorrectTwoKeys', seeds: [3], samples: 450 },
+    ],
+    // [module, invariant that it violates, seed, whether it belongs to the quick check]
+    broken: [
+      ['claimsNoTombstone', 'atMostOnce', 1, true],
+      ['claimsAcceptOtherIncarnation', 'atMostOnce', 1, false],
+      ['claimsQueryOtherIncarnation', 'atMostOnce', 1, false],
+      ['claimsRebindWithoutProof', 'atMostOnce', 1, false],
+      ['claimsRebindWithoutCompare', 'atMostOnce', 1, false],
+      ['claimsResendTicket', 'atMostOnce', 1, false],
+      ['claimsRefuseWithoutProof', 'notRunIsTrue', 1, true],
+      ['claimsRefuseBeforeLookup', 'notRunForKey', 1, true],
+      ['claimsAcceptOtherReceipt', 'answerIsOfEffect', 1, true],
+    ],
+  },
+  {
+    file: 'model/grants.qnt',
+    steps: 60,
+    invariant: 'safe',
+    witnesses: ['refundWasApplied', 'refundMeetsCap', 'grantExpired', 'logicalTimeLags'],
+    correct: [
+      { module: 'grantsCorrect', seeds: [1, 2], samples: 600, quickSamples: 120 },
+      { module: 'grantsCorrectShort', seeds: [3], samples: 600 },
+      { module: 'grantsCorrectLargeBurst', seeds: [4], samples: 600 },
+    ],
+    broken: [
+      ['grantsPlainRefund', 'withinRateAndBurst', 1, true],
+      ['grantsOutstandingNotCounted', 'withinRateAndBurst', 1, false],
+      ['grantsOutstandingNotCounted', 'levelWithinBurst', 1, true],
+      ['grantsSpendAfterLease', 'withinRateAndBurst', 1, false],
+      ['grantsDuplicateReport', 'withinRateAndBurst', 1, false],
+      ['grantsDuplicateReport', 'heldIsOutstanding', 1, true],
+      ['grantsLateReport', 'withinRateAndBurst', 1, false],
+      ['grantsDuplicateReturn', 'withinRateAndBurst', 1, false],
+      ['grantsDuplicateRefund', 'withinRateAndBurst', 2, false],
+    ],
+  },
+  {
+    file: 'model/consensus.qnt',
+    steps: 60,
+    invariant: 'safe',
+    witnesses: ['repairIsComplete', 'secondDiskIsLost', 'leaderAfterSecondLoss', 'severalLeaders'],
+    correct: [
+      { module: 'consensusCorrect', seeds: [1, 2], samples: 450, quickSamples: 80 },
+      { module: 'consensusCorrectFour', seeds: [3], samples: 350 },
+    ],
+    broken: [
+      ['consensusReturnsWithOldDiskId', 'oneLeaderPerTerm', 1, true],
+      ['consensusReturnsWithOldDiskId', 'committedIsKept', 1, true],
+      ['consensusRemovalAfterPromotion', 'quorumIsAlive', 1, true],
+      ['consensusPromoteWithoutCatchUp', 'twoCopiesAfterRepair', 1, true],
+    ],
+  },
+];
+
+// Upper bound of samples for a broken variant; nearly all are found within a few dozen.
+const BROKEN_SAMPLES = 1500;
+
+function runQuint(args) {
+  return new Promise((resolve, reject) => {
+    const child = spawn(process.execPath, [QUINT, ...args], { stdio: ['ignore', 'pipe', 'pipe'] });
+    const chunks = [];
+    child.stdout.on('data', (chunk) => chunks.push(chunk));
+    child.stderr.on('data', (chunk) => chunks.push(chunk));
+    child.on('error', reject);
+    child.on('close', (code) => {
+      resolve({ code, output: Buffer.concat(chunks).toString('utf8') });
+    });
+  });
+}
+
+async function checkTypes(model) {
+  const { code, output } = await runQuint(['typecheck', model.file]);
+  const isOk = code === 0;
+  return { run: { kind: 'typecheck', file: model.file, ok: isOk }, detail: isOk ? '' : output };
+}
+
+// Reads the number of samples in which each witness was reached.
+function parseWitnesses(output, names) {
+  return Object.fromEntries(
+    names.map((name) => {
+      const match = new RegExp(`^${name} was witnessed in (\\d+) trace`, 'm').exec(output);
+      return [name, match === null ? 0 : Number(match[1])];
+    }),
+  );
+}
+
+async function simulate(model, run, witnesses) {
+  const args = ['run', model.file, '--backend=typescript', '--verbosity=1'];
+  args.push(`--main=${run.module}`, `--invariant=${run.invariant}`, `--seed=${run.seed}`);
+  args.push(`--max-samples=${run.samples}`, `--max-steps=${run.steps}`);
+  if (witnesses.length > 0) {
+    args.push('--witnesses', ...witnesses);
+  }
+  const { code, output } = await runQuint(args);
+  if (code === 0 && output.includes('[ok] No violation found')) {
+    return { result: 'no violation', reached: parseWitnesses(output, witnesses), output };
+  }
+  if (code === 1 && output.includes('[violation] Found an issue')) {
+    return { result: 'violation', reached: {}, output };
+  }
+  return { result: 'error', reached: {}, output };
+}
+
+async function checkCorrect(model, run) {
+  const { result, reached, output } = await simulate(model, run, model.witnesses);
+  const missing = model.witnesses.filter((name) => reached[name] === 0);
+  if (result !== 'no violation') {
+    return { run: { ...run, kind: 'correct', result, ok: false }, detail: output };
+  }
+  const detail = missing.length > 0 ? `states never reached: ${missing.join(', ')}` : '';
+  return { run: { ...run, kind: 'correct', result, reached, ok: detail === '' }, detail };
+}
+
+async function checkBroken(model, run) {
+  const { result, output } = await simulate(model, run, []);
+  const isOk = result === 'violation';
+  const detail = isOk ? '' : `expected a violation of ${run.invariant}\n${output}`;
+  return { run: { ...run, kind: 'broken', result, ok: isOk }, detail };
+}
+
+function listTasks(model) {
+  const { file, steps, invariant } = model;
+  const tasks = [() => checkTypes(model)];
+  for (const { module, seeds, samples, quickSamples } of model.correct) {
+    if (isQuick && quickSamples === undefined) {
+      continue;
+    }
+    for (const seed of isQuick ? seeds.slice(0, 1) : seeds) {
+      const run = {
+        file,
+        module,
+        invariant,
+        seed,
+        samples: isQuick ? quickSamples : samples,
+        steps,
+      };
+      tasks.push(() => checkCorrect(model, run));
+    }
+  }
+  for (const [module, violated, seed, isInQuick] of model.broken) {
+    if (isQuick && !isInQuick) {
+      continue;
+    }
+    const run = { file, module, invariant: violated, seed, samples: BROKEN_SAMPLES, steps };
+    tasks.push(() => checkBroken(model, run));
+  }
+  return tasks;
+}
+
+function describeRun(run, seconds) {
+  const verdict = run.ok ? 'ok  ' : 'FAIL';
+  if (run.kind === 'typecheck') {
+    return `${verdict} ${run.kind} ${run.file} (${seconds} s)`;
+  }
+  const bounds = `seed ${run.seed}, at most ${run.samples} samples of ${run.steps} steps`;
+  return `${verdict} ${run.kind} ${run.module} ${run.invariant}: ${run.result} (${bounds}, ${seconds} s)`;
+}
+
+const queue = MODELS.flatMap(listTasks);
+const runs = [];
+
+async function runWorker() {
+  for (let task = queue.shift(); task !== undefined; task = queue.shift()) {
+    const startedAt = performance.now();
+    const { run, detail } = await task();
+    const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
+    runs.push(run);
+    console.log(describeRun(run, seconds));
+    if (detail !== '') {
+      console.log(detail);
+    }
+  }
+}
+
+await Promise.all(Array.from({ length: MAX_PROCESSES }, runWorker));
+const isOk = runs.every((run) => run.ok);
+console.log(JSON.stringify({ ok: isOk, runs }));
+process.exitCode = isOk ? 0 : 1;
