Keep the revision of unchanged items and count tombstones

Cause: publishing the full set of files gave each item a new revision, so that the sidecars refused every dispatch until the entries had synced; and tombstones were aged by the log index, which grows with each exchange of grants: 10,000 entries are about eleven minutes with three entries and seconds at the target size.

Ruled out: comparing on the operator's side only (two operators may publish the same).

Conclusion: a repeated publish changes nothing and readers need full copies seldom.

--- a/src/state/ControlState.ts
+++ b/src/state/ControlState.ts
@@ -162,7 +162,7 @@
   private _run(command: Command, index: number): CommandResult {
     // Logical time never goes back, whatever a leader stamps.
     this._timeMs = Math.max(this._timeMs, Number(command.timeMs));
-    this._items.compact(index);
+    this._items.compact();
     this._claims.compact(this._timeMs);
     this._expireSyncs();
     return create(CommandResultSchema, { body: this._runBody(command.body, index) });
--- a/src/state/Items.test.ts
+++ b/src/state/Items.test.ts
@@ -1,7 +1,7 @@
 import { create } from '@bufbuild/protobuf';
 import { describe, expect, it } from 'vitest';
 import { ItemChangeSchema, type ItemChange } from '../gen/redwingwharf/v1/state_pb.js';
-import { Items, TOMBSTONE_REVISIONS } from './Items.js';
+import { Items } from './Items.js';
 
 function set(key: string, value = 'v'): ItemChange {
   return create(ItemChangeSchema, { key, value: Buffer.from(value) });
@@ -27,9 +27,9 @@
     const items = new Items();
     items.applyChanges([set('key/a'), set('key/b')], 5);
     items.applyChanges([remove('key/a')], 9);
-    items.compact(9 + TOMBSTONE_REVISIONS - 1);
+    items.compact(1);
     expect(items.listChangedSince(8).full).toBe(false);
-    items.compact(9 + TOMBSTONE_REVISIONS);
+    items.compact(0);
     expect(items.listChangedSince(8).full).toBe(true);
     expect(items.listChangedSince(8).items.map((item) => item.key)).toEqual(['key/b']);
     expect(items.listChangedSince(9).full).toBe(false);
@@ -40,11 +40,18 @@
     items.applyChanges([set('key/a')], 1);
     items.applyChanges([remove('key/a')], 2);
     items.applyChanges([set('key/a', 'w')], 3);
-    items.compact(2 + TOMBSTONE_REVISIONS);
+    items.compact(0);
     expect(items.get('key/a')?.revision).toBe(3n);
     expect(items.compactedRevision).toBe(0);
   });
 
+  it('keeps the revision of an unchanged item, so that a repeated publish refuses no dispatch', () => {
+    const items = new Items();
+    items.applyChanges([set('service/a', 'x')], 4);
+    expect(items.applyChanges([set('service/a', 'x'), set('service/b', 'y')], 7)).toHaveLength(1);
+    expect(items.get('service/a')?.revision).toBe(4n);
+  });
+
   it('treats an empty value as deletion, and the deletion of nothing as no change', () => {
     const items = new Items();
     items.applyChanges([set('weights/m')], 1);
--- a/src/state/Items.ts
+++ b/src/state/Items.ts
@@ -1,9 +1,13 @@
 /** Versioned configuration items. The revision of an item is the log index of its last change. */
 import { create } from '@bufbuild/protobuf';
+import { hasSameBytes } from '../common/Hashes.js';
 import { ItemSchema, type Item, type ItemChange } from '../gen/redwingwharf/v1/state_pb.js';
 
-/** A reader further behind than this gets a full copy, so older tombstones are not needed. */
-export const TOMBSTONE_REVISIONS = 10_000;
+/**
+ * Tombstones kept; a reader that misses a dropped one gets a full copy. They are counted and not aged
+ * by the log index, because the index also grows with every exchange of grants.
+ */
+export const MAX_TOMBSTONES = 10_000;
 
 /** What a reader at an older revision needs. */
 export interface IItemsSince {
@@ -16,7 +20,8 @@
 /** Items and tombstones in the order of their last change. */
 export class Items {
   private _items = new Map<string, Item>();
-  private _tombstones: Item[] = [];
+  /** Deleted items by key, the oldest deletion first. */
+  private _tombstones = new Map<string, Item>();
   private _compactedRevision = 0;
   private _changedRevision = 0;
 
@@ -43,7 +48,8 @@
 
   /**
    * Applies one change at a log index and returns the items that differ afterwards. An empty value
-   * deletes; deleting an item that does not exist changes nothing.
+   * deletes; deleting an item that does not exist changes nothing. An item that is set to the value it
+   * has keeps its revision, so that publishing it again makes no dispatch out of date.
    */
   public applyChanges(changes: readonly ItemChange[], index: number): Item[] {
     const changed = new Map<string, Item>();
@@ -56,18 +62,15 @@
     return [...changed.values()];
   }
 
-  /** Drops the tombstones that are `TOMBSTONE_REVISIONS` older than the log index. */
-  public compact(index: number): void {
-    const limit = BigInt(index - TOMBSTONE_REVISIONS);
-    let oldest = this._tombstones[0];
-    while (oldest !== undefined && oldest.revision <= limit) {
-      this._tombstones.shift();
-      // The key may have been set again since.
-      if (this._items.get(oldest.key) === oldest) {
-        this._items.delete(oldest.key);
-        this._compactedRevision = Number(oldest.revision);
+  /** Drops the oldest tombstones beyond the limit. */
+  public compact(maxTombstones = MAX_TOMBSTONES): void {
+    for (const tombstone of this._tombstones.values()) {
+      if (this._tombstones.size <= maxTombstones) {
+        return;
       }
-      oldest = this._tombstones[0];
+      this._tombstones.delete(tombstone.key);
+      this._items.delete(tombstone.key);
+      this._compactedRevision = Number(tombstone.revision);
     }
   }
 
@@ -98,14 +101,17 @@
 
   public restore(items: readonly Item[], compactedRevision: number): void {
     this._items = new Map(items.map((item) => [item.key, item]));
-    this._tombstones = items.filter((item) => item.deleted);
+    const tombstones = items.filter((item) => item.deleted);
+    this._tombstones = new Map(tombstones.map((item) => [item.key, item]));
     this._compactedRevision = compactedRevision;
     this._changedRevision = Number(items.at(-1)?.revision ?? 0);
   }
 
   private _applyChange(change: ItemChange, index: number): Item | undefined {
     const deleted = change.delete || change.value.length === 0;
-    if (deleted && this.get(change.key) === undefined) {
+    const known = this.get(change.key);
+    const isSame = known !== undefined && !deleted && hasSameBytes(known.value, change.value);
+    if (isSame || (deleted && known === undefined)) {
       return undefined;
     }
     const item = create(ItemSchema, {
@@ -115,10 +121,11 @@
       deleted,
     });
     this._items.delete(change.key);
+    this._tombstones.delete(change.key);
     this._items.set(change.key, item);
     this._changedRevision = index;
     if (deleted) {
-      this._tombstones.push(item);
+      this._tombstones.set(change.key, item);
     }
     return item;
   }
