--- a/src/consensus/ConsensusStore.ts
+++ b/src/consensus/ConsensusStore.ts
@@ -26,8 +26,9 @@
 
 const SNAPSHOT_FILE = 'snapshot';
 
-/** Entries kept before the snapshot, so that a member slightly behind needs no snapshot. */
+/** Limits of the entries kept before the snapshot, so that a member slightly behind needs none. */
 const TRAILING_ENTRIES = 512;
+const TRAILING_BYTES = 1024 * 1024;
 
 /** Place and membership of a snapshot. */
 export interface ISnapshotPosition {
@@ -197,7 +198,7 @@
       if (bytes >= maxBytes) {
         break;
       }
-      bytes += entry.body.case === 'command' ? entry.body.value.length : 0;
+      bytes += measureCommand(entry);
       entries.push(entry);
     }
     return entries;
@@ -256,7 +257,7 @@
         return;
       }
       await this._writeSnapshot(position, data);
-      const oldest = position.index - TRAILING_ENTRIES + 1;
+      const oldest = this._findOldestKept(position.index);
       if (oldest > this._firstIndex) {
         this._entries.splice(0, oldest - this._firstIndex);
         this._firstIndex = oldest;
@@ -284,6 +285,19 @@
     await this._snapshotting.run(() => this._log.close());
   }
 
+  private _findOldestKept(snapshotIndex: number): number {
+    let oldest = snapshotIndex + 1;
+    let bytes = 0;
+    while (oldest > this._firstIndex && snapshotIndex - oldest + 1 < TRAILING_ENTRIES) {
+      bytes += measureCommand(this.getEntry(oldest - 1));
+      if (bytes > TRAILING_BYTES) {
+        break;
+      }
+      oldest -= 1;
+    }
+    return oldest;
+  }
+
   private async _writeSnapshot(position: ISnapshotPosition, data: Uint8Array): Promise<void> {
     const file = create(SnapshotFileSchema, {
       lastIndex: BigInt(position.index),
@@ -362,6 +376,10 @@
   return { index: Number(file.lastIndex), term: Number(file.lastTerm), membership };
 }
 
+function measureCommand(entry: LogEntry | undefined): number {
+  return entry?.body.case === 'command' ? entry.body.value.length : 0;
+}
+
 function listMemberships(
   entries: readonly LogEntry[],
   snapshotIndex: number,
