--- a/src/storage/RecordLog.test.ts
+++ b/src/storage/RecordLog.test.ts
@@ -210,6 +210,22 @@
     }
   });
 
+  it('survives damage to one copy of the sync mark and refuses without any, so that the mark is trusted', async () => {
+    await writeBatches([['first'], ['second']]);
+    const path = join(folder, 'synced');
+    const mark = await readFile(path);
+    for (const start of [0, 512]) {
+      await replaceByte(path, start + 16, 1);
+      expect(await readAll()).toEqual(['first', 'second']);
+      await writeFile(path, mark);
+    }
+    await replaceByte(path, 16, 1);
+    await replaceByte(path, 512 + 16, 1);
+    expect(await openResult()).toMatchObject({ kind: 'damaged', file: path });
+    await unlink(path);
+    expect(await openResult()).toMatchObject({ kind: 'damaged', file: path });
+  });
+
   it('keeps indexes right after truncation, dropped prefixes and reset', async () => {
     const { log } = await RecordLog.open(folder, { segmentBytes: 64 });
     for (let n = 1; n <= 20; n += 1) {
