Limit calls with a timer that garbage collection cannot remove

Cause: in Node 20 a signal from AbortSignal.any over AbortSignal.timeout may never be aborted, because the timeout signal is held weakly. A poll of a target or a call to control could then hang for good and end its task silently.

Ruled out: keeping a reference to the timeout signal at each call (easy to forget). runWithLimit moves from src/consensus to src/common with its test, and sleep takes several signals. The control node also bounds the commands that wait for a commit.

Conclusion: no code of src depends on AbortSignal.any any more.

--- a/src/admission/Admitter.ts
+++ b/src/admission/Admitter.ts
@@ -138,7 +138,7 @@
     const hasWaiters = [...this._waiters.values()].some((queue) => queue.length > 0);
     const intervalMs = hasWaiters ? MIN_EXCHANGE_INTERVAL_MS : EXCHANGE_INTERVAL_MS;
     this._wake = new AbortController();
-    await sleep(addJitter(intervalMs), AbortSignal.any([signal, this._wake.signal]));
+    await sleep(addJitter(intervalMs), signal, this._wake.signal);
   }
 
   private _serveWaiters(): void {
--- a/src/common/Tasks.ts
+++ b/src/common/Tasks.ts
@@ -1,23 +1,27 @@
 /** Helpers for tasks that run until a signal is aborted. */
 
 /**
- * Waits `ms` milliseconds, or until the signal is aborted, whichever comes first.
+ * Waits `ms` milliseconds, or until one of the signals is aborted, whichever comes first.
  *
  * @example
  * await sleep(500, signal);
  */
-export async function sleep(ms: number, signal: AbortSignal): Promise<void> {
-  if (signal.aborted) {
+export async function sleep(ms: number, ...signals: readonly AbortSignal[]): Promise<void> {
+  if (signals.some((signal) => signal.aborted)) {
     return;
   }
   await new Promise<void>((resolve) => {
     const finish = (): void => {
       clearTimeout(timer);
-      signal.removeEventListener('abort', finish);
+      for (const signal of signals) {
+        signal.removeEventListener('abort', finish);
+      }
       resolve();
     };
     const timer = setTimeout(finish, ms);
-    signal.addEventListener('abort', finish, { once: true });
+    for (const signal of signals) {
+      signal.addEventListener('abort', finish, { once: true });
+    }
   });
 }
 
@@ -36,9 +40,48 @@
   return AbortSignal.timeout(Math.max(0, Math.ceil(ms)));
 }
 
-/** A signal that is aborted with its parent or after `ms` milliseconds. */
+/**
+ * A signal that is aborted with its parent or after `ms` milliseconds, for commands that end soon: the
+ * listener stays at the parent. Tasks use `runWithLimit`.
+ */
 export function limitSignal(parent: AbortSignal, ms: number): AbortSignal {
-  return AbortSignal.any([parent, createTimeoutSignal(ms)]);
+  const controller = new AbortController();
+  const abort = (): void => {
+    controller.abort();
+  };
+  setTimeout(abort, ms).unref();
+  parent.addEventListener('abort', abort, { once: true });
+  return controller.signal;
+}
+
+/**
+ * Runs a call whose signal is aborted with its parent or after `ms` milliseconds. In Node 20 a signal
+ * from `AbortSignal.any` over `AbortSignal.timeout` may never be aborted, because the timeout signal is
+ * held weakly and can be collected; a call without limit would block its task for good.
+ *
+ * @example
+ * const reply = await runWithLimit(signal, 600, (limited) => transport.join(address, request, limited));
+ */
+export async function runWithLimit<T>(
+  parent: AbortSignal,
+  ms: number,
+  call: (signal: AbortSignal) => Promise<T>,
+): Promise<T> {
+  const controller = new AbortController();
+  const abort = (): void => {
+    controller.abort();
+  };
+  const timer = setTimeout(abort, ms);
+  parent.addEventListener('abort', abort, { once: true });
+  if (parent.aborted) {
+    abort();
+  }
+  try {
+    return await call(controller.signal);
+  } finally {
+    clearTimeout(timer);
+    parent.removeEventListener('abort', abort);
+  }
 }
 
 /**
--- a/src/consensus/Elections.ts
+++ b/src/consensus/Elections.ts
@@ -1,6 +1,6 @@
 /** Elections: the task that stands for election, and the answers to requests for a vote. */
 import { create } from '@bufbuild/protobuf';
-import { isAborted, sleep } from '../common/Tasks.js';
+import { isAborted, runWithLimit, sleep } from '../common/Tasks.js';
 import {
   VoteRequestSchema,
   VoteResponseSchema,
@@ -8,7 +8,6 @@
   type VoteRequest,
   type VoteResponse,
 } from '../gen/redwingwharf/v1/consensus_pb.js';
-import { runWithLimit } from './CallLimit.js';
 import type { MemberState } from './MemberState.js';
 import { countMajority, isSamePair, listVoters, toPair } from './Memberships.js';
 import type { IConsensusTimings } from './Timings.js';
--- a/src/consensus/Leadership.ts
+++ b/src/consensus/Leadership.ts
@@ -5,7 +5,7 @@
 import { create } from '@bufbuild/protobuf';
 import { crc32 } from 'node:zlib';
 import { Err, type Result } from '../common/Result.js';
-import { isAborted, sleep } from '../common/Tasks.js';
+import { isAborted, runWithLimit, sleep } from '../common/Tasks.js';
 import {
   AppendRequestSchema,
   LogEntrySchema,
@@ -16,7 +16,6 @@
   type Member,
   type SnapshotFile,
 } from '../gen/redwingwharf/v1/consensus_pb.js';
-import { runWithLimit } from './CallLimit.js';
 import type { IActiveLeadership, MemberState } from './MemberState.js';
 import {
   findMember,
--- a/src/consensus/MembershipChanges.ts
+++ b/src/consensus/MembershipChanges.ts
@@ -2,7 +2,7 @@
 import { create } from '@bufbuild/protobuf';
 import { hasSameBytes } from '../common/Hashes.js';
 import { Err, Ok, type IFailure, type Result } from '../common/Result.js';
-import { isAborted, sleep } from '../common/Tasks.js';
+import { isAborted, runWithLimit, sleep } from '../common/Tasks.js';
 import {
   JoinResponseSchema,
   type JoinRequest,
@@ -10,7 +10,6 @@
   type Member,
   type Membership,
 } from '../gen/redwingwharf/v1/consensus_pb.js';
-import { runWithLimit } from './CallLimit.js';
 import { Exclusive } from './Exclusive.js';
 import type { Leadership } from './Leadership.js';
 import type { MemberState } from './MemberState.js';
--- a/src/consensus/ReplicatedLog.ts
+++ b/src/consensus/ReplicatedLog.ts
@@ -6,7 +6,7 @@
 import type { IEvent } from '../common/Lifecycle.js';
 import { describeError, type ILog } from '../common/Log.js';
 import { Err, Ok, type Result } from '../common/Result.js';
-import { addJitter, isAborted, sleep } from '../common/Tasks.js';
+import { addJitter, isAborted, runWithLimit, sleep } from '../common/Tasks.js';
 import {
   JoinRequestSchema,
   type AppendRequest,
@@ -20,7 +20,6 @@
 } from '../gen/redwingwharf/v1/consensus_pb.js';
 import { DataDirectory, type IDataDirectory } from '../storage/DataDirectory.js';
 import { StorageError } from '../storage/StorageError.js';
-import { runWithLimit } from './CallLimit.js';
 import { ConsensusStore, initialiseStore, type IFoundedGroup } from './ConsensusStore.js';
 import { Elections } from './Elections.js';
 import { Follower } from './Follower.js';
--- a/src/control/ControlClient.ts
+++ b/src/control/ControlClient.ts
@@ -217,6 +217,8 @@
           return { kind: 'not_leader', leader: outcome.value.leaderAddress || undefined };
         case 'indeterminate':
           return { kind: 'indeterminate', reason: outcome.value.reason };
+        case 'notRun':
+          return { kind: 'not_leader', leader: address };
         case undefined:
           return { kind: 'indeterminate', reason: 'the answer has no outcome' };
       }
--- a/src/control/ControlNode.ts
+++ b/src/control/ControlNode.ts
@@ -2,6 +2,7 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import type { ConnectRouter } from '@connectrpc/connect';
 import type { IClock } from '../common/Clock.js';
+import { runWithLimit } from '../common/Tasks.js';
 import type { IConsensusStatus, IReplicatedLog } from '../consensus/Types.js';
 import type { IFeedSource } from '../feed/Types.js';
 import {
@@ -20,6 +21,9 @@
 /** Longest wait for a commit; after it the outcome is unknown to the caller. */
 const COMMIT_TIMEOUT_MS = 1_500;
 
+/** Commands that wait for their commit; more would only time out, as a commit takes milliseconds. */
+const MAX_PENDING_COMMANDS = 2_000;
+
 /** Read access to the replicated state. */
 export interface IControlState {
   readonly revision: number;
@@ -30,6 +34,7 @@
 
 /** Serves commands, status and the items of the leader. */
 export class ControlNode implements IFeedSource {
+  private _pending = 0;
   /** Logical time at the moment when this member became leader, and that moment. */
   private _timeBase:
     { readonly term: number; readonly logicalMs: number; readonly at: number } | undefined;
@@ -60,10 +65,23 @@
     if (request.command === undefined || timeMs === undefined) {
       return buildNotLeader(status.leaderAddress);
     }
+    if (this._pending >= MAX_PENDING_COMMANDS) {
+      return create(ExecuteResponseSchema, {
+        outcome: { case: 'notRun', value: { reason: 'too many commands wait for their commit' } },
+      });
+    }
     const command = create(CommandSchema, { ...request.command, timeMs: BigInt(timeMs) });
-    const committed = await this._log.propose(
-      toBinary(CommandSchema, command),
-      AbortSignal.any([signal, AbortSignal.timeout(COMMIT_TIMEOUT_MS)]),
+    this._pending += 1;
+    try {
+      return await this._commit(toBinary(CommandSchema, command), signal);
+    } finally {
+      this._pending -= 1;
+    }
+  }
+
+  private async _commit(command: Uint8Array, signal: AbortSignal): Promise<ExecuteResponse> {
+    const committed = await runWithLimit(signal, COMMIT_TIMEOUT_MS, (limited) =>
+      this._log.propose(command, limited),
     );
     if (committed.ok) {
       const result = fromBinary(CommandResultSchema, committed.val.result);
--- a/src/run/Process.ts
+++ b/src/run/Process.ts
@@ -78,7 +78,7 @@
       tasks.push(...this._startTasks(failed));
       await this._entry?.entry.listen();
       this._log.info('started', { internal: this._settings.internal });
-      await waitAborted(AbortSignal.any([signal, failed.signal, this._drainRequested.signal]));
+      await waitAborted(signal, failed.signal, this._drainRequested.signal);
       await this._drain(failed.signal);
     } catch (error) {
       this._log.error('process failed', { error: describeError(error) });
@@ -165,18 +165,18 @@
   return [...new Set([...settings.feed, ...own])];
 }
 
-async function waitAborted(signal: AbortSignal): Promise<void> {
-  if (signal.aborted) {
-    return;
-  }
+/** Waits until one of the signals is aborted. */
+async function waitAborted(...signals: readonly AbortSignal[]): Promise<void> {
   await new Promise<void>((resolve) => {
-    signal.addEventListener(
-      'abort',
-      () => {
-        resolve();
-      },
-      { once: true },
-    );
+    const finish = (): void => {
+      resolve();
+    };
+    for (const signal of signals) {
+      if (signal.aborted) {
+        finish();
+      }
+      signal.addEventListener('abort', finish, { once: true });
+    }
   });
 }
 
--- a/src/sidecar/Announcer.ts
+++ b/src/sidecar/Announcer.ts
@@ -77,7 +77,7 @@
       }
       const waker = new AbortController();
       this._wakers.add(waker);
-      await sleep(addJitter(ANNOUNCE_INTERVAL_MS), AbortSignal.any([signal, waker.signal]));
+      await sleep(addJitter(ANNOUNCE_INTERVAL_MS), signal, waker.signal);
       this._wakers.delete(waker);
     }
   }
--- a/src/sidecar/TargetWatcher.ts
+++ b/src/sidecar/TargetWatcher.ts
@@ -3,7 +3,7 @@
 import type { Dispatcher } from 'undici';
 import { Emitter } from '../common/Lifecycle.js';
 import { describeError, type ILog } from '../common/Log.js';
-import { limitSignal, runPeriodically } from '../common/Tasks.js';
+import { runPeriodically, runWithLimit } from '../common/Tasks.js';
 import { TargetLoadSchema } from '../gen/redwingwharf/v1/control_pb.js';
 import type { ITargetRole } from '../settings/Types.js';
 import { CacheIndex } from './CacheIndex.js';
@@ -112,17 +112,19 @@
   }
 
   private async _get(path: string, signal: AbortSignal): Promise<unknown> {
-    const response = await this._http.request({
-      origin: `http://${this._target.address}`,
-      path,
-      method: 'GET',
-      signal: limitSignal(signal, POLL_TIMEOUT_MS),
+    return runWithLimit(signal, POLL_TIMEOUT_MS, async (limited) => {
+      const response = await this._http.request({
+        origin: `http://${this._target.address}`,
+        path,
+        method: 'GET',
+        signal: limited,
+      });
+      if (response.statusCode !== 200) {
+        await response.body.dump();
+        throw new Error(`target answered ${response.statusCode} to GET ${path}`);
+      }
+      return response.body.json();
     });
-    if (response.statusCode !== 200) {
-      await response.body.dump();
-      throw new Error(`target answered ${response.statusCode} to GET ${path}`);
-    }
-    return response.body.json();
   }
 
   private _countFailure(error: unknown): void {
