--- /dev/null
+++ b/tools/slopes/FeedSlopes.ts
@@ -0,0 +1,112 @@
+/** Configuration feed: memory of a copy, cost of a poll and of a change, bytes on the wire. */
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
+import { FeedCopy } from '../../src/feed/FeedCopy.js';
+import {
+  SyncRequestSchema,
+  SyncResponseSchema,
+  type SyncResponse,
+} from '../../src/gen/redwingwharf/v1/control_pb.js';
+import { ItemSchema, type Item } from '../../src/gen/redwingwharf/v1/state_pb.js';
+import { measureKilobytes, measureUs, type ISlope } from './Measure.js';
+
+const ITEM_COUNTS = [1_000, 10_000, 40_000] as const;
+
+/** About the size of a client account with its services, or of a key. */
+const VALUE_BYTES = 120;
+const POLLS = 2_000;
+const CHANGES = 500;
+
+function createItem(index: number, revision: number): Item {
+  return create(ItemSchema, {
+    key: `clientAccount/account-${index}`,
+    revision: BigInt(revision),
+    value: new Uint8Array(VALUE_BYTES).fill(index % 256),
+  });
+}
+
+function createFullCopy(count: number): SyncResponse {
+  return create(SyncResponseSchema, {
+    clusterId: new Uint8Array(16),
+    revision: BigInt(count),
+    version: 1n,
+    ageMs: 10,
+    full: true,
+    items: Array.from({ length: count }, (_, index) => createItem(index, index + 1)),
+  });
+}
+
+function createFilledCopy(count: number): FeedCopy {
+  const encoded = toBinary(SyncResponseSchema, createFullCopy(count));
+  const copy = new FeedCopy();
+  copy.applyResponse(fromBinary(SyncResponseSchema, encoded), 0);
+  return copy;
+}
+
+/** Serves polls that find nothing new. */
+function measurePoll(count: number): number {
+  const copy = createFilledCopy(count);
+  const request = toBinary(
+    SyncRequestSchema,
+    create(SyncRequestSchema, { haveRevision: BigInt(count), instance: 'entry-1' }),
+  );
+  return measureUs(POLLS, () => {
+    for (let poll = 0; poll < POLLS; poll++) {
+      toBinary(SyncResponseSchema, copy.sync(fromBinary(SyncRequestSchema, request), poll));
+    }
+  });
+}
+
+/** Applies changes of one item, as each copy does for each change of configuration. */
+function measureChange(count: number): number {
+  const copy = createFilledCopy(count);
+  let revision = count;
+  return measureUs(CHANGES, () => {
+    for (let change = 0; change < CHANGES; change++) {
+      revision += 1;
+      const response = create(SyncResponseSchema, {
+        clusterId: new Uint8Array(16),
+        revision: BigInt(revision),
+        version: BigInt(change),
+        ageMs: 10,
+        items: [createItem(change, revision)],
+      });
+      const encoded = toBinary(SyncResponseSchema, response);
+      copy.applyResponse(fromBinary(SyncResponseSchema, encoded), change);
+    }
+  });
+}
+
+export function measureFeed(): ISlope[] {
+  return [
+    {
+      name: 'feed copy memory',
+      unit: 'KB',
+      per: 'item',
+      points: ITEM_COUNTS.map((size) => ({
+        size,
+        value: measureKilobytes(() => createFilledCopy(size)),
+      })),
+    },
+    {
+      name: 'feed full copy on the wire',
+      unit: 'KB',
+      per: 'item',
+      points: ITEM_COUNTS.map((size) => ({
+        size,
+        value: toBinary(SyncResponseSchema, createFullCopy(size)).length / 1_024,
+      })),
+    },
+    {
+      name: 'feed poll without news (codec and lookup)',
+      unit: 'us',
+      per: 'item',
+      points: ITEM_COUNTS.map((size) => ({ size, value: measurePoll(size) })),
+    },
+    {
+      name: 'feed change of one item',
+      unit: 'us',
+      per: 'item',
+      points: ITEM_COUNTS.map((size) => ({ size, value: measureChange(size) })),
+    },
+  ];
+}
