Narrow the estimates that count as equal to 3%

Cause: 10% of a long estimate is more than the time of a cached prompt, so the power of two choices gave up cached prefixes.

--- a/src/policy/DefaultPolicy.ts
+++ b/src/policy/DefaultPolicy.ts
@@ -30,7 +30,7 @@
 
 /** Estimates within this distance of the smallest count as equal. */
 const NEAR_MS = 5;
-const NEAR_SHARE = 0.1;
+const NEAR_SHARE = 0.03;
 
 /**
  * Charge on a target that is neither home nor holder, as a multiple of its prefill time. A spilled
