Count half of the reported queue of others as wait

Cause: the wait was overestimated; with reports half an interval old on average, part of what they list is computed by the time of the decision, and cached targets were given up for it.

--- a/src/policy/LoadView.ts
+++ b/src/policy/LoadView.ts
@@ -1,6 +1,12 @@
 /** Load of the targets: lagging reports and the open dispatches of this process. */
 import type { ILoad, ITargetView } from './Types.js';
 
+/**
+ * Part of the reported queue of others that counts as wait: a report is on average half an interval
+ * old, and the prompts queued then are partly computed.
+ */
+const OTHERS_SHARE = 0.5;
+
 interface ITargetLoad {
   reportedAt: number;
   /** Reported queue length less the own dispatches that waited when the report arrived. */
@@ -102,7 +108,7 @@
     }
     // The work in progress is partly done, but never reported as finished.
     const own = Math.max(0, state.waitingMs - (now - state.progressAt));
-    return own + state.othersQueued * serviceMs;
+    return own + OTHERS_SHARE * state.othersQueued * serviceMs;
   }
 
   /** Requests that generate output, from the last report. */
