Charge recomputed tokens beyond their own time

Cause: a recomputed prefix delays the requests behind it, which the estimate of one request does not contain.

--- a/src/policy/DefaultPolicy.ts
+++ b/src/policy/DefaultPolicy.ts
@@ -38,6 +38,12 @@
  */
 const SPILL_CHARGE = 1;
 
+/**
+ * Charge on recomputing missed tokens, as a multiple of their prefill time: the requests behind this
+ * one wait for them too.
+ */
+const RECOMPUTE_CHARGE = 0.3;
+
 /** Settings that differ between experiments. */
 export interface IDefaultPolicyOptions {
   /** Data centre of this process. */
@@ -223,7 +229,7 @@
     const waitMs = this.loads.estimateWait(target.id, serviceMs, now);
     const ttftMs = this._estimator.estimateTtft(target, waitMs, missedTokens);
     const prefillMs = this._estimator.estimatePrefill(target.id, missedTokens);
-    const charge = reason === 'spill' ? SPILL_CHARGE * prefillMs : 0;
+    const charge = (RECOMPUTE_CHARGE + (reason === 'spill' ? SPILL_CHARGE : 0)) * prefillMs;
     return { target, reason, cachedTokens, waitMs, ttftMs, cost: ttftMs + charge };
   }
 
