Bound the work of a decision in a large fleet

Cause: with 5,600 targets a decision ranked all of them and scored up to 64 homes and 32 holders. The measurement of decision times had ended before its warm-up did and showed zeros; it now runs on 600 s of traffic. The index is bounded to 60,000 entries: 335 bytes an entry with one holder for each hash, 121 with five.

Ruled out: a ring with virtual nodes.

--- a/src/policy/DefaultPolicy.ts
+++ b/src/policy/DefaultPolicy.ts
@@ -26,7 +26,10 @@
 const SAMPLED_TARGETS = 8;
 
 /** Targets with evidence that are scored, those with the longest prefix first. */
-const MAX_MATCHES = 32;
+const MAX_MATCHES = 16;
+
+/** Homes that are scored; of more homes a run from a random one on. */
+const MAX_SCORED_HOMES = 16;
 
 /** Estimates within this distance of the smallest count as equal. */
 const NEAR_MS = 5;
@@ -178,18 +181,16 @@
     for (const match of this._findMatches(request, now)) {
       const position = this._table.find(match.targetId);
       const target = position === undefined ? undefined : targets[position];
-      if (position !== undefined && target !== undefined) {
-        this._index.reconcile(target);
+      if (position !== undefined && target !== undefined && this._index.hasEvidence(target)) {
         chunks.set(position, match.chunks);
       }
     }
-    const homes = new Set(this._homes.find(request.chain, now));
+    const homes = new Set(this._sampleHomes(request, now));
     const scored: IScored[] = [];
     for (const position of new Set([...homes, ...chunks.keys(), ...this._listSpill(targets)])) {
       const target = targets[position];
       if (target !== undefined && isUsable(target)) {
-        const known = this._index.listAges(target, request.chain.slice(0, 1), now).length > 0;
-        const cachedChunks = known ? (chunks.get(position) ?? 0) : 0;
+        const cachedChunks = chunks.get(position) ?? 0;
         const reason = homes.has(position) ? 'home' : cachedChunks > 0 ? 'evidence' : 'spill';
         scored.push(this._score(request, target, cachedChunks, reason, now));
       }
@@ -197,6 +198,15 @@
     return scored;
   }
 
+  private _sampleHomes(request: IRouteRequest, now: number): readonly number[] {
+    const homes = this._homes.find(request.chain, now);
+    if (homes.length <= MAX_SCORED_HOMES) {
+      return homes;
+    }
+    const start = Math.floor(this._random() * homes.length);
+    return [...homes.slice(start), ...homes.slice(0, start)].slice(0, MAX_SCORED_HOMES);
+  }
+
   private _findMatches(request: IRouteRequest, now: number): IPrefixMatch[] {
     const matches = this._index.match(request.chain, now, this._getLifetime);
     if (matches.length <= MAX_MATCHES) {
--- a/src/policy/PrefixIndex.ts
+++ b/src/policy/PrefixIndex.ts
@@ -1,8 +1,8 @@
 /** Bounded index of evidence that targets hold prefixes in their cache. */
 import type { ChainHash, ITargetView } from './Types.js';
 
-/** Entries of one index. At the measured 120 to 190 bytes each they stay below 20 MB. */
-export const DEFAULT_MAX_ENTRIES = 100_000;
+/** Entries of one index: about 20 MB at 335 bytes each, the most that was measured. */
+export const DEFAULT_MAX_ENTRIES = 60_000;
 
 /** Evidence older than this is dropped: engines evict unused blocks within seconds. */
 export const DEFAULT_MAX_AGE_MS = 60_000;
@@ -110,6 +110,11 @@
     }
   }
 
+  /** True when there is evidence of this incarnation and weights version of the target. */
+  public hasEvidence(target: ITargetView): boolean {
+    return this._findHolder(target) !== undefined;
+  }
+
   /** Drops the evidence of a target unless it is of this incarnation and weights version. */
   public reconcile(target: ITargetView): void {
     if (this._holders.has(target.id) && this._findHolder(target) === undefined) {
--- a/tools/bench/DecisionTimes.ts
+++ b/tools/bench/DecisionTimes.ts
@@ -11,6 +11,9 @@
 /** Requests that fill the index before measuring. */
 const WARMUP_REQUESTS = 4_000;
 
+/** Length of the generated traffic, about 20,000 requests. */
+const WORKLOAD_MS = 600_000;
+
 /** Requests that are open at the same time, for each target. */
 const OPEN_PER_TARGET = 2;
 
@@ -36,7 +39,7 @@
 }
 
 function createRequests(deployment: IDeployment): IRouteRequest[] {
-  const arrivals = generateWorkload(deployment, 1, 120_000).arrivals;
+  const arrivals = generateWorkload(deployment, 1, WORKLOAD_MS).arrivals;
   return arrivals.map((arrival) => ({
     requestId: arrival.id,
     clientAccount: String(arrival.account),
