--- a/src/policy/DefaultPolicy.ts
+++ b/src/policy/DefaultPolicy.ts
@@ -142,6 +142,8 @@
     }
     this._dispatches.delete(requestId);
     const { request, target, ages } = dispatch;
+    // The index needs no correction: what was missing is computed and cached by now. The count shows
+    // how long this target keeps unused chunks.
     const missedTokens = Math.max(0, request.promptTokens - answer.cachedPromptTokens);
     this._estimator.observe(target, missedTokens, answer.ttftMs);
     this._lifetime.observe(target.id, ages, Math.floor(answer.cachedPromptTokens / CHUNK_TOKENS));
