--- a/src/policy/DefaultPolicy.ts
+++ b/src/policy/DefaultPolicy.ts
@@ -26,11 +26,14 @@
 const SAMPLED_TARGETS = 8;
 
 /** Targets with evidence that are scored, those with the longest prefix first. */
-const MAX_MATCHES = 32;
+const MAX_MATCHES = 16;
+
+/** Homes that are scored; of more homes a run from a random one on. */
+const MAX_SCORED_HOMES = 16;
 
 /** Estimates within this distance of the smallest count as equal. */
 const NEAR_MS = 5;
-const NEAR_SHARE = 0.1;
+const NEAR_SHARE = 0.03;
 
 /**
  * Charge on a target that is neither home nor holder, as a multiple of its prefill time. A spilled
@@ -38,6 +41,12 @@
  */
 const SPILL_CHARGE = 1;
 
+/**
+ * Charge on recomputing missed tokens, as a multiple of their prefill time: the requests behind this
+ * one wait for them too.
+ */
+const RECOMPUTE_CHARGE = 0.3;
+
 /** Settings that differ between experiments. */
 export interface IDefaultPolicyOptions {
   /** Data centre of this process. */
@@ -133,6 +142,8 @@
     }
     this._dispatches.delete(requestId);
     const { request, target, ages } = dispatch;
+    // The index needs no correction: what was missing is computed and cached by now. The count shows
+    // how long this target keeps unused chunks.
     const missedTokens = Math.max(0, request.promptTokens - answer.cachedPromptTokens);
     this._estimator.observe(target, missedTokens, answer.ttftMs);
     this._lifetime.observe(target.id, ages, Math.floor(answer.cachedPromptTokens / CHUNK_TOKENS));
@@ -172,18 +183,16 @@
     for (const match of this._findMatches(request, now)) {
       const position = this._table.find(match.targetId);
       const target = position === undefined ? undefined : targets[position];
-      if (position !== undefined && target !== undefined) {
-        this._index.reconcile(target);
+      if (position !== undefined && target !== undefined && this._index.hasEvidence(target)) {
         chunks.set(position, match.chunks);
       }
     }
-    const homes = new Set(this._homes.find(request.chain, now));
+    const homes = new Set(this._sampleHomes(request, now));
     const scored: IScored[] = [];
     for (const position of new Set([...homes, ...chunks.keys(), ...this._listSpill(targets)])) {
       const target = targets[position];
       if (target !== undefined && isUsable(target)) {
-        const known = this._index.listAges(target, request.chain.slice(0, 1), now).length > 0;
-        const cachedChunks = known ? (chunks.get(position) ?? 0) : 0;
+        const cachedChunks = chunks.get(position) ?? 0;
         const reason = homes.has(position) ? 'home' : cachedChunks > 0 ? 'evidence' : 'spill';
         scored.push(this._score(request, target, cachedChunks, reason, now));
       }
@@ -191,6 +200,15 @@
     return scored;
   }
 
+  private _sampleHomes(request: IRouteRequest, now: number): readonly number[] {
+    const homes = this._homes.find(request.chain, now);
+    if (homes.length <= MAX_SCORED_HOMES) {
+      return homes;
+    }
+    const start = Math.floor(this._random() * homes.length);
+    return [...homes.slice(start), ...homes.slice(0, start)].slice(0, MAX_SCORED_HOMES);
+  }
+
   private _findMatches(request: IRouteRequest, now: number): IPrefixMatch[] {
     const matches = this._index.match(request.chain, now, this._getLifetime);
     if (matches.length <= MAX_MATCHES) {
@@ -223,7 +241,7 @@
     const waitMs = this.loads.estimateWait(target.id, serviceMs, now);
     const ttftMs = this._estimator.estimateTtft(target, waitMs, missedTokens);
     const prefillMs = this._estimator.estimatePrefill(target.id, missedTokens);
-    const charge = reason === 'spill' ? SPILL_CHARGE * prefillMs : 0;
+    const charge = (RECOMPUTE_CHARGE + (reason === 'spill' ? SPILL_CHARGE : 0)) * prefillMs;
     return { target, reason, cachedTokens, waitMs, ttftMs, cost: ttftMs + charge };
   }
 
