Measure how cost and state grow with size

Cause: docs/CAPACITY.md has to be worked out from slopes that commands of this repository measure. npm run slopes prints each quantity at several sizes and the growth by least squares; npm run overhead measures the data path.

Ruled out: one memory sample per size (the first gave negative values, because earlier measurements were collected meanwhile); the median of three after a warm-up is used.

--- a/tools/slopes.ts
+++ b/tools/slopes.ts
@@ -1,7 +1,6 @@
 /** Measures how cost and state grow with size; docs/CAPACITY.md is worked out from the result. */
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { DEPLOYMENTS } from './bench/Deployments.js';
 import { measureDecisionTimes } from './bench/DecisionTimes.js';
 import { measureFeed } from './slopes/FeedSlopes.js';
 import { computeSlope, type ISlope } from './slopes/Measure.js';
@@ -24,7 +23,7 @@
 }
 
 function measureDecisions(): ISlope[] {
-  const times = measureDecisionTimes(DEPLOYMENTS.authority);
+  const times = measureDecisionTimes();
   const collect = (pick: (time: (typeof times)[number]) => number): ISlope['points'] =>
     times.map((time) => ({ size: time.targets, value: pick(time) }));
   return [
--- a/tools/slopes/Measure.ts
+++ b/tools/slopes/Measure.ts
@@ -22,6 +22,8 @@
 /** Repetitions of a timed step; the median is taken because the machine is shared. */
 const REPETITIONS = 5;
 
+const MEMORY_REPETITIONS = 3;
+
 setFlagsFromString('--expose_gc');
 const collect = runInNewContext('gc') as () => void;
 
@@ -35,12 +37,22 @@
   return computeMedian(times);
 }
 
-/** Live heap and buffers that `create` adds, in kilobytes. The result is kept alive meanwhile. */
+/**
+ * Live heap and buffers that `create` adds, in kilobytes. The first result is dropped, because it also
+ * counts compiled code and what earlier measurements leave to collect.
+ */
 export function measureKilobytes(create: () => unknown): number {
+  const samples = Array.from({ length: MEMORY_REPETITIONS + 1 }, () => measureOnce(create));
+  return computeMedian(samples.slice(1));
+}
+
+function measureOnce(create: () => unknown): number {
+  collect();
   collect();
   const before = sumMemory();
   const kept = create();
   collect();
+  collect();
   const after = sumMemory();
   return kept === undefined ? 0 : (after - before) / BYTES_PER_KILOBYTE;
 }
--- a/tools/slopes/RpcSlopes.ts
+++ b/tools/slopes/RpcSlopes.ts
@@ -180,4 +180,3 @@
   }
   throw new Error(`the server at ${address} did not start`);
 }
-
--- a/tools/slopes/StateSlopes.ts
+++ b/tools/slopes/StateSlopes.ts
@@ -157,7 +157,10 @@
 function encodeExchange(wallet: GrantWallet): SyncGrantsCommand | undefined {
   const command = wallet.buildSync(0);
   if (command !== undefined) {
-    toBinary(CommandSchema, create(CommandSchema, { body: { case: 'syncGrants', value: command } }));
+    toBinary(
+      CommandSchema,
+      create(CommandSchema, { body: { case: 'syncGrants', value: command } }),
+    );
   }
   return command;
 }
