Answer a poll without news in constant time

Cause: a copy of the feed compared the revision of every item with the reader's, also when nothing had changed since.

Conclusion: the cost of the feed depends on changes and followers, not on items.

--- a/src/feed/FeedCopy.test.ts
+++ b/src/feed/FeedCopy.test.ts
@@ -76,6 +76,16 @@
     expect(follower.getItem('key/b')).toBeDefined();
   });
 
+  it('passes a change on to a follower whose revision moved on without changes', () => {
+    const upstream = new FeedCopy();
+    upstream.applyResponse(createResponse(4, [createItem('key/a', 4)], { full: true }), 0);
+    upstream.applyResponse(createResponse(50, []), 10);
+    const request = create(SyncRequestSchema, { haveRevision: 50n });
+    expect(upstream.sync(request, 20).items).toHaveLength(0);
+    upstream.applyResponse(createResponse(60, [createItem('key/a', 58, true)]), 30);
+    expect(upstream.sync(request, 40).items.map((item) => item.deleted)).toEqual([true]);
+  });
+
   it('reports items that a full copy no longer holds as deleted', () => {
     const copy = new FeedCopy();
     copy.applyResponse(createResponse(4, [createItem('key/a', 4)], { full: true }), 0);
--- a/src/feed/FeedCopy.ts
+++ b/src/feed/FeedCopy.ts
@@ -29,6 +29,8 @@
   private readonly _tombstones = new Map<string, Item>();
   private readonly _changeEmitter = new Emitter<readonly Item[]>();
   private _revision = 0;
+  /** Revision of the last changed item. The revision of the copy also grows without a change. */
+  private _changedRevision = 0;
   private _version = 0;
   private _confirmedAt: number | undefined;
   private _clusterId: Uint8Array = new Uint8Array();
@@ -107,7 +109,11 @@
     return response;
   }
 
+  /** Most polls find nothing new and must not cost more with more items. */
   private _listChangedSince(revision: number): Item[] {
+    if (revision >= this._changedRevision) {
+      return [];
+    }
     return [...this._items.values(), ...this._tombstones.values()].filter(
       (item) => Number(item.revision) > revision,
     );
@@ -116,6 +122,7 @@
   private _mergeItems(items: readonly Item[]): Item[] {
     const changed = items.filter((item) => this._isNewer(item));
     for (const item of changed) {
+      this._changedRevision = Math.max(this._changedRevision, Number(item.revision));
       if (item.deleted) {
         this._items.delete(item.key);
         this._addTombstone(item);
@@ -138,6 +145,7 @@
     // The revisions of the removals are not known, so readers behind this point need a full copy.
     this._tombstones.clear();
     this._deltasSince = Number(response.revision);
+    this._changedRevision = this._deltasSince;
     return [...removed, ...this._mergeItems(response.items)];
   }
 
