Let the control client ask the leader that the feed names

A sidecar's settings list entries, which need not be control members, so the client's own list may hold no address that knows the leader.

Ruled out: a list of control members in the sidecar's settings. It would have to be changed on every target whenever a member is replaced.

--- a/src/control/ControlClient.test.ts
+++ b/src/control/ControlClient.test.ts
@@ -96,6 +96,20 @@
 });
 
 describe('ControlClient', () => {
+  it('asks the leader that the feed names, also when no address of its list is a member', async () => {
+    const outdated = await reserveClosedAddress();
+    const leader = await startMember(() => GRANTED);
+    const clients = new RpcClients(SECRET);
+    allClients.push(clients);
+    let hint = outdated;
+    const client = new ControlClient(clients, [], SILENT_LOG, () => hint);
+    const executing = client.execute(COMMAND, never);
+    hint = leader.address;
+    const executed = await executing;
+    expect(executed.ok).toBe(true);
+    expect(leader.calls).toBe(1);
+  });
+
   it('follows a hint to a leader that is not in its list and remembers it', async () => {
     const leader = await startMember(() => GRANTED);
     const follower = await startMember(() => answerNotLeader(leader.address));
--- a/src/control/ControlClient.ts
+++ b/src/control/ControlClient.ts
@@ -135,6 +135,8 @@
     private readonly _clients: RpcClients,
     private readonly _addresses: readonly string[],
     private readonly _log: ILog,
+    /** Address that another source names as leader; asked before the list. Empty when unknown. */
+    private readonly _getHint: () => string = () => '',
   ) {}
 
   /** Address of the member that last accepted a command or was named as leader. */
@@ -193,7 +195,9 @@
     if (this._leader !== undefined && !tried.has(this._leader)) {
       return this._leader;
     }
-    return this._addresses.find((address) => !tried.has(address));
+    const hint = this._getHint();
+    const addresses = hint === '' ? this._addresses : [hint, ...this._addresses];
+    return addresses.find((address) => !tried.has(address));
   }
 
   private async _call(
--- a/src/feed/FeedCopy.ts
+++ b/src/feed/FeedCopy.ts
@@ -50,6 +50,11 @@
     return this._clusterId;
   }
 
+  /** Internal address of the control leader as of the last response; empty when unknown. */
+  public get leaderAddress(): string {
+    return this._leaderAddress;
+  }
+
   public getConfirmedAt(): number | undefined {
     return this._confirmedAt;
   }
