Reconcile the weights of an engine with the desired version

One task in each engine's sidecar compares the item weights/<model> with the version that the engine reports. It asks the leader for a load slot, announces the target as draining, waits until no request is open and sends one command with the slot's fencing token over the connection on which it has just read the engine's state.

Ruled out: announcing the target as unhealthy, which would end the evidence of its prefixes and look like a fault; draining before the slot is granted, which would take all engines out of service at once.

The fake engine takes the time of a load as an option and records when its orders ran.

--- a/fakes/Engine.ts
+++ b/fakes/Engine.ts
@@ -21,6 +21,8 @@
   readonly maxRunning: number;
   readonly fencing: 'strict' | 'ignore';
   readonly loadLagMs: number;
+  /** Time that one load of weights takes. */
+  readonly loadMs: number;
   readonly cache: IEngineCacheOptions;
 }
 
@@ -40,6 +42,14 @@
   readonly total_blocks: number;
 }
 
+/** An order to load weights. */
+export interface ICarriedOrder {
+  readonly fence: number;
+  readonly version: string;
+  readonly startedAt: number;
+  readonly finishedAt: number;
+}
+
 interface IQueued {
   readonly priority: number;
   readonly promptTokens: number;
@@ -52,8 +62,8 @@
   public weightsVersion: string;
   /** Highest fencing number seen. */
   public highestFence = 0;
-  /** Orders that were carried out, for checks from outside. */
-  public readonly orders: { fence: number; version: string }[] = [];
+  /** Orders that were carried out, for checks from outside. Times are wall-clock milliseconds. */
+  public readonly orders: ICarriedOrder[] = [];
   private readonly _cache: EngineCache;
   private readonly _streams = new Map<string, EngineStream>();
   private readonly _queue: IQueued[] = [];
@@ -101,13 +111,14 @@
   }
 
   /** Loads weights. Returns false for an old fencing number in strict mode. */
-  public async loadWeights(fence: number, version: string, loadMs: number): Promise<boolean> {
+  public async loadWeights(fence: number, version: string): Promise<boolean> {
     if (this._options.fencing === 'strict' && fence < this.highestFence) {
       return false;
     }
     this.highestFence = Math.max(this.highestFence, fence);
-    await delay(loadMs);
-    this.orders.push({ fence, version });
+    const startedAt = Date.now();
+    await delay(this._options.loadMs);
+    this.orders.push({ fence, version, startedAt, finishedAt: Date.now() });
     this.weightsVersion = version;
     this._cache.clear();
     return true;
--- a/fakes/EngineServer.ts
+++ b/fakes/EngineServer.ts
@@ -5,9 +5,6 @@
 import type { EngineStream } from './EngineStream.js';
 import { readJson, sendJson } from './Http.js';
 
-/** Time that one load of weights takes. */
-const LOAD_MS = 300;
-
 interface IMessage {
   readonly role?: string;
   readonly content?: string;
@@ -88,7 +85,7 @@
   response: ServerResponse,
 ): Promise<void> {
   const order = await readJson(request);
-  const isDone = await engine.loadWeights(Number(order.fence), String(order.version), LOAD_MS);
+  const isDone = await engine.loadWeights(Number(order.fence), String(order.version));
   if (isDone) {
     sendJson(response, 200, describeEngine(engine));
   } else {
--- a/fakes/main.ts
+++ b/fakes/main.ts
@@ -23,6 +23,7 @@
   'event-delay-ms': { type: 'string', default: '200' },
   'event-loss': { type: 'string', default: '0.02' },
   'load-lag-ms': { type: 'string', default: '200' },
+  'load-ms': { type: 'string', default: '300' },
 } as const;
 
 /** Callers' keys begin like this; none may reach a target. */
@@ -49,6 +50,7 @@
     maxRunning: Number(values['max-running']),
     fencing: values.fencing === 'ignore' ? 'ignore' : 'strict',
     loadLagMs: Number(values['load-lag-ms']),
+    loadMs: Number(values['load-ms']),
     cache: {
       capacityChunks: Number(values.chunks),
       idleEvictionMs: Number(values['evict-ms']),
--- a/src/run/Process.ts
+++ b/src/run/Process.ts
@@ -4,6 +4,7 @@
 import { createLog, describeError, type ILog } from '../common/Log.js';
 import { Metrics } from '../common/Metrics.js';
 import { RpcClients } from '../common/Rpc.js';
+import { ControlClient } from '../control/ControlClient.js';
 import { FeedClient } from '../feed/FeedClient.js';
 import { FeedCopy } from '../feed/FeedCopy.js';
 import { FeedService } from '../gen/redwingwharf/v1/control_pb.js';
@@ -64,7 +65,17 @@
         },
       );
     this._sidecar =
-      sidecar && new Sidecar(sidecar, _settings.dataCentre, internal, this._copy, this._rpc, _log);
+      sidecar &&
+      new Sidecar(
+        sidecar,
+        _settings.dataCentre,
+        internal,
+        this._copy,
+        this._rpc,
+        new ControlClient(this._rpc, _settings.feed, _log, () => this._copy.leaderAddress),
+        this._clock,
+        _log,
+      );
   }
 
   /** Runs until `signal` is aborted, then drains and stops. Returns the exit code. */
--- a/src/sidecar/Announcer.ts
+++ b/src/sidecar/Announcer.ts
@@ -33,7 +33,8 @@
   private readonly _wakers = new Set<AbortController>();
   private readonly _pendingEvictions = new Map<string, Uint8Array[]>();
   private _sequence = 0;
-  private _isDraining = false;
+  private _isLeaving = false;
+  private _isLoading = false;
 
   constructor(
     private readonly _options: IAnnouncerOptions,
@@ -42,13 +43,25 @@
     private readonly _log: ILog,
   ) {}
 
+  /** True while the target gets no new work. */
   public get isDraining(): boolean {
-    return this._isDraining;
+    return this._isLeaving || this._isLoading;
+  }
+
+  /** True when the target is being taken out of service. */
+  public get isLeaving(): boolean {
+    return this._isLeaving;
   }
 
   /** Tells all entries that the target gets no new work. */
   public startDraining(): void {
-    this._isDraining = true;
+    this._isLeaving = true;
+    this.notify();
+  }
+
+  /** Tells all entries that the target gets no new work while it loads weights. */
+  public setLoading(isLoading: boolean): void {
+    this._isLoading = isLoading;
     this.notify();
   }
 
@@ -96,7 +109,7 @@
       targetIncarnation: state.incarnation,
       model: target.model ?? '',
       weightsVersion: state.weightsVersion,
-      draining: this._isDraining,
+      draining: this.isDraining,
       healthy: state.isHealthy,
       load: state.load,
       evicted: this._takeEvictions(entry),
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -3,10 +3,12 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Agent } from 'undici';
+import type { IClock } from '../common/Clock.js';
 import { generateIdentifier, hasSameBytes } from '../common/Hashes.js';
 import type { ILog } from '../common/Log.js';
 import type { RpcClients } from '../common/Rpc.js';
 import { isAborted, sleep } from '../common/Tasks.js';
+import type { ControlClient } from '../control/ControlClient.js';
 import type { IFeed } from '../feed/Types.js';
 import {
   ClaimProgress,
@@ -21,8 +23,12 @@
 import { Announcer } from './Announcer.js';
 import { ClaimTable } from './ClaimTable.js';
 import { Dispatches } from './Dispatches.js';
+import { EngineOrders } from './EngineOrders.js';
 import type { IGateState } from './Gate.js';
+import { LoadSlotClient } from './LoadSlotClient.js';
 import { TargetWatcher } from './TargetWatcher.js';
+import { TargetWork } from './TargetWork.js';
+import { WeightsReconciler } from './WeightsReconciler.js';
 
 /** Longer than the entries keep idle connections, so that the entry closes them first. */
 export const SIDECAR_KEEP_ALIVE_MS = 10_000;
@@ -40,6 +46,7 @@
   private readonly _watcher: TargetWatcher;
   private readonly _announcer: Announcer;
   private readonly _dispatches: Dispatches;
+  private readonly _weights: WeightsReconciler | undefined;
 
   constructor(
     private readonly _settings: ISidecarRole,
@@ -47,6 +54,8 @@
     address: string,
     feed: IFeed,
     clients: RpcClients,
+    control: ControlClient,
+    clock: IClock,
     private readonly _log: ILog,
   ) {
     const { target, announceTo } = _settings;
@@ -65,6 +74,7 @@
       this._http,
       _log,
     );
+    this._weights = this._createReconciler(feed, clients, control, clock);
     this._watcher.onChange((state) => {
       this._log.info('target state changed', {
         target: target.id,
@@ -78,7 +88,11 @@
 
   /** Watches and announces until the signal is aborted. */
   public async run(signal: AbortSignal): Promise<void> {
-    await Promise.all([this._watcher.run(signal), this._announcer.run(signal)]);
+    await Promise.all([
+      this._watcher.run(signal),
+      this._announcer.run(signal),
+      this._weights?.run(signal),
+    ]);
   }
 
   /** Handles a dispatch from an entry. */
@@ -107,6 +121,37 @@
     await this._http.destroy();
   }
 
+  /** Only engines have weights. */
+  private _createReconciler(
+    feed: IFeed,
+    clients: RpcClients,
+    control: ControlClient,
+    clock: IClock,
+  ): WeightsReconciler | undefined {
+    const { target, announceTo } = this._settings;
+    if (target.model === undefined) {
+      return undefined;
+    }
+    const { id, model, address, healthPath } = target;
+    const holder = { target: id, model, sidecarIncarnation: this._incarnation };
+    return new WeightsReconciler(model, {
+      feed,
+      slots: new LoadSlotClient(control, holder),
+      engine: new EngineOrders(address, healthPath),
+      work: new TargetWork(
+        target,
+        announceTo,
+        this._watcher,
+        this._announcer,
+        this._dispatches,
+        clients,
+        this._log,
+      ),
+      clock,
+      log: this._log,
+    });
+  }
+
   private _startDraining(): DrainResponse {
     this._announcer.startDraining();
     return create(DrainResponseSchema, { openRequests: this._dispatches.open });
--- /dev/null
+++ b/src/sidecar/TargetWork.ts
@@ -0,0 +1,97 @@
+/** New work of the target while its engine loads weights. */
+import type { ILog } from '../common/Log.js';
+import { describeError } from '../common/Log.js';
+import type { RpcClients } from '../common/Rpc.js';
+import { RosterService, type TargetStatus } from '../gen/redwingwharf/v1/control_pb.js';
+import type { ITargetRole } from '../settings/Types.js';
+import type { Announcer } from './Announcer.js';
+import type { Dispatches } from './Dispatches.js';
+import type { TargetWatcher } from './TargetWatcher.js';
+
+const ASK_TIMEOUT_MS = 500;
+
+/** Other engines of the same model, as an entry knows them. */
+export interface IPeerCount {
+  readonly known: number;
+  /** Those that take new work. */
+  readonly serving: number;
+}
+
+/** What a load of weights needs to know and to hold back. */
+export interface ITargetWork {
+  readonly isHealthy: boolean;
+  /** Weights that the last poll of the target found. */
+  readonly weightsVersion: string;
+  /** True when the target is being taken out of service. */
+  readonly isLeaving: boolean;
+  /** Requests that the target has not answered completely. */
+  readonly open: number;
+  /** Refuses new work and tells the entries. */
+  hold(): void;
+  /** Reads the target's state and takes new work again. */
+  resume(signal: AbortSignal): Promise<void>;
+  /** Returns undefined when no entry answers. */
+  countPeers(signal: AbortSignal): Promise<IPeerCount | undefined>;
+}
+
+/** Joins the watcher, the announcer and the dispatches of a sidecar. */
+export class TargetWork implements ITargetWork {
+  constructor(
+    private readonly _target: ITargetRole,
+    private readonly _entries: readonly string[],
+    private readonly _watcher: TargetWatcher,
+    private readonly _announcer: Announcer,
+    private readonly _dispatches: Dispatches,
+    private readonly _clients: RpcClients,
+    private readonly _log: ILog,
+  ) {}
+
+  public get isHealthy(): boolean {
+    return this._watcher.state.isHealthy;
+  }
+
+  public get weightsVersion(): string {
+    return this._watcher.state.weightsVersion;
+  }
+
+  public get isLeaving(): boolean {
+    return this._announcer.isLeaving;
+  }
+
+  public get open(): number {
+    return this._dispatches.open;
+  }
+
+  public hold(): void {
+    this._announcer.setLoading(true);
+  }
+
+  public async resume(signal: AbortSignal): Promise<void> {
+    // The entries learn of the new weights and of the end of the load by the same announcement.
+    await this._watcher.pollOnce(signal).catch((error: unknown) => {
+      this._log.debug('poll after a load failed', { error: describeError(error) });
+    });
+    this._announcer.setLoading(false);
+  }
+
+  public async countPeers(signal: AbortSignal): Promise<IPeerCount | undefined> {
+    for (const entry of this._entries) {
+      try {
+        const client = this._clients.get(RosterService, entry);
+        const status = await client.getEntryStatus({}, { signal, timeoutMs: ASK_TIMEOUT_MS });
+        return this._countPeers(status.targets);
+      } catch (error) {
+        this._log.debug('no roster', { entry, error: describeError(error) });
+      }
+    }
+    return undefined;
+  }
+
+  private _countPeers(targets: readonly TargetStatus[]): IPeerCount {
+    const peers = targets
+      .flatMap(({ announcement }) => (announcement === undefined ? [] : [announcement]))
+      .filter(({ target, model }) => model === this._target.model && target !== this._target.id);
+    const serving = peers.filter(({ healthy, draining }) => healthy && !draining);
+    return { known: peers.length, serving: serving.length };
+  }
+}
