Test that a stale copy alone stops a frozen process

The test let the slot lease end too, so that it passed without the check of the copy's age before a command. A trial without that check now fails it for strict engines.

--- a/src/sidecar/WeightsReconciler.test.ts
+++ b/src/sidecar/WeightsReconciler.test.ts
@@ -190,7 +190,8 @@
       clock.advance(FEED_FRESHNESS_LIMIT_MS);
       control.desired = 'w3';
       const successor = createSidecar(engine, 2);
-      clock.advance(WEIGHTS_TIMINGS.startWaitMs);
+      // Within 3 s the slot of the frozen process is still leased: only its stale copy stops it.
+      clock.advance(mode === 'ignore' ? WEIGHTS_TIMINGS.startWaitMs : 0);
       successor.feed.sync();
       await successor.reconciler.reconcileOnce(never);
       gate.open();
