Roll out new weights in the demo

The demo publishes a new version for the model while streams run. It checks that each engine loads it exactly once, that at most two load at the same time, that no stream breaks, and that an answer after it has no cached tokens of the old weights. The demo deploys a third engine, because two engines can't show the limit of two.

--- a/tools/demo.ts
+++ b/tools/demo.ts
@@ -1,11 +1,25 @@
 /** Starts a small deployment, sends a mixed load through it and checks what came back. */
-import { readFileSync } from 'node:fs';
-import { Deployment } from './harness/Deployment.js';
+import { mkdirSync, readFileSync, writeFileSync } from 'node:fs';
+import { Deployment, type IDeploymentPlan } from './harness/Deployment.js';
 import { FRANCHISE_PLAN } from './harness/Franchise.js';
 
 /** A pricking standard of a few cached chunks that all prompts share. */
 const STANDARD = 'A lace pattern is checked line by line against the standard. '.repeat(600);
 
+/** Another standard, so that its chunks are cached only by requests that name it. */
+const OTHER_STANDARD = `Bobbin rules. ${STANDARD}`;
+
+const ENGINES = ['lace-1', 'lace-2', 'lace-3'];
+
+/** A third engine makes the limit of two loads at once visible. */
+const PLAN: IDeploymentPlan = {
+  ...FRANCHISE_PLAN,
+  targets: [
+    ...FRANCHISE_PLAN.targets,
+    { id: 'lace-3', service: 'lace', kind: 'engine', model: 'lace-1', dataCentre: 'hr-c' },
+  ],
+};
+
 interface ICheck {
   readonly name: string;
   readonly ok: boolean;
@@ -38,7 +52,12 @@
   return { status: response.status, text: await response.text(), headers: response.headers };
 }
 
-async function streamCompletion(url: string, key: string, maxTokens: number): Promise<IAnswer> {
+async function streamCompletion(
+  url: string,
+  key: string,
+  maxTokens: number,
+  standard = STANDARD,
+): Promise<IAnswer> {
   return call(`${url}/v1/chat/completions`, key, {
     method: 'POST',
     body: JSON.stringify({
@@ -46,7 +65,7 @@
       stream: true,
       max_tokens: maxTokens,
       messages: [
-        { role: 'system', content: STANDARD },
+        { role: 'system', content: standard },
         { role: 'user', content: 'Is row 12 correct?' },
       ],
     }),
@@ -108,6 +127,95 @@
   recordCheck('cached prefix', cached > 0, `${cached} prompt tokens came from the cache`);
 }
 
+interface ICarriedOrder {
+  readonly version: string;
+  readonly startedAt: number;
+  readonly finishedAt: number;
+}
+
+/** Largest number of loads that ran at the same time. */
+function countOverlaps(orders: readonly ICarriedOrder[]): number {
+  const counts = orders.map(
+    ({ startedAt }) =>
+      orders.filter((order) => order.startedAt <= startedAt && startedAt < order.finishedAt).length,
+  );
+  return Math.max(0, ...counts);
+}
+
+/** Streams short answers one after the other until the signal is aborted. */
+async function keepStreaming(
+  url: string,
+  key: string,
+  tokens: number,
+  signal: AbortSignal,
+): Promise<string[]> {
+  const results: string[] = [];
+  while (!signal.aborted) {
+    const { status, text } = await streamCompletion(url, key, tokens, 'Be brief.');
+    results.push(isCompleteStream(text, tokens) ? 'complete' : `${status} ${text.slice(-200)}`);
+  }
+  return results;
+}
+
+async function publishWeights(deployment: Deployment, version: string): Promise<void> {
+  const folder = `${deployment.folder}/services/weights`;
+  mkdirSync(folder, { recursive: true });
+  const content = { weights: [{ model: 'lace-1', version }] };
+  writeFileSync(`${folder}/redwingwharf.json`, JSON.stringify(content));
+  const args = ['publish', `${deployment.folder}/services`, '--operator', 'demo'];
+  const published = await deployment.runOperator(args);
+  recordCheck(`publish weights ${version}`, published.code === 0, published.stdout.trim());
+}
+
+async function listOrders(deployment: Deployment): Promise<ICarriedOrder[][]> {
+  const answers = ENGINES.map((id) =>
+    call(`${deployment.getTargetUrl(id)}/admin/orders`, undefined),
+  );
+  return (await Promise.all(answers)).map(({ text }) => JSON.parse(text) as ICarriedOrder[]);
+}
+
+function readCachedTokens(stream: string): number {
+  return Number(/"cached_tokens":(\d+)/.exec(stream)?.[1] ?? -1);
+}
+
+async function checkWeights(deployment: Deployment, key: string): Promise<void> {
+  const [first = '', second = '', third = ''] = deployment
+    .listEntries()
+    .map((entry) => deployment.getUrl(entry));
+  await streamCompletion(first, key, 1, OTHER_STANDARD);
+  const stop = new AbortController();
+  const streaming = [first, second, third].map((url) => keepStreaming(url, key, 40, stop.signal));
+  const startedAt = performance.now();
+  await publishWeights(deployment, 'w2');
+  await deployment.waitFor('the new weights', async () => {
+    const states = ENGINES.map((id) => call(`${deployment.getTargetUrl(id)}/health`, undefined));
+    return (await Promise.all(states)).every(({ text }) => text.includes('"w2"'));
+  });
+  const tookMs = Math.round(performance.now() - startedAt);
+  const orders = await listOrders(deployment);
+  const atOnce = countOverlaps(orders.flat());
+  const isOnce = orders.every(({ length }) => length === 1);
+  const detail = `${ENGINES.length} engines in ${tookMs} ms, ${atOnce} at once`;
+  recordCheck('new weights on all engines, one load each', isOnce && atOnce <= 2, detail);
+  await deployment.waitFor('the entries to know the new weights', async () => {
+    const { stdout } = await deployment.runOperator([
+      'status',
+      '--entries',
+      deployment.getInternalAddress('entry-1'),
+      '--targets',
+      '--json',
+    ]);
+    return !stdout.includes('"w1"');
+  });
+  const after = readCachedTokens((await streamCompletion(first, key, 1, OTHER_STANDARD)).text);
+  recordCheck('no cached tokens of the old weights', after === 0, `${after} cached tokens`);
+  stop.abort();
+  const results = (await Promise.all(streaming)).flat();
+  const broken = results.filter((result) => result !== 'complete');
+  const streams = `${results.length} streams, ${broken.length} not complete ${broken[0] ?? ''}`;
+  recordCheck('streams complete during the change', broken.length === 0, streams);
+}
+
 async function checkPlain(deployment: Deployment, key: string): Promise<void> {
   const url = deployment.getUrl('entry-2');
   const stock = await call(`${url}/stock/linen`, key);
@@ -208,6 +316,7 @@
 async function runChecks(deployment: Deployment): Promise<void> {
   const key = await prepareDeployment(deployment);
   await checkModel(deployment, key);
+  await checkWeights(deployment, key);
   await checkPlain(deployment, key);
   await checkKeys(deployment, key);
   await checkRestart(deployment, key);
@@ -217,7 +326,7 @@
 
 async function main(): Promise<void> {
   const startedAt = performance.now();
-  const deployment = await Deployment.create(FRANCHISE_PLAN);
+  const deployment = await Deployment.create(PLAN);
   try {
     await runChecks(deployment);
   } catch (error) {
