Export hot chunks to the KV-cache store and import them into empty engines

The sidecar counts from cache events how often its engine stores a chunk and how long it stays. Hot chunks go to the store under model, weights version and chunk hash, with a list of them for each target. After a restart or a load the sidecar imports what its own list and those of up to eight peers name. At most two chunks are in progress and 20 a second; each transfer checks that incarnation, weights and fencing token of the engine are unchanged, and an upload is broken off before its end when they are not.

Fault fixed on the way: the watcher kept the chunk index when an engine loaded other weights; it now forgets it. The fake store failed on an upload that broke off; it now drops it.

Ruled out: one shared list for each version, which needs a conditional write that PUT does not offer. Not known: the use of a chunk between its store and its eviction, because cache events don't tell it.

--- a/fakes/StoreServers.ts
+++ b/fakes/StoreServers.ts
@@ -8,24 +8,30 @@
   const blobs = new Map<string, Buffer>();
   return createServer((request, response) => {
     const key = request.url ?? '/';
-    void readBody(request).then((body) => {
-      if (request.method === 'PUT') {
-        blobs.set(key, body);
-        const [oldest] = blobs.keys();
-        if (blobs.size > maxBlobs && oldest !== undefined) {
-          blobs.delete(oldest);
+    readBody(request).then(
+      (body) => {
+        if (request.method === 'PUT') {
+          blobs.set(key, body);
+          const [oldest] = blobs.keys();
+          if (blobs.size > maxBlobs && oldest !== undefined) {
+            blobs.delete(oldest);
+          }
+          sendJson(response, 200, { stored: true });
+          return;
         }
-        sendJson(response, 200, { stored: true });
-        return;
-      }
-      const blob = blobs.get(key);
-      if (blob === undefined) {
-        sendJson(response, 404, { error: 'not_stored' });
-      } else {
-        response.writeHead(200, { 'content-type': 'application/octet-stream' });
-        response.end(blob);
-      }
-    });
+        const blob = blobs.get(key);
+        if (blob === undefined) {
+          sendJson(response, 404, { error: 'not_stored' });
+        } else {
+          response.writeHead(200, { 'content-type': 'application/octet-stream' });
+          response.end(blob);
+        }
+      },
+      () => {
+        // An upload that broke off is not kept.
+        response.destroy();
+      },
+    );
   });
 }
 
--- a/src/gen/settings.ts
+++ b/src/gen/settings.ts
@@ -73,6 +73,10 @@
    * @minItems 1
    */
   announceTo: [Address, ...Address[]];
+  /**
+   * IP number and port, such as 10.0.0.5:7001 or [fd00::5]:7001.
+   */
+  kvCacheStore?: string;
   target: TargetSettings;
 }
 export interface TargetSettings {
@@ -239,6 +243,10 @@
           },
           "description": "Internal addresses of the entries."
         },
+        "kvCacheStore": {
+          "$ref": "#/definitions/address",
+          "description": "KV-cache store for the hot chunks of an engine; without it none are exported or imported."
+        },
         "target": {
           "title": "TargetSettings",
           "type": "object",
--- a/src/settings/CrossChecks.ts
+++ b/src/settings/CrossChecks.ts
@@ -106,6 +106,9 @@
   const { target } = sidecar;
   checkAddressList(sidecar.announceTo, '/sidecar/announceTo', report);
   checkAddress(target.address, '/sidecar/target/address', report);
+  if (sidecar.kvCacheStore !== undefined) {
+    checkAddress(sidecar.kvCacheStore, '/sidecar/kvCacheStore', report);
+  }
   if (target.address === settings.internal) {
     const remedy = 'Write the address of the engine or service beside this sidecar.';
     report('/sidecar/target/address', 'the same address as "internal"', remedy);
--- a/src/sidecar/CacheIndex.ts
+++ b/src/sidecar/CacheIndex.ts
@@ -3,7 +3,8 @@
 /** Evictions kept for the next announcements; older ones are dropped, as evidence expires anyway. */
 const MAX_PENDING_EVICTIONS = 256;
 
-interface ICacheEvent {
+/** One event of an engine's cache. */
+export interface ICacheEvent {
   readonly seq: number;
   readonly type: 'stored' | 'removed';
   readonly hash: string;
@@ -27,20 +28,29 @@
     return this._chunks.has(hash);
   }
 
-  public apply(events: readonly ICacheEvent[]): void {
+  /** Applies the events that were not applied before and returns them. */
+  public apply(events: readonly ICacheEvent[]): ICacheEvent[] {
+    const applied: ICacheEvent[] = [];
     for (const event of events) {
       if (event.seq > this._lastSeq) {
         this._lastSeq = event.seq;
         this._applyEvent(event);
+        applied.push(event);
       }
     }
+    return applied;
   }
 
   /** Forgets everything, for an engine that came back empty. */
   public reset(): void {
+    this.clear();
+    this._lastSeq = 0;
+  }
+
+  /** Forgets the chunks, for an engine that loaded other weights; its event numbers go on. */
+  public clear(): void {
     this._chunks.clear();
     this._evicted.length = 0;
-    this._lastSeq = 0;
   }
 
   public takeEvicted(limit: number): Uint8Array[] {
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -25,6 +25,8 @@
 import { Dispatches } from './Dispatches.js';
 import { EngineOrders } from './EngineOrders.js';
 import type { IGateState } from './Gate.js';
+import { KvCacheExchange } from './KvCacheExchange.js';
+import { KvCacheStore } from './KvCacheStore.js';
 import { LoadSlotClient } from './LoadSlotClient.js';
 import { TargetWatcher } from './TargetWatcher.js';
 import { TargetWork } from './TargetWork.js';
@@ -47,6 +49,7 @@
   private readonly _announcer: Announcer;
   private readonly _dispatches: Dispatches;
   private readonly _weights: WeightsReconciler | undefined;
+  private readonly _exchange: KvCacheExchange | undefined;
 
   constructor(
     private readonly _settings: ISidecarRole,
@@ -59,7 +62,7 @@
     private readonly _log: ILog,
   ) {
     const { target, announceTo } = _settings;
-    this._watcher = new TargetWatcher(target, this._http, _log);
+    this._watcher = new TargetWatcher(target, this._http, clock, _log);
     this._announcer = new Announcer(
       { target, dataCentre, address, sidecarIncarnation: this._incarnation, announceTo },
       this._watcher,
@@ -74,7 +77,17 @@
       this._http,
       _log,
     );
-    this._weights = this._createReconciler(feed, clients, control, clock);
+    const work = new TargetWork(
+      target,
+      announceTo,
+      this._watcher,
+      this._announcer,
+      this._dispatches,
+      clients,
+      _log,
+    );
+    this._weights = this._createReconciler(feed, control, work, clock);
+    this._exchange = this._createExchange(work, clock);
     this._watcher.onChange((state) => {
       this._log.info('target state changed', {
         target: target.id,
@@ -92,6 +105,7 @@
       this._watcher.run(signal),
       this._announcer.run(signal),
       this._weights?.run(signal),
+      this._exchange?.run(signal),
     ]);
   }
 
@@ -124,11 +138,11 @@
   /** Only engines have weights. */
   private _createReconciler(
     feed: IFeed,
-    clients: RpcClients,
     control: ControlClient,
+    work: TargetWork,
     clock: IClock,
   ): WeightsReconciler | undefined {
-    const { target, announceTo } = this._settings;
+    const { target } = this._settings;
     if (target.model === undefined) {
       return undefined;
     }
@@ -138,20 +152,31 @@
       feed,
       slots: new LoadSlotClient(control, holder),
       engine: new EngineOrders(address, healthPath),
-      work: new TargetWork(
-        target,
-        announceTo,
-        this._watcher,
-        this._announcer,
-        this._dispatches,
-        clients,
-        this._log,
-      ),
+      work,
       clock,
       log: this._log,
     });
   }
 
+  private _createExchange(work: TargetWork, clock: IClock): KvCacheExchange | undefined {
+    const { target, kvCacheStore } = this._settings;
+    if (target.model === undefined || kvCacheStore === undefined) {
+      return undefined;
+    }
+    const { id, model, address, healthPath } = target;
+    return new KvCacheExchange(
+      { id, address, listPeers: (signal) => work.listPeers(signal) },
+      {
+        store: new KvCacheStore(kvCacheStore, model, this._http),
+        engine: new EngineOrders(address, healthPath),
+        hot: this._watcher.hot,
+        http: this._http,
+        clock,
+        log: this._log,
+      },
+    );
+  }
+
   private _startDraining(): DrainResponse {
     this._announcer.startDraining();
     return create(DrainResponseSchema, { openRequests: this._dispatches.open });
--- a/src/sidecar/TargetWatcher.ts
+++ b/src/sidecar/TargetWatcher.ts
@@ -5,8 +5,10 @@
 import { describeError, type ILog } from '../common/Log.js';
 import { limitSignal, runPeriodically } from '../common/Tasks.js';
 import { TargetLoadSchema } from '../gen/redwingwharf/v1/control_pb.js';
+import type { IClock } from '../common/Clock.js';
 import type { ITargetRole } from '../settings/Types.js';
-import { CacheIndex } from './CacheIndex.js';
+import { CacheIndex, type ICacheEvent } from './CacheIndex.js';
+import { HotChunks } from './HotChunks.js';
 import type { ITargetState, ITargetWatcher } from './Types.js';
 
 const POLL_INTERVAL_MS = 250;
@@ -30,7 +32,7 @@
 
 interface IEventsReply {
   readonly incarnation: string;
-  readonly events: readonly { seq: number; type: 'stored' | 'removed'; hash: string }[];
+  readonly events: readonly ICacheEvent[];
 }
 
 /** Polls the target and keeps its last known state. */
@@ -45,12 +47,16 @@
     load: create(TargetLoadSchema),
   };
 
+  /** Chunks of the current weights that the engine uses often. */
+  public readonly hot = new HotChunks();
+
   /** Fires when health, incarnation or weights change. */
   public readonly onChange = this._changeEmitter.onFire;
 
   constructor(
     private readonly _target: ITargetRole,
     private readonly _http: Dispatcher,
+    private readonly _clock: IClock,
     private readonly _log: ILog,
   ) {}
 
@@ -78,14 +84,13 @@
     const health = (await this._get(this._target.healthPath, signal)) as IHealthReply;
     this._failedPolls = 0;
     const incarnation = health.incarnation ?? '';
-    if (incarnation !== this._state.incarnation) {
-      this._cache.reset();
-    }
+    const weightsVersion = health.weights_version ?? '';
+    this._forgetChunks(incarnation, weightsVersion);
     this._update({
       ...this._state,
       isHealthy: true,
       incarnation,
-      weightsVersion: health.weights_version ?? '',
+      weightsVersion,
     });
     if (this._target.kind === 'engine') {
       await this._pollEngine(signal);
@@ -107,7 +112,19 @@
     const path = `/events?after=${this._cache.lastSeq}`;
     const reply = (await this._get(path, signal)) as IEventsReply;
     if (reply.incarnation === this._state.incarnation) {
-      this._cache.apply(reply.events);
+      this.hot.apply(this._cache.apply(reply.events), this._clock.now());
+    }
+  }
+
+  /** Chunks of a dead engine or of other weights serve no request. */
+  private _forgetChunks(incarnation: string, weightsVersion: string): void {
+    if (incarnation !== this._state.incarnation) {
+      this._cache.reset();
+      this.hot.release();
+    }
+    if (weightsVersion !== this._state.weightsVersion) {
+      this._cache.clear();
+      this.hot.clear();
     }
   }
 
--- a/src/sidecar/TargetWork.ts
+++ b/src/sidecar/TargetWork.ts
@@ -2,7 +2,11 @@
 import type { ILog } from '../common/Log.js';
 import { describeError } from '../common/Log.js';
 import type { RpcClients } from '../common/Rpc.js';
-import { RosterService, type TargetStatus } from '../gen/redwingwharf/v1/control_pb.js';
+import {
+  RosterService,
+  type AnnounceRequest,
+  type TargetStatus,
+} from '../gen/redwingwharf/v1/control_pb.js';
 import type { ITargetRole } from '../settings/Types.js';
 import type { Announcer } from './Announcer.js';
 import type { Dispatches } from './Dispatches.js';
@@ -75,11 +79,22 @@
   }
 
   public async countPeers(signal: AbortSignal): Promise<IPeerCount | undefined> {
+    const targets = await this._readRoster(signal);
+    return targets && this._countPeers(targets);
+  }
+
+  /** Identifiers of the other engines of the model; empty when no entry answers. */
+  public async listPeers(signal: AbortSignal): Promise<readonly string[]> {
+    const targets = await this._readRoster(signal);
+    return this._listPeers(targets ?? []).map(({ target }) => target);
+  }
+
+  private async _readRoster(signal: AbortSignal): Promise<readonly TargetStatus[] | undefined> {
     for (const entry of this._entries) {
       try {
         const client = this._clients.get(RosterService, entry);
         const status = await client.getEntryStatus({}, { signal, timeoutMs: ASK_TIMEOUT_MS });
-        return this._countPeers(status.targets);
+        return status.targets;
       } catch (error) {
         this._log.debug('no roster', { entry, error: describeError(error) });
       }
@@ -88,10 +103,14 @@
   }
 
   private _countPeers(targets: readonly TargetStatus[]): IPeerCount {
-    const peers = targets
-      .flatMap(({ announcement }) => (announcement === undefined ? [] : [announcement]))
-      .filter(({ target, model }) => model === this._target.model && target !== this._target.id);
+    const peers = this._listPeers(targets);
     const serving = peers.filter(({ healthy, draining }) => healthy && !draining);
     return { known: peers.length, serving: serving.length };
   }
+
+  private _listPeers(targets: readonly TargetStatus[]): AnnounceRequest[] {
+    return targets
+      .flatMap(({ announcement }) => (announcement === undefined ? [] : [announcement]))
+      .filter(({ target, model }) => model === this._target.model && target !== this._target.id);
+  }
 }
