--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -3,10 +3,12 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Agent } from 'undici';
+import type { IClock } from '../common/Clock.js';
 import { generateIdentifier, hasSameBytes } from '../common/Hashes.js';
 import type { ILog } from '../common/Log.js';
 import type { RpcClients } from '../common/Rpc.js';
 import { isAborted, sleep } from '../common/Tasks.js';
+import type { ControlClient } from '../control/ControlClient.js';
 import type { IFeed } from '../feed/Types.js';
 import {
   ClaimProgress,
@@ -21,8 +23,14 @@
 import { Announcer } from './Announcer.js';
 import { ClaimTable } from './ClaimTable.js';
 import { Dispatches } from './Dispatches.js';
+import { EngineOrders } from './EngineOrders.js';
 import type { IGateState } from './Gate.js';
+import { KvCacheExchange } from './KvCacheExchange.js';
+import { KvCacheStore } from './KvCacheStore.js';
+import { LoadSlotClient } from './LoadSlotClient.js';
 import { TargetWatcher } from './TargetWatcher.js';
+import { TargetWork } from './TargetWork.js';
+import { WeightsReconciler } from './WeightsReconciler.js';
 
 /** Longer than the entries keep idle connections, so that the entry closes them first. */
 export const SIDECAR_KEEP_ALIVE_MS = 10_000;
@@ -40,6 +48,8 @@
   private readonly _watcher: TargetWatcher;
   private readonly _announcer: Announcer;
   private readonly _dispatches: Dispatches;
+  private readonly _weights: WeightsReconciler | undefined;
+  private readonly _exchange: KvCacheExchange | undefined;
 
   constructor(
     private readonly _settings: ISidecarRole,
@@ -47,10 +57,12 @@
     address: string,
     feed: IFeed,
     clients: RpcClients,
+    control: ControlClient,
+    clock: IClock,
     private readonly _log: ILog,
   ) {
     const { target, announceTo } = _settings;
-    this._watcher = new TargetWatcher(target, this._http, _log);
+    this._watcher = new TargetWatcher(target, this._http, clock, _log);
     this._announcer = new Announcer(
       { target, dataCentre, address, sidecarIncarnation: this._incarnation, announceTo },
       this._watcher,
@@ -65,6 +77,17 @@
       this._http,
       _log,
     );
+    const work = new TargetWork(
+      target,
+      announceTo,
+      this._watcher,
+      this._announcer,
+      this._dispatches,
+      clients,
+      _log,
+    );
+    this._weights = this._createReconciler(feed, control, work, clock);
+    this._exchange = this._createExchange(work, clock);
     this._watcher.onChange((state) => {
       this._log.info('target state changed', {
         target: target.id,
@@ -78,7 +101,12 @@
 
   /** Watches and announces until the signal is aborted. */
   public async run(signal: AbortSignal): Promise<void> {
-    await Promise.all([this._watcher.run(signal), this._announcer.run(signal)]);
+    await Promise.all([
+      this._watcher.run(signal),
+      this._announcer.run(signal),
+      this._weights?.run(signal),
+      this._exchange?.run(signal),
+    ]);
   }
 
   /** Handles a dispatch from an entry. */
@@ -107,6 +135,48 @@
     await this._http.destroy();
   }
 
+  /** Only engines have weights. */
+  private _createReconciler(
+    feed: IFeed,
+    control: ControlClient,
+    work: TargetWork,
+    clock: IClock,
+  ): WeightsReconciler | undefined {
+    const { target } = this._settings;
+    if (target.model === undefined) {
+      return undefined;
+    }
+    const { id, model, address, healthPath } = target;
+    const holder = { target: id, model, sidecarIncarnation: this._incarnation };
+    return new WeightsReconciler(model, {
+      feed,
+      slots: new LoadSlotClient(control, holder),
+      engine: new EngineOrders(address, healthPath),
+      work,
+      clock,
+      log: this._log,
+    });
+  }
+
+  private _createExchange(work: TargetWork, clock: IClock): KvCacheExchange | undefined {
+    const { target, kvCacheStore } = this._settings;
+    if (target.model === undefined || kvCacheStore === undefined) {
+      return undefined;
+    }
+    const { id, model, address, healthPath } = target;
+    return new KvCacheExchange(
+      { id, address, listPeers: (signal) => work.listPeers(signal) },
+      {
+        store: new KvCacheStore(kvCacheStore, model, this._http),
+        engine: new EngineOrders(address, healthPath),
+        hot: this._watcher.hot,
+        http: this._http,
+        clock,
+        log: this._log,
+      },
+    );
+  }
+
   private _startDraining(): DrainResponse {
     this._announcer.startDraining();
     return create(DrainResponseSchema, { openRequests: this._dispatches.open });
