Announce used chunks and give sidecars no keys

A dispatch now carries its prefix chain, the sidecar counts the uses, and an announcement names at most eight hot chunks that were used since the last one to the same entry (128 bytes).

Ruled out: all cache events to all entries (2.2 million a second at the target size), and messages between entries (the sidecar knows the uses of all entries already).

A sidecar now copies only services, client accounts and weights: it checks no keys, and less goes over the wire when many restart.

--- a/src/control/ControlNode.ts
+++ b/src/control/ControlNode.ts
@@ -4,6 +4,7 @@
 import type { IClock } from '../common/Clock.js';
 import { runWithLimit } from '../common/Tasks.js';
 import type { IConsensusStatus, IReplicatedLog } from '../consensus/Types.js';
+import { filterItems } from '../feed/FeedCopy.js';
 import type { IFeedSource } from '../feed/Types.js';
 import {
   ControlService,
@@ -107,7 +108,7 @@
       clusterId: status.clusterId,
       revision: BigInt(this._state.revision),
       version: BigInt(this._state.version),
-      items: [...changes.items],
+      items: filterItems(changes.items, request.prefixes),
       full: changes.full,
       leaderAddress: this._address,
     });
--- a/src/entry/Chooser.ts
+++ b/src/entry/Chooser.ts
@@ -121,6 +121,16 @@
     return policy;
   }
 
+  private _applyEvidence(policy: IRoutingPolicy | undefined, target: IRosterTarget): void {
+    const { evicted, used } = target.announcement;
+    if (evicted.length > 0) {
+      policy?.onEvicted(describeTarget(target), evicted.map(encodeHex));
+    }
+    if (used.length > 0) {
+      policy?.onCached(describeTarget(target), used.map(encodeHex), target.announcedAt);
+    }
+  }
+
   private _applyChange(change: RosterChange): void {
     const { announcement } = change.target;
     const policy = this._policies.get(announcement.service);
@@ -129,9 +139,7 @@
         policy?.onTargetGone(announcement.target);
         return;
       case 'announced':
-        if (announcement.evicted.length > 0) {
-          policy?.onEvicted(describeTarget(change.target), announcement.evicted.map(encodeHex));
-        }
+        this._applyEvidence(policy, change.target);
     }
   }
 }
--- a/src/entry/Dispatcher.ts
+++ b/src/entry/Dispatcher.ts
@@ -14,6 +14,9 @@
 
 const RETRY_PAUSE_MS = 20;
 
+/** Hashes of the prefix chain in a ticket: bounds its header to about 600 bytes. */
+const MAX_CHAIN_HASHES = 24;
+
 /** Time in which a new target announces itself. */
 const RETRY_NO_TARGET_MS = 1_000;
 
@@ -84,6 +87,7 @@
         revision: BigInt(feed.revision),
         deadlineMs: remainingMs,
         cacheSalt: choice.cacheSalt,
+        prefixChain: encodeChain(choice.routeRequest.chain),
         priority: context.caller?.account.priority ?? 0,
       }),
       target: choice.target,
@@ -136,6 +140,10 @@
   }
 }
 
+function encodeChain(chain: readonly string[]): Uint8Array[] {
+  return chain.slice(0, MAX_CHAIN_HASHES).map((hash) => Buffer.from(hash, 'hex'));
+}
+
 function describeNoTarget(ran: Ran): IHttpFailure {
   const message = 'No target of this service is available; try again.';
   return ran === 'no'
--- a/src/feed/FeedClient.ts
+++ b/src/feed/FeedClient.ts
@@ -24,6 +24,8 @@
     private readonly _copy: FeedCopy,
     private readonly _servers: readonly string[],
     private readonly _instance: string,
+    /** Keys to copy; all of them when empty. */
+    private readonly _prefixes: readonly string[],
     private readonly _clients: RpcClients,
     private readonly _clock: IClock,
     private readonly _log: ILog,
@@ -61,6 +63,7 @@
           haveRevision: BigInt(this._copy.revision),
           clusterId: this._copy.clusterId,
           instance: this._instance,
+          prefixes: [...this._prefixes],
         },
         { signal, timeoutMs: SYNC_TIMEOUT_MS },
       );
--- a/src/feed/FeedCopy.test.ts
+++ b/src/feed/FeedCopy.test.ts
@@ -86,6 +86,14 @@
     expect(upstream.sync(request, 40).items.map((item) => item.deleted)).toEqual([true]);
   });
 
+  it('gives a sidecar no keys', () => {
+    const upstream = new FeedCopy();
+    const items = [createItem('key/a', 3), createItem('clientAccount/b', 4)];
+    upstream.applyResponse(createResponse(4, items, { full: true }), 0);
+    const request = create(SyncRequestSchema, { prefixes: ['clientAccount/'] });
+    expect(upstream.sync(request, 10).items.map((item) => item.key)).toEqual(['clientAccount/b']);
+  });
+
   it('reports items that a full copy no longer holds as deleted', () => {
     const copy = new FeedCopy();
     copy.applyResponse(createResponse(4, [createItem('key/a', 4)], { full: true }), 0);
--- a/src/feed/FeedCopy.ts
+++ b/src/feed/FeedCopy.ts
@@ -99,7 +99,8 @@
   public sync(request: SyncRequest, arrivedAt: number): SyncResponse {
     const haveRevision = Number(request.haveRevision);
     const isFull = haveRevision < this._deltasSince || haveRevision === 0;
-    const items = isFull ? [...this._items.values()] : this._listChangedSince(haveRevision);
+    const changed = isFull ? [...this._items.values()] : this._listChangedSince(haveRevision);
+    const items = filterItems(changed, request.prefixes);
     const response = create(SyncResponseSchema, {
       clusterId: this._clusterId,
       revision: BigInt(this._revision),
@@ -171,3 +172,10 @@
     }
   }
 }
+
+/** Items whose keys begin with one of the prefixes; all items for no prefix. */
+export function filterItems(items: readonly Item[], prefixes: readonly string[]): Item[] {
+  return prefixes.length === 0
+    ? [...items]
+    : items.filter((item) => prefixes.some((prefix) => item.key.startsWith(prefix)));
+}
--- a/src/policy/CreatePolicy.ts
+++ b/src/policy/CreatePolicy.ts
@@ -5,6 +5,9 @@
 import { RoundRobin } from './RoundRobin.js';
 import type { IRandom, IRoutingPolicy } from './Types.js';
 
+/** Evidence kept for each service: about 7 MB, so that five models stay within the memory of a node. */
+const MAX_INDEX_ENTRIES = 20_000;
+
 export type PolicyName = 'default' | 'round-robin' | 'least-load' | 'prefix-hash';
 
 /**
@@ -20,7 +23,11 @@
 ): IRoutingPolicy {
   switch (name) {
     case 'default':
-      return new DefaultPolicy({ dataCentre, random });
+      return new DefaultPolicy({
+        dataCentre,
+        random,
+        index: { maxEntries: MAX_INDEX_ENTRIES },
+      });
     case 'round-robin':
       return new RoundRobin();
     case 'least-load':
--- a/src/run/Process.ts
+++ b/src/run/Process.ts
@@ -14,6 +14,9 @@
 import { EntryRole } from './EntryRole.js';
 import { InternalServer } from './InternalServer.js';
 
+/** A sidecar checks no keys, so it copies none. Its copy is incomplete and is not served on. */
+const SIDECAR_ITEMS: readonly string[] = ['service/', 'clientAccount/', 'weights/'];
+
 /** Exit codes of `run`. */
 const EXIT_OK = 0;
 const EXIT_FAILED = 1;
@@ -45,6 +48,7 @@
       this._copy,
       listFeedServers(_settings),
       _settings.instance,
+      sidecar === undefined ? [] : SIDECAR_ITEMS,
       this._rpc,
       this._clock,
       _log,
@@ -160,6 +164,12 @@
     this._control?.registerRpc(router);
     this._entry?.registerRpc(router);
     this._sidecar?.registerRpc(router);
+    if (this._sidecar === undefined) {
+      this._registerFeed(router);
+    }
+  }
+
+  private _registerFeed(router: ConnectRouter): void {
     router.service(FeedService, {
       sync: (request) => {
         const node = this._control?.node;
--- a/src/sidecar/Announcer.ts
+++ b/src/sidecar/Announcer.ts
@@ -1,5 +1,6 @@
 /** Tasks that announce the target to the entries, one for each entry. */
 import { create } from '@bufbuild/protobuf';
+import type { IClock } from '../common/Clock.js';
 import { describeError, type ILog } from '../common/Log.js';
 import type { RpcClients } from '../common/Rpc.js';
 import { addJitter, isAborted, sleep } from '../common/Tasks.js';
@@ -11,11 +12,15 @@
 } from '../gen/redwingwharf/v1/control_pb.js';
 import type { ITargetRole } from '../settings/Types.js';
 import type { ITargetWatcher } from './Types.js';
+import type { UsedChunks } from './UsedChunks.js';
 
 /** Four announcements fit into the expiry at the entry. */
 const ANNOUNCE_INTERVAL_MS = 500;
 const ANNOUNCE_TIMEOUT_MS = 400;
 
+/** Used hashes in one announcement: 128 bytes. */
+const MAX_USED_HASHES = 8;
+
 /** Evicted hashes in one announcement: bounds it to about 700 bytes. */
 const MAX_EVICTED_HASHES = 32;
 
@@ -32,6 +37,7 @@
 export class Announcer {
   private readonly _wakers = new Set<AbortController>();
   private readonly _pendingEvictions = new Map<string, Uint8Array[]>();
+  private readonly _announcedAt = new Map<string, number>();
   private _sequence = 0;
   private _isLeaving = false;
   private _isLoading = false;
@@ -39,7 +45,9 @@
   constructor(
     private readonly _options: IAnnouncerOptions,
     private readonly _watcher: ITargetWatcher,
+    private readonly _usedChunks: UsedChunks,
     private readonly _clients: RpcClients,
+    private readonly _clock: IClock,
     private readonly _log: ILog,
   ) {}
 
@@ -113,10 +121,17 @@
       healthy: state.isHealthy,
       load: state.load,
       evicted: this._takeEvictions(entry),
+      used: this._listUsed(entry),
       sequence: BigInt(this._sequence),
     });
   }
 
+  private _listUsed(entry: string): Uint8Array[] {
+    const since = this._announcedAt.get(entry) ?? -Infinity;
+    this._announcedAt.set(entry, this._clock.now());
+    return this._usedChunks.listSince(since, MAX_USED_HASHES);
+  }
+
   /** Each entry gets each eviction once. */
   private _takeEvictions(entry: string): Uint8Array[] {
     const evicted = this._watcher.takeEvicted(MAX_EVICTED_HASHES);
--- a/src/sidecar/Dispatches.ts
+++ b/src/sidecar/Dispatches.ts
@@ -45,6 +45,8 @@
 export interface IDispatchOptions {
   readonly targetAddress: string;
   readonly getGateState: () => IGateState;
+  /** Called for each dispatch that passes the gate. */
+  readonly onAccepted?: (ticket: Ticket) => void;
 }
 
 /** One handler for all dispatches to the target beside this sidecar. */
@@ -76,6 +78,7 @@
       this._refuse(request, response, ticket, refusal);
       return;
     }
+    this._options.onAccepted?.(ticket);
     this._open += 1;
     try {
       await this._forward(request, response, ticket);
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -30,6 +30,7 @@
 import { LoadSlotClient } from './LoadSlotClient.js';
 import { TargetWatcher } from './TargetWatcher.js';
 import { TargetWork } from './TargetWork.js';
+import { UsedChunks } from './UsedChunks.js';
 import { WeightsReconciler } from './WeightsReconciler.js';
 
 /** Longer than the entries keep idle connections, so that the entry closes them first. */
@@ -45,6 +46,7 @@
   private readonly _incarnation = generateIdentifier();
   private readonly _http = new Agent({ headersTimeout: 0, bodyTimeout: 0 });
   private readonly _claims = new ClaimTable();
+  private readonly _usedChunks = new UsedChunks();
   private readonly _watcher: TargetWatcher;
   private readonly _announcer: Announcer;
   private readonly _dispatches: Dispatches;
@@ -66,11 +68,19 @@
     this._announcer = new Announcer(
       { target, dataCentre, address, sidecarIncarnation: this._incarnation, announceTo },
       this._watcher,
+      this._usedChunks,
       clients,
+      clock,
       _log,
     );
     this._dispatches = new Dispatches(
-      { targetAddress: target.address, getGateState: () => this._getGateState() },
+      {
+        targetAddress: target.address,
+        getGateState: () => this._getGateState(),
+        onAccepted: (ticket) => {
+          this._usedChunks.record(ticket.prefixChain, clock.now());
+        },
+      },
       this._watcher,
       this._claims,
       feed,
@@ -95,6 +105,7 @@
         incarnation: state.incarnation,
         weightsVersion: state.weightsVersion,
       });
+      this._usedChunks.clear();
       this._announcer.notify();
     });
   }
--- a/tools/bench.ts
+++ b/tools/bench.ts
@@ -39,7 +39,7 @@
       seconds: { type: 'string', default: '120' },
       faults: { type: 'string', default: 'off' },
       load: { type: 'string', default: '1' },
-      notices: { type: 'string', default: 'evicted' },
+      notices: { type: 'string', default: 'used' },
       compare: { type: 'boolean', default: false },
       'decision-times': { type: 'boolean', default: false },
     },
