Add a randomised long run with an outside ledger

npm run soak starts three entries, engines and plain targets as processes, sends a mixed load, injects faults drawn from a seed and checks effects, answers, keys, rates and versions without asking the program.

Links are cut and slowed by a module that is loaded before the program, so that src needs no hook for it. Proxies between the processes were ruled out: control members are known by their addresses, so a proxied address would change who is the leader.

--- a/fakes/Engine.ts
+++ b/fakes/Engine.ts
@@ -1,7 +1,7 @@
 /** Fake model engine: batching, prefix cache, priorities, orders. It generates no real text. */
-import { randomUUID } from 'node:crypto';
+import { createHash, randomUUID } from 'node:crypto';
 import { setTimeout as delay } from 'node:timers/promises';
-import { EngineCache, hashPrompt, type IEngineCacheOptions } from './EngineCache.js';
+import { ChunkOwners, EngineCache, hashPrompt, type IEngineCacheOptions } from './EngineCache.js';
 import { EngineStream } from './EngineStream.js';
 
 /** Rough length of a token in UTF-8 bytes. */
@@ -21,6 +21,8 @@
   readonly maxRunning: number;
   readonly fencing: 'strict' | 'ignore';
   readonly loadLagMs: number;
+  /** Called when cached chunks are used that only other client accounts had sent. */
+  readonly onForeignHit?: (requestId: string, chunks: number) => void;
   readonly cache: IEngineCacheOptions;
 }
 
@@ -46,6 +48,9 @@
   readonly start: () => void;
 }
 
+/** Test prompts name their client account in this form, since the engine sees no account. */
+const NONCE_PATTERN = /nonce ([a-z0-9]+)-/;
+
 /** The engine behind the HTTP server of `EngineServer.ts`. */
 export class Engine {
   public readonly incarnation = randomUUID();
@@ -55,6 +60,7 @@
   /** Orders that were carried out, for checks from outside. */
   public readonly orders: { fence: number; version: string }[] = [];
   private readonly _cache: EngineCache;
+  private readonly _owners = new ChunkOwners();
   private readonly _streams = new Map<string, EngineStream>();
   private readonly _queue: IQueued[] = [];
   private readonly _loads: { at: number; report: ILoadReport }[] = [];
@@ -110,6 +116,7 @@
     this.orders.push({ fence, version });
     this.weightsVersion = version;
     this._cache.clear();
+    this._owners.clear();
     return true;
   }
 
@@ -157,7 +164,9 @@
     const chain = hashPrompt(request.cacheSalt, request.prompt);
     let cachedTokens = 0;
     const step = this._prefill.then(async () => {
-      cachedTokens = this._cache.touchPrefix(chain, performance.now()) * CHUNK_TOKENS;
+      const cachedChunks = this._cache.touchPrefix(chain, performance.now());
+      cachedTokens = cachedChunks * CHUNK_TOKENS;
+      this._checkOwners(request, chain, cachedChunks);
       const missedTokens = promptTokens - cachedTokens;
       await delay((missedTokens / this._options.prefillTokensPerSecond) * 1_000);
       this._cache.insert(chain, performance.now());
@@ -167,6 +176,21 @@
     return cachedTokens;
   }
 
+  private _checkOwners(
+    request: IGenerateRequest,
+    chain: readonly string[],
+    cachedChunks: number,
+  ): void {
+    const account = NONCE_PATTERN.exec(request.prompt)?.[1];
+    if (account === undefined) {
+      return;
+    }
+    const foreign = this._owners.countForeign(chain, cachedChunks, account);
+    if (foreign > 0) {
+      this._options.onForeignHit?.(request.requestId, foreign);
+    }
+  }
+
   private async _decode(
     request: IGenerateRequest,
     stream: EngineStream,
@@ -206,6 +230,7 @@
       id: request.requestId,
       object: 'chat.completion.chunk',
       model: this._options.model,
+      prompt_digest: digestPrompt(request.prompt),
       choices: [{ index: 0, delta: {}, finish_reason: 'stop' }],
       usage: {
         prompt_tokens: promptTokens,
@@ -233,3 +258,8 @@
     }
   }
 }
+
+/** Lets the caller check that an answer belongs to its prompt. */
+export function digestPrompt(prompt: string): string {
+  return createHash('sha256').update(prompt).digest('hex');
+}
--- a/fakes/EngineCache.ts
+++ b/fakes/EngineCache.ts
@@ -41,6 +41,30 @@
   return hashes;
 }
 
+/** Client accounts that sent each chunk to this engine since its weights were loaded. */
+export class ChunkOwners {
+  private readonly _owners = new Map<string, Set<string>>();
+
+  /**
+   * Counts the leading chunks that an account had not sent before, then records the whole chain. A
+   * cached chunk among them was computed for another account.
+   */
+  public countForeign(chain: readonly string[], cachedChunks: number, account: string): number {
+    const foreign = chain
+      .slice(0, cachedChunks)
+      .filter((hash) => this._owners.get(hash)?.has(account) !== true).length;
+    for (const hash of chain) {
+      const owners = this._owners.get(hash) ?? new Set();
+      this._owners.set(hash, owners.add(account));
+    }
+    return foreign;
+  }
+
+  public clear(): void {
+    this._owners.clear();
+  }
+}
+
 /** Least-recently-used cache of chunk hashes. */
 export class EngineCache {
   private readonly _chunks = new Map<string, number>();
--- a/fakes/EngineServer.ts
+++ b/fakes/EngineServer.ts
@@ -193,15 +193,18 @@
 ): Promise<void> {
   let content = '';
   let usage: unknown;
+  let promptDigest: string | undefined;
   for await (const event of stream.readAfter(0)) {
     const data = event.slice(event.indexOf('data: ') + 6).trim();
     if (data !== '[DONE]') {
       const chunk = JSON.parse(data) as {
         choices: { delta: { content?: string } }[];
         usage?: unknown;
+        prompt_digest?: string;
       };
       content += chunk.choices[0]?.delta.content ?? '';
       usage = chunk.usage ?? usage;
+      promptDigest = chunk.prompt_digest ?? promptDigest;
     }
   }
   response.setHeader('x-engine-incarnation', engine.incarnation);
@@ -210,6 +213,7 @@
     id: stream.requestId,
     object: 'chat.completion',
     model: engine.model,
+    prompt_digest: promptDigest,
     choices: [
       { index: 0, message: { role: 'assistant', content: content }, finish_reason: 'stop' },
     ],
--- a/fakes/main.ts
+++ b/fakes/main.ts
@@ -1,4 +1,5 @@
 /** Starts one fake: `fakes engine|plain|kv-store|weight-store --listen IP:PORT ...`. */
+import { appendFileSync } from 'node:fs';
 import { parseArgs } from 'node:util';
 import { createServer, type IncomingMessage, type Server } from 'node:http';
 import { parseAddress } from '../src/common/Address.js';
@@ -12,6 +13,7 @@
   listen: { type: 'string', default: '127.0.0.1:0' },
   target: { type: 'string', default: 'target' },
   ledger: { type: 'string' },
+  violations: { type: 'string' },
   model: { type: 'string', default: 'model' },
   weights: { type: 'string', default: 'w1' },
   fencing: { type: 'string', default: 'strict' },
@@ -32,11 +34,20 @@
 let leakedKeys = 0;
 let requests = 0;
 
+/** Appends to a file, so that a finding survives a crash of the fake. */
+function recordViolation(kind: string, requestId: string): void {
+  if (values.violations !== undefined) {
+    const line = JSON.stringify({ kind, target: values.target, requestId });
+    appendFileSync(values.violations, `${line}\n`);
+  }
+}
+
 function observeRequest(request: IncomingMessage, body: unknown): void {
   requests += 1;
   const text = `${request.url ?? ''} ${request.rawHeaders.join(' ')} ${JSON.stringify(body)}`;
   if (KEY_PATTERN.test(text)) {
     leakedKeys += 1;
+    recordViolation('leaked_key', String(request.headers['x-request-id'] ?? ''));
   }
 }
 
@@ -49,6 +60,9 @@
     maxRunning: Number(values['max-running']),
     fencing: values.fencing === 'ignore' ? 'ignore' : 'strict',
     loadLagMs: Number(values['load-lag-ms']),
+    onForeignHit: (requestId) => {
+      recordViolation('foreign_cache_hit', requestId);
+    },
     cache: {
       capacityChunks: Number(values.chunks),
       idleEvictionMs: Number(values['evict-ms']),
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -16,11 +16,13 @@
 
 const ENTRY_POINTS = [
   ['src/main.ts', 'dist/redwingwharf.cjs'],
+  ['src/main.ts', 'dist/redwingwharf-test.cjs'],
   ['fakes/main.ts', 'dist/fakes.cjs'],
   ['tools/demo.ts', 'dist/tools/demo.cjs'],
   ['tools/bench.ts', 'dist/tools/bench.cjs'],
   ['tools/slopes.ts', 'dist/tools/slopes.cjs'],
   ['tools/soak.ts', 'dist/tools/soak.cjs'],
+  ['tools/soak/NetworkPreload.ts', 'dist/tools/network.cjs'],
   ['tools/overhead.ts', 'dist/tools/overhead.cjs'],
 ];
 
--- a/tools/harness/Child.ts
+++ b/tools/harness/Child.ts
@@ -11,9 +11,13 @@
     public readonly name: string,
     args: readonly string[],
     logFile: string,
+    environment: Readonly<Record<string, string>> = {},
   ) {
     const output = openSync(logFile, 'a');
-    this._process = spawn(process.execPath, [...args], { stdio: ['ignore', output, output] });
+    this._process = spawn(process.execPath, [...args], {
+      stdio: ['ignore', output, output],
+      env: { ...process.env, ...environment },
+    });
     closeSync(output);
   }
 
--- a/tools/harness/Deployment.ts
+++ b/tools/harness/Deployment.ts
@@ -27,9 +27,16 @@
   readonly region: string;
   readonly entries: readonly { readonly name: string; readonly dataCentre: string }[];
   readonly targets: readonly ITargetPlan[];
+  /** Targets that `start` leaves out, to be started later. */
+  readonly lateTargets?: readonly string[];
   /** Content of the operator's files, by folder. */
   readonly operatorFiles: Readonly<Record<string, unknown>>;
   readonly policy?: string;
+  /** Bundle of the program; the product's if not given. */
+  readonly program?: string;
+  /** Module that is loaded before the program, and further environment of its processes. */
+  readonly preload?: string;
+  readonly environment?: Readonly<Record<string, string>>;
 }
 
 interface IEntryPorts {
@@ -80,6 +87,16 @@
     return join(this.folder, 'secret');
   }
 
+  /** File to which the fakes write what no target may see. */
+  public get violationsFile(): string {
+    return join(this.folder, 'violations.jsonl');
+  }
+
+  /** File that tells the preloaded module of a process which connections to disturb. */
+  public getNetworkFile(name: string): string {
+    return join(this.folder, `${name}.network`);
+  }
+
   /** File to which the plain fakes write their effects. */
   public get ledgerFile(): string {
     return join(this.folder, 'effects.jsonl');
@@ -126,19 +143,19 @@
     for (const name of this.listEntries()) {
       this.startEntry(name);
     }
-    for (const id of this.listTargets()) {
+    const lateTargets = this._plan.lateTargets ?? [];
+    for (const id of this.listTargets().filter((target) => !lateTargets.includes(target))) {
       this.startFake(id);
       this.startSidecar(id);
     }
   }
 
   public startEntry(name: string): Child {
-    return this._spawn(name, [PROGRAM, 'run', '--settings', this._getSettingsFile(name)]);
+    return this._startProgram(name);
   }
 
   public startSidecar(id: string): Child {
-    const name = `sidecar-${id}`;
-    return this._spawn(name, [PROGRAM, 'run', '--settings', this._getSettingsFile(name)]);
+    return this._startProgram(`sidecar-${id}`);
   }
 
   public startFake(id: string): Child {
@@ -154,6 +171,8 @@
       id,
       '--ledger',
       this.ledgerFile,
+      '--violations',
+      this.violationsFile,
       ...model,
       ...(plan?.fakeArgs ?? []),
     ]);
@@ -171,7 +190,7 @@
   /** Runs a command of the program. */
   public async runCommand(args: readonly string[]): Promise<ICommandResult> {
     return new Promise((resolve) => {
-      execFile(process.execPath, [PROGRAM, ...args], (error, stdout, stderr) => {
+      execFile(process.execPath, [this._program, ...args], (error, stdout, stderr) => {
         const code = error === null ? 0 : Number(error.code ?? 1);
         resolve({ code, stdout, stderr });
       });
@@ -230,8 +249,25 @@
     rmSync(this.folder, { recursive: true, force: true });
   }
 
-  private _spawn(name: string, args: readonly string[]): Child {
-    const child = new Child(name, args, join(this.folder, `${name}.log`));
+  private get _program(): string {
+    return this._plan.program ?? PROGRAM;
+  }
+
+  private _startProgram(name: string): Child {
+    const { preload, environment } = this._plan;
+    const args = [this._program, 'run', '--settings', this._getSettingsFile(name)];
+    return this._spawn(name, preload === undefined ? args : ['--require', preload, ...args], {
+      ...environment,
+      REDWINGWHARF_NETWORK_FILE: this.getNetworkFile(name),
+    });
+  }
+
+  private _spawn(
+    name: string,
+    args: readonly string[],
+    environment: Readonly<Record<string, string>> = {},
+  ): Child {
+    const child = new Child(name, args, join(this.folder, `${name}.log`), environment);
     this._children.set(name, child);
     return child;
   }
--- /dev/null
+++ b/tools/soak/Invariants.ts
@@ -0,0 +1,57 @@
+/** Counts the checks and violations of each invariant. */
+
+/** Names as in docs/soak.md. */
+export const INVARIANTS = [
+  'a_once',
+  'b_not_run',
+  'c_answers',
+  'd_withdrawn',
+  'e_rate',
+  'f_configuration',
+  'g_key_leak',
+  'h_no_new_work',
+  'i_graceful',
+  'j_cache',
+  'k_restart',
+] as const;
+
+export type Invariant = (typeof INVARIANTS)[number];
+
+interface ICount {
+  checks: number;
+  violations: number;
+}
+
+/** Details printed for each invariant. */
+const MAX_DETAILS = 5;
+
+export class Invariants {
+  private readonly _counts = new Map<Invariant, ICount>();
+
+  constructor(private readonly _report: (line: string) => void) {
+    for (const name of INVARIANTS) {
+      this._counts.set(name, { checks: 0, violations: 0 });
+    }
+  }
+
+  public get violations(): number {
+    return [...this._counts.values()].reduce((sum, { violations }) => sum + violations, 0);
+  }
+
+  /** Records one check; the detail is only built for a violation. */
+  public check(name: Invariant, isKept: boolean, describe: () => string): void {
+    const count = this._counts.get(name) ?? { checks: 0, violations: 0 };
+    count.checks += 1;
+    if (isKept) {
+      return;
+    }
+    count.violations += 1;
+    if (count.violations <= MAX_DETAILS) {
+      this._report(`VIOLATION ${name}: ${describe()}`);
+    }
+  }
+
+  public toJSON(): Record<string, ICount> {
+    return Object.fromEntries(this._counts);
+  }
+}
--- /dev/null
+++ b/tools/soak/Random.ts
@@ -0,0 +1,28 @@
+/** Random numbers that a seed fixes, so that a run can be repeated as far as timing allows. */
+export class Random {
+  private _state: number;
+
+  constructor(seed: number) {
+    this._state = (seed >>> 0) + 0x9e3779b9;
+  }
+
+  /** Uniform in [0, 1): the generator "mulberry32". */
+  public next(): number {
+    this._state = (this._state + 0x6d2b79f5) | 0;
+    let mixed = Math.imul(this._state ^ (this._state >>> 15), 1 | this._state);
+    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
+  }
+
+  public nextBetween(low: number, high: number): number {
+    return low + this.next() * (high - low);
+  }
+
+  public pick<T>(choices: readonly T[]): T {
+    const choice = choices[Math.floor(this.next() * choices.length)];
+    if (choice === undefined) {
+      throw new Error('nothing to pick from');
+    }
+    return choice;
+  }
+}
