Add switches that turn single mechanisms off in the test bundle

The repair check after a lost disk read a field that the status command does not print; it compares disk ids with the leader's voters now.

--- a/src/admission/AccountWallet.ts
+++ b/src/admission/AccountWallet.ts
@@ -1,6 +1,7 @@
 /** Tokens of one client account that this entry may spend. */
 import type { MessageInitShape } from '@bufbuild/protobuf';
 import type { IDisposable } from '../common/Lifecycle.js';
+import { isBroken } from '../common/TestSwitches.js';
 import type {
   Grant,
   GrantReportSchema,
@@ -130,6 +131,7 @@
   }
 
   public addGrant(grant: Grant, leaseEndsAt: number): void {
+    TEST_ONLY: if (isBroken('grant-lease')) leaseEndsAt = Infinity;
     this._retryAfterMs = grant.retryAfterMs === 0 ? DEFAULT_RETRY_MS : grant.retryAfterMs;
     if (grant.tokens > 0) {
       const { grantId: id, epoch, tokens } = grant;
--- a/src/entry/Authenticate.ts
+++ b/src/entry/Authenticate.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { parseCallerKey, verifyCallerKey } from '../common/CallerKeys.js';
 import { Err, Ok, type Result } from '../common/Result.js';
+import { isBroken } from '../common/TestSwitches.js';
 import type { IFeed } from '../feed/Types.js';
 import type { ClientAccount } from '../gen/redwingwharf/v1/state_pb.js';
 import type { Directory } from './Directory.js';
@@ -26,6 +27,7 @@
 
 /** True when the configuration is confirmed recently enough to trust a key. */
 export function isFresh(feed: IFeed, now: number): boolean {
+  TEST_ONLY: if (isBroken('key-freshness')) return true;
   const confirmedAt = feed.getConfirmedAt();
   return confirmedAt !== undefined && now - confirmedAt < KEY_FRESHNESS_LIMIT_MS;
 }
--- a/src/entry/Chooser.ts
+++ b/src/entry/Chooser.ts
@@ -1,6 +1,7 @@
 /** Fifth stage: chooses a target through the service's policy. */
 import { encodeHex, signHmac } from '../common/Hashes.js';
 import type { IDisposable } from '../common/Lifecycle.js';
+import { isBroken } from '../common/TestSwitches.js';
 import { hashPrefixChain } from '../policy/PrefixChain.js';
 import type {
   IAnswer,
@@ -108,6 +109,7 @@
 
   /** Client accounts and weights versions never share a salt, so they never share cache entries. */
   private _deriveCacheSalt(input: IChooseInput, weightsVersion: string): string {
+    TEST_ONLY: if (isBroken('cache-salt')) return 'shared';
     const scope = JSON.stringify([input.clientAccount, input.model, weightsVersion]);
     return encodeHex(signHmac(this._clusterSecret, 'cache-salt', scope));
   }
--- a/src/entry/ClaimFlow.ts
+++ b/src/entry/ClaimFlow.ts
@@ -5,6 +5,7 @@
 import { Err, Ok, type Result } from '../common/Result.js';
 import type { RpcClients } from '../common/Rpc.js';
 import { addJitter, createTimeoutSignal, sleep } from '../common/Tasks.js';
+import { createUnrecordedClaim, isBroken } from '../common/TestSwitches.js';
 import {
   ClaimProgress,
   RefusalReason,
@@ -152,6 +153,7 @@
     replacesAttempt: number,
   ): Promise<Result<ClaimResult, IHttpFailure>> {
     const { announcement } = choice.target;
+    TEST_ONLY: if (isBroken('claim')) return Ok(createUnrecordedClaim());
     const method = context.request.method ?? 'POST';
     const result = await this._control.execute(
       {
@@ -341,6 +343,7 @@
 
   /** True when another life of the sidecar has announced the target. */
   private _isSidecarGone(attempt: IAttempt): boolean {
+    TEST_ONLY: if (isBroken('sidecar-incarnation')) return false;
     const target = this._roster.getTarget(attempt.binding.target, this._services.clock.now());
     return (
       target !== undefined &&
@@ -358,6 +361,8 @@
     | { kind: 'failed'; failure: IHttpFailure }
     | { kind: 'rebind'; attempt: number; target: string }
   > {
+    TEST_ONLY: if (isBroken('rebind-proof') && outcome.kind !== 'answered')
+      outcome = { kind: 'not_run' };
     switch (outcome.kind) {
       case 'answered':
         await this._settle(attempt, outcome.answer);
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -6,6 +6,7 @@
 import { parseAddress } from '../common/Address.js';
 import { describeError } from '../common/Log.js';
 import { sleep } from '../common/Tasks.js';
+import { isBroken } from '../common/TestSwitches.js';
 import { Err, Ok, type Result } from '../common/Result.js';
 import type { Service } from '../gen/redwingwharf/v1/state_pb.js';
 import {
@@ -113,6 +114,7 @@
    * accepting, and waits for the open requests.
    */
   public async drain(timeoutMs: number, signal: AbortSignal): Promise<void> {
+    TEST_ONLY: if (isBroken('graceful-drain')) return;
     this._isDraining = true;
     const { clock } = this._services;
     const giveUpAt = clock.now() + timeoutMs;
--- a/src/entry/ForwardHeaders.ts
+++ b/src/entry/ForwardHeaders.ts
@@ -1,6 +1,7 @@
 /** Which headers pass between caller and target. */
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
+import { isBroken } from '../common/TestSwitches.js';
 
 /** Headers of a request that a target may see. Keys, cookies and unknown headers stay here. */
 const REQUEST_HEADERS = [
@@ -31,6 +32,7 @@
 /** Copies the request headers that a target may see. */
 export function pickRequestHeaders(headers: IncomingHttpHeaders): Record<string, string> {
   const picked: Record<string, string> = {};
+  TEST_ONLY: if (isBroken('forward-key')) picked.authorization = headers.authorization ?? '';
   for (const name of REQUEST_HEADERS) {
     const value = headers[name];
     if (typeof value === 'string') {
--- a/src/entry/OpenRequests.ts
+++ b/src/entry/OpenRequests.ts
@@ -1,4 +1,5 @@
 /** Keyed requests in progress. Their keys are checked while they run. */
+import { isBroken } from '../common/TestSwitches.js';
 import type { IFeed } from '../feed/Types.js';
 import { isFresh, isKeyValid, type ICaller } from './Authenticate.js';
 import type { Directory } from './Directory.js';
@@ -87,6 +88,7 @@
 
   /** Checks one request. A process that was frozen checks before it passes on what had arrived. */
   public checkRequest(request: OpenRequest, now: number): void {
+    TEST_ONLY: if (isBroken('open-streams')) return;
     if (now >= request.deadlineAt) {
       request.end('deadline_exceeded');
     } else if (request.caller === undefined) {
--- a/src/entry/StreamRelay.ts
+++ b/src/entry/StreamRelay.ts
@@ -3,6 +3,7 @@
 import type { ServerResponse } from 'node:http';
 import type { Dispatcher } from 'undici';
 import { addJitter, sleep } from '../common/Tasks.js';
+import { isBroken } from '../common/TestSwitches.js';
 import { RefusalReason } from '../gen/redwingwharf/v1/control_pb.js';
 import type { DispatchClient, DispatchOutcome } from './DispatchClient.js';
 import type { IDispatched } from './Dispatcher.js';
@@ -45,7 +46,8 @@
   public async relay(dispatched: IDispatched): Promise<RelayEnd> {
     let outcome: DispatchOutcome | undefined = dispatched.outcome;
     while (outcome?.kind === 'answered') {
-      const end = await this._forwardEvents(outcome.response.body);
+      let end = await this._forwardEvents(outcome.response.body);
+      TEST_ONLY: if (isBroken('stream-end') && end === 'broken') end = 'done';
       switch (end) {
         case 'done':
           this._context.response.end();
--- a/src/feed/FeedCopy.ts
+++ b/src/feed/FeedCopy.ts
@@ -2,6 +2,7 @@
 import { create } from '@bufbuild/protobuf';
 import { Emitter } from '../common/Lifecycle.js';
 import { hasSameBytes } from '../common/Hashes.js';
+import { isBroken } from '../common/TestSwitches.js';
 import {
   SyncResponseSchema,
   type SyncRequest,
@@ -71,6 +72,7 @@
       return 'other_cluster';
     }
     const revision = Number(response.revision);
+    TEST_ONLY: if (isBroken('feed-revert')) this._revision = Math.min(this._revision, revision);
     if (revision < this._revision) {
       return 'behind';
     }
--- a/src/sidecar/Announcer.ts
+++ b/src/sidecar/Announcer.ts
@@ -3,6 +3,7 @@
 import { describeError, type ILog } from '../common/Log.js';
 import type { RpcClients } from '../common/Rpc.js';
 import { addJitter, isAborted, sleep } from '../common/Tasks.js';
+import { isBroken } from '../common/TestSwitches.js';
 import {
   AnnounceRequestSchema,
   RosterService,
@@ -48,6 +49,7 @@
 
   /** Tells all entries that the target gets no new work. */
   public startDraining(): void {
+    TEST_ONLY: if (isBroken('drain-notice')) return;
     this._isDraining = true;
     this.notify();
   }
--- a/src/sidecar/ClaimTable.ts
+++ b/src/sidecar/ClaimTable.ts
@@ -6,6 +6,7 @@
   type QueryClaimResponse,
 } from '../gen/redwingwharf/v1/control_pb.js';
 import type { Answer } from '../gen/redwingwharf/v1/state_pb.js';
+import { isBroken } from '../common/TestSwitches.js';
 
 /** Answers kept for entries that lost theirs. */
 const MAX_ANSWERS = 1_000;
@@ -37,6 +38,7 @@
 
   /** True when the attempt was accepted or refused before, or is too old to tell. */
   public has(claimId: bigint, attempt: number): boolean {
+    TEST_ONLY: if (isBroken('claim-table')) return false;
     return claimId <= this._lowWaterMark || this._claims.has(formatId(claimId, attempt));
   }
 
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -7,6 +7,7 @@
 import type { ILog } from '../common/Log.js';
 import type { RpcClients } from '../common/Rpc.js';
 import { isAborted, sleep } from '../common/Tasks.js';
+import { isBroken } from '../common/TestSwitches.js';
 import type { IFeed } from '../feed/Types.js';
 import {
   ClaimProgress,
@@ -113,6 +114,7 @@
   }
 
   private _queryClaim(request: QueryClaimRequest): QueryClaimResponse {
+    TEST_ONLY: if (isBroken('sidecar-incarnation')) request.sidecarIncarnation = this._incarnation;
     if (!hasSameBytes(request.sidecarIncarnation, this._incarnation)) {
       return create(QueryClaimResponseSchema, { progress: ClaimProgress.OTHER_INCARNATION });
     }
--- a/src/state/AccountLedger.ts
+++ b/src/state/AccountLedger.ts
@@ -19,6 +19,7 @@
  * bucket until it is full again; an account created after that is a new one with a full bucket.
  */
 import { create } from '@bufbuild/protobuf';
+import { isBroken } from '../common/TestSwitches.js';
 import {
   LedgerSnapshotSchema,
   OutstandingGrantSchema,
@@ -309,6 +310,7 @@
 
   /** Highest P that a refund for a grant of this epoch may lead to. */
   protected limitRefund(epoch: number): number {
+    TEST_ONLY: if (isBroken('plain-refunds')) return this._ceiling;
     return Math.min(this._getShadow(epoch), this._ceiling);
   }
 
--- a/src/state/Changes.ts
+++ b/src/state/Changes.ts
@@ -1,4 +1,5 @@
 /** Acceptance of operators' changes: compare-and-set by version, with recognition of resends. */
+import { isBroken } from '../common/TestSwitches.js';
 import { create, toBinary } from '@bufbuild/protobuf';
 import { digestSha256, hasSameBytes } from '../common/Hashes.js';
 import {
@@ -40,6 +41,7 @@
         ? this._buildAccepted(known, true)
         : this._buildConflict(known, digest);
     }
+    TEST_ONLY: if (isBroken('version-check')) change = { ...change, version: this._version + 1n };
     if (change.version !== this._version + 1n) {
       return this._buildConflict(this._byVersion.get(change.version), digest);
     }
--- a/tools/soak.ts
+++ b/tools/soak.ts
@@ -145,6 +145,7 @@
       invariants: this._invariants,
       random: new Random(this._seed + 3),
       probeKey: this._getProbeKey(),
+      report,
       replaceKey: () => this._replaceKey(),
       isAlone: () => this._schedule.isAlone(),
     };
@@ -174,7 +175,9 @@
       effects: checks.effects.length,
       invariants: this._invariants,
       faults: Object.fromEntries([...this._schedule.counts].sort()),
+      rateRefusals: checks.countRefusals(ACCOUNTS),
       wrongfulRefusals: checks.countWrongfulRefusals(ACCOUNTS),
+      orderMs: checks.measureOrders(),
       ok: isKept,
     };
     if (!isKept) {
--- a/tools/soak/FaultSchedule.ts
+++ b/tools/soak/FaultSchedule.ts
@@ -6,13 +6,15 @@
 /** Share of rounds with two faults at a time. */
 const PAIR_SHARE = 0.5;
 
-/** Faults that leave control and the targets alone. */
-const HARMLESS_KINDS = [
-  'operator_race',
-  'operator_resend',
-  'withdraw_key',
-  'change_rate',
-  'new_target',
+/** Faults that stop entries or the links between them, and with them control. */
+const CONTROL_KINDS = [
+  'kill_entry',
+  'lose_disk',
+  'freeze_entry',
+  'cut_link',
+  'isolate_entry',
+  'restart_all',
+  'graceful_restart',
 ];
 
 interface IPicked {
@@ -31,24 +33,24 @@
     private readonly _kinds: readonly string[],
   ) {}
 
-  /** True while at most one fault runs that disturbs processes or links. */
+  /** True while at most one fault runs that disturbs control. */
   public isAlone(): boolean {
-    return [...this._running].filter((kind) => !HARMLESS_KINDS.includes(kind)).length <= 1;
+    return [...this._running].filter((kind) => CONTROL_KINDS.includes(kind)).length <= 1;
   }
 
   /** Injects faults until the signal is aborted. */
   public async run(context: IFaultContext, signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const first = this._pick(context, []);
-      const isPair = this._random.next() < PAIR_SHARE;
+      const isPair = first !== undefined && this._random.next() < PAIR_SHARE;
       const second = isPair ? this._pick(context, this._listClaims(context, first)) : undefined;
-      const picked = second === undefined ? [first] : [first, second];
+      const picked = [first, second].filter((each) => each !== undefined);
       await Promise.all(picked.map((each) => this._inject(context, each)));
       await delay(this._random.nextBetween(300, 2_000));
     }
   }
 
-  private _pick(context: IFaultContext, taken: readonly string[]): IPicked {
+  private _pick(context: IFaultContext, taken: readonly string[]): IPicked | undefined {
     const faults = FAULTS.filter(
       ({ kind }) => this._kinds.length === 0 || this._kinds.includes(kind),
     );
@@ -60,7 +62,7 @@
         return picked;
       }
     }
-    return { fault: this._random.pick(FAULTS.filter(isHarmless)), subject: 'operator' };
+    return undefined;
   }
 
   private _listClaims({ deployment }: IFaultContext, { fault, subject }: IPicked): string[] {
@@ -79,7 +81,3 @@
     }
   }
 }
-
-function isHarmless({ kind }: IFault): boolean {
-  return HARMLESS_KINDS.includes(kind);
-}
--- a/tools/soak/Faults.ts
+++ b/tools/soak/Faults.ts
@@ -27,6 +27,7 @@
   readonly random: Random;
   /** Key that is never withdrawn. */
   readonly probeKey: ISoakKey;
+  report(line: string): void;
   /** Replaces the key of the account whose keys are withdrawn; returns the former one. */
   replaceKey(): Promise<ISoakKey | undefined>;
   /** True while no other fault disturbs control. */
@@ -74,6 +75,7 @@
   const startedAt = performance.now();
   deployment.startEntry(entry);
   let tookMs = Infinity;
+  let lastAnswer = '';
   while (performance.now() - startedAt < REPAIR_TIMEOUT_MS) {
     const answer = await sendCall(`${deployment.getUrl(entry)}/stock/linen`, {
       method: 'GET',
@@ -84,8 +86,12 @@
       tookMs = performance.now() - startedAt;
       break;
     }
+    lastAnswer = `${answer.end} ${answer.status} ${answer.text.slice(0, 200)}`;
     await delay(50);
   }
+  if (tookMs > RESTART_LIMIT_MS) {
+    context.report(`${entry} was slow to serve: ${Math.round(tookMs)} ms, ${lastAnswer}`);
+  }
   // Another fault at the same time may take the quorum or all targets away.
   if (wasAlone && context.isAlone()) {
     invariants.check('k_restart', tookMs <= RESTART_LIMIT_MS, () => {
@@ -119,7 +125,7 @@
   context.deployment.startFake(getTargetId(fake));
 }
 
-async function loseDisk(context: IFaultContext, entry: string): Promise<void> {
+async function replaceDisks(context: IFaultContext, entry: string): Promise<void> {
   await replaceDisk(context, entry);
   const others = context.deployment.listEntries().filter((other) => other !== entry);
   // A second loss right after the repair.
@@ -139,10 +145,11 @@
 
 interface IMemberStatus {
   readonly role?: string;
-  readonly voters?: readonly unknown[];
+  readonly diskId?: string;
+  readonly members?: readonly { readonly diskId: string; readonly voter: boolean }[];
 }
 
-/** Waits until one leader reports three voters and each member answers. */
+/** Waits until a leader counts the present disk of each member as a voter. */
 async function waitRepaired({ deployment }: IFaultContext): Promise<boolean> {
   const giveUpAt = performance.now() + REPAIR_TIMEOUT_MS;
   while (performance.now() < giveUpAt) {
@@ -150,7 +157,10 @@
     if (result.code === 0) {
       const { control } = JSON.parse(result.stdout) as { control: readonly IMemberStatus[] };
       const leader = control.find((member) => member.role === 'leader');
-      if (leader?.voters?.length === deployment.listEntries().length) {
+      const voters = leader?.members?.filter(({ voter }) => voter) ?? [];
+      const isVoter = ({ diskId }: IMemberStatus): boolean =>
+        voters.some((voter) => voter.diskId === diskId);
+      if (control.length === voters.length && control.every(isVoter)) {
         return true;
       }
     }
@@ -173,9 +183,9 @@
   const other = random.pick(others.filter((name) => name !== entry));
   const direction = random.pick(['both', 'sent', 'received'] as const);
   const cut = { holdSent: direction !== 'received', holdReceived: direction !== 'sent' };
-  network.disturb(entry, other, cut);
+  network.inject(entry, other, cut);
   if (random.next() < 0.6) {
-    network.disturb(other, entry, cut);
+    network.inject(other, entry, cut);
   }
   await delay(random.nextBetween(1_000, 7_000));
   network.restore(entry, other);
@@ -183,13 +193,13 @@
 }
 
 /** Cuts an entry off from all other entries, and with them from control. */
-async function isolateEntry(context: IFaultContext, entry: string): Promise<void> {
+async function cutEntryOff(context: IFaultContext, entry: string): Promise<void> {
   const { network, random, deployment } = context;
   const others = deployment.listEntries().filter((other) => other !== entry);
   const cut = { holdSent: true, holdReceived: true };
   for (const other of others) {
-    network.disturb(entry, other, cut);
-    network.disturb(other, entry, cut);
+    network.inject(entry, other, cut);
+    network.inject(other, entry, cut);
   }
   await delay(random.nextBetween(2_000, 9_000));
   for (const other of others) {
@@ -199,12 +209,12 @@
 }
 
 /** Slows the links between an entry and all sidecars. */
-async function slowLinks(context: IFaultContext, entry: string): Promise<void> {
+async function delayLinks(context: IFaultContext, entry: string): Promise<void> {
   const { network, random, deployment } = context;
   const delayMs = Math.round(random.nextBetween(100, 1_500));
   const sidecars = listSidecars(deployment);
   for (const sidecar of sidecars) {
-    network.disturb(entry, sidecar, { delayMs });
+    network.inject(entry, sidecar, { delayMs });
   }
   await delay(random.nextBetween(2_000, 6_000));
   for (const sidecar of sidecars) {
@@ -226,10 +236,10 @@
   }
 }
 
-async function changeRate(context: IFaultContext): Promise<void> {
+async function updateRate(context: IFaultContext): Promise<void> {
   const { operator, random } = context;
   const rate = Math.round(random.nextBetween(1_500, 4_000));
-  await operator.changeRate('cres', rate, Math.round(rate * random.nextBetween(2, 3)));
+  await operator.updateRate('cres', rate, Math.round(rate * random.nextBetween(2, 3)));
 }
 
 /** Requests that reached a target since its start; undefined while it does not answer. */
@@ -291,18 +301,22 @@
   { kind: 'kill_entry', subjects: listEntries, run: restartEntry },
   { kind: 'kill_sidecar', subjects: listSidecars, run: restartSidecar },
   { kind: 'kill_target', subjects: listFakes, run: restartFake },
-  { kind: 'lose_disk', subjects: listEntries, claims: listEntries, run: loseDisk },
+  { kind: 'lose_disk', subjects: listEntries, claims: listEntries, run: replaceDisks },
   { kind: 'freeze_entry', subjects: listEntries, run: freeze },
   { kind: 'freeze_sidecar', subjects: listSidecars, run: freeze },
   { kind: 'freeze_target', subjects: listFakes, run: freeze },
   { kind: 'cut_link', subjects: listEntries, run: cutLink },
-  { kind: 'isolate_entry', subjects: listEntries, run: isolateEntry },
-  { kind: 'slow_links', subjects: listEntries, run: slowLinks },
+  { kind: 'isolate_entry', subjects: listEntries, run: cutEntryOff },
+  { kind: 'slow_links', subjects: listEntries, run: delayLinks },
   { kind: 'restart_all', subjects: listEntries, claims: listEntries, run: restartAll },
-  { kind: 'operator_race', subjects: useOperator, run: ({ operator }) => operator.race() },
-  { kind: 'operator_resend', subjects: useOperator, run: ({ operator }) => operator.resend() },
+  { kind: 'operator_race', subjects: useOperator, run: ({ operator }) => operator.publishRace() },
+  {
+    kind: 'operator_resend',
+    subjects: useOperator,
+    run: ({ operator }) => operator.publishAgain(),
+  },
   { kind: 'withdraw_key', subjects: () => ['keys'], run: withdrawKey },
-  { kind: 'change_rate', subjects: () => ['rates'], run: changeRate },
+  { kind: 'change_rate', subjects: () => ['rates'], run: updateRate },
   { kind: 'drain_target', subjects: listSidecars, run: drainTarget },
   { kind: 'graceful_restart', subjects: listEntries, run: stopGracefully },
   { kind: 'new_target', subjects: () => [LATE_TARGET], run: addTarget },
--- a/tools/soak/FinalChecks.ts
+++ b/tools/soak/FinalChecks.ts
@@ -75,9 +75,30 @@
     }
   }
 
-  /** Requests refused for their rate although an ideal bucket would have admitted them. */
-  public countWrongfulRefusals(accounts: readonly ISoakAccount[]): number {
-    return accounts.reduce((sum, account) => sum + countRefusals(this._records, account), 0);
+  /** Requests refused for their rate, by client account. */
+  public countRefusals(accounts: readonly ISoakAccount[]): Record<string, number> {
+    const isRefused = (record: IRecord, id: string): boolean =>
+      record.account === id && record.result.status === 429;
+    return countByAccount(
+      accounts,
+      ({ id }) => this._requests.filter((record) => isRefused(record, id)).length,
+    );
+  }
+
+  /** Those of them that an ideal bucket would have admitted. */
+  public countWrongfulRefusals(accounts: readonly ISoakAccount[]): Record<string, number> {
+    return countByAccount(accounts, (account) => countWrongful(this._records, account));
+  }
+
+  /** Median and 95th percentile of the time to the answer of orders, their own delays included. */
+  public measureOrders(): { readonly p50: number; readonly p95: number } {
+    const times = this._requests
+      .filter((record) => record.orderKey !== undefined && record.result.status === 201)
+      .map(({ result }) => result.endAt - result.sentAt)
+      .sort((left, right) => left - right);
+    const getShare = (share: number): number =>
+      Math.round(times[Math.floor(times.length * share)] ?? 0);
+    return { p50: getShare(0.5), p95: getShare(0.95) };
   }
 
   private get _requests(): readonly IRecord[] {
@@ -85,7 +106,7 @@
   }
 
   private _checkEffects(): void {
-    const byKey = groupBy(this.effects, (effect) => effect.order);
+    const byKey = collectBy(this.effects, (effect) => effect.order);
     for (const [key, effects] of byKey) {
       this._invariants.check('a_once', effects.length === 1, () => {
         return `order ${key} has ${effects.length} effects`;
@@ -118,7 +139,7 @@
         return `request ${getRequestId(record)} of order ${record.orderKey ?? ''} ran`;
       });
     }
-    for (const [key, sends] of groupBy(orders, (order) => order.orderKey ?? '')) {
+    for (const [key, sends] of collectBy(orders, (order) => order.orderKey ?? '')) {
       const isRefused = sends.every(
         (send) => getRan(send) === 'no' || send.result.end === 'not_connected',
       );
@@ -247,7 +268,7 @@
  * Plays the account's requests on an ideal bucket of its own rate and burst: a request reserves its
  * limit when it is sent and returns the rest when it ends.
  */
-function countRefusals(records: Records, account: ISoakAccount): number {
+function countWrongful(records: Records, account: ISoakAccount): number {
   const events: { at: number; tokens: number; isRefusal: boolean }[] = [];
   for (const record of records.requests.filter(({ account: id }) => id === account.id)) {
     const { sentAt, endAt, status } = record.result;
@@ -275,6 +296,14 @@
   return refusals;
 }
 
+function countByAccount(
+  accounts: readonly ISoakAccount[],
+  count: (account: ISoakAccount) => number,
+): Record<string, number> {
+  const entries = accounts.map((account): [string, number] => [account.id, count(account)]);
+  return Object.fromEntries(entries.filter(([, amount]) => amount > 0));
+}
+
 function isWhole(record: IRecord): boolean {
   return record.result.end === 'complete';
 }
@@ -328,10 +357,10 @@
   if (text.includes('event: error\n')) {
     return undefined;
   }
-  const isComplete = text.endsWith('data: [DONE]\n\n') && tokens.length === record.outputLimit;
+  const isComplete = text.endsWith('data: [DONE]\n\n') && tokens.length === record.outputTokens;
   return isComplete && digest !== undefined
     ? undefined
-    : `it ended without an error event after ${tokens.length} of ${record.outputLimit} tokens`;
+    : `it ended without an error event after ${tokens.length} of ${record.outputTokens} tokens`;
 }
 
 function findAnswerFault(record: IRecord, isExcused: boolean): string | undefined {
@@ -347,7 +376,7 @@
     return 'it answers another prompt';
   }
   const content = chunk?.choices?.[0]?.message?.content;
-  return content === expectTokens(record.outputLimit) ? undefined : 'its content is incomplete';
+  return content === expectTokens(record.outputTokens) ? undefined : 'its content is incomplete';
 }
 
 function describe(record: IRecord, fault: string | undefined): string {
@@ -355,7 +384,7 @@
   return `${record.kind} ${id} of ${record.account} at ${record.entry}: ${fault ?? ''}`;
 }
 
-function groupBy<T>(values: readonly T[], getKey: (value: T) => string): Map<string, T[]> {
+function collectBy<T>(values: readonly T[], getKey: (value: T) => string): Map<string, T[]> {
   const groups = new Map<string, T[]>();
   for (const value of values) {
     const group = groups.get(getKey(value)) ?? [];
--- a/tools/soak/Load.ts
+++ b/tools/soak/Load.ts
@@ -16,6 +16,15 @@
 const MAX_OPEN_REQUESTS = 60;
 const MAX_ORDER_SENDS = 7;
 
+/** A reservation of 6,000 tokens of which 500 are used, over about four seconds. */
+const REFUND_LIMIT_TOKENS = 6_000;
+const REFUND_USED_TOKENS = 500;
+
+/** The burst begins when the bucket is full again and the refund is near. */
+const BURST_AFTER_MS = 3_500;
+const BURST_MS = 2_000;
+const BURST_SENDERS = 10;
+
 /** Share of requests sent to any entry, ready or not. */
 const BLIND_SHARE = 0.15;
 
@@ -50,6 +59,7 @@
   public async run(signal: AbortSignal): Promise<void> {
     const { requestsPerSecond, ordersPerSecond } = this._account;
     const total = requestsPerSecond + ordersPerSecond;
+    void this._runRefunds(signal);
     while (!signal.aborted) {
       await delay((-Math.log(1 - this._random.next()) * 1_000) / total);
       const isOrder = this._random.next() < ordersPerSecond / total;
@@ -65,12 +75,28 @@
     }
   }
 
+  /** Tries to spend a refund in addition to a bucket that was refilled in the meantime. */
+  private async _runRefunds(signal: AbortSignal): Promise<void> {
+    while (this._account.hasRefunds === true && !signal.aborted) {
+      await delay(this._random.nextBetween(4_000, 6_000));
+      const large = this._sendCompletion(true, REFUND_LIMIT_TOKENS, REFUND_USED_TOKENS);
+      await delay(BURST_AFTER_MS);
+      const endAt = performance.now() + BURST_MS;
+      const sendBurst = async (): Promise<void> => {
+        while (performance.now() < endAt) {
+          await this._sendCompletion(false, 20, 20);
+        }
+      };
+      await Promise.all([large, ...Array.from({ length: BURST_SENDERS }, sendBurst)]);
+    }
+  }
+
   private async _sendRequest(): Promise<void> {
     const choice = this._random.next();
     if (choice < 0.6) {
-      await this._complete(true);
+      await this._requestCompletion(true);
     } else if (choice < 0.8) {
-      await this._complete(false);
+      await this._requestCompletion(false);
     } else if (choice < 0.92) {
       await this._sendPlain('lookup', '/stock/linen', this._view.getKey(this._account.id));
     } else if (choice < 0.96) {
@@ -80,21 +106,31 @@
     }
   }
 
-  private async _complete(isStream: boolean): Promise<void> {
+  private async _requestCompletion(isStream: boolean): Promise<void> {
+    const outputLimit = Math.floor(this._random.nextBetween(5, 150));
+    const isLongStream = isStream && this._random.next() < 0.1;
+    const limit = isLongStream ? outputLimit * 5 : outputLimit;
+    const isShorter = this._random.next() < 0.3;
+    await this._sendCompletion(isStream, limit, isShorter ? Math.ceil(limit / 3) : limit);
+  }
+
+  private async _sendCompletion(
+    isStream: boolean,
+    outputLimit: number,
+    outputTokens: number,
+  ): Promise<void> {
     this._count += 1;
-    const nonce = `nonce ${this._account.id}-${this._count}`;
+    const nonce = `nonce ${this._account.id}-${this._count} stop after ${outputTokens}`;
     const isLong = this._account.hasLongPrompts && this._random.next() < 0.7;
     const system = isLong ? STANDARD : STANDARD.slice(0, 800);
     const prompt = `system:${system}\nuser:${nonce}\n`;
-    const outputLimit = Math.floor(this._random.nextBetween(5, 150));
-    const isLongStream = isStream && this._random.next() < 0.1;
-    const maxTokens = isLongStream ? outputLimit * 5 : outputLimit;
     await this._send(
       {
         kind: isStream ? 'stream' : 'completion',
         key: this._view.getKey(this._account.id),
         promptDigest: digestPrompt(prompt),
-        outputLimit: maxTokens,
+        outputLimit,
+        outputTokens,
         promptTokens: Math.ceil(prompt.length / BYTES_PER_TOKEN),
         orderKey: undefined,
       },
@@ -105,7 +141,7 @@
         body: JSON.stringify({
           model: 'lace-1',
           stream: isStream,
-          max_tokens: maxTokens,
+          max_tokens: outputLimit,
           messages: [
             { role: 'system', content: system },
             { role: 'user', content: nonce },
@@ -126,6 +162,7 @@
         key,
         promptDigest: undefined,
         outputLimit: 0,
+        outputTokens: 0,
         promptTokens: 1,
         orderKey: undefined,
       },
@@ -182,6 +219,7 @@
         key: this._view.getKey(this._account.id),
         promptDigest: undefined,
         outputLimit: 0,
+        outputTokens: 0,
         promptTokens: Math.ceil(order.body.length / BYTES_PER_TOKEN),
         orderKey: order.orderKey,
       },
--- a/tools/soak/Network.ts
+++ b/tools/soak/Network.ts
@@ -15,7 +15,7 @@
   constructor(private readonly _deployment: Deployment) {}
 
   /** Disturbs connections that `from` opens to `to`; both are entries or sidecars. */
-  public disturb(from: string, to: string, disturbance: IDisturbance): void {
+  public inject(from: string, to: string, disturbance: IDisturbance): void {
     const ports = this._disturbances.get(from) ?? new Map<string, IDisturbance>();
     this._disturbances.set(from, ports.set(this._getPort(to), disturbance));
     this._writeFile(from);
--- a/tools/soak/NetworkPreload.ts
+++ b/tools/soak/NetworkPreload.ts
@@ -48,14 +48,16 @@
 }
 
 const prototype = Socket.prototype as IPatchedSocket;
-const { connect, push, _writeGeneric: writeGeneric } = prototype;
+const connect = Reflect.get(prototype, 'connect') as (...args: unknown[]) => Socket;
+const push = Reflect.get(prototype, 'push') as (chunk: unknown, encoding?: string) => boolean;
+const { _writeGeneric: writeGeneric } = prototype;
 
 prototype.connect = function (this: IPatchedSocket, ...args: unknown[]) {
   const [first] = args.flat() as [{ port?: number | string } | number | undefined];
   const port = typeof first === 'object' ? first.port : first;
   this.targetPort = Number(port);
-  return (connect as (...rest: unknown[]) => Socket).apply(this, args);
-} as typeof connect;
+  return connect.apply(this, args);
+} as typeof prototype.connect;
 
 prototype._writeGeneric = function (isVector, data, encoding, callback) {
   const send = (): void => {
--- a/tools/soak/Operator.ts
+++ b/tools/soak/Operator.ts
@@ -64,14 +64,14 @@
     }
   }
 
-  public async changeRate(account: string, rate: number, burst: number): Promise<void> {
+  public async updateRate(account: string, rate: number, burst: number): Promise<void> {
     const limits = ['--rate', String(rate), '--burst', String(burst)];
     const options = ['--services', 'lace,order-desk', '--replace'];
     await this._run(['account', 'create', account, ...limits, ...options]);
   }
 
   /** Two operators publish different content under the same version. */
-  public async race(): Promise<void> {
+  public async publishRace(): Promise<void> {
     const version = await this._readVersion();
     if (version === undefined) {
       return;
@@ -88,7 +88,7 @@
   }
 
   /** The answer is lost, and the operator sends the same change again. */
-  public async resend(): Promise<void> {
+  public async publishAgain(): Promise<void> {
     const version = await this._readVersion();
     if (version === undefined) {
       return;
--- a/tools/soak/Plan.ts
+++ b/tools/soak/Plan.ts
@@ -12,6 +12,8 @@
   readonly requestsPerSecond: number;
   /** Mean number of non-repeatable orders per second. */
   readonly ordersPerSecond: number;
+  /** True: it also sends bursts that follow a large reservation of which little is used. */
+  readonly hasRefunds?: boolean;
   /** True: prompts begin with the long shared standard. */
   readonly hasLongPrompts: boolean;
 }
@@ -42,6 +44,15 @@
     ordersPerSecond: 6,
     hasLongPrompts: false,
   },
+  {
+    id: 'mljet',
+    tokensPerSecond: 2_000,
+    burstTokens: 8_000,
+    requestsPerSecond: 0.2,
+    ordersPerSecond: 0,
+    hasLongPrompts: false,
+    hasRefunds: true,
+  },
   // Its keys are withdrawn again and again.
   {
     id: 'brac',
--- a/tools/soak/Records.ts
+++ b/tools/soak/Records.ts
@@ -20,7 +20,10 @@
   readonly key: ISoakKey | undefined;
   /** Digest of the prompt that the answer has to carry. */
   readonly promptDigest: string | undefined;
+  /** Tokens that are reserved for the answer. */
   readonly outputLimit: number;
+  /** Tokens that the answer has. */
+  readonly outputTokens: number;
   readonly promptTokens: number;
   /** Idempotency key of an order. */
   readonly orderKey: string | undefined;
