Stop a restarted leader from following its own old copy

Cause: an entry that was leader and restarts asks a server that has not heard of the failover. The answer names the restarted process as leader, and the feed client followed that address, its own, on every later answer too, because the address of a lagging server overrode the change of server. Its copy was never confirmed again, so it refused all keyed requests with freshness_unknown.

Ruled out: the log (three voters, one leader, commit index growing on all members), and the injected faults (both had ended for 25 s).

The new test ends at revision 5 of 6 before the change and at 6 after it. A server without a copy is no longer logged as one of another deployment.

--- a/src/feed/FeedClient.ts
+++ b/src/feed/FeedClient.ts
@@ -67,9 +67,11 @@
       const outcome = this._copy.applyResponse(response, sentAt);
       const isLagging = response.ageMs === undefined || response.ageMs > MAX_SERVER_AGE_MS;
       if (outcome !== 'applied' || isLagging) {
+        // What a lagging server takes for the leader may be a former one, even this process.
         this._server = this._pickServer();
+      } else {
+        this._followLeader(response.leaderAddress);
       }
-      this._followLeader(response.leaderAddress);
       if (outcome === 'other_cluster') {
         this._log.error('feed server belongs to another deployment; check the feed addresses', {
           server,
--- a/src/feed/FeedCopy.ts
+++ b/src/feed/FeedCopy.ts
@@ -69,7 +69,8 @@
    */
   public applyResponse(response: SyncResponse, requestSentAt: number): ApplyOutcome {
     if (this._clusterId.length > 0 && !hasSameBytes(this._clusterId, response.clusterId)) {
-      return 'other_cluster';
+      // A server that has not synced yet knows no cluster.
+      return response.clusterId.length === 0 ? 'behind' : 'other_cluster';
     }
     const revision = Number(response.revision);
     TEST_ONLY: if (isBroken('feed-revert')) this._revision = Math.min(this._revision, revision);
