Don't refuse requests for their rate before the ledger was asked

Cause: a wallet kept the time to come back of an earlier answer, 200 ms by default, for requests that began to wait later. While the leader did not answer, a request that had waited for 300 ms was refused with 429 although its client account was within its rate.

The time counts now only for requests that waited when the answered exchange was sent.

Ruled out: the ledger.

--- a/src/admission/AccountWallet.ts
+++ b/src/admission/AccountWallet.ts
@@ -50,11 +50,17 @@
   private readonly _demand = new DemandWindow();
   private readonly _waiters = new Set<{ readonly tokens: number }>();
   private _retryAfterMs = DEFAULT_RETRY_MS;
+  /** Time at which the last answered exchange was sent. */
+  private _answeredAt = -Infinity;
 
   constructor(public readonly clientAccount: string) {}
 
-  public get retryAfterMs(): number {
-    return this._retryAfterMs;
+  /**
+   * Time until tokens can be granted, or undefined while the ledger has not answered an exchange that was
+   * sent after `since`: what it told before does not count in a request that began to wait then.
+   */
+  public getRetryAfterMs(since: number): number | undefined {
+    return this._answeredAt >= since ? this._retryAfterMs : undefined;
   }
 
   /** Tokens that may be spent now. */
@@ -130,8 +136,11 @@
     return { clientAccount: this.clientAccount, reports, wantedTokens, neededTokens };
   }
 
-  public addGrant(grant: Grant, leaseEndsAt: number): void {
+  /** Takes the answer to an exchange that was first sent at `sentAt`. */
+  public addGrant(grant: Grant, sentAt: number): void {
+    let leaseEndsAt = sentAt + LEASE_MS;
     TEST_ONLY: if (isBroken('grant-lease')) leaseEndsAt = Infinity;
+    this._answeredAt = sentAt;
     this._retryAfterMs = grant.retryAfterMs === 0 ? DEFAULT_RETRY_MS : grant.retryAfterMs;
     if (grant.tokens > 0) {
       const { grantId: id, epoch, tokens } = grant;
--- a/src/admission/Admitter.ts
+++ b/src/admission/Admitter.ts
@@ -172,8 +172,8 @@
     now: number,
   ): Result<IReservation, AdmitFailure> | undefined {
     const waitedMs = now - waiter.since;
-    const retryAfterMs = this._wallet.getRetryAfterMs(account);
-    if (retryAfterMs === undefined || retryAfterMs === 0) {
+    const retryAfterMs = this._wallet.getRetryAfterMs(account, waiter.since);
+    if (retryAfterMs === undefined) {
       return waitedMs < MAX_CONTROL_WAIT_MS ? undefined : Err(describeUnavailable());
     }
     if (retryAfterMs >= NEVER_MS) {
--- a/src/admission/GrantWallet.ts
+++ b/src/admission/GrantWallet.ts
@@ -10,7 +10,7 @@
   type SyncGrantsResult,
 } from '../gen/redwingwharf/v1/state_pb.js';
 import type { IEntryProcess } from '../state/EntryProcess.js';
-import { AccountWallet, LEASE_MS, type ITaken } from './AccountWallet.js';
+import { AccountWallet, type ITaken } from './AccountWallet.js';
 
 /** Tokens charged for one admitted request. */
 export interface IReservation {
@@ -80,9 +80,12 @@
     return this._ensureAccount(clientAccount).addWaiter(Math.ceil(tokens));
   }
 
-  /** Time from the last exchange until the first waiting request may get its tokens. */
-  public getRetryAfterMs(clientAccount: string): number | undefined {
-    return this._accounts.get(clientAccount)?.retryAfterMs;
+  /**
+   * Time until a request that waits since then may get its tokens; undefined while the ledger has not
+   * been asked for it and answered.
+   */
+  public getRetryAfterMs(clientAccount: string, since: number): number | undefined {
+    return this._accounts.get(clientAccount)?.getRetryAfterMs(since);
   }
 
   /**
@@ -140,7 +143,7 @@
     }
     this._pending = undefined;
     for (const grant of result.grants) {
-      this._ensureAccount(grant.clientAccount).addGrant(grant, pending.sentAt + LEASE_MS);
+      this._ensureAccount(grant.clientAccount).addGrant(grant, pending.sentAt);
     }
   }
 
--- a/tools/soak.ts
+++ b/tools/soak.ts
@@ -177,6 +177,7 @@
       faults: Object.fromEntries([...this._schedule.counts].sort()),
       rateRefusals: checks.countRefusals(ACCOUNTS),
       wrongfulRefusals: checks.countWrongfulRefusals(ACCOUNTS),
+      usePercent: checks.measureUse(ACCOUNTS, this._seconds),
       orderMs: checks.measureOrders(),
       ok: isKept,
     };
--- a/tools/soak/FinalChecks.ts
+++ b/tools/soak/FinalChecks.ts
@@ -90,6 +90,14 @@
     return countByAccount(accounts, (account) => countWrongful(this._records, account));
   }
 
+  /** Tokens used of those that rate and burst allow over the run, in percent. */
+  public measureUse(accounts: readonly ISoakAccount[], seconds: number): Record<string, number> {
+    return countByAccount(accounts, ({ id, tokensPerSecond, burstTokens }) => {
+      const used = listAdmissions(this._records, id).reduce((sum, { tokens }) => sum + tokens, 0);
+      return Math.round((used * 100) / (tokensPerSecond * seconds + burstTokens));
+    });
+  }
+
   /** Median and 95th percentile of the time to the answer of orders, their own delays included. */
   public measureOrders(): { readonly p50: number; readonly p95: number } {
     const times = this._requests
