--- a/src/feed/FeedCopy.ts
+++ b/src/feed/FeedCopy.ts
@@ -2,6 +2,7 @@
 import { create } from '@bufbuild/protobuf';
 import { Emitter } from '../common/Lifecycle.js';
 import { hasSameBytes } from '../common/Hashes.js';
+import { isBroken } from '../common/TestSwitches.js';
 import {
   SyncResponseSchema,
   type SyncRequest,
@@ -75,9 +76,11 @@
    */
   public applyResponse(response: SyncResponse, requestSentAt: number): ApplyOutcome {
     if (this._clusterId.length > 0 && !hasSameBytes(this._clusterId, response.clusterId)) {
-      return 'other_cluster';
+      // A server that has not synced yet knows no cluster.
+      return response.clusterId.length === 0 ? 'behind' : 'other_cluster';
     }
     const revision = Number(response.revision);
+    TEST_ONLY: if (isBroken('feed-revert')) this._revision = Math.min(this._revision, revision);
     if (revision < this._revision) {
       return 'behind';
     }
--- a/src/sidecar/Announcer.ts
+++ b/src/sidecar/Announcer.ts
@@ -4,6 +4,7 @@
 import { describeError, type ILog } from '../common/Log.js';
 import type { RpcClients } from '../common/Rpc.js';
 import { addJitter, isAborted, sleep } from '../common/Tasks.js';
+import { isBroken } from '../common/TestSwitches.js';
 import {
   AnnounceRequestSchema,
   RosterService,
@@ -63,6 +64,7 @@
 
   /** Tells all entries that the target gets no new work. */
   public startDraining(): void {
+    TEST_ONLY: if (isBroken('drain-notice')) return;
     this._isLeaving = true;
     this.notify();
   }
