Keep keys in any form from targets and check the key again after the body

Cause: only the parameter api_key and the four accepted headers were removed. A key in another parameter, in the path, in the body or in a forwarded header such as user-agent reached the target. A key that was withdrawn while the body arrived was still dispatched, because it was checked only before the body was read. A resend that was refused before its claim was looked up said "x-rww-ran: no" although an earlier request with the same Idempotency-Key may have run (model/claims.qnt, variant refuseBeforeLookup).

Parameters in the form of a key are removed, paths refused, bodies with the request's own key refused with key_in_request.

--- a/src/entry/Authenticate.ts
+++ b/src/entry/Authenticate.ts
@@ -6,6 +6,7 @@
 import type { ClientAccount } from '../gen/redwingwharf/v1/state_pb.js';
 import type { Directory } from './Directory.js';
 import { refuse, type IHttpFailure } from './Failures.js';
+import { hasKeyForm } from './KeyFilter.js';
 
 /**
  * A copy of the configuration that was confirmed longer ago than this may miss a withdrawn key. Chosen
@@ -76,10 +77,12 @@
   return Err(refuse('service_not_allowed', message));
 }
 
-/** Removes the query parameter that may carry a key. */
+/** Removes the query parameter for keys and any other one that holds something in the form of a key. */
 export function stripKeyFromQuery(url: URL): string {
-  const query = new URLSearchParams(url.searchParams);
-  query.delete(KEY_QUERY_PARAMETER);
+  const parameters = [...url.searchParams].filter(
+    ([name, value]) => name !== KEY_QUERY_PARAMETER && !hasKeyForm(`${name}=${value}`),
+  );
+  const query = new URLSearchParams(parameters);
   const text = query.toString();
   return text === '' ? url.pathname : `${url.pathname}?${text}`;
 }
@@ -96,7 +99,8 @@
   return Ok({ account, keyId: key.keyId });
 }
 
-function listKeys(headers: IncomingHttpHeaders, query: URLSearchParams): string[] {
+/** Texts that the request gives as keys, valid or not. */
+export function listKeys(headers: IncomingHttpHeaders, query: URLSearchParams): string[] {
   const bearer = /^Bearer\s+(\S+)\s*$/i.exec(headers.authorization ?? '')?.[1];
   const header = headers['x-api-key'];
   const keys = [
--- a/src/entry/ClaimFlow.ts
+++ b/src/entry/ClaimFlow.ts
@@ -28,7 +28,8 @@
 import type { IAdmitter, IControl, IFlowServices, IRequestContext } from './Types.js';
 import { readAnswer, sendAnswer } from './WholeAnswer.js';
 
-const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
+/** Header by which a resend is recognised. */
+export const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
 const MAX_IDEMPOTENCY_KEY_LENGTH = 255;
 const REPLAYED_HEADER = 'x-rww-replayed';
 
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -12,12 +12,14 @@
   authenticate,
   authorise,
   isFresh,
+  listKeys,
   stripKeyFromQuery,
   type ICaller,
 } from './Authenticate.js';
-import type { ClaimFlow } from './ClaimFlow.js';
+import { IDEMPOTENCY_KEY_HEADER, type ClaimFlow } from './ClaimFlow.js';
 import type { Directory } from './Directory.js';
-import { refuse, sendFailure, type IHttpFailure } from './Failures.js';
+import { describeUnlooked, refuse, sendFailure, type IHttpFailure } from './Failures.js';
+import { hasKeyForm, hasKeyInBody } from './KeyFilter.js';
 import type { ModelFlow } from './ModelFlow.js';
 import { OpenRequest, type OpenRequests } from './OpenRequests.js';
 import { parseModelRequest, readBody } from './Parse.js';
@@ -56,6 +58,9 @@
       readonly isNonRepeatable: boolean;
     };
 
+/** A request before its destination is known. */
+type IArrival = Pick<IRequestContext, 'request' | 'response' | 'requestId' | 'startedAt'>;
+
 /**
  * Entry role.
  *
@@ -163,27 +168,46 @@
       return undefined;
     }
     const destination = this._findDestination(url.pathname, request.method ?? 'GET');
-    if (destination.err) {
-      return destination.val;
-    }
-    const caller = this._authenticate(request, url, destination.val);
+    const failure = destination.err
+      ? destination.val
+      : await this._enter({ request, response, requestId, startedAt }, url, destination.val);
+    const isRepeatable = destination.ok && !isClaimed(destination.val);
+    const mayHaveRun = !isRepeatable && request.headers[IDEMPOTENCY_KEY_HEADER] !== undefined;
+    return failure !== undefined && mayHaveRun ? describeUnlooked(failure) : failure;
+  }
+
+  /** Checks the caller and the body, and hands the request to its flow. */
+  private async _enter(
+    base: IArrival,
+    url: URL,
+    destination: Destination,
+  ): Promise<IHttpFailure | undefined> {
+    const { request, response, requestId } = base;
+    const caller = this._authenticate(request, url, destination);
     if (caller.err) {
       return caller.val;
     }
-    if (destination.val.kind === 'models') {
+    if (destination.kind === 'models') {
       this._answerModels(response, caller.val, requestId);
       return undefined;
     }
+    if (hasKeyForm(url.pathname)) {
+      return refuse('key_in_request', 'Send your key in the header only, not in the path.');
+    }
     const body = await readBody(request);
     if (body.err) {
       return body.val;
     }
-    return this._serve(
-      { request, response, requestId, startedAt, path: stripKeyFromQuery(url) },
-      destination.val,
-      caller.val,
-      body.val,
-    );
+    if (hasKeyInBody(body.val, listKeys(request.headers, url.searchParams))) {
+      return refuse('key_in_request', 'Send your key in the header only, not in the body.');
+    }
+    // The key may have been withdrawn while the body arrived.
+    const checked = this._authenticate(request, url, destination);
+    if (checked.err) {
+      return checked.val;
+    }
+    const path = stripKeyFromQuery(url);
+    return this._serve({ ...base, path }, destination, checked.val, body.val);
   }
 
   private _findDestination(path: string, method: string): Result<Destination, IHttpFailure> {
@@ -227,7 +251,7 @@
   }
 
   private async _serve(
-    base: Pick<IRequestContext, 'request' | 'response' | 'requestId' | 'startedAt' | 'path'>,
+    base: IArrival & Pick<IRequestContext, 'path'>,
     destination: Exclude<Destination, { kind: 'models' }>,
     caller: ICaller | undefined,
     body: Buffer,
@@ -257,7 +281,7 @@
 
   /** Runs a flow while the request stands in the registry of open requests. */
   private async _runOpen(
-    base: Pick<IRequestContext, 'request' | 'response' | 'requestId' | 'startedAt' | 'path'>,
+    base: IArrival & Pick<IRequestContext, 'path'>,
     service: Service,
     caller: ICaller | undefined,
     run: (context: IRequestContext) => Promise<void>,
@@ -303,6 +327,11 @@
   }
 }
 
+/** True for calls that may run at most once. */
+function isClaimed(destination: Destination): boolean {
+  return destination.kind === 'plain' && destination.isNonRepeatable;
+}
+
 function parseUrl(text: string): URL | undefined {
   try {
     return new URL(text, 'http://entry');
--- a/src/entry/Failures.ts
+++ b/src/entry/Failures.ts
@@ -13,6 +13,7 @@
   request_timeout: { status: 408, type: 'invalid_request_error' },
   key_missing: { status: 401, type: 'authentication_error' },
   key_invalid: { status: 401, type: 'authentication_error' },
+  key_in_request: { status: 400, type: 'invalid_request_error' },
   key_ambiguous: { status: 400, type: 'invalid_request_error' },
   service_not_allowed: { status: 403, type: 'permission_error' },
   route_unknown: { status: 404, type: 'invalid_request_error' },
@@ -68,6 +69,20 @@
   return { code, message, ran, retryAfterMs };
 }
 
+/**
+ * Words the refusal of a request with an Idempotency-Key whose claim was not looked up: an earlier
+ * request with the same key may have run, so "not run" would not be true for the call.
+ */
+export function describeUnlooked(failure: IHttpFailure): IHttpFailure {
+  if (failure.ran !== 'no') {
+    return failure;
+  }
+  const hint =
+    'It is not known whether an earlier request with this Idempotency-Key ran; ' +
+    'send the same request with the same Idempotency-Key to find out.';
+  return { ...failure, message: `${failure.message} ${hint}`, ran: 'unknown' };
+}
+
 /** HTTP status of a failure. */
 export function getStatus(failure: IHttpFailure): number {
   return FAILURE_KINDS[failure.code].status;
--- a/src/entry/ForwardHeaders.ts
+++ b/src/entry/ForwardHeaders.ts
@@ -1,6 +1,7 @@
 /** Which headers pass between caller and target. */
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
+import { hasKeyForm } from './KeyFilter.js';
 
 /** Headers of a request that a target may see. Keys, cookies and unknown headers stay here. */
 const REQUEST_HEADERS = [
@@ -28,12 +29,12 @@
   'x-stream-id',
 ]);
 
-/** Copies the request headers that a target may see. */
+/** Copies the request headers that a target may see, without values that hold a key. */
 export function pickRequestHeaders(headers: IncomingHttpHeaders): Record<string, string> {
   const picked: Record<string, string> = {};
   for (const name of REQUEST_HEADERS) {
     const value = headers[name];
-    if (typeof value === 'string') {
+    if (typeof value === 'string' && !hasKeyForm(value)) {
       picked[name] = value;
     }
   }
