Split the flow of non-repeatable calls into one file for each job

They are now ClaimFlow.ts, ClaimDispatch.ts, OutcomeQuery.ts and ClaimSettlement.ts. Behaviour is unchanged but for the wording of the refusal when the claim could not be recorded.

--- /dev/null
+++ b/src/entry/ClaimDispatch.ts
@@ -0,0 +1,99 @@
+/** Sends a claimed call to its sidecar and finds out what became of it. */
+import { create } from '@bufbuild/protobuf';
+import type { Dispatcher } from 'undici';
+import { createTimeoutSignal } from '../common/Tasks.js';
+import { RefusalReason } from '../gen/redwingwharf/v1/control_pb.js';
+import { AnswerSchema } from '../gen/redwingwharf/v1/state_pb.js';
+import type { Chooser, IChoice } from './Chooser.js';
+import type { ClaimOutcome, IClaimAttempt } from './ClaimTypes.js';
+import { createTicket, type DispatchClient } from './DispatchClient.js';
+import { pickAnswerHeaders } from './ForwardHeaders.js';
+import type { OutcomeQuery } from './OutcomeQuery.js';
+import { buildOutgoing } from './PlainFlow.js';
+import type { IFlowServices, IRequestContext } from './Types.js';
+import { readAnswer } from './WholeAnswer.js';
+
+/** Dispatches of claimed calls. */
+export class ClaimDispatch {
+  constructor(
+    private readonly _chooser: Chooser,
+    private readonly _client: DispatchClient,
+    private readonly _outcomes: OutcomeQuery,
+    private readonly _services: IFlowServices,
+  ) {}
+
+  public async dispatch(
+    context: IRequestContext,
+    body: Buffer,
+    choice: IChoice,
+    attempt: IClaimAttempt,
+  ): Promise<ClaimOutcome> {
+    const { clock, feed } = this._services;
+    this._chooser.recordDispatch(choice, clock.now());
+    const outgoing = buildOutgoing(context, body);
+    const outcome = await this._client.dispatch({
+      ticket: createTicket(choice.target, {
+        requestId: context.requestId,
+        clientAccount: context.caller?.account.id ?? '',
+        service: context.service.name,
+        revision: BigInt(feed.revision),
+        deadlineMs: Math.max(1, Math.round(context.open.deadlineAt - clock.now())),
+        claimId: attempt.claimId,
+        claimAttempt: attempt.attempt,
+        nonRepeatable: true,
+      }),
+      target: choice.target,
+      method: context.request.method ?? 'POST',
+      path: context.path,
+      headers: outgoing.headers,
+      body: outgoing.body,
+      // The caller's leaving does not break off a call whose outcome is to be recorded.
+      signal: createTimeoutSignal(context.open.deadlineAt - clock.now()),
+    });
+    switch (outcome.kind) {
+      case 'not_run':
+        this._chooser.recordFailure(choice, clock.now());
+        return outcome.reason === RefusalReason.CLAIM_SEEN
+          ? this._outcomes.query(context, attempt)
+          : { kind: 'not_run' };
+      case 'unknown':
+        this._chooser.recordFailure(choice, clock.now());
+        return this._outcomes.query(context, attempt);
+      case 'answered':
+        return this._readAnswer(context, choice, attempt, outcome.response);
+    }
+  }
+
+  private async _readAnswer(
+    context: IRequestContext,
+    choice: IChoice,
+    attempt: IClaimAttempt,
+    response: Dispatcher.ResponseData,
+  ): Promise<ClaimOutcome> {
+    const { clock } = this._services;
+    try {
+      const body = await readAnswer(response.body);
+      this._chooser.recordAnswer(
+        choice,
+        { cachedPromptTokens: 0, ttftMs: clock.now() - context.startedAt, load: undefined },
+        clock.now(),
+      );
+      const headers = flattenHeaders(pickAnswerHeaders(response.headers));
+      return {
+        kind: 'answered',
+        answer: create(AnswerSchema, { status: response.statusCode, headers, body }),
+      };
+    } catch {
+      this._chooser.recordFailure(choice, clock.now());
+      return this._outcomes.query(context, attempt);
+    }
+  }
+}
+
+function flattenHeaders(headers: Record<string, string | string[]>): Record<string, string> {
+  const entries = Object.entries(headers).map(([name, value]): [string, string] => [
+    name,
+    Array.isArray(value) ? value.join(', ') : value,
+  ]);
+  return Object.fromEntries(entries);
+}
--- a/src/entry/ClaimFlow.ts
+++ b/src/entry/ClaimFlow.ts
@@ -1,32 +1,17 @@
 /** Calls that may run at most once: claim, dispatch, settle. */
-import { create } from '@bufbuild/protobuf';
-import { digestSha256, hasSameBytes } from '../common/Hashes.js';
-import { describeError } from '../common/Log.js';
+import { digestSha256 } from '../common/Hashes.js';
 import { Err, Ok, type Result } from '../common/Result.js';
-import type { RpcClients } from '../common/Rpc.js';
-import { addJitter, createTimeoutSignal, sleep } from '../common/Tasks.js';
-import {
-  ClaimProgress,
-  RefusalReason,
-  SidecarService,
-  type QueryClaimResponse,
-} from '../gen/redwingwharf/v1/control_pb.js';
-import {
-  AnswerSchema,
-  ClaimState,
-  type Answer,
-  type ClaimBinding,
-  type ClaimResult,
-} from '../gen/redwingwharf/v1/state_pb.js';
-import type { Roster } from '../roster/Roster.js';
+import { ClaimState, type Answer, type ClaimResult } from '../gen/redwingwharf/v1/state_pb.js';
 import type { Chooser, IChoice } from './Chooser.js';
-import { createTicket, type DispatchClient } from './DispatchClient.js';
+import type { ClaimDispatch } from './ClaimDispatch.js';
+import type { ClaimSettlement } from './ClaimSettlement.js';
+import { describeUnknown, type ClaimOutcome, type IClaimAttempt } from './ClaimTypes.js';
 import { fail, refuse, sendFailure, type IHttpFailure } from './Failures.js';
-import { pickAnswerHeaders } from './ForwardHeaders.js';
 import { describeEnd, recordPlainEnd, recordRefusal } from './Outcomes.js';
-import { buildOutgoing, buildPlainInput, countPlainTokens } from './PlainFlow.js';
+import type { OutcomeQuery } from './OutcomeQuery.js';
+import { buildPlainInput, countPlainTokens } from './PlainFlow.js';
 import type { IAdmitter, IControl, IFlowServices, IRequestContext } from './Types.js';
-import { readAnswer, sendAnswer } from './WholeAnswer.js';
+import { sendAnswer } from './WholeAnswer.js';
 
 /** Header by which a resend is recognised. */
 export const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
@@ -36,49 +21,26 @@
 /** Targets on which one request may be tried after proofs of "not run". */
 const MAX_BINDINGS = 4;
 
-const QUERY_TIMEOUT_MS = 1_000;
-const QUERY_PAUSE_MS = 200;
-
-/** Tries to ask a sidecar that does not answer. */
-const MAX_QUERIES = 3;
-
-/** Longest wait of a caller for the record of its answer. */
-const SETTLE_TIMEOUT_MS = 2_000;
-
-/** Time for which the record is tried after the caller got its answer. */
-const BACKGROUND_SETTLE_TIMEOUT_MS = 60_000;
-
 const RETRY_IN_PROGRESS_MS = 1_000;
 const RETRY_CONTROL_MS = 2_000;
 
-/** What is known of a bound attempt. */
-type Outcome =
-  | { readonly kind: 'answered'; readonly answer: Answer }
-  | { readonly kind: 'not_run' }
-  | { readonly kind: 'running' }
-  /** The outcome may still become known. */
-  | { readonly kind: 'unreachable' }
-  /** The outcome can never become known. */
-  | { readonly kind: 'lost' };
-
-/** Attempt of a claim at one sidecar. */
-interface IAttempt {
-  readonly claimId: bigint;
-  readonly attempt: number;
-  readonly binding: ClaimBinding;
-}
+/** What one round of claim and dispatch led to. */
+type Step =
+  | { readonly kind: 'served' }
+  | { readonly kind: 'failed'; readonly failure: IHttpFailure }
+  /** The attempt is proven "not run", so another target may be bound. */
+  | { readonly kind: 'rebind'; readonly attempt: number; readonly target: string };
 
 /** Serves calls of non-repeatable routes. */
 export class ClaimFlow {
   constructor(
     private readonly _admitter: IAdmitter,
     private readonly _chooser: Chooser,
-    private readonly _client: DispatchClient,
     private readonly _control: IControl,
-    private readonly _roster: Roster,
-    private readonly _rpc: RpcClients,
+    private readonly _dispatches: ClaimDispatch,
+    private readonly _outcomes: OutcomeQuery,
+    private readonly _settlement: ClaimSettlement,
     private readonly _services: IFlowServices,
-    private readonly _shutdown: AbortSignal,
   ) {}
 
   public async run(context: IRequestContext, body: Buffer): Promise<void> {
@@ -100,21 +62,23 @@
       return Err(refuse('bad_request', message));
     }
     const failure = await this._admit(context, body);
-    if (failure !== undefined) {
-      return Err(failure);
-    }
+    return failure === undefined ? this._runClaims(context, key, body) : Err(failure);
+  }
+
+  /** Claims and dispatches until the outcome is known or the targets are used up. */
+  private async _runClaims(
+    context: IRequestContext,
+    key: string,
+    body: Buffer,
+  ): Promise<Result<void, IHttpFailure>> {
     const tried = new Set<string>();
     let replacesAttempt = 0;
     for (let count = 1; count <= MAX_BINDINGS; count++) {
-      const choice = this._chooser.choose(
-        buildPlainInput(context, body),
-        tried,
-        this._services.clock.now(),
-      );
+      const input = buildPlainInput(context, body);
+      const choice = this._chooser.choose(input, tried, this._services.clock.now());
       if (choice === undefined) {
-        return Err(
-          refuse('no_target', 'No target of this service is available; try again.', 1_000),
-        );
+        const message = 'No target of this service is available; try again.';
+        return Err(refuse('no_target', message, 1_000));
       }
       const claimed = await this._claim(context, key, body, choice, replacesAttempt);
       if (claimed.err) {
@@ -179,7 +143,7 @@
     );
     if (result.err) {
       // Whatever became of the claim, this entry does not dispatch it.
-      const message = 'The call could not be recorded and did not run; send it again.';
+      const message = 'The call could not be recorded and was not dispatched; send it again.';
       return Err(refuse('control_unavailable', message, RETRY_CONTROL_MS));
     }
     const claim = result.val.body.case === 'claim' ? result.val.body.value : undefined;
@@ -193,11 +157,7 @@
     body: Buffer,
     choice: IChoice,
     claim: ClaimResult,
-  ): Promise<
-    | { kind: 'served' }
-    | { kind: 'failed'; failure: IHttpFailure }
-    | { kind: 'rebind'; attempt: number; target: string }
-  > {
+  ): Promise<Step> {
     this._services.decisions.record(context.requestId, 'claimed', {
       claimId: String(claim.claimId),
       state: ClaimState[claim.state],
@@ -207,12 +167,12 @@
     switch (claim.state) {
       case ClaimState.GRANTED: {
         const attempt = buildAttempt(claim, choice);
-        const outcome = await this._dispatch(context, body, choice, attempt);
+        const outcome = await this._dispatches.dispatch(context, body, choice, attempt);
         return this._handleOutcome(context, attempt, outcome, false);
       }
       case ClaimState.BOUND: {
         const attempt = buildAttempt(claim, choice);
-        const outcome = await this._query(context, attempt);
+        const outcome = await this._outcomes.query(context, attempt);
         return this._handleOutcome(context, attempt, outcome, true);
       }
       case ClaimState.SETTLED:
@@ -234,134 +194,15 @@
     }
   }
 
-  private async _dispatch(
-    context: IRequestContext,
-    body: Buffer,
-    choice: IChoice,
-    attempt: IAttempt,
-  ): Promise<Outcome> {
-    const { clock, feed } = this._services;
-    this._chooser.recordDispatch(choice, clock.now());
-    const outgoing = buildOutgoing(context, body);
-    const outcome = await this._client.dispatch({
-      ticket: createTicket(choice.target, {
-        requestId: context.requestId,
-        clientAccount: context.caller?.account.id ?? '',
-        service: context.service.name,
-        revision: BigInt(feed.revision),
-        deadlineMs: Math.max(1, Math.round(context.open.deadlineAt - clock.now())),
-        claimId: attempt.claimId,
-        claimAttempt: attempt.attempt,
-        nonRepeatable: true,
-      }),
-      target: choice.target,
-      method: context.request.method ?? 'POST',
-      path: context.path,
-      headers: outgoing.headers,
-      body: outgoing.body,
-      // The caller's leaving does not break off a call whose outcome is to be recorded.
-      signal: createTimeoutSignal(context.open.deadlineAt - clock.now()),
-    });
-    switch (outcome.kind) {
-      case 'not_run':
-        this._chooser.recordFailure(choice, clock.now());
-        return outcome.reason === RefusalReason.CLAIM_SEEN
-          ? this._query(context, attempt)
-          : { kind: 'not_run' };
-      case 'unknown':
-        this._chooser.recordFailure(choice, clock.now());
-        return this._query(context, attempt);
-      case 'answered':
-        return this._readAnswer(context, choice, attempt, outcome.response);
-    }
-  }
-
-  private async _readAnswer(
-    context: IRequestContext,
-    choice: IChoice,
-    attempt: IAttempt,
-    response: Parameters<typeof pickAnswerHeaders>[0] extends infer H
-      ? { statusCode: number; headers: H; body: Parameters<typeof readAnswer>[0] }
-      : never,
-  ): Promise<Outcome> {
-    const { clock } = this._services;
-    try {
-      const body = await readAnswer(response.body);
-      this._chooser.recordAnswer(
-        choice,
-        { cachedPromptTokens: 0, ttftMs: clock.now() - context.startedAt, load: undefined },
-        clock.now(),
-      );
-      const headers = flattenHeaders(pickAnswerHeaders(response.headers));
-      return {
-        kind: 'answered',
-        answer: create(AnswerSchema, { status: response.statusCode, headers, body }),
-      };
-    } catch {
-      this._chooser.recordFailure(choice, clock.now());
-      return this._query(context, attempt);
-    }
-  }
-
-  /** Asks the bound sidecar until it knows the outcome, does not answer, or time is up. */
-  private async _query(context: IRequestContext, attempt: IAttempt): Promise<Outcome> {
-    const { clock } = this._services;
-    let failures = 0;
-    while (failures < MAX_QUERIES && clock.now() < context.open.deadlineAt) {
-      const outcome = await this._queryOnce(attempt);
-      if (outcome.kind === 'unreachable') {
-        failures += 1;
-      } else if (outcome.kind !== 'running' || context.open.signal.aborted) {
-        return outcome;
-      }
-      await sleep(addJitter(QUERY_PAUSE_MS), context.open.signal);
-    }
-    return failures < MAX_QUERIES ? { kind: 'running' } : { kind: 'unreachable' };
-  }
-
-  private async _queryOnce(attempt: IAttempt): Promise<Outcome> {
-    if (this._isSidecarGone(attempt)) {
-      return { kind: 'lost' };
-    }
-    try {
-      const client = this._rpc.get(SidecarService, attempt.binding.sidecarAddress);
-      const response = await client.queryClaim(
-        {
-          claimId: attempt.claimId,
-          attempt: attempt.attempt,
-          sidecarIncarnation: attempt.binding.sidecarIncarnation,
-        },
-        { timeoutMs: QUERY_TIMEOUT_MS },
-      );
-      return describeProgress(response);
-    } catch (error) {
-      this._services.log.debug('claim query failed', { error: describeError(error) });
-      return { kind: 'unreachable' };
-    }
-  }
-
-  /** True when another life of the sidecar has announced the target. */
-  private _isSidecarGone(attempt: IAttempt): boolean {
-    const target = this._roster.getTarget(attempt.binding.target, this._services.clock.now());
-    return (
-      target !== undefined &&
-      !hasSameBytes(target.announcement.sidecarIncarnation, attempt.binding.sidecarIncarnation)
-    );
-  }
-
   private async _handleOutcome(
     context: IRequestContext,
-    attempt: IAttempt,
-    outcome: Outcome,
+    attempt: IClaimAttempt,
+    outcome: ClaimOutcome,
     isReplay: boolean,
-  ): Promise<
-    | { kind: 'served' }
-    | { kind: 'failed'; failure: IHttpFailure }
-    | { kind: 'rebind'; attempt: number; target: string }
-  > {
+  ): Promise<Step> {
     switch (outcome.kind) {
       case 'answered':
-        await this._settle(attempt, outcome.answer);
+        await this._settlement.settle(attempt, outcome.answer);
         return this._respond(context, outcome.answer, isReplay);
       case 'not_run':
         return { kind: 'rebind', attempt: attempt.attempt, target: attempt.binding.target };
@@ -373,37 +214,12 @@
       case 'unreachable':
         return { kind: 'failed', failure: describeUnknown() };
       case 'lost':
-        await this._settle(attempt, undefined);
+        await this._settlement.settle(attempt, undefined);
         return { kind: 'failed', failure: describeUnknown() };
     }
   }
 
-  /** Records the outcome; goes on in the background when control does not answer in time. */
-  private async _settle(attempt: IAttempt, answer: Answer | undefined): Promise<void> {
-    const settle = async (timeoutMs: number): Promise<boolean> => {
-      const result = await this._control.execute(
-        {
-          case: 'settleClaim',
-          value: {
-            claimId: attempt.claimId,
-            attempt: attempt.attempt,
-            ...(answer === undefined ? { unknown: true } : { answer }),
-          },
-        },
-        this._shutdown,
-        { isIdempotent: true, timeoutMs },
-      );
-      return result.ok;
-    };
-    if (!(await settle(SETTLE_TIMEOUT_MS))) {
-      void settle(BACKGROUND_SETTLE_TIMEOUT_MS);
-    }
-  }
-
-  private _replay(
-    context: IRequestContext,
-    answer: Answer | undefined,
-  ): { kind: 'served' } | { kind: 'failed'; failure: IHttpFailure } {
+  private _replay(context: IRequestContext, answer: Answer | undefined): Step {
     if (answer === undefined || answer.bodyOmitted) {
       const message = 'The call ran; its answer is no longer on record.';
       return { kind: 'failed', failure: fail('answer_not_kept', message, 'yes') };
@@ -411,11 +227,7 @@
     return this._respond(context, answer, true);
   }
 
-  private _respond(
-    context: IRequestContext,
-    answer: Answer,
-    isReplay: boolean,
-  ): { kind: 'served' } | { kind: 'failed'; failure: IHttpFailure } {
+  private _respond(context: IRequestContext, answer: Answer, isReplay: boolean): Step {
     const end = describeEnd(context);
     if (end !== undefined) {
       return { kind: 'failed', failure: { ...end, ran: 'yes' } };
@@ -427,7 +239,7 @@
   }
 }
 
-function buildAttempt(claim: ClaimResult, choice: IChoice): IAttempt {
+function buildAttempt(claim: ClaimResult, choice: IChoice): IClaimAttempt {
   const { announcement } = choice.target;
   const chosen = {
     $typeName: 'redwingwharf.v1.ClaimBinding' as const,
@@ -441,35 +253,3 @@
     binding: claim.binding ?? chosen,
   };
 }
-
-function describeProgress(response: QueryClaimResponse): Outcome {
-  switch (response.progress) {
-    case ClaimProgress.NOT_RUN:
-      return { kind: 'not_run' };
-    case ClaimProgress.RUNNING:
-      return { kind: 'running' };
-    case ClaimProgress.FINISHED:
-      return response.answer === undefined
-        ? { kind: 'lost' }
-        : { kind: 'answered', answer: response.answer };
-    case ClaimProgress.UNKNOWN:
-    case ClaimProgress.OTHER_INCARNATION:
-    case ClaimProgress.UNSPECIFIED:
-      return { kind: 'lost' };
-  }
-}
-
-function describeUnknown(): IHttpFailure {
-  const message =
-    'It is not known whether the call ran. It will not be run again under this Idempotency-Key; ' +
-    'check with the service.';
-  return fail('outcome_unknown', message, 'unknown');
-}
-
-function flattenHeaders(headers: Record<string, string | string[]>): Record<string, string> {
-  const entries = Object.entries(headers).map(([name, value]): [string, string] => [
-    name,
-    Array.isArray(value) ? value.join(', ') : value,
-  ]);
-  return Object.fromEntries(entries);
-}
--- a/src/run/EntryRole.ts
+++ b/src/run/EntryRole.ts
@@ -11,13 +11,16 @@
 import type { RpcClients } from '../common/Rpc.js';
 import { ControlClient } from '../control/ControlClient.js';
 import { Chooser } from '../entry/Chooser.js';
+import { ClaimDispatch } from '../entry/ClaimDispatch.js';
 import { ClaimFlow } from '../entry/ClaimFlow.js';
+import { ClaimSettlement } from '../entry/ClaimSettlement.js';
 import { DecisionLog } from '../entry/DecisionLog.js';
 import { Directory } from '../entry/Directory.js';
 import { DispatchClient } from '../entry/DispatchClient.js';
 import { Dispatcher } from '../entry/Dispatcher.js';
 import { Entry } from '../entry/Entry.js';
 import { ModelFlow } from '../entry/ModelFlow.js';
+import { OutcomeQuery } from '../entry/OutcomeQuery.js';
 import { OpenRequests } from '../entry/OpenRequests.js';
 import { PlainFlow } from '../entry/PlainFlow.js';
 import { AdmissionStage } from '../entry/AdmissionStage.js';
@@ -84,6 +87,7 @@
     const admission = new AdmissionStage(this._admitter);
     const budget = new RetryBudget(_clock.now());
     const dispatcher = new Dispatcher(this._chooser, this._client, budget, services);
+    const outcomes = new OutcomeQuery(this._roster, rpc, services);
     this.entry = new Entry(
       role.listen,
       this._directory,
@@ -101,12 +105,11 @@
         claim: new ClaimFlow(
           admission,
           this._chooser,
-          this._client,
           control,
-          this._roster,
-          rpc,
+          new ClaimDispatch(this._chooser, this._client, outcomes, services),
+          outcomes,
+          new ClaimSettlement(control, this._shutdown.signal),
           services,
-          this._shutdown.signal,
         ),
       },
       services,
