Answer at once when a claimed call's key is withdrawn, and say only what is proven of resends

Faults that the tests in EdgeClaims and EdgeKeys showed, and their causes: - A claimed call of a withdrawn key was answered only when the target answered (4.0 s in the test), because the flow did not watch the open request. The caller is now answered at once; the call goes on so that its outcome is recorded. A claim granted after the end is not dispatched. - A buffered completion of a withdrawn key ended with 502 target_failed, because the abort was read as a broken target; and a caller that left before the head of the answer got all tokens back. - Refusals of a resend before the claim lookup said "not run". They say "unknown" now; after a proof of "not run" from a sidecar they may say "no" (model/claims.qnt allows it). - A target that knew a newer configuration was excluded, so an order failed when all targets did. The entry now syncs and tries again. - While the leader did not answer, requests without tokens got 429 rate_limited from an old answer instead of 503 control_unavailable.

--- a/src/admission/Admitter.ts
+++ b/src/admission/Admitter.ts
@@ -49,6 +49,8 @@
 export class Admitter {
   private readonly _waiters = new Map<string, IWaiter[]>();
   private _wake = new AbortController();
+  /** When the last exchange that the leader answered was sent. */
+  private _answeredAt = -Infinity;
 
   constructor(
     private readonly _wallet: GrantWallet,
@@ -116,7 +118,8 @@
   }
 
   private async _exchange(signal: AbortSignal): Promise<void> {
-    const command = this._wallet.buildSync(this._clock.now());
+    const sentAt = this._clock.now();
+    const command = this._wallet.buildSync(sentAt);
     if (command === undefined) {
       return;
     }
@@ -127,6 +130,7 @@
     this._metrics.increment('grant_exchanges_total', { result: result.ok ? 'ok' : 'failed' });
     if (result.ok && result.val.body.case === 'syncGrants') {
       this._wallet.applyResult(command, result.val.body.value);
+      this._answeredAt = sentAt;
     } else {
       this._log.warn('grant exchange failed', {
         error: describeError(result.err ? result.val.message : 'unexpected answer'),
@@ -172,7 +176,9 @@
     now: number,
   ): Result<IReservation, AdmitFailure> | undefined {
     const waitedMs = now - waiter.since;
-    const retryAfterMs = this._wallet.getRetryAfterMs(account);
+    // An answer from before the request joined does not tell whether its tokens are there.
+    const isAnswered = this._answeredAt >= waiter.since;
+    const retryAfterMs = isAnswered ? this._wallet.getRetryAfterMs(account) : undefined;
     if (retryAfterMs === undefined || retryAfterMs === 0) {
       return waitedMs < MAX_CONTROL_WAIT_MS ? undefined : Err(describeUnavailable());
     }
--- a/src/entry/ClaimDispatch.ts
+++ b/src/entry/ClaimDispatch.ts
@@ -55,7 +55,10 @@
         this._chooser.recordFailure(choice, clock.now());
         return outcome.reason === RefusalReason.CLAIM_SEEN
           ? this._outcomes.query(context, attempt)
-          : { kind: 'not_run' };
+          : {
+              kind: 'not_run',
+              isOldRevision: outcome.reason === RefusalReason.OLD_REVISION,
+            };
       case 'unknown':
         this._chooser.recordFailure(choice, clock.now());
         return this._outcomes.query(context, attempt);
--- a/src/entry/ClaimFlow.ts
+++ b/src/entry/ClaimFlow.ts
@@ -6,7 +6,8 @@
 import type { ClaimDispatch } from './ClaimDispatch.js';
 import type { ClaimSettlement } from './ClaimSettlement.js';
 import { describeUnknown, type ClaimOutcome, type IClaimAttempt } from './ClaimTypes.js';
-import { fail, refuse, sendFailure, type IHttpFailure } from './Failures.js';
+import { describeUnlooked, fail, refuse, sendFailure, type IHttpFailure } from './Failures.js';
+import type { OpenRequests } from './OpenRequests.js';
 import { describeEnd, recordPlainEnd, recordRefusal } from './Outcomes.js';
 import type { OutcomeQuery } from './OutcomeQuery.js';
 import { buildPlainInput, countPlainTokens } from './PlainFlow.js';
@@ -23,13 +24,19 @@
 
 const RETRY_IN_PROGRESS_MS = 1_000;
 const RETRY_CONTROL_MS = 2_000;
+const RETRY_NO_TARGET_MS = 1_000;
 
 /** What one round of claim and dispatch led to. */
 type Step =
   | { readonly kind: 'served' }
   | { readonly kind: 'failed'; readonly failure: IHttpFailure }
   /** The attempt is proven "not run", so another target may be bound. */
-  | { readonly kind: 'rebind'; readonly attempt: number; readonly target: string };
+  | {
+      readonly kind: 'rebind';
+      readonly attempt: number;
+      readonly target: string;
+      readonly isOldRevision: boolean;
+    };
 
 /** Serves calls of non-repeatable routes. */
 export class ClaimFlow {
@@ -40,16 +47,31 @@
     private readonly _dispatches: ClaimDispatch,
     private readonly _outcomes: OutcomeQuery,
     private readonly _settlement: ClaimSettlement,
+    private readonly _openRequests: OpenRequests,
     private readonly _services: IFlowServices,
   ) {}
 
   public async run(context: IRequestContext, body: Buffer): Promise<void> {
-    const result = await this._serve(context, body);
-    if (result.ok) {
-      return;
+    const { signal } = context.open;
+    // The call itself goes on, so that its outcome is recorded.
+    const answerEnd = (): void => {
+      this._refuse(context, describeEnd(context));
+    };
+    signal.addEventListener('abort', answerEnd, { once: true });
+    try {
+      const result = await this._serve(context, body);
+      this._refuse(context, result.err ? result.val : undefined);
+    } finally {
+      signal.removeEventListener('abort', answerEnd);
+    }
+  }
+
+  /** Answers with a failure unless the caller has an answer already. */
+  private _refuse(context: IRequestContext, failure: IHttpFailure | undefined): void {
+    if (failure !== undefined && !context.response.headersSent) {
+      recordRefusal(this._services, context, failure);
+      sendFailure(context.response, failure, context.requestId);
     }
-    recordRefusal(this._services, context, result.val);
-    sendFailure(context.response, result.val, context.requestId);
   }
 
   private async _serve(
@@ -62,7 +84,10 @@
       return Err(refuse('bad_request', message));
     }
     const failure = await this._admit(context, body);
-    return failure === undefined ? this._runClaims(context, key, body) : Err(failure);
+    if (failure !== undefined) {
+      return Err(key === '' ? failure : describeUnlooked(failure));
+    }
+    return this._runClaims(context, key, body);
   }
 
   /** Claims and dispatches until the outcome is known or the targets are used up. */
@@ -73,25 +98,42 @@
   ): Promise<Result<void, IHttpFailure>> {
     const tried = new Set<string>();
     let replacesAttempt = 0;
+    // Once an attempt is proven "not run", so is every earlier one.
+    const describe = (failure: IHttpFailure): IHttpFailure =>
+      key === '' || replacesAttempt > 0 ? failure : describeUnlooked(failure);
     for (let count = 1; count <= MAX_BINDINGS; count++) {
       const input = buildPlainInput(context, body);
       const choice = this._chooser.choose(input, tried, this._services.clock.now());
       if (choice === undefined) {
         const message = 'No target of this service is available; try again.';
-        return Err(refuse('no_target', message, 1_000));
+        return Err(describe(refuse('no_target', message, RETRY_NO_TARGET_MS)));
       }
       const claimed = await this._claim(context, key, body, choice, replacesAttempt);
       if (claimed.err) {
-        return Err(claimed.val);
+        return Err(describe(claimed.val));
       }
       const step = await this._handleClaim(context, body, choice, claimed.val);
       if (step.kind !== 'rebind') {
         return step.kind === 'served' ? Ok(undefined) : Err(step.failure);
       }
       replacesAttempt = step.attempt;
+      await this._prepareRebind(context, step, tried);
+    }
+    const message = 'The targets refused the call; try again.';
+    return Err(refuse('no_target', message, RETRY_NO_TARGET_MS));
+  }
+
+  /** A target that knows a newer configuration may take the call once this entry knows it too. */
+  private async _prepareRebind(
+    context: IRequestContext,
+    step: Extract<Step, { kind: 'rebind' }>,
+    tried: Set<string>,
+  ): Promise<void> {
+    if (step.isOldRevision) {
+      await this._services.feedSync.syncOnce(context.open.signal).catch(() => undefined);
+    } else {
       tried.add(step.target);
     }
-    return Err(refuse('no_target', 'The targets refused the call; try again.', 1_000));
   }
 
   private async _admit(context: IRequestContext, body: Buffer): Promise<IHttpFailure | undefined> {
@@ -167,6 +209,9 @@
     switch (claim.state) {
       case ClaimState.GRANTED: {
         const attempt = buildAttempt(claim, choice);
+        if (context.open.signal.aborted) {
+          return { kind: 'failed', failure: describeEnd(context) ?? describeUnknown() };
+        }
         const outcome = await this._dispatches.dispatch(context, body, choice, attempt);
         return this._handleOutcome(context, attempt, outcome, false);
       }
@@ -205,7 +250,10 @@
         await this._settlement.settle(attempt, outcome.answer);
         return this._respond(context, outcome.answer, isReplay);
       case 'not_run':
-        return { kind: 'rebind', attempt: attempt.attempt, target: attempt.binding.target };
+        return {
+          ...{ kind: 'rebind', attempt: attempt.attempt, target: attempt.binding.target },
+          isOldRevision: outcome.isOldRevision,
+        };
       case 'running': {
         const message = 'The call is in progress; send it again with the same Idempotency-Key.';
         const failure = fail('in_progress', message, 'unknown', RETRY_IN_PROGRESS_MS);
@@ -219,7 +267,7 @@
     }
   }
 
-  private _replay(context: IRequestContext, answer: Answer | undefined): Step {
+  private async _replay(context: IRequestContext, answer: Answer | undefined): Promise<Step> {
     if (answer === undefined || answer.bodyOmitted) {
       const message = 'The call ran; its answer is no longer on record.';
       return { kind: 'failed', failure: fail('answer_not_kept', message, 'yes') };
@@ -227,7 +275,13 @@
     return this._respond(context, answer, true);
   }
 
-  private _respond(context: IRequestContext, answer: Answer, isReplay: boolean): Step {
+  private async _respond(
+    context: IRequestContext,
+    answer: Answer,
+    isReplay: boolean,
+  ): Promise<Step> {
+    this._openRequests.checkRequest(context.open, this._services.clock.now());
+    await context.open.waitReleased();
     const end = describeEnd(context);
     if (end !== undefined) {
       return { kind: 'failed', failure: { ...end, ran: 'yes' } };
--- a/src/entry/ClaimTypes.ts
+++ b/src/entry/ClaimTypes.ts
@@ -5,7 +5,7 @@
 /** What is known of a bound attempt. */
 export type ClaimOutcome =
   | { readonly kind: 'answered'; readonly answer: Answer }
-  | { readonly kind: 'not_run' }
+  | { readonly kind: 'not_run'; readonly isOldRevision: boolean }
   | { readonly kind: 'running' }
   /** The outcome may still become known. */
   | { readonly kind: 'unreachable' }
--- /dev/null
+++ b/src/entry/EdgeClaims.test.ts
@@ -0,0 +1,129 @@
+import type { ServerResponse } from 'node:http';
+import { afterAll, afterEach, beforeAll, describe, expect, it } from 'vitest';
+import { TICKET_HEADER } from '../common/Headers.js';
+import { EdgeHarness, waitFor, type IAnswerText } from './EdgeHarness.js';
+
+let harness: EdgeHarness;
+
+beforeAll(async () => {
+  harness = await EdgeHarness.start({ engines: [], plainTargets: 2, entries: 2 });
+});
+
+afterEach(() => {
+  harness.interceptDispatch = undefined;
+  harness.isControlServed = true;
+});
+
+afterAll(async () => {
+  await harness.dispose();
+});
+
+function readCode({ text }: IAnswerText): string {
+  return (JSON.parse(text) as { error: { code: string } }).error.code;
+}
+
+/** Breaks the connection in place of sending the sidecar's answer. */
+function dropAnswer(response: ServerResponse): void {
+  response.writeHead = () => response;
+  response.end = () => response.destroy();
+}
+
+/** Loses the answers to the next dispatches with a ticket. */
+function dropAnswers(count: number): void {
+  let left = count;
+  harness.interceptDispatch = (request, response) => {
+    if (request.headers[TICKET_HEADER] !== undefined && left > 0) {
+      left -= 1;
+      dropAnswer(response);
+    }
+  };
+}
+
+describe('a non-repeatable call', () => {
+  it('runs once when the sidecar loses the answer, and the caller gets it all the same', async () => {
+    dropAnswers(1);
+    const answer = await harness.placeOrder({ order: 'lost' }, undefined);
+    expect([answer.status, await harness.countEffects('lost')]).toEqual([201, 1]);
+  });
+
+  it('runs at most once when the target breaks off, and says that the outcome is unknown', async () => {
+    const order = { order: 'dropped', dropAnswer: true };
+    const first = await harness.placeOrder(order, 'dropped-1');
+    const resent = await harness.placeOrder(order, 'dropped-1', { entry: 1 });
+    for (const answer of [first, resent]) {
+      expect([answer.status, readCode(answer)]).toEqual([502, 'outcome_unknown']);
+      expect(answer.headers['x-rww-ran']).toBe('unknown');
+    }
+    expect(await harness.countEffects('dropped')).toBe(1);
+  });
+
+  it('runs once when two entries get it at the same time, and marks the replay', async () => {
+    const order = { order: 'twice', delayMs: 100 };
+    const place = (entry: number): Promise<IAnswerText> =>
+      harness.placeOrder(order, 'twice-1', { entry });
+    const answers = await Promise.all([place(0), place(1), place(0), place(1)]);
+    const last = await place(1);
+    const served = [...answers, last].filter(({ status }) => status === 201);
+    expect(new Set(served.map(({ text }) => text)).size).toBe(1);
+    expect(served.length).toBeGreaterThan(1);
+    expect(last.headers['x-rww-replayed']).toBe('true');
+    expect(served.filter(({ headers }) => headers['x-rww-replayed'] !== 'true')).toHaveLength(1);
+    expect(await harness.countEffects('twice')).toBe(1);
+  });
+
+  it('is refused when the Idempotency-Key was used with another body', async () => {
+    await harness.placeOrder({ order: 'first' }, 'reused-1');
+    const other = await harness.placeOrder({ order: 'second' }, 'reused-1', { entry: 1 });
+    expect([other.status, other.headers['x-rww-ran']]).toEqual([422, 'no']);
+    expect(await harness.countEffects('second')).toBe(0);
+  });
+
+  it('runs although the change of its account reached the targets first', async () => {
+    await harness.addAccount('pag', 1e8, 'targets');
+    const answer = await harness.placeOrder({ order: 'revised' }, undefined);
+    expect([answer.status, await harness.countEffects('revised')]).toEqual([201, 1]);
+  });
+
+  it('goes on to its end when the caller leaves, so that a resend gets the answer', async () => {
+    const order = { order: 'left', delayMs: 300 };
+    const leaving = await harness.startAndLeave('/orders', {
+      ...{ method: 'POST', headers: { 'idempotency-key': 'left-1' }, body: JSON.stringify(order) },
+      leaveWhen: async () => (await harness.countEffects('left')) === 1,
+    });
+    expect(leaving).toBe('left');
+    await waitFor('the answer on record', async () => {
+      const resent = await harness.placeOrder(order, 'left-1', { entry: 1 });
+      return resent.status === 201 && resent.headers['x-rww-replayed'] === 'true';
+    });
+    expect(await harness.countEffects('left')).toBe(1);
+  });
+});
+
+describe('a refusal of a resend', () => {
+  it('does not say "not run" when its claim could not be looked up', async () => {
+    const placed = await harness.placeOrder({ order: 'resent' }, 'resent-1');
+    expect(placed.status).toBe(201);
+    harness.isControlServed = false;
+    const [keyed, unkeyed] = await Promise.all([
+      harness.placeOrder({ order: 'resent' }, 'resent-1'),
+      harness.placeOrder({ order: 'new' }, undefined),
+    ]);
+    expect([keyed.status, readCode(keyed)]).toEqual([503, 'control_unavailable']);
+    expect(keyed.headers['x-rww-ran']).toBe('unknown');
+    expect(keyed.text).not.toMatch(/did not run/);
+    expect([unkeyed.status, unkeyed.headers['x-rww-ran']]).toEqual([503, 'no']);
+    expect(await harness.countEffects('new')).toBe(0);
+  });
+
+  it('does not say "not run" when the entry refuses it for another reason', async () => {
+    const refusals = await Promise.all([
+      harness.placeOrder({ order: 'resent' }, 'resent-1', { key: undefined }),
+      harness.placeOrder({ order: harness.key }, 'resent-1'),
+      harness.placeOrder({}, 'resent-1', { body: Buffer.alloc(9 * 1024 * 1024) }),
+    ]);
+    expect(refusals.map(({ status }) => status)).toEqual([401, 400, 413]);
+    expect(refusals.map(({ headers }) => headers['x-rww-ran'])).toEqual(
+      refusals.map(() => 'unknown'),
+    );
+  });
+});
--- a/src/entry/EdgeHarness.ts
+++ b/src/entry/EdgeHarness.ts
@@ -19,7 +19,9 @@
 import { FeedClient } from '../feed/FeedClient.js';
 import { FeedCopy } from '../feed/FeedCopy.js';
 import {
+  ControlService,
   ExecuteRequestSchema,
+  ExecuteResponseSchema,
   FeedService,
   RosterService,
 } from '../gen/redwingwharf/v1/control_pb.js';
@@ -70,6 +72,7 @@
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string | Buffer | Readable;
   readonly entry?: number;
+  readonly signal?: AbortSignal;
 }
 
 interface IEntryProcess {
@@ -118,6 +121,8 @@
   public readonly http = new Agent({ headersTimeout: 0, bodyTimeout: 0 });
   /** False while no feed server answers. */
   public isFeedServed = true;
+  /** False while the control member carries no command out. */
+  public isControlServed = true;
   /** Sees each dispatch before its sidecar handles it. */
   public interceptDispatch:
     ((request: IncomingMessage, response: ServerResponse) => void) | undefined;
@@ -129,6 +134,7 @@
   private readonly _state = new ControlState();
   private readonly _servers: InternalServer[] = [];
   private readonly _sidecars: Sidecar[] = [];
+  private readonly _targetFeeds: FeedClient[] = [];
   private readonly _control: ControlNode;
 
   private constructor(private readonly _controlAddress: string) {
@@ -163,11 +169,15 @@
 
   /** Changes items and waits until all entries have them. */
   public async publish(...items: MessageInitShape<typeof ItemChangeSchema>[]): Promise<void> {
+    await this._applyChange(items);
+    await Promise.all(this.entries.map(({ feedClient }) => feedClient.syncOnce(this._stop.signal)));
+  }
+
+  private async _applyChange(items: MessageInitShape<typeof ItemChangeSchema>[]): Promise<void> {
     const version = BigInt(this._state.version + 1);
     const value = { operationId: `operation-${version}`, version, operator: 'test', items };
     const request = create(ExecuteRequestSchema, { command: { body: { case: 'change', value } } });
     await this._control.execute(request, this._stop.signal);
-    await Promise.all(this.entries.map(({ feedClient }) => feedClient.syncOnce(this._stop.signal)));
   }
 
   /** Creates a key and returns its text and the change that withdraws it. */
@@ -181,15 +191,21 @@
     return { text, withdrawal: { key, value: withdrawn } };
   }
 
-  public async addAccount(id: string, tokensPerSecond: number): Promise<void> {
+  /** Sets a client account, at the entries or only at the targets. */
+  public async addAccount(
+    id: string,
+    tokensPerSecond: number,
+    place: 'entries' | 'targets' = 'entries',
+  ): Promise<void> {
     const services = ['lace', 'order-desk'];
     const account = create(ClientAccountSchema, {
       ...{ id, tokensPerSecond, services, burstTokens: 1e9 },
     });
-    await this.publish({
-      key: `clientAccount/${id}`,
-      value: toBinary(ClientAccountSchema, account),
-    });
+    const item = { key: `clientAccount/${id}`, value: toBinary(ClientAccountSchema, account) };
+    await this._applyChange([item]);
+    const entries = this.entries.map(({ feedClient }) => feedClient);
+    const clients = place === 'entries' ? entries : this._targetFeeds;
+    await Promise.all(clients.map((client) => client.syncOnce(this._stop.signal)));
   }
 
   /** Opens a request; the caller reads the body. */
@@ -204,6 +220,7 @@
         ...init.headers,
       },
       body: init.body ?? null,
+      signal: init.signal ?? null,
     });
   }
 
@@ -213,6 +230,21 @@
     return { status: response.statusCode, headers: response.headers, text };
   }
 
+  /** Opens a request and breaks the connection once the condition holds. */
+  public async startAndLeave(
+    path: string,
+    init: ICallInit & { readonly leaveWhen: () => boolean | Promise<boolean> },
+  ): Promise<'left' | 'answered'> {
+    const leaving = new AbortController();
+    const answer = this.open(path, { ...init, signal: leaving.signal }).then(
+      () => 'answered' as const,
+      () => 'left' as const,
+    );
+    await waitFor('the time to leave', init.leaveWhen);
+    leaving.abort();
+    return answer;
+  }
+
   /** Places an order, which may run at most once. */
   public async placeOrder(
     fields: Readonly<Record<string, unknown>>,
@@ -258,7 +290,12 @@
   private async _startControl(): Promise<void> {
     const server = new InternalServer(this._controlAddress, CLUSTER_SECRET, {
       registerRpc: (router) => {
-        this._control.registerRpc(router);
+        router.service(ControlService, {
+          execute: (request, { signal }) =>
+            this.isControlServed
+              ? this._control.execute(request, signal)
+              : create(ExecuteResponseSchema, { outcome: { case: 'notLeader', value: {} } }),
+        });
         router.service(FeedService, {
           sync: (request) => {
             if (!this.isFeedServed) {
@@ -377,7 +414,9 @@
     this.targets.push(fake);
     this._servers.push(server);
     this._sidecars.push(sidecar);
-    void this._createFeedClient(feed, fake.id).run(this._stop.signal);
+    const feedClient = this._createFeedClient(feed, fake.id);
+    this._targetFeeds.push(feedClient);
+    void feedClient.run(this._stop.signal);
     void sidecar.run(this._stop.signal);
   }
 
--- a/src/entry/ModelFlow.ts
+++ b/src/entry/ModelFlow.ts
@@ -21,6 +21,8 @@
   readonly outputTokens: number;
   readonly cachedPromptTokens: number;
   readonly target: string | undefined;
+  /** True when a target may have computed the prompt. */
+  readonly mayHaveRun: boolean;
   readonly ttftMs: number | undefined;
 }
 
@@ -29,6 +31,7 @@
   outputTokens: 0,
   cachedPromptTokens: 0,
   target: undefined,
+  mayHaveRun: false,
   ttftMs: undefined,
 };
 
@@ -62,8 +65,8 @@
     try {
       served = await this._serve(context, model, outputLimit);
     } finally {
-      const ranTokens = served.target === undefined ? 0 : model.promptTokens;
-      admitted.val.settle(ranTokens + Math.min(outputLimit, served.outputTokens));
+      const promptTokens = served.mayHaveRun ? model.promptTokens : 0;
+      admitted.val.settle(promptTokens + Math.min(outputLimit, served.outputTokens));
       this._recordEnd(context, served);
     }
   }
@@ -83,8 +86,7 @@
         tried,
       );
       if (dispatched.err) {
-        this._refuse(context, dispatched.val);
-        return NOTHING_SERVED;
+        return this._endUnanswered(context, dispatched.val);
       }
       const served = await this._relay(context, model, dispatched.val);
       if (served !== undefined) {
@@ -97,6 +99,15 @@
     return NOTHING_SERVED;
   }
 
+  /** No target answered. A request that was ended from inside may be running until it is cancelled. */
+  private _endUnanswered(context: IRequestContext, failure: IHttpFailure): IServed {
+    if (context.open.signal.aborted && failure.ran !== 'no') {
+      return this._endEarly(context, undefined);
+    }
+    this._refuse(context, describeEnd(context) ?? failure);
+    return NOTHING_SERVED;
+  }
+
   /** Returns undefined when the target broke off and nothing reached the caller. */
   private async _relay(
     context: IRequestContext,
@@ -139,6 +150,7 @@
     const firstEventAt = relay.firstEventAt;
     const common = {
       target: choice.view.id,
+      mayHaveRun: true,
       ttftMs: firstEventAt === undefined ? undefined : firstEventAt - context.startedAt,
     };
     switch (end.kind) {
@@ -181,6 +193,7 @@
       outputTokens: usage?.outputTokens ?? 0,
       cachedPromptTokens: usage?.cachedPromptTokens ?? 0,
       target: dispatched.choice.view.id,
+      mayHaveRun: true,
       ttftMs: undefined,
     };
   }
@@ -189,7 +202,7 @@
    * The request was ended from inside before its answer was complete. The target may have generated
    * up to the limit, so nothing of the reservation is refunded.
    */
-  private _endEarly(context: IRequestContext, dispatched: IDispatched): IServed {
+  private _endEarly(context: IRequestContext, dispatched: IDispatched | undefined): IServed {
     const failure = describeEnd(context);
     if (failure !== undefined) {
       this._refuse(context, failure);
@@ -198,7 +211,8 @@
       ...NOTHING_SERVED,
       result: 'ended',
       outputTokens: Number.MAX_SAFE_INTEGER,
-      target: dispatched.choice.view.id,
+      target: dispatched?.choice.view.id,
+      mayHaveRun: true,
     };
   }
 
--- a/src/entry/OutcomeQuery.ts
+++ b/src/entry/OutcomeQuery.ts
@@ -76,7 +76,7 @@
 function describeProgress(response: QueryClaimResponse): ClaimOutcome {
   switch (response.progress) {
     case ClaimProgress.NOT_RUN:
-      return { kind: 'not_run' };
+      return { kind: 'not_run', isOldRevision: false };
     case ClaimProgress.RUNNING:
       return { kind: 'running' };
     case ClaimProgress.FINISHED:
--- a/src/run/EntryRole.ts
+++ b/src/run/EntryRole.ts
@@ -109,6 +109,7 @@
           new ClaimDispatch(this._chooser, this._client, outcomes, services),
           outcomes,
           new ClaimSettlement(control, this._shutdown.signal),
+          this._openRequests,
           services,
         ),
       },
