Answer broken HTTP in order, keep refusals readable and drain to the last byte

Faults that the tests in EdgeHttp showed, and their causes: - Bytes that are no HTTP, sent after a request, got a 400 written into the response in progress, which the caller could take for the answer to its first request. Such a connection now ends with the last response that is due. - A request that the parser refused was said not to have run, although it may have carried an Idempotency-Key. - Drain waited for the flows, not for the responses: a slow reader or an upload in progress was cut, and connections with a response in progress stayed open for further requests. - The refusal of a large upload could be lost, because the connection was reset while the caller sent. Ruled out by EdgeStreams: lost or doubled events after a break, unbounded buffers for a caller that does not read, and work that goes on after the caller left.

--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -18,7 +18,13 @@
 } from './Authenticate.js';
 import { IDEMPOTENCY_KEY_HEADER, type ClaimFlow } from './ClaimFlow.js';
 import type { Directory } from './Directory.js';
-import { describeUnlooked, refuse, sendFailure, type IHttpFailure } from './Failures.js';
+import {
+  describeUnlooked,
+  formatFailure,
+  refuse,
+  sendFailure,
+  type IHttpFailure,
+} from './Failures.js';
 import { hasKeyForm, hasKeyInBody } from './KeyFilter.js';
 import type { ModelFlow } from './ModelFlow.js';
 import { OpenRequest, type OpenRequests } from './OpenRequests.js';
@@ -71,6 +77,10 @@
 export class Entry {
   private readonly _server: Server;
   private readonly _checkTimer: NodeJS.Timeout;
+  /** Responses that were not handed to the network completely. */
+  private readonly _responses = new Set<ServerResponse>();
+  /** Connections that sent no valid HTTP. */
+  private readonly _refusedSockets = new WeakSet<Socket>();
   private _isDraining = false;
 
   constructor(
@@ -92,7 +102,9 @@
         void this._handle(request, response);
       },
     );
-    this._server.on('clientError', answerClientError);
+    this._server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+      this._handleClientError(error, socket);
+    });
     this._checkTimer = setInterval(() => {
       this._openRequests.check(this._services.clock.now());
     }, CHECK_INTERVAL_MS);
@@ -102,6 +114,15 @@
     return this._isDraining;
   }
 
+  /** Bytes of responses that callers have not taken yet. */
+  public get bufferedBytes(): number {
+    let bytes = 0;
+    for (const response of this._responses) {
+      bytes += response.writableLength;
+    }
+    return bytes;
+  }
+
   /** True when the balancer may send requests here. */
   public isReady(now: number): boolean {
     return !this._isDraining && isFresh(this._services.feed, now);
@@ -119,12 +140,15 @@
    */
   public async drain(timeoutMs: number, signal: AbortSignal): Promise<void> {
     this._isDraining = true;
+    for (const response of this._responses) {
+      endConnection(response);
+    }
     const { clock } = this._services;
     const giveUpAt = clock.now() + timeoutMs;
     await sleep(Math.min(DRAIN_NOTICE_MS, timeoutMs), signal);
     this._server.close();
-    this._server.closeIdleConnections();
-    while (this._openRequests.size > 0 && clock.now() < giveUpAt && !signal.aborted) {
+    while (this._isBusy() && clock.now() < giveUpAt && !signal.aborted) {
+      this._server.closeIdleConnections();
       await sleep(DRAIN_POLL_MS, signal);
     }
   }
@@ -135,11 +159,34 @@
     this._server.closeAllConnections();
   }
 
+  /** Answers bytes that are no request, unless a response to an earlier request is due first. */
+  private _handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+    const earlier = [...this._responses].filter(({ req }) => req.socket === socket);
+    const due = earlier.filter(({ req, headersSent }) => req.complete || headersSent);
+    const isAnswered = this._refusedSockets.has(socket);
+    this._refusedSockets.add(socket);
+    if (due.length > 0) {
+      // The connection ends with the last response that is due.
+      due.at(-1)?.once('close', () => socket.destroy());
+    } else if (isAnswered || !socket.writable || error.code === 'ECONNRESET') {
+      socket.destroy();
+    } else {
+      socket.end(formatClientError(error.code));
+    }
+  }
+
+  /** A response is open until its last byte is handed on, a claimed call until it is settled. */
+  private _isBusy(): boolean {
+    return this._responses.size > 0 || this._openRequests.size > 0;
+  }
+
   private async _handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const requestId = randomUUID();
     const startedAt = this._services.clock.now();
+    this._responses.add(response);
+    response.once('close', () => this._responses.delete(response));
     if (this._isDraining) {
-      response.setHeader('connection', 'close');
+      endConnection(response);
     }
     try {
       const failure = await this._route(request, response, requestId, startedAt);
@@ -327,6 +374,13 @@
   }
 }
 
+/** Makes the response the last one on its connection, if its head was not sent yet. */
+function endConnection(response: ServerResponse): void {
+  if (!response.headersSent) {
+    response.setHeader('connection', 'close');
+  }
+}
+
 /** True for calls that may run at most once. */
 function isClaimed(destination: Destination): boolean {
   return destination.kind === 'plain' && destination.isNonRepeatable;
@@ -344,20 +398,16 @@
   return refuse('method_not_allowed', `Use one of these methods: ${allowed}.`);
 }
 
-/** Answers requests that Node's parser refused before there was a request object. */
-function answerClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy();
-    return;
-  }
-  const { status, failure } = describeClientError(error.code);
-  const { code, message } = failure;
-  const body = JSON.stringify({
-    error: { type: 'invalid_request_error', code, message, request_id: randomUUID() },
-  });
-  socket.end(
-    `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\nx-rww-ran: no\r\n` +
-      `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
+/**
+ * Response to a request that Node's parser refused before there was a request object. It may have carried
+ * an Idempotency-Key, so "not run" cannot be said of the call.
+ */
+function formatClientError(errorCode: string | undefined): string {
+  const { status, failure } = describeClientError(errorCode);
+  const body = formatFailure(failure, randomUUID());
+  return (
+    `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\nx-rww-ran: unknown\r\n` +
+    `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`
   );
 }
 
--- a/src/entry/Failures.ts
+++ b/src/entry/Failures.ts
@@ -4,6 +4,9 @@
 /** Whether the request reached a target. `no` is said only when it is provable. */
 export type Ran = 'no' | 'yes' | 'unknown';
 
+/** Time for which the rest of a refused upload is discarded. */
+const DISCARD_MS = 2_000;
+
 /** Codes with their status and OpenAI-style error type. */
 const FAILURE_KINDS = {
   bad_request: { status: 400, type: 'invalid_request_error' },
@@ -120,5 +123,26 @@
     headers.connection = 'close';
   }
   response.writeHead(getStatus(failure), headers);
-  response.end(body);
+  if (headers.connection === 'close' && !response.req.complete) {
+    response.write(body);
+    discardUpload(response);
+  } else {
+    response.end(body);
+  }
+}
+
+/**
+ * Closing a connection while the caller still sends resets it, and the caller may lose the response that
+ * was on its way. What arrives is therefore discarded for a short time before the close.
+ */
+function discardUpload(response: ServerResponse): void {
+  const { req: request } = response;
+  const end = (): void => {
+    clearTimeout(timer);
+    response.end();
+  };
+  const timer = setTimeout(end, DISCARD_MS);
+  request.once('close', end);
+  request.once('end', end);
+  request.resume();
 }
--- a/src/entry/Parse.ts
+++ b/src/entry/Parse.ts
@@ -48,7 +48,8 @@
 async function collectBody(request: IncomingMessage): Promise<Result<Buffer, IHttpFailure>> {
   const parts: Buffer[] = [];
   let size = 0;
-  for await (const part of request) {
+  // The connection has to stay open for the refusal.
+  for await (const part of request.iterator({ destroyOnReturn: false })) {
     const bytes = part as Buffer;
     size += bytes.length;
     if (size > MAX_BODY_BYTES) {
