--- a/src/entry/Failures.ts
+++ b/src/entry/Failures.ts
@@ -4,6 +4,9 @@
 /** Whether the request reached a target. `no` is said only when it is provable. */
 export type Ran = 'no' | 'yes' | 'unknown';
 
+/** Time for which the rest of a refused upload is discarded. */
+const DISCARD_MS = 2_000;
+
 /** Codes with their status and OpenAI-style error type. */
 const FAILURE_KINDS = {
   bad_request: { status: 400, type: 'invalid_request_error' },
@@ -13,6 +16,7 @@
   request_timeout: { status: 408, type: 'invalid_request_error' },
   key_missing: { status: 401, type: 'authentication_error' },
   key_invalid: { status: 401, type: 'authentication_error' },
+  key_in_request: { status: 400, type: 'invalid_request_error' },
   key_ambiguous: { status: 400, type: 'invalid_request_error' },
   service_not_allowed: { status: 403, type: 'permission_error' },
   route_unknown: { status: 404, type: 'invalid_request_error' },
@@ -68,6 +72,20 @@
   return { code, message, ran, retryAfterMs };
 }
 
+/**
+ * Words the refusal of a request with an Idempotency-Key whose claim was not looked up: an earlier
+ * request with the same key may have run, so "not run" would not be true for the call.
+ */
+export function describeUnlooked(failure: IHttpFailure): IHttpFailure {
+  if (failure.ran !== 'no') {
+    return failure;
+  }
+  const hint =
+    'It is not known whether an earlier request with this Idempotency-Key ran; ' +
+    'send the same request with the same Idempotency-Key to find out.';
+  return { ...failure, message: `${failure.message} ${hint}`, ran: 'unknown' };
+}
+
 /** HTTP status of a failure. */
 export function getStatus(failure: IHttpFailure): number {
   return FAILURE_KINDS[failure.code].status;
@@ -105,5 +123,26 @@
     headers.connection = 'close';
   }
   response.writeHead(getStatus(failure), headers);
-  response.end(body);
+  if (headers.connection === 'close' && !response.req.complete) {
+    response.write(body);
+    discardUpload(response);
+  } else {
+    response.end(body);
+  }
+}
+
+/**
+ * Closing a connection while the caller still sends resets it, and the caller may lose the response that
+ * was on its way. What arrives is therefore discarded for a short time before the close.
+ */
+function discardUpload(response: ServerResponse): void {
+  const { req: request } = response;
+  const end = (): void => {
+    clearTimeout(timer);
+    response.end();
+  };
+  const timer = setTimeout(end, DISCARD_MS);
+  request.once('close', end);
+  request.once('end', end);
+  request.resume();
 }
--- a/src/entry/ForwardHeaders.ts
+++ b/src/entry/ForwardHeaders.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
 import { isBroken } from '../common/TestSwitches.js';
+import { hasKeyForm } from './KeyFilter.js';
 
 /** Headers of a request that a target may see. Keys, cookies and unknown headers stay here. */
 const REQUEST_HEADERS = [
@@ -29,13 +30,13 @@
   'x-stream-id',
 ]);
 
-/** Copies the request headers that a target may see. */
+/** Copies the request headers that a target may see, without values that hold a key. */
 export function pickRequestHeaders(headers: IncomingHttpHeaders): Record<string, string> {
   const picked: Record<string, string> = {};
   TEST_ONLY: if (isBroken('forward-key')) picked.authorization = headers.authorization ?? '';
   for (const name of REQUEST_HEADERS) {
     const value = headers[name];
-    if (typeof value === 'string') {
+    if (typeof value === 'string' && !hasKeyForm(value)) {
       picked[name] = value;
     }
   }
--- a/src/feed/FeedClient.test.ts
+++ b/src/feed/FeedClient.test.ts
@@ -43,7 +43,7 @@
     const random = vi.fn(() => 0.99).mockReturnValueOnce(0.5);
     const log = createLog('test', 'error', () => undefined);
     const servers = ['own', 'lagging', 'leader'];
-    const client = new FeedClient(copy, servers, 'own', clients, clock, log, random);
+    const client = new FeedClient(copy, servers, 'own', [], clients, clock, log, random);
     for (let round = 0; round < 10; round++) {
       await client.syncOnce(new AbortController().signal);
     }
@@ -58,7 +58,16 @@
     const clients = createClients({ follower, leader });
     const log = createLog('test', 'error', () => undefined);
     const servers = ['follower', 'leader'];
-    const client = new FeedClient(copy, servers, 'entry', clients, { now: () => 0 }, log, () => 0);
+    const client = new FeedClient(
+      copy,
+      servers,
+      'entry',
+      [],
+      clients,
+      { now: () => 0 },
+      log,
+      () => 0,
+    );
     for (let round = 0; round < 4; round++) {
       await client.syncOnce(new AbortController().signal);
     }
