--- a/tools/harness/Deployment.ts
+++ b/tools/harness/Deployment.ts
@@ -22,10 +22,17 @@
   readonly fakeArgs?: readonly string[];
 }
 
+/** One entry. It is a control member too unless the plan says otherwise. */
+export interface IEntryPlan {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly hasControl?: boolean;
+}
+
 /** What to deploy. */
 export interface IDeploymentPlan {
   readonly region: string;
-  readonly entries: readonly { readonly name: string; readonly dataCentre: string }[];
+  readonly entries: readonly IEntryPlan[];
   readonly targets: readonly ITargetPlan[];
   /** Content of the operator's files, by folder. */
   readonly operatorFiles: Readonly<Record<string, unknown>>;
@@ -112,7 +119,9 @@
   }
 
   public listControlAddresses(): string[] {
-    return this.listEntries().map((name) => this.getInternalAddress(name));
+    return this._plan.entries
+      .filter(({ hasControl }) => hasControl !== false)
+      .map(({ name }) => this.getInternalAddress(name));
   }
 
   /** Founds the control group on the first entry's disk and starts everything. */
@@ -248,7 +257,7 @@
       writeFileSync(join(folder, 'redwingwharf.json'), JSON.stringify(content, undefined, 2));
     }
     for (const entry of this._plan.entries) {
-      this._writeSettings(entry.name, this._buildEntrySettings(entry.name, entry.dataCentre));
+      this._writeSettings(entry.name, this._buildEntrySettings(entry));
     }
     for (const target of this._plan.targets) {
       this._writeSettings(`sidecar-${target.id}`, this._buildSidecarSettings(target));
@@ -259,7 +268,7 @@
     writeFileSync(this._getSettingsFile(name), JSON.stringify(settings, undefined, 2));
   }
 
-  private _buildEntrySettings(name: string, dataCentre: string): unknown {
+  private _buildEntrySettings({ name, dataCentre, hasControl }: IEntryPlan): unknown {
     const control = this.listControlAddresses();
     const own = this.getInternalAddress(name);
     return {
@@ -273,16 +282,20 @@
         control,
         ...(this._plan.policy === undefined ? {} : { policy: this._plan.policy }),
       },
-      control: {
-        memberId: name,
-        dataFolder: `${name}-data`,
-        peers: control.filter((address) => address !== own),
-      },
+      ...(hasControl === false
+        ? {}
+        : {
+            control: {
+              memberId: name,
+              dataFolder: `${name}-data`,
+              peers: control.filter((address) => address !== own),
+            },
+          }),
     };
   }
 
   private _buildSidecarSettings(target: ITargetPlan): unknown {
-    const entries = this.listControlAddresses();
+    const entries = this.listEntries().map((name) => this.getInternalAddress(name));
     return {
       instance: `sidecar-${target.id}`,
       region: this._plan.region,
--- a/tools/harness/LoadClient.ts
+++ b/tools/harness/LoadClient.ts
@@ -7,6 +7,8 @@
   readonly firstByteMs: number;
   readonly totalMs: number;
   readonly events: number;
+  /** Reads that brought the events; fewer than events where these arrive together. */
+  readonly chunks: number;
 }
 
 const EVENT_END = Buffer.from('\n\n');
@@ -33,15 +35,18 @@
     });
     let firstByteMs = 0;
     let events = 0;
+    let chunks = 0;
     for await (const chunk of response.body as AsyncIterable<Buffer>) {
       firstByteMs ||= performance.now() - startedAt;
       events += countEvents(chunk);
+      chunks += 1;
     }
     return {
       status: response.statusCode,
       firstByteMs,
       totalMs: performance.now() - startedAt,
       events,
+      chunks,
     };
   }
 
--- a/tools/harness/ProcessUsage.ts
+++ b/tools/harness/ProcessUsage.ts
@@ -18,3 +18,15 @@
   const status = readFileSync(`/proc/${pid}/status`, 'utf8');
   return Number(/VmHWM:\s+(\d+) kB/.exec(status)?.[1] ?? 0) / 1_024;
 }
+
+/** Resident memory now, in megabytes. */
+export function readMemoryMb(pid: number): number {
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+  return Number(/VmRSS:\s+(\d+) kB/.exec(status)?.[1] ?? 0) / 1_024;
+}
+
+/** Bytes that the process has passed to write calls: sockets, log and disk. */
+export function readWrittenBytes(pid: number): number {
+  const io = readFileSync(`/proc/${pid}/io`, 'utf8');
+  return Number(/wchar: (\d+)/.exec(io)?.[1] ?? 0);
+}
--- a/tools/overhead.ts
+++ b/tools/overhead.ts
@@ -1,53 +1,105 @@
 /**
- * Measures what entry and sidecar add: time to first token against a direct request to the same fake
- * in the same run, processor time per request and per relayed event, and peak memory per role.
+ * Measures what entry, sidecar and control cost: time to first token against a direct request to the
+ * same fake in the same run, processor time per request and per relayed event at several sizes, and
+ * what idle processes take. docs/overhead.md describes the method.
  */
 import { build, type Histogram } from 'hdr-histogram-js';
+import { setTimeout as delay } from 'node:timers/promises';
+import { parseArgs } from 'node:util';
 import { Deployment, type IDeploymentPlan } from './harness/Deployment.js';
 import { LoadClient, runConcurrently } from './harness/LoadClient.js';
-import { readCpuMs, readPeakMemoryMb } from './harness/ProcessUsage.js';
+import {
+  readCpuMs,
+  readMemoryMb,
+  readPeakMemoryMb,
+  readWrittenBytes,
+} from './harness/ProcessUsage.js';
 
 const ENTRY = 'entry-1';
 const SIDECAR = 'sidecar-lace-1';
 
 /** Requests of each kind for the time to first token. */
-const LATENCY_REQUESTS = 500;
+const LATENCY_REQUESTS = 300;
 const WARM_UP_REQUESTS = 100;
 
 /** Short requests for the processor time per request. */
-const SHORT_REQUESTS = 3_000;
-const SHORT_CONCURRENCY = 20;
+const REQUEST_SIZES = [5, 20, 80] as const;
+const SHORT_REQUESTS = 1_000;
 
 /** Streams for the processor time per relayed event. */
-const STREAMS = 400;
-const STREAM_CONCURRENCY = 200;
-const STREAM_TOKENS = 400;
+const STREAM_SIZES = [50, 200, 800] as const;
+const STREAM_TOKENS = 150;
 
-const PLAN: IDeploymentPlan = {
+/** Pause between the tokens of a stream: the target for 95 in 100. */
+const DECODE_MS = 32;
+
+/** Length of an idle measurement, and the pause before it in which timers and grants settle. */
+const IDLE_MS = 10_000;
+const SETTLE_MS = 3_000;
+
+/** Idle time whose cost is taken off the cost under load. */
+const BACKGROUND_MS = 4_000;
+
+const PHASES = ['latency', 'requests', 'events', 'idle'] as const;
+type Phase = (typeof PHASES)[number];
+
+const TARGETS: IDeploymentPlan['targets'] = [
+  {
+    id: 'lace-1',
+    service: 'lace',
+    kind: 'engine',
+    model: 'lace-1',
+    dataCentre: 'dc-a',
+    fakeArgs: [
+      '--decode-ms',
+      String(DECODE_MS),
+      '--max-running',
+      '4096',
+      '--prefill-tps',
+      '1000000000',
+    ],
+  },
+];
+
+const OPERATOR_FILES: IDeploymentPlan['operatorFiles'] = {
+  lace: { services: [{ name: 'lace', kind: 'model', models: ['lace-1'] }] },
+  accounts: {
+    clientAccounts: [{ id: 'load', tokensPerSecond: 1e8, burstTokens: 1e8, services: ['lace'] }],
+  },
+};
+
+const LOAD_PLAN: IDeploymentPlan = {
   region: 'local',
   entries: [{ name: ENTRY, dataCentre: 'dc-a' }],
-  targets: [
-    {
-      id: 'lace-1',
-      service: 'lace',
-      kind: 'engine',
-      model: 'lace-1',
-      dataCentre: 'dc-a',
-      fakeArgs: ['--decode-ms', '5', '--max-running', '4096', '--prefill-tps', '1000000000'],
-    },
+  targets: TARGETS,
+  operatorFiles: OPERATOR_FILES,
+};
+
+/** Processes of the idle measurement. The first entry founds the control group and leads it. */
+const IDLE_PROCESSES = {
+  controlLeader: 'entry-1',
+  controlFollower: 'entry-2',
+  entryOnly: 'entry-4',
+  sidecar: SIDECAR,
+} as const;
+
+const IDLE_PLAN: IDeploymentPlan = {
+  ...LOAD_PLAN,
+  entries: [
+    { name: 'entry-1', dataCentre: 'dc-a' },
+    { name: 'entry-2', dataCentre: 'dc-a' },
+    { name: 'entry-3', dataCentre: 'dc-a' },
+    { name: 'entry-4', dataCentre: 'dc-a', hasControl: false },
   ],
-  operatorFiles: {
-    lace: { services: [{ name: 'lace', kind: 'model', models: ['lace-1'] }] },
-    accounts: {
-      clientAccounts: [{ id: 'load', tokensPerSecond: 1e8, burstTokens: 1e8, services: ['lace'] }],
-    },
-  },
 };
 
-interface ICost {
-  readonly entryUs: number;
-  readonly sidecarUs: number;
-}
+type Result = Readonly<Record<string, unknown>>;
+
+/** Processor time of entry and sidecar in milliseconds. */
+type CpuPair = readonly [entry: number, sidecar: number];
+
+/** Processor time per millisecond of an idle entry and sidecar. */
+type Background = CpuPair;
 
 function createHistogram(): Histogram {
   return build({ highestTrackableValue: 60_000_000, numberOfSignificantValueDigits: 3 });
@@ -78,16 +130,21 @@
   return key;
 }
 
+function limitDigits(value: number, digits: number): number {
+  return Number(value.toFixed(digits));
+}
+
+function describeMs(histogram: Histogram, percentile: number): number {
+  return limitDigits(histogram.getValueAtPercentile(percentile) / 1_000, 2);
+}
+
 /** Direct and routed requests take turns, so that both see the same state of the machine. */
-async function measureLatency(
-  deployment: Deployment,
-  key: string,
-): Promise<{ direct: Histogram; routed: Histogram }> {
+async function measureLatency(deployment: Deployment, key: string): Promise<Result> {
   const client = new LoadClient();
   const direct = createHistogram();
   const routed = createHistogram();
   for (let index = 0; index < LATENCY_REQUESTS + WARM_UP_REQUESTS; index++) {
-    const body = buildBody(2);
+    const body = buildBody(1);
     const plain = await client.stream(deployment.getTargetUrl('lace-1'), undefined, body);
     const full = await client.stream(deployment.getUrl(ENTRY), key, body);
     if (index >= WARM_UP_REQUESTS) {
@@ -96,19 +153,45 @@
     }
   }
   await client.close();
-  return { direct, routed };
+  return {
+    ttftDirectP50Ms: describeMs(direct, 50),
+    ttftDirectP99Ms: describeMs(direct, 99),
+    ttftRoutedP50Ms: describeMs(routed, 50),
+    ttftRoutedP99Ms: describeMs(routed, 99),
+  };
 }
 
-async function measureCost(deployment: Deployment, units: () => Promise<number>): Promise<ICost> {
-  const entryPid = deployment.getChild(ENTRY)?.pid ?? 0;
-  const sidecarPid = deployment.getChild(SIDECAR)?.pid ?? 0;
-  const before = [readCpuMs(entryPid), readCpuMs(sidecarPid)] as const;
+function getPid(deployment: Deployment, name: string): number {
+  return deployment.getChild(name)?.pid ?? 0;
+}
+
+function readCpuPair(deployment: Deployment): CpuPair {
+  return [readCpuMs(getPid(deployment, ENTRY)), readCpuMs(getPid(deployment, SIDECAR))];
+}
+
+async function measureBackground(deployment: Deployment): Promise<Background> {
+  await delay(SETTLE_MS);
+  const before = readCpuPair(deployment);
+  await delay(BACKGROUND_MS);
+  const after = readCpuPair(deployment);
+  return [(after[0] - before[0]) / BACKGROUND_MS, (after[1] - before[1]) / BACKGROUND_MS];
+}
+
+/** Processor time per unit, without what the processes take when they are idle. */
+async function measureCost(
+  deployment: Deployment,
+  background: Background,
+  units: () => Promise<number>,
+): Promise<{ count: number; seconds: number; entryUs: number; sidecarUs: number }> {
+  const before = readCpuPair(deployment);
+  const startedAt = performance.now();
   const count = await units();
-  const after = [readCpuMs(entryPid), readCpuMs(sidecarPid)] as const;
-  return {
-    entryUs: ((after[0] - before[0]) * 1_000) / count,
-    sidecarUs: ((after[1] - before[1]) * 1_000) / count,
-  };
+  const elapsedMs = performance.now() - startedAt;
+  const after = readCpuPair(deployment);
+  const [entryUs, sidecarUs] = ([0, 1] as const).map(
+    (index) => ((after[index] - before[index] - background[index] * elapsedMs) * 1_000) / count,
+  );
+  return { count, seconds: elapsedMs / 1_000, entryUs: entryUs ?? 0, sidecarUs: sidecarUs ?? 0 };
 }
 
 async function runStreams(
@@ -117,61 +200,139 @@
   total: number,
   concurrency: number,
   tokens: number,
-): Promise<{ requests: number; events: number }> {
+): Promise<{ requests: number; events: number; chunks: number }> {
   const client = new LoadClient();
   let events = 0;
+  let chunks = 0;
   await runConcurrently(total, concurrency, async () => {
     const times = await client.stream(deployment.getUrl(ENTRY), key, buildBody(tokens));
     if (times.status !== 200) {
       throw new Error(`unexpected status ${times.status}`);
     }
     events += times.events;
+    chunks += times.chunks;
   });
   await client.close();
-  return { requests: total, events };
+  return { requests: total, events, chunks };
 }
 
-function limitDigits(value: number, digits: number): number {
-  return Number(value.toFixed(digits));
+async function measureRequests(
+  deployment: Deployment,
+  key: string,
+  background: Background,
+): Promise<Result[]> {
+  const rows: Result[] = [];
+  for (const atOnce of REQUEST_SIZES) {
+    const cost = await measureCost(deployment, background, async () => {
+      const done = await runStreams(deployment, key, SHORT_REQUESTS, atOnce, 1);
+      return done.requests;
+    });
+    rows.push({
+      atOnce,
+      perSecond: limitDigits(cost.count / cost.seconds, 0),
+      entryUs: limitDigits(cost.entryUs, 0),
+      sidecarUs: limitDigits(cost.sidecarUs, 0),
+    });
+  }
+  return rows;
 }
 
-function describeMs(histogram: Histogram, percentile: number): number {
-  return limitDigits(histogram.getValueAtPercentile(percentile) / 1_000, 2);
+async function measureEvents(
+  deployment: Deployment,
+  key: string,
+  background: Background,
+): Promise<Result[]> {
+  const rows: Result[] = [];
+  for (const streams of STREAM_SIZES) {
+    let chunks = 0;
+    const cost = await measureCost(deployment, background, async () => {
+      const done = await runStreams(deployment, key, streams, streams, STREAM_TOKENS);
+      chunks = done.chunks;
+      return done.events;
+    });
+    rows.push({
+      streams,
+      perSecond: limitDigits(cost.count / cost.seconds, 0),
+      eventsPerRead: limitDigits(cost.count / chunks, 2),
+      entryUs: limitDigits(cost.entryUs, 2),
+      sidecarUs: limitDigits(cost.sidecarUs, 2),
+    });
+  }
+  return rows;
 }
 
-async function measure(deployment: Deployment): Promise<Record<string, unknown>> {
-  const key = await prepareDeployment(deployment);
-  const { direct, routed } = await measureLatency(deployment, key);
-  const perRequest = await measureCost(deployment, async () => {
-    const done = await runStreams(deployment, key, SHORT_REQUESTS, SHORT_CONCURRENCY, 1);
-    return done.requests;
+async function measureLoad(phases: ReadonlySet<Phase>): Promise<Result> {
+  return runDeployment(LOAD_PLAN, async (deployment, key) => {
+    const latency = phases.has('latency') ? await measureLatency(deployment, key) : {};
+    const background = await measureBackground(deployment);
+    const requests = phases.has('requests')
+      ? { requests: await measureRequests(deployment, key, background) }
+      : {};
+    const events = phases.has('events')
+      ? { events: await measureEvents(deployment, key, background) }
+      : {};
+    return {
+      ...latency,
+      ...requests,
+      ...events,
+      entryPeakMb: limitDigits(readPeakMemoryMb(getPid(deployment, ENTRY)), 0),
+      sidecarPeakMb: limitDigits(readPeakMemoryMb(getPid(deployment, SIDECAR)), 0),
+    };
   });
-  const perEvent = await measureCost(deployment, async () => {
-    const done = await runStreams(deployment, key, STREAMS, STREAM_CONCURRENCY, STREAM_TOKENS);
-    return done.events;
+}
+
+async function measureIdle(): Promise<Result> {
+  return runDeployment(IDLE_PLAN, async (deployment) => {
+    await delay(SETTLE_MS);
+    const read = (name: string): { cpuMs: number; bytes: number } => {
+      const pid = getPid(deployment, name);
+      return { cpuMs: readCpuMs(pid), bytes: readWrittenBytes(pid) };
+    };
+    const names = Object.entries(IDLE_PROCESSES);
+    const before = names.map(([, name]) => read(name));
+    await delay(IDLE_MS);
+    const rows = names.map(([role, name], index) => {
+      const { cpuMs, bytes } = read(name);
+      const from = before[index] ?? { cpuMs, bytes };
+      return [
+        role,
+        {
+          cpuPercent: limitDigits(((cpuMs - from.cpuMs) / IDLE_MS) * 100, 1),
+          bytesPerSecond: limitDigits(((bytes - from.bytes) / IDLE_MS) * 1_000, 0),
+          residentMb: limitDigits(readMemoryMb(getPid(deployment, name)), 0),
+        },
+      ] as const;
+    });
+    return Object.fromEntries(rows);
   });
-  return {
-    ttftDirectP50Ms: describeMs(direct, 50),
-    ttftDirectP99Ms: describeMs(direct, 99),
-    ttftRoutedP50Ms: describeMs(routed, 50),
-    ttftRoutedP99Ms: describeMs(routed, 99),
-    entryUsPerRequest: limitDigits(perRequest.entryUs, 0),
-    sidecarUsPerRequest: limitDigits(perRequest.sidecarUs, 0),
-    entryUsPerEvent: limitDigits(perEvent.entryUs, 2),
-    sidecarUsPerEvent: limitDigits(perEvent.sidecarUs, 2),
-    entryPeakMb: limitDigits(readPeakMemoryMb(deployment.getChild(ENTRY)?.pid ?? 0), 0),
-    sidecarPeakMb: limitDigits(readPeakMemoryMb(deployment.getChild(SIDECAR)?.pid ?? 0), 0),
-  };
 }
 
-async function main(): Promise<void> {
-  const deployment = await Deployment.create(PLAN);
+async function runDeployment(
+  plan: IDeploymentPlan,
+  run: (deployment: Deployment, key: string) => Promise<Result>,
+): Promise<Result> {
+  const deployment = await Deployment.create(plan);
   try {
-    process.stdout.write(`${JSON.stringify(await measure(deployment))}\n`);
+    return await run(deployment, await prepareDeployment(deployment));
   } finally {
     await deployment.stop();
     deployment.deleteFolder();
   }
 }
 
+/** `--only requests,events` limits the run to some phases. */
+function readPhases(): ReadonlySet<Phase> {
+  const { values } = parseArgs({ options: { only: { type: 'string' } } });
+  const wanted = values.only?.split(',') ?? PHASES;
+  return new Set(PHASES.filter((phase) => wanted.includes(phase)));
+}
+
+async function main(): Promise<void> {
+  const phases = readPhases();
+  const needsLoad = PHASES.some((phase) => phase !== 'idle' && phases.has(phase));
+  const load = needsLoad ? await measureLoad(phases) : {};
+  const idle = phases.has('idle') ? { idle: await measureIdle() } : {};
+  process.stdout.write(`${JSON.stringify({ ...load, ...idle })}\n`);
+}
+
 void main();
