Leave the cost of requests out of the cost per event

The first version divided the processor time of whole streams by their events. The window now begins once every stream has delivered its first event and ends before the first one ends.

--- a/tools/harness/LoadClient.ts
+++ b/tools/harness/LoadClient.ts
@@ -7,8 +7,6 @@
   readonly firstByteMs: number;
   readonly totalMs: number;
   readonly events: number;
-  /** Reads that brought the events; fewer than events where these arrive together. */
-  readonly chunks: number;
 }
 
 const EVENT_END = Buffer.from('\n\n');
@@ -22,6 +20,7 @@
     baseUrl: string,
     key: string | undefined,
     body: Readonly<Record<string, unknown>>,
+    onEvents: (count: number) => void = () => undefined,
   ): Promise<IStreamTimes> {
     const startedAt = performance.now();
     const response = await request(`${baseUrl}/v1/chat/completions`, {
@@ -35,18 +34,17 @@
     });
     let firstByteMs = 0;
     let events = 0;
-    let chunks = 0;
     for await (const chunk of response.body as AsyncIterable<Buffer>) {
       firstByteMs ||= performance.now() - startedAt;
-      events += countEvents(chunk);
-      chunks += 1;
+      const count = countEvents(chunk);
+      events += count;
+      onEvents(count);
     }
     return {
       status: response.statusCode,
       firstByteMs,
       totalMs: performance.now() - startedAt,
       events,
-      chunks,
     };
   }
 
--- a/tools/overhead.ts
+++ b/tools/overhead.ts
@@ -26,9 +26,12 @@
 const REQUEST_SIZES = [5, 20, 80] as const;
 const SHORT_REQUESTS = 1_000;
 
-/** Streams for the processor time per relayed event. */
+/** Streams for the processor time per relayed event, and the time after the last one has begun. */
 const STREAM_SIZES = [50, 200, 800] as const;
-const STREAM_TOKENS = 150;
+const STREAM_TOKENS = 200;
+const EVENTS_MS = 3_000;
+
+const STREAMS_TIMEOUT_MS = 120_000;
 
 /** Pause between the tokens of a stream: the target for 95 in 100. */
 const DECODE_MS = 32;
@@ -194,26 +197,65 @@
   return { count, seconds: elapsedMs / 1_000, entryUs: entryUs ?? 0, sidecarUs: sidecarUs ?? 0 };
 }
 
-async function runStreams(
-  deployment: Deployment,
-  key: string,
-  total: number,
-  concurrency: number,
-  tokens: number,
-): Promise<{ requests: number; events: number; chunks: number }> {
+async function runRequests(deployment: Deployment, key: string, atOnce: number): Promise<number> {
   const client = new LoadClient();
-  let events = 0;
-  let chunks = 0;
-  await runConcurrently(total, concurrency, async () => {
-    const times = await client.stream(deployment.getUrl(ENTRY), key, buildBody(tokens));
-    if (times.status !== 200) {
-      throw new Error(`unexpected status ${times.status}`);
+  await runConcurrently(SHORT_REQUESTS, atOnce, async () => {
+    const { status } = await client.stream(deployment.getUrl(ENTRY), key, buildBody(1));
+    if (status !== 200) {
+      throw new Error(`unexpected status ${status}`);
     }
-    events += times.events;
-    chunks += times.chunks;
   });
   await client.close();
-  return { requests: total, events, chunks };
+  return SHORT_REQUESTS;
+}
+
+/** Streams of which each has delivered its first event; their requests are no part of the cost. */
+class OpenStreams {
+  private readonly _client = new LoadClient();
+  private _begun = 0;
+  private _ended = 0;
+  public events = 0;
+  public reads = 0;
+
+  constructor(private readonly _count: number) {}
+
+  public async start(deployment: Deployment, key: string): Promise<void> {
+    for (let index = 0; index < this._count; index++) {
+      void this._run(deployment, key);
+    }
+    await deployment.waitFor('the streams', () => Promise.resolve(this._begun === this._count));
+  }
+
+  /** Throws when a stream has ended already, because then the events were fewer than planned. */
+  public assertOpen(): void {
+    if (this._ended > 0) {
+      throw new Error(`${this._ended} of ${this._count} streams ended during the measurement`);
+    }
+  }
+
+  public async waitEnded(deployment: Deployment): Promise<void> {
+    await deployment.waitFor(
+      'the end of the streams',
+      () => Promise.resolve(this._ended === this._count),
+      STREAMS_TIMEOUT_MS,
+    );
+    await this._client.close();
+  }
+
+  private async _run(deployment: Deployment, key: string): Promise<void> {
+    let hasBegun = false;
+    const url = deployment.getUrl(ENTRY);
+    const times = await this._client.stream(url, key, buildBody(STREAM_TOKENS), (count) => {
+      this._begun += hasBegun ? 0 : 1;
+      hasBegun = true;
+      this.events += count;
+      this.reads += 1;
+    });
+    if (times.status !== 200) {
+      throw new Error(`unexpected status ${times.status}`);
+    }
+    this._ended += 1;
+  }
 }
 
 async function measureRequests(
@@ -224,8 +266,7 @@
   const rows: Result[] = [];
   for (const atOnce of REQUEST_SIZES) {
     const cost = await measureCost(deployment, background, async () => {
-      const done = await runStreams(deployment, key, SHORT_REQUESTS, atOnce, 1);
-      return done.requests;
+      return runRequests(deployment, key, atOnce);
     });
     rows.push({
       atOnce,
@@ -244,16 +285,20 @@
 ): Promise<Result[]> {
   const rows: Result[] = [];
   for (const streams of STREAM_SIZES) {
-    let chunks = 0;
+    const open = new OpenStreams(streams);
+    await open.start(deployment, key);
+    const { events, reads } = open;
     const cost = await measureCost(deployment, background, async () => {
-      const done = await runStreams(deployment, key, streams, streams, STREAM_TOKENS);
-      chunks = done.chunks;
-      return done.events;
+      await delay(EVENTS_MS);
+      return open.events - events;
     });
+    const eventsPerRead = (open.events - events) / (open.reads - reads);
+    open.assertOpen();
+    await open.waitEnded(deployment);
     rows.push({
       streams,
       perSecond: limitDigits(cost.count / cost.seconds, 0),
-      eventsPerRead: limitDigits(cost.count / chunks, 2),
+      eventsPerRead: limitDigits(eventsPerRead, 2),
       entryUs: limitDigits(cost.entryUs, 2),
       sidecarUs: limitDigits(cost.sidecarUs, 2),
     });
