--- a/tools/harness/LoadClient.ts
+++ b/tools/harness/LoadClient.ts
@@ -20,6 +20,7 @@
     baseUrl: string,
     key: string | undefined,
     body: Readonly<Record<string, unknown>>,
+    onEvents: (count: number) => void = () => undefined,
   ): Promise<IStreamTimes> {
     const startedAt = performance.now();
     const response = await request(`${baseUrl}/v1/chat/completions`, {
@@ -35,7 +36,9 @@
     let events = 0;
     for await (const chunk of response.body as AsyncIterable<Buffer>) {
       firstByteMs ||= performance.now() - startedAt;
-      events += countEvents(chunk);
+      const count = countEvents(chunk);
+      events += count;
+      onEvents(count);
     }
     return {
       status: response.statusCode,
