Describe the soak, and end its processes on SIGTERM

A run that is ended by a signal stops its deployment; before, the processes stayed. Breaks name the invariants that they should violate, and the summary reports the longest stall of the soak's own process.

--- a/tools/soak.ts
+++ b/tools/soak.ts
@@ -35,6 +35,8 @@
 
 const QUIET_TIMEOUT_MS = 60_000;
 
+const STALL_INTERVAL_MS = 50;
+
 const startedAt = performance.now();
 
 function report(line: string): void {
@@ -53,6 +55,8 @@
   private readonly _schedule: FaultSchedule;
   private readonly _keys = new Map<string, ISoakKey>();
   private _formerKey: ISoakKey | undefined;
+  /** Longest time for which this process got no processor; the limits in the checks suffer from it. */
+  private _longestStallMs = 0;
 
   constructor(
     private readonly _deployment: Deployment,
@@ -80,6 +84,7 @@
     const stopLoad = new AbortController();
     const stopWatch = new AbortController();
     const watching = this._watch.run(stopWatch.signal);
+    const stallTimer = this._watchStalls();
     await delay(1_000);
     const loads = ACCOUNTS.map((account, index) =>
       new AccountLoad(
@@ -100,10 +105,19 @@
     report('load ends');
     await Promise.race([Promise.all(loads), delay(QUIET_TIMEOUT_MS, undefined, { ref: false })]);
     stopWatch.abort();
+    clearInterval(stallTimer);
     await watching;
     return this._finish();
   }
 
+  private _watchStalls(): NodeJS.Timeout {
+    let dueAt = performance.now() + STALL_INTERVAL_MS;
+    return setInterval(() => {
+      this._longestStallMs = Math.max(this._longestStallMs, performance.now() - dueAt);
+      dueAt = performance.now() + STALL_INTERVAL_MS;
+    }, STALL_INTERVAL_MS);
+  }
+
   private async _prepare(): Promise<void> {
     const deployment = this._deployment;
     await deployment.start();
@@ -184,6 +198,7 @@
       wrongfulRefusals: checks.countWrongfulRefusals(ACCOUNTS),
       usePercent: checks.measureUse(ACCOUNTS, this._seconds),
       orderMs: checks.measureOrders(),
+      longestStallMs: Math.round(this._longestStallMs),
       ok: isKept,
     };
     if (!isKept) {
@@ -200,6 +215,11 @@
   const chosen = values.break === undefined ? undefined : findBreak(values.break);
   const kinds = values.faults?.split(',') ?? chosen?.faults ?? [];
   const deployment = await Deployment.create(buildPlan(chosen?.name));
+  for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+    process.once(signal, () => {
+      void deployment.stop().finally(() => process.exit(1));
+    });
+  }
   let isKept = false;
   let isExpected = false;
   try {
--- a/tools/soak/Breaks.ts
+++ b/tools/soak/Breaks.ts
@@ -15,7 +15,7 @@
 export const BREAKS: readonly IBreak[] = [
   {
     name: 'claim-table',
-    expected: ['a_once'],
+    expected: ['a_once', 'b_not_run'],
     summary: 'the sidecar forgets which claim attempts it has seen or refused',
     faults: ['slow_links', 'freeze_sidecar', 'cut_link'],
   },
@@ -27,13 +27,13 @@
   },
   {
     name: 'rebind-proof',
-    expected: ['a_once'],
+    expected: ['a_once', 'b_not_run'],
     summary: 'a claim is bound to another target without proof that nothing ran',
     faults: ['kill_sidecar', 'freeze_sidecar', 'cut_link'],
   },
   {
     name: 'sidecar-incarnation',
-    expected: ['a_once'],
+    expected: ['a_once', 'b_not_run'],
     summary: 'a restarted sidecar answers for the claims of its former life',
     faults: ['kill_sidecar'],
   },
@@ -41,7 +41,7 @@
     name: 'key-freshness',
     expected: ['d_withdrawn', 'f_configuration'],
     summary: 'keys are accepted however old the copy of the configuration is',
-    faults: ['isolate_entry', 'withdraw_key'],
+    faults: ['isolate_entry', 'withdraw_key', 'operator_race'],
   },
   {
     name: 'open-streams',
@@ -101,7 +101,7 @@
     name: 'stream-end',
     expected: ['c_answers'],
     summary: 'a stream that broke off is ended like a complete one',
-    faults: ['kill_target', 'kill_sidecar'],
+    faults: ['kill_target'],
   },
 ];
 
--- a/tools/soak/Faults.ts
+++ b/tools/soak/Faults.ts
@@ -201,7 +201,7 @@
     network.inject(entry, other, cut);
     network.inject(other, entry, cut);
   }
-  await delay(random.nextBetween(2_000, 9_000));
+  await delay(random.nextBetween(3_000, 12_000));
   for (const other of others) {
     network.restore(entry, other);
     network.restore(other, entry);
