--- a/tools/slopes/FeedSlopes.ts
+++ b/tools/slopes/FeedSlopes.ts
@@ -76,6 +76,23 @@
   });
 }
 
+/** Serves one full copy, as each restarted process needs it. */
+function measureFullCopy(count: number): number {
+  const copy = createFilledCopy(count);
+  const request = create(SyncRequestSchema, { instance: 'entry-1' });
+  return measureUs(1, () => {
+    toBinary(SyncResponseSchema, copy.sync(request, 0));
+  });
+}
+
+/** Takes one full copy over. */
+function measureFullApply(count: number): number {
+  const encoded = toBinary(SyncResponseSchema, createFullCopy(count));
+  return measureUs(1, () => {
+    new FeedCopy().applyResponse(fromBinary(SyncResponseSchema, encoded), 0);
+  });
+}
+
 export function measureFeed(): ISlope[] {
   return [
     {
@@ -96,6 +113,18 @@
         value: toBinary(SyncResponseSchema, createFullCopy(size)).length / 1_024,
       })),
     },
+    {
+      name: 'feed full copy (serve)',
+      unit: 'us',
+      per: 'item',
+      points: ITEM_COUNTS.map((size) => ({ size, value: measureFullCopy(size) })),
+    },
+    {
+      name: 'feed full copy (apply)',
+      unit: 'us',
+      per: 'item',
+      points: ITEM_COUNTS.map((size) => ({ size, value: measureFullApply(size) })),
+    },
     {
       name: 'feed poll without news (codec and lookup)',
       unit: 'us',
