Render valid Prometheus text with help, types and quantiles for each service

Cause: labels were not escaped, metrics had no HELP and TYPE lines, and ttft_ms and request_ms mixed all services. Labels are service, code, result and cause; none holds a key or a path.

--- a/src/common/Metrics.ts
+++ b/src/common/Metrics.ts
@@ -9,35 +9,69 @@
 
 const QUANTILES = [50, 90, 95, 99] as const;
 
+const PREFIX = 'redwingwharf_';
+
+/** Label values beyond this are cut. */
+const MAX_LABEL_LENGTH = 100;
+
+/** What the metrics mean; a name that is missing here is described by itself. */
+const HELP: Readonly<Record<string, string>> = {
+  cached_prompt_tokens_total: 'Prompt tokens that engines took from their caches.',
+  dispatches_in_progress: 'Dispatches of this entry that have not ended.',
+  dispatches_total: 'Dispatches sent to sidecars.',
+  feed_revision: 'Revision of the copy of the configuration.',
+  grant_exchanges_total: 'Exchanges of grants with the control leader.',
+  open_requests: 'Requests in progress at this entry.',
+  queue_ms: 'Wait for a place at the targets in milliseconds.',
+  queued_requests: 'Requests that wait for a place at the targets.',
+  refusals_total: 'Requests refused, by error code.',
+  request_ms: 'Time of a whole request in milliseconds.',
+  requests_total: 'Requests that reached a target, by result.',
+  retries_total: 'Dispatches repeated on another target.',
+  streams_ended_early_total: 'Streams that ended with an error event.',
+  ttft_ms: 'Time to the first token in milliseconds.',
+};
+
+/** Labels of one series. */
+export type ILabels = Readonly<Record<string, string>>;
+
+interface IHistogramSeries {
+  readonly labels: ILabels;
+  readonly histogram: Histogram;
+  sum: number;
+}
+
 /**
  * Metrics of one process.
  *
  * @example
  * metrics.increment('requests_total', { result: 'ok' });
- * metrics.observe('ttft_ms', 12);
+ * metrics.observe('ttft_ms', 12, { service: 'lace' });
  */
 export class Metrics {
-  private readonly _counters = new Map<string, number>();
-  private readonly _histograms = new Map<string, Histogram>();
+  /** By name and formatted labels. */
+  private readonly _counters = new Map<string, Map<string, number>>();
+  private readonly _histograms = new Map<string, Map<string, IHistogramSeries>>();
   private readonly _gauges = new Map<string, () => number>();
 
-  public increment(name: string, labels: Readonly<Record<string, string>> = {}, by = 1): void {
-    const id = `${name}${formatLabels(labels)}`;
-    this._counters.set(id, (this._counters.get(id) ?? 0) + by);
+  public increment(name: string, labels: ILabels = {}, by = 1): void {
+    const series = ensureMap(this._counters, name);
+    const id = formatLabels(labels);
+    series.set(id, (series.get(id) ?? 0) + by);
   }
 
   /** Records a duration in milliseconds. */
-  public observe(name: string, ms: number): void {
-    let histogram = this._histograms.get(name);
-    if (histogram === undefined) {
-      histogram = build({
-        lowestDiscernibleValue: 1,
-        highestTrackableValue: HIGHEST_MS,
-        numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
-      });
-      this._histograms.set(name, histogram);
+  public observe(name: string, ms: number, labels: ILabels = {}): void {
+    const allSeries = ensureMap(this._histograms, name);
+    const id = formatLabels(labels);
+    let series = allSeries.get(id);
+    if (series === undefined) {
+      series = { labels, histogram: createHistogram(), sum: 0 };
+      allSeries.set(id, series);
     }
-    histogram.recordValue(Math.min(HIGHEST_MS, Math.max(0, Math.round(ms))));
+    const value = Math.min(HIGHEST_MS, Math.max(0, Math.round(ms)));
+    series.histogram.recordValue(value);
+    series.sum += value;
   }
 
   /** Registers a value that is read when the metrics are. */
@@ -48,24 +82,67 @@
   /** Prometheus text. */
   public render(): string {
     const lines: string[] = [];
-    for (const [id, value] of this._counters) {
-      lines.push(`redwingwharf_${id} ${value}`);
+    for (const [name, series] of this._counters) {
+      lines.push(...formatHeader(name, 'counter'));
+      for (const [labels, value] of series) {
+        lines.push(`${PREFIX}${name}${labels} ${value}`);
+      }
     }
     for (const [name, read] of this._gauges) {
-      lines.push(`redwingwharf_${name} ${read()}`);
+      lines.push(...formatHeader(name, 'gauge'), `${PREFIX}${name} ${read()}`);
     }
-    for (const [name, histogram] of this._histograms) {
-      for (const quantile of QUANTILES) {
-        const value = histogram.getValueAtPercentile(quantile);
-        lines.push(`redwingwharf_${name}{quantile="${quantile / 100}"} ${value}`);
-      }
-      lines.push(`redwingwharf_${name}_count ${histogram.totalCount}`);
+    for (const [name, series] of this._histograms) {
+      lines.push(...formatHeader(name, 'summary'));
+      lines.push(...[...series.values()].flatMap((item) => formatSummary(name, item)));
     }
     return `${lines.join('\n')}\n`;
   }
 }
 
-function formatLabels(labels: Readonly<Record<string, string>>): string {
-  const pairs = Object.entries(labels).map(([name, value]) => `${name}="${value}"`);
+function createHistogram(): Histogram {
+  return build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: HIGHEST_MS,
+    numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+  });
+}
+
+function ensureMap<T>(maps: Map<string, Map<string, T>>, name: string): Map<string, T> {
+  const known = maps.get(name);
+  if (known !== undefined) {
+    return known;
+  }
+  const map = new Map<string, T>();
+  maps.set(name, map);
+  return map;
+}
+
+function formatHeader(name: string, type: 'counter' | 'gauge' | 'summary'): string[] {
+  return [`# HELP ${PREFIX}${name} ${HELP[name] ?? name}`, `# TYPE ${PREFIX}${name} ${type}`];
+}
+
+function formatSummary(name: string, { labels, histogram, sum }: IHistogramSeries): string[] {
+  const quantiles = QUANTILES.map((percent) => {
+    const value = histogram.getValueAtPercentile(percent);
+    return `${PREFIX}${name}${formatLabels({ ...labels, quantile: `${percent / 100}` })} ${value}`;
+  });
+  const suffix = formatLabels(labels);
+  return [
+    ...quantiles,
+    `${PREFIX}${name}_sum${suffix} ${sum}`,
+    `${PREFIX}${name}_count${suffix} ${histogram.totalCount}`,
+  ];
+}
+
+function formatLabels(labels: ILabels): string {
+  const pairs = Object.entries(labels).map(([name, value]) => `${name}="${encodeLabel(value)}"`);
   return pairs.length === 0 ? '' : `{${pairs.join(',')}}`;
 }
+
+function encodeLabel(value: string): string {
+  return value
+    .slice(0, MAX_LABEL_LENGTH)
+    .replaceAll('\\', '\\\\')
+    .replaceAll('"', '\\"')
+    .replaceAll('\n', '\\n');
+}
--- a/src/entry/Outcomes.ts
+++ b/src/entry/Outcomes.ts
@@ -37,7 +37,7 @@
   fields: Readonly<Record<string, unknown>>,
 ): void {
   const durationMs = services.clock.now() - context.startedAt;
-  services.metrics.observe('request_ms', durationMs);
+  services.metrics.observe('request_ms', durationMs, { service: context.service.name });
   services.metrics.increment('requests_total', {
     service: context.service.name,
     result: 'complete',
