Queue admitted requests fairly for each service before a target is chosen

The entry dispatched every admitted request at once, so an account that floods filled the queues of the targets for all others. DispatchQueue bounds the dispatches in progress for each service by the announced load and serves waiting requests with FairQueue; a refusal refunds the whole reservation.

Ruled out: taking the own dispatches at the time of the decision off the reported load.

--- a/src/entry/ClaimFlow.ts
+++ b/src/entry/ClaimFlow.ts
@@ -10,7 +10,8 @@
 import type { OpenRequests } from './OpenRequests.js';
 import { describeEnd, recordPlainEnd, recordRefusal } from './Outcomes.js';
 import type { OutcomeQuery } from './OutcomeQuery.js';
-import { buildPlainInput, countPlainTokens } from './PlainFlow.js';
+import { buildPlainInput, enterPlain } from './PlainFlow.js';
+import type { QueueStage } from './QueueStage.js';
 import type { IAdmitter, IControl, IFlowServices, IRequestContext } from './Types.js';
 import { sendAnswer } from './WholeAnswer.js';
 
@@ -42,6 +43,7 @@
 export class ClaimFlow {
   constructor(
     private readonly _admitter: IAdmitter,
+    private readonly _queue: QueueStage,
     private readonly _chooser: Chooser,
     private readonly _control: IControl,
     private readonly _dispatches: ClaimDispatch,
@@ -78,16 +80,23 @@
     context: IRequestContext,
     body: Buffer,
   ): Promise<Result<void, IHttpFailure>> {
+    if (context.caller === undefined) {
+      return Err(refuse('key_missing', 'Non-repeatable calls need a key.'));
+    }
     const key = context.request.headers[IDEMPOTENCY_KEY_HEADER] ?? '';
     if (typeof key !== 'string' || key.length > MAX_IDEMPOTENCY_KEY_LENGTH) {
       const message = `Send an Idempotency-Key of at most ${MAX_IDEMPOTENCY_KEY_LENGTH} characters.`;
       return Err(refuse('bad_request', message));
     }
-    const failure = await this._admit(context, body);
-    if (failure !== undefined) {
-      return Err(key === '' ? failure : describeUnlooked(failure));
+    const place = await enterPlain(this._admitter, this._queue, context, body);
+    if (place.err) {
+      return Err(key === '' ? place.val : describeUnlooked(place.val));
+    }
+    try {
+      return await this._runClaims(context, key, body);
+    } finally {
+      place.val.dispose();
     }
-    return this._runClaims(context, key, body);
   }
 
   /** Claims and dispatches until the outcome is known or the targets are used up. */
@@ -136,20 +145,6 @@
     }
   }
 
-  private async _admit(context: IRequestContext, body: Buffer): Promise<IHttpFailure | undefined> {
-    const account = context.caller?.account;
-    if (account === undefined) {
-      return refuse('key_missing', 'Non-repeatable calls need a key.');
-    }
-    const tokens = countPlainTokens(body);
-    const admitted = await this._admitter.admit(account, tokens, context.open.signal);
-    if (admitted.err) {
-      return admitted.val;
-    }
-    admitted.val.settle(tokens);
-    return undefined;
-  }
-
   /** Commits the claim before anything is dispatched. */
   private async _claim(
     context: IRequestContext,
--- a/src/entry/EdgeHarness.ts
+++ b/src/entry/EdgeHarness.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Readable } from 'node:stream';
+import { Code, ConnectError } from '@connectrpc/connect';
 import { create, toBinary, type MessageInitShape } from '@bufbuild/protobuf';
 import { Agent, type Dispatcher } from 'undici';
 import { Engine, type IEngineOptions } from '../../fakes/Engine.js';
@@ -21,7 +22,6 @@
 import {
   ControlService,
   ExecuteRequestSchema,
-  ExecuteResponseSchema,
   FeedService,
   RosterService,
 } from '../gen/redwingwharf/v1/control_pb.js';
@@ -57,6 +57,8 @@
   readonly engines?: readonly (Partial<IEngineOptions> | Server)[];
   readonly plainTargets?: number;
   readonly entries?: number;
+  /** Dispatches that an entry has in progress at one target. */
+  readonly maxPerTarget?: number;
 }
 
 /** An answer that was read to its end. */
@@ -153,7 +155,7 @@
     await harness._startControl();
     await harness._publishBasics();
     for (let index = 0; index < entryCount; index++) {
-      await harness._startEntry(`entry-${index}`, takeAddress(), takeAddress());
+      await harness._startEntry(`entry-${index}`, takeAddress(), takeAddress(), options);
     }
     for (const [index, engine] of engines.entries()) {
       const fake = harness._createEngine(`engine-${index}`, engine, takeAddress());
@@ -291,10 +293,12 @@
     const server = new InternalServer(this._controlAddress, CLUSTER_SECRET, {
       registerRpc: (router) => {
         router.service(ControlService, {
-          execute: (request, { signal }) =>
-            this.isControlServed
-              ? this._control.execute(request, signal)
-              : create(ExecuteResponseSchema, { outcome: { case: 'notLeader', value: {} } }),
+          execute: (request, { signal }) => {
+            if (!this.isControlServed) {
+              throw new ConnectError('control is cut off', Code.PermissionDenied);
+            }
+            return this._control.execute(request, signal);
+          },
         });
         router.service(FeedService, {
           sync: (request) => {
@@ -333,7 +337,12 @@
     this.key = (await this.giveKey('pag')).text;
   }
 
-  private async _startEntry(instance: string, listen: string, internal: string): Promise<void> {
+  private async _startEntry(
+    instance: string,
+    listen: string,
+    internal: string,
+    { maxPerTarget }: IHarnessOptions,
+  ): Promise<void> {
     const feed = new FeedCopy();
     const feedClient = this._createFeedClient(feed, instance);
     const metrics = new Metrics();
@@ -343,6 +352,7 @@
       { listen, control: [this._controlAddress], policy: 'default', drainTimeoutMs: 10_000 },
       ...([feed, feedClient, this._rpc, this._clock, SILENT_LOG, metrics] as const),
       () => undefined,
+      maxPerTarget === undefined ? {} : { maxPerTarget },
     );
     const server = new InternalServer(internal, CLUSTER_SECRET, {
       registerRpc: (router) => {
--- /dev/null
+++ b/src/entry/EdgeQueue.test.ts
@@ -0,0 +1,73 @@
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { DispatchQueue } from '../admission/DispatchQueue.js';
+import { Metrics } from '../common/Metrics.js';
+import { Ok } from '../common/Result.js';
+import { EdgeHarness, waitFor } from './EdgeHarness.js';
+import { OpenRequest } from './OpenRequests.js';
+import { enterPlain } from './PlainFlow.js';
+import { QueueStage } from './QueueStage.js';
+import type { IFlowServices, IRequestContext } from './Types.js';
+
+const ACCOUNT = { id: 'pag', tokensPerSecond: 10, priority: 0, services: ['order-desk'] };
+
+function createContext(requestId: string): IRequestContext {
+  const caller = { account: ACCOUNT, keyId: '1' };
+  const open = new OpenRequest(requestId, caller as never, 60_000);
+  const service = { name: 'order-desk', timeoutMs: 60_000 };
+  return { requestId, caller, open, service, startedAt: 0 } as unknown as IRequestContext;
+}
+
+describe('a refused request', () => {
+  it('gets all its tokens back and is said not to have run', async () => {
+    const clock = { now: () => 0 };
+    const queue = new DispatchQueue(clock, {
+      listLoads: () => [{ target: 'desk-0', load: 0 }],
+      maxPerTarget: 1,
+      limits: { maxRequests: 0 },
+    });
+    const stage = new QueueStage(queue, { clock, metrics: new Metrics() } as IFlowServices);
+    const settled: number[] = [];
+    const admission = { settle: (usedTokens: number) => settled.push(usedTokens) };
+    const admitter = { admit: () => Promise.resolve(Ok(admission)) };
+    const body = Buffer.alloc(40);
+    const first = await enterPlain(admitter, stage, createContext('1'), body);
+    const second = await enterPlain(admitter, stage, createContext('2'), body);
+    expect([first.ok, settled]).toEqual([true, [10, 0]]);
+    expect(second.val).toMatchObject({ code: 'overloaded', ran: 'no' });
+    expect((second.val as { retryAfterMs: number }).retryAfterMs).toBeGreaterThan(0);
+  });
+});
+
+describe('the fair queue in the entry', () => {
+  let harness: EdgeHarness;
+
+  beforeAll(async () => {
+    harness = await EdgeHarness.start({ engines: [], maxPerTarget: 8 });
+  });
+
+  afterAll(async () => {
+    await harness.dispose();
+  });
+
+  it('serves an account before the backlog of another one that floods', async () => {
+    await harness.addAccount('hvar', 1e8);
+    const { text: key } = await harness.giveKey('hvar');
+    let flooded = 0;
+    // One target takes 8 at a time, so the flood takes ten rounds of 200 ms.
+    const flood = Array.from({ length: 80 }, async () => {
+      const body = JSON.stringify({ delayMs: 200 });
+      const answer = await harness.call('/stock/linen', { method: 'POST', body });
+      flooded += 1;
+      return answer.status;
+    });
+    await waitFor('a backlog', () => {
+      const text = harness.entries[0]?.metrics.render() ?? '';
+      return Number(/^redwingwharf_queued_requests (\d+)$/m.exec(text)?.[1] ?? 0) > 40;
+    });
+    const calm = await harness.call('/stock/linen', { key });
+    expect(calm.status).toBe(200);
+    expect(flooded).toBeLessThan(60);
+    const statuses = new Set(await Promise.all(flood));
+    expect([...statuses]).toEqual([201]);
+  });
+});
--- a/src/entry/ModelFlow.ts
+++ b/src/entry/ModelFlow.ts
@@ -7,6 +7,7 @@
 import { fail, sendFailure, type IHttpFailure } from './Failures.js';
 import type { OpenRequests } from './OpenRequests.js';
 import type { IModelRequest } from './Parse.js';
+import type { QueueStage } from './QueueStage.js';
 import { StreamRelay } from './StreamRelay.js';
 import { describeEnd, recordRefusal } from './Outcomes.js';
 import type { IAdmitter, IFlowServices, IRequestContext } from './Types.js';
@@ -39,6 +40,7 @@
 export class ModelFlow {
   constructor(
     private readonly _admitter: IAdmitter,
+    private readonly _queue: QueueStage,
     private readonly _chooser: Chooser,
     private readonly _dispatcher: Dispatcher,
     private readonly _client: DispatchClient,
@@ -52,19 +54,23 @@
       return;
     }
     const outputLimit = model.maxTokens ?? context.service.defaultOutputTokens;
-    const admitted = await this._admitter.admit(
-      account,
-      model.promptTokens + outputLimit,
-      context.open.signal,
-    );
+    const tokens = model.promptTokens + outputLimit;
+    const admitted = await this._admitter.admit(account, tokens, context.open.signal);
     if (admitted.err) {
-      this._refuse(context, admitted.val);
+      this._refuse(context, describeEnd(context) ?? admitted.val);
+      return;
+    }
+    const place = await this._queue.enter(context, tokens);
+    if (place.err) {
+      admitted.val.settle(0);
+      this._refuse(context, place.val);
       return;
     }
     let served = NOTHING_SERVED;
     try {
       served = await this._serve(context, model, outputLimit);
     } finally {
+      place.val.dispose();
       const promptTokens = served.mayHaveRun ? model.promptTokens : 0;
       admitted.val.settle(promptTokens + Math.min(outputLimit, served.outputTokens));
       this._recordEnd(context, served);
@@ -143,7 +149,9 @@
     const { choice } = dispatched;
     const { clock, metrics } = this._services;
     const relay = new StreamRelay(context, this._client, this._openRequests, this._services, () => {
-      metrics.observe('ttft_ms', clock.now() - context.startedAt);
+      metrics.observe('ttft_ms', clock.now() - context.startedAt, {
+        service: context.service.name,
+      });
       this._chooser.recordFirstToken(choice, clock.now());
     });
     const end = await relay.relay(dispatched);
@@ -224,7 +232,7 @@
   private _recordEnd(context: IRequestContext, served: IServed): void {
     const { clock, decisions, metrics } = this._services;
     const durationMs = clock.now() - context.startedAt;
-    metrics.observe('request_ms', durationMs);
+    metrics.observe('request_ms', durationMs, { service: context.service.name });
     metrics.increment('requests_total', { service: context.service.name, result: served.result });
     metrics.increment('cached_prompt_tokens_total', {}, served.cachedPromptTokens);
     decisions.record(context.requestId, 'finished', {
--- a/src/entry/PlainFlow.ts
+++ b/src/entry/PlainFlow.ts
@@ -1,10 +1,13 @@
 /** Repeatable calls of plain services and of routes that are open to all. */
+import type { IDisposable } from '../common/Lifecycle.js';
+import { Err, type Result } from '../common/Result.js';
 import type { Chooser, IChooseInput } from './Chooser.js';
 import type { Dispatcher, IDispatched } from './Dispatcher.js';
 import { fail, sendFailure, type IHttpFailure } from './Failures.js';
 import { pickAnswerHeaders, pickRequestHeaders } from './ForwardHeaders.js';
 import type { OpenRequests } from './OpenRequests.js';
 import { describeEnd, recordPlainEnd, recordRefusal } from './Outcomes.js';
+import type { QueueStage } from './QueueStage.js';
 import type { IAdmitter, IFlowServices, IRequestContext } from './Types.js';
 import { AnswerTooLargeError, readAnswer, sendAnswer } from './WholeAnswer.js';
 
@@ -33,10 +36,32 @@
   };
 }
 
+/** Charges a plain call and waits for its place; a call without a place is not charged. */
+export async function enterPlain(
+  admitter: IAdmitter,
+  queue: QueueStage,
+  context: IRequestContext,
+  body: Buffer,
+): Promise<Result<IDisposable, IHttpFailure>> {
+  const account = context.caller?.account;
+  const tokens = countPlainTokens(body);
+  if (account === undefined) {
+    return queue.enter(context, tokens);
+  }
+  const admitted = await admitter.admit(account, tokens, context.open.signal);
+  if (admitted.err) {
+    return Err(describeEnd(context) ?? admitted.val);
+  }
+  const place = await queue.enter(context, tokens);
+  admitted.val.settle(place.ok ? tokens : 0);
+  return place;
+}
+
 /** Serves calls that may be repeated. */
 export class PlainFlow {
   constructor(
     private readonly _admitter: IAdmitter,
+    private readonly _queue: QueueStage,
     private readonly _chooser: Chooser,
     private readonly _dispatcher: Dispatcher,
     private readonly _openRequests: OpenRequests,
@@ -44,11 +69,19 @@
   ) {}
 
   public async run(context: IRequestContext, body: Buffer): Promise<void> {
-    const failure = await this._admit(context, body);
-    if (failure !== undefined) {
-      this._refuse(context, failure);
+    const place = await enterPlain(this._admitter, this._queue, context, body);
+    if (place.err) {
+      this._refuse(context, place.val);
       return;
     }
+    try {
+      await this._serve(context, body);
+    } finally {
+      place.val.dispose();
+    }
+  }
+
+  private async _serve(context: IRequestContext, body: Buffer): Promise<void> {
     const tried = new Set<string>();
     for (let start = 1; start <= MAX_STARTS; start++) {
       const dispatched = await this._dispatcher.run(
@@ -69,20 +102,6 @@
     this._refuse(context, fail('target_failed', 'The targets broke off; try again.', 'unknown'));
   }
 
-  private async _admit(context: IRequestContext, body: Buffer): Promise<IHttpFailure | undefined> {
-    const account = context.caller?.account;
-    if (account === undefined) {
-      return undefined;
-    }
-    const tokens = countPlainTokens(body);
-    const admitted = await this._admitter.admit(account, tokens, context.open.signal);
-    if (admitted.err) {
-      return admitted.val;
-    }
-    admitted.val.settle(tokens);
-    return undefined;
-  }
-
   /** False when the answer broke off and the call may be repeated. */
   private async _relay(context: IRequestContext, dispatched: IDispatched): Promise<boolean> {
     const { response: answer } = dispatched.outcome;
--- a/src/run/EntryRole.ts
+++ b/src/run/EntryRole.ts
@@ -2,6 +2,11 @@
 import { create } from '@bufbuild/protobuf';
 import type { ConnectRouter } from '@connectrpc/connect';
 import { Admitter } from '../admission/Admitter.js';
+import {
+  DispatchQueue,
+  type IDispatchQueueOptions,
+  type IReportedLoad,
+} from '../admission/DispatchQueue.js';
 import { GrantWallet } from '../admission/GrantWallet.js';
 import { RetryBudget } from '../admission/RetryBudget.js';
 import type { IClock } from '../common/Clock.js';
@@ -23,6 +28,7 @@
 import { OutcomeQuery } from '../entry/OutcomeQuery.js';
 import { OpenRequests } from '../entry/OpenRequests.js';
 import { PlainFlow } from '../entry/PlainFlow.js';
+import { QueueStage } from '../entry/QueueStage.js';
 import { AdmissionStage } from '../entry/AdmissionStage.js';
 import type { IFeedSync, IFlowServices } from '../entry/Types.js';
 import type { IFeed } from '../feed/Types.js';
@@ -35,7 +41,7 @@
   type GetEntryStatusResponse,
 } from '../gen/redwingwharf/v1/control_pb.js';
 import { createPolicy } from '../policy/CreatePolicy.js';
-import { Roster } from '../roster/Roster.js';
+import { Roster, type IRosterTarget } from '../roster/Roster.js';
 import type { ILoadedSettings, IEntryRole } from '../settings/Types.js';
 
 /** Everything that the entry role holds. */
@@ -60,6 +66,7 @@
     log: ILog,
     metrics: Metrics,
     private readonly _onDrainRequested: () => void,
+    private readonly _queueOptions: Partial<IDispatchQueueOptions> = {},
   ) {
     const control = new ControlClient(rpc, role.control, log);
     this._decisions = new DecisionLog(log);
@@ -87,6 +94,8 @@
     const admission = new AdmissionStage(this._admitter);
     const budget = new RetryBudget(_clock.now());
     const dispatcher = new Dispatcher(this._chooser, this._client, budget, services);
+    const queue = this._createQueue();
+    const queueStage = new QueueStage(queue, services);
     const outcomes = new OutcomeQuery(this._roster, rpc, services);
     this.entry = new Entry(
       role.listen,
@@ -95,15 +104,24 @@
       {
         model: new ModelFlow(
           admission,
+          queueStage,
           this._chooser,
           dispatcher,
           this._client,
           this._openRequests,
           services,
         ),
-        plain: new PlainFlow(admission, this._chooser, dispatcher, this._openRequests, services),
+        plain: new PlainFlow(
+          admission,
+          queueStage,
+          this._chooser,
+          dispatcher,
+          this._openRequests,
+          services,
+        ),
         claim: new ClaimFlow(
           admission,
+          queueStage,
           this._chooser,
           control,
           new ClaimDispatch(this._chooser, this._client, outcomes, services),
@@ -115,6 +133,8 @@
       },
       services,
     );
+    metrics.addGauge('queued_requests', () => queue.waiting);
+    metrics.addGauge('dispatches_in_progress', () => queue.inProgress);
     metrics.addGauge('open_requests', () => this._openRequests.size);
     metrics.addGauge('feed_revision', () => _feed.revision);
   }
@@ -147,6 +167,17 @@
     await this._client.close();
   }
 
+  private _createQueue(): DispatchQueue {
+    const queue = new DispatchQueue(this._clock, {
+      ...this._queueOptions,
+      listLoads: (service, now) => this._roster.listTargets(service, now).map(describeLoad),
+    });
+    this._roster.onChange(({ kind, target: { announcement } }) => {
+      queue.refresh(announcement.service, announcement.target, kind === 'expired');
+    });
+    return queue;
+  }
+
   private _describeStatus(): GetEntryStatusResponse {
     const now = this._clock.now();
     const confirmedAt = this._feed.getConfirmedAt();
@@ -166,3 +197,7 @@
     });
   }
 }
+
+function describeLoad({ announcement: { target, load } }: IRosterTarget): IReportedLoad {
+  return { target, load: load === undefined ? 0 : load.running + load.queued };
+}
