Enforce the header time and answer slow bodies with a typed error

Cause: Node looks for slow headers every 30 s by default, so the limit of 10 s was up to 40 s; a slow body ended with a reset instead of 408, because the request was destroyed before the refusal was sent.

--- a/src/entry/ClaimFlow.ts
+++ b/src/entry/ClaimFlow.ts
@@ -229,7 +229,7 @@
       }
       case ClaimState.UNSPECIFIED: {
         const message = 'The control member gave an unexpected answer; report this.';
-        return { kind: 'failed', failure: refuse('internal', message) };
+        return { kind: 'failed', failure: fail('internal', message, 'unknown') };
       }
     }
   }
--- a/src/entry/EdgeHarness.ts
+++ b/src/entry/EdgeHarness.ts
@@ -32,7 +32,7 @@
   ServiceSchema,
   type ItemChangeSchema,
 } from '../gen/redwingwharf/v1/state_pb.js';
-import { EntryRole } from '../run/EntryRole.js';
+import { EntryRole, type IEntryOverrides } from '../run/EntryRole.js';
 import { InternalServer } from '../run/InternalServer.js';
 import type { ILoadedSettings } from '../settings/Types.js';
 import { Sidecar } from '../sidecar/Sidecar.js';
@@ -57,8 +57,7 @@
   readonly engines?: readonly (Partial<IEngineOptions> | Server)[];
   readonly plainTargets?: number;
   readonly entries?: number;
-  /** Dispatches that an entry has in progress at one target. */
-  readonly maxPerTarget?: number;
+  readonly overrides?: IEntryOverrides;
 }
 
 /** An answer that was read to its end. */
@@ -341,7 +340,7 @@
     instance: string,
     listen: string,
     internal: string,
-    { maxPerTarget }: IHarnessOptions,
+    { overrides }: IHarnessOptions,
   ): Promise<void> {
     const feed = new FeedCopy();
     const feedClient = this._createFeedClient(feed, instance);
@@ -352,7 +351,7 @@
       { listen, control: [this._controlAddress], policy: 'default', drainTimeoutMs: 10_000 },
       ...([feed, feedClient, this._rpc, this._clock, SILENT_LOG, metrics] as const),
       () => undefined,
-      maxPerTarget === undefined ? {} : { maxPerTarget },
+      overrides,
     );
     const server = new InternalServer(internal, CLUSTER_SECRET, {
       registerRpc: (router) => {
--- a/src/entry/EdgeHttp.test.ts
+++ b/src/entry/EdgeHttp.test.ts
@@ -5,12 +5,13 @@
 import { EdgeHarness, formatCompletion, waitFor } from './EdgeHarness.js';
 
 /** How long a raw connection is watched for an answer. */
-const ANSWER_WAIT_MS = 5_000;
+const ANSWER_WAIT_MS = 10_000;
 
 let harness: EdgeHarness;
 
 beforeAll(async () => {
-  harness = await EdgeHarness.start();
+  const limits = { headerTimeoutMs: 1_000, bodyTimeoutMs: 1_000 };
+  harness = await EdgeHarness.start({ overrides: { limits } });
 });
 
 afterAll(async () => {
@@ -203,6 +204,15 @@
     });
   });
 
+  it('refuses headers and bodies that arrive too slowly', async () => {
+    const slow = { endsSending: false };
+    const texts = await Promise.all([
+      sendRaw(['GET /stock/linen HTTP/1.1\r\nhost: a\r\nx-'], slow),
+      sendRaw([formatHead('POST', '/stock/linen', { 'content-length': '9' }), '{"or'], slow),
+    ]);
+    expect(texts.map(expectTyped)).toEqual([['408'], ['408']]);
+  });
+
   it('keeps serving while other connections send their headers slowly', async () => {
     const sockets = Array.from({ length: 50 }, open);
     sockets.forEach((socket) => socket.write('GET /stock/linen HTTP/1.1\r\nhost: a\r\nx-'));
--- a/src/entry/EdgeKeys.test.ts
+++ b/src/entry/EdgeKeys.test.ts
@@ -80,6 +80,13 @@
     expect(harness.seen).toEqual([]);
   });
 
+  it('shows neither keys nor paths in the metrics', () => {
+    const text = harness.entries.map(({ metrics }) => metrics.render()).join('');
+    expect(text).toMatch(/^redwingwharf_request_ms{service="order-desk",quantile="0.99"} \d+$/m);
+    expect(text).not.toMatch(KEY_START);
+    expect(text).not.toMatch(/stock|orders|\/v1/);
+  });
+
   it('shows callers no internal header', async () => {
     const answers = await Promise.all([
       harness.call('/stock/linen'),
--- a/src/entry/EdgeQueue.test.ts
+++ b/src/entry/EdgeQueue.test.ts
@@ -42,7 +42,7 @@
   let harness: EdgeHarness;
 
   beforeAll(async () => {
-    harness = await EdgeHarness.start({ engines: [], maxPerTarget: 8 });
+    harness = await EdgeHarness.start({ engines: [], overrides: { queue: { maxPerTarget: 8 } } });
   });
 
   afterAll(async () => {
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -33,7 +33,10 @@
 import type { IFlowServices, IRequestContext } from './Types.js';
 
 const MAX_HEADER_BYTES = 16 * 1024;
-const HEADER_TIMEOUT_MS = 10_000;
+
+/** Node looks for connections past their header time at this interval; its default is 30 s. */
+const CONNECTION_CHECK_MS = 1_000;
+
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 
 /** Interval of the checks of open requests: a withdrawn key ends them within it. */
@@ -46,6 +49,14 @@
 
 const MODEL_PATHS: ReadonlySet<string> = new Set(['/v1/chat/completions', '/v1/completions']);
 
+/** Times that a caller has to send a request. */
+export interface IEntryLimits {
+  readonly headerTimeoutMs: number;
+  readonly bodyTimeoutMs: number;
+}
+
+const DEFAULT_LIMITS: IEntryLimits = { headerTimeoutMs: 10_000, bodyTimeoutMs: 60_000 };
+
 /** Flows that the entry hands requests to. */
 export interface IEntryFlows {
   readonly model: ModelFlow;
@@ -89,11 +100,13 @@
     private readonly _openRequests: OpenRequests,
     private readonly _flows: IEntryFlows,
     private readonly _services: IFlowServices,
+    private readonly _limits: IEntryLimits = DEFAULT_LIMITS,
   ) {
     this._server = createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
-        headersTimeout: HEADER_TIMEOUT_MS,
+        headersTimeout: _limits.headerTimeoutMs,
+        connectionsCheckingInterval: CONNECTION_CHECK_MS,
         // Bodies have a timer of their own and answers the deadline of their service.
         requestTimeout: 0,
         keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
@@ -241,7 +254,7 @@
     if (hasKeyForm(url.pathname)) {
       return refuse('key_in_request', 'Send your key in the header only, not in the path.');
     }
-    const body = await readBody(request);
+    const body = await readBody(request, this._limits.bodyTimeoutMs);
     if (body.err) {
       return body.val;
     }
--- a/src/entry/Parse.ts
+++ b/src/entry/Parse.ts
@@ -6,9 +6,6 @@
 /** Largest body of a request. */
 export const MAX_BODY_BYTES = 8 * 1024 * 1024;
 
-/** Longest wait for the whole body. */
-const BODY_TIMEOUT_MS = 60_000;
-
 /** Rough length of a token in UTF-8 bytes, used before the engine counts exactly. */
 const BYTES_PER_TOKEN = 4;
 
@@ -27,22 +24,29 @@
   readonly body: Readonly<Record<string, unknown>>;
 }
 
-/** Reads the body up to the limit. */
-export async function readBody(request: IncomingMessage): Promise<Result<Buffer, IHttpFailure>> {
+/** Reads the body up to the limit. A body that is too slow is refused while its connection is open. */
+export async function readBody(
+  request: IncomingMessage,
+  timeoutMs: number,
+): Promise<Result<Buffer, IHttpFailure>> {
   const declared = Number(request.headers['content-length'] ?? 0);
   if (declared > MAX_BODY_BYTES) {
     return Err(describeTooLarge());
   }
-  const timer = setTimeout(() => {
-    request.destroy(new Error('body timeout'));
-  }, BODY_TIMEOUT_MS);
-  try {
-    return await collectBody(request);
-  } catch {
-    return Err(refuse('request_timeout', 'The body did not arrive completely; send it again.'));
-  } finally {
-    clearTimeout(timer);
-  }
+  const collected = collectBody(request).catch(() => Err(describeTooSlow()));
+  let timer: NodeJS.Timeout | undefined;
+  const expired = new Promise<Result<Buffer, IHttpFailure>>((resolve) => {
+    timer = setTimeout(() => {
+      resolve(Err(describeTooSlow()));
+    }, timeoutMs);
+  });
+  const body = await Promise.race([collected, expired]);
+  clearTimeout(timer);
+  return body;
+}
+
+function describeTooSlow(): IHttpFailure {
+  return refuse('request_timeout', 'The body did not arrive completely in time; send it again.');
 }
 
 async function collectBody(request: IncomingMessage): Promise<Result<Buffer, IHttpFailure>> {
--- a/src/run/EntryRole.ts
+++ b/src/run/EntryRole.ts
@@ -23,7 +23,7 @@
 import { Directory } from '../entry/Directory.js';
 import { DispatchClient } from '../entry/DispatchClient.js';
 import { Dispatcher } from '../entry/Dispatcher.js';
-import { Entry } from '../entry/Entry.js';
+import { Entry, type IEntryLimits } from '../entry/Entry.js';
 import { ModelFlow } from '../entry/ModelFlow.js';
 import { OutcomeQuery } from '../entry/OutcomeQuery.js';
 import { OpenRequests } from '../entry/OpenRequests.js';
@@ -44,6 +44,12 @@
 import { Roster, type IRosterTarget } from '../roster/Roster.js';
 import type { ILoadedSettings, IEntryRole } from '../settings/Types.js';
 
+/** Limits that differ from the defaults; for tests. */
+export interface IEntryOverrides {
+  readonly queue?: Partial<IDispatchQueueOptions>;
+  readonly limits?: IEntryLimits;
+}
+
 /** Everything that the entry role holds. */
 export class EntryRole {
   public readonly entry: Entry;
@@ -66,7 +72,7 @@
     log: ILog,
     metrics: Metrics,
     private readonly _onDrainRequested: () => void,
-    private readonly _queueOptions: Partial<IDispatchQueueOptions> = {},
+    private readonly _overrides: IEntryOverrides = {},
   ) {
     const control = new ControlClient(rpc, role.control, log);
     this._decisions = new DecisionLog(log);
@@ -132,6 +138,7 @@
         ),
       },
       services,
+      _overrides.limits,
     );
     metrics.addGauge('queued_requests', () => queue.waiting);
     metrics.addGauge('dispatches_in_progress', () => queue.inProgress);
@@ -169,7 +176,7 @@
 
   private _createQueue(): DispatchQueue {
     const queue = new DispatchQueue(this._clock, {
-      ...this._queueOptions,
+      ...this._overrides.queue,
       listLoads: (service, now) => this._roster.listTargets(service, now).map(describeLoad),
     });
     this._roster.onChange(({ kind, target: { announcement } }) => {
