--- a/src/entry/Failures.ts
+++ b/src/entry/Failures.ts
@@ -5,7 +5,7 @@
 export type Ran = 'no' | 'yes' | 'unknown';
 
 /** Time for which the rest of a refused upload is discarded. */
-const DISCARD_MS = 2_000;
+const DISCARD_MS = 1_000;
 
 /** Codes with their status and OpenAI-style error type. */
 const FAILURE_KINDS = {
