--- a/src/entry/EdgeHarness.ts
+++ b/src/entry/EdgeHarness.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Readable } from 'node:stream';
+import { Code, ConnectError } from '@connectrpc/connect';
 import { create, toBinary, type MessageInitShape } from '@bufbuild/protobuf';
 import { Agent, type Dispatcher } from 'undici';
 import { Engine, type IEngineOptions } from '../../fakes/Engine.js';
@@ -22,7 +23,6 @@
 import {
   ControlService,
   ExecuteRequestSchema,
-  ExecuteResponseSchema,
   FeedService,
   RosterService,
 } from '../gen/redwingwharf/v1/control_pb.js';
@@ -33,7 +33,7 @@
   ServiceSchema,
   type ItemChangeSchema,
 } from '../gen/redwingwharf/v1/state_pb.js';
-import { EntryRole } from '../run/EntryRole.js';
+import { EntryRole, type IEntryOverrides } from '../run/EntryRole.js';
 import { InternalServer } from '../run/InternalServer.js';
 import type { ILoadedSettings } from '../settings/Types.js';
 import { Sidecar } from '../sidecar/Sidecar.js';
@@ -59,6 +59,7 @@
   readonly engines?: readonly (Partial<IEngineOptions> | Server)[];
   readonly plainTargets?: number;
   readonly entries?: number;
+  readonly overrides?: IEntryOverrides;
 }
 
 /** An answer that was read to its end. */
@@ -155,7 +156,7 @@
     await harness._startControl();
     await harness._publishBasics();
     for (let index = 0; index < entryCount; index++) {
-      await harness._startEntry(`entry-${index}`, takeAddress(), takeAddress());
+      await harness._startEntry(`entry-${index}`, takeAddress(), takeAddress(), options);
     }
     for (const [index, engine] of engines.entries()) {
       const fake = harness._createEngine(`engine-${index}`, engine, takeAddress());
@@ -293,10 +294,12 @@
     const server = new InternalServer(this._controlAddress, CLUSTER_SECRET, {
       registerRpc: (router) => {
         router.service(ControlService, {
-          execute: (request, { signal }) =>
-            this.isControlServed
-              ? this._control.execute(request, signal)
-              : create(ExecuteResponseSchema, { outcome: { case: 'notLeader', value: {} } }),
+          execute: (request, { signal }) => {
+            if (!this.isControlServed) {
+              throw new ConnectError('control is cut off', Code.PermissionDenied);
+            }
+            return this._control.execute(request, signal);
+          },
         });
         router.service(FeedService, {
           sync: (request) => {
@@ -335,7 +338,12 @@
     this.key = (await this.giveKey('pag')).text;
   }
 
-  private async _startEntry(instance: string, listen: string, internal: string): Promise<void> {
+  private async _startEntry(
+    instance: string,
+    listen: string,
+    internal: string,
+    { overrides }: IHarnessOptions,
+  ): Promise<void> {
     const feed = new FeedCopy();
     const feedClient = this._createFeedClient(feed, instance);
     const metrics = new Metrics();
@@ -345,6 +353,7 @@
       { listen, control: [this._controlAddress], policy: 'default', drainTimeoutMs: 10_000 },
       ...([feed, feedClient, this._rpc, this._clock, SILENT_LOG, metrics] as const),
       () => undefined,
+      overrides,
     );
     const server = new InternalServer(internal, CLUSTER_SECRET, {
       registerRpc: (router) => {
--- a/src/run/EntryRole.ts
+++ b/src/run/EntryRole.ts
@@ -2,6 +2,11 @@
 import { create } from '@bufbuild/protobuf';
 import type { ConnectRouter } from '@connectrpc/connect';
 import { Admitter } from '../admission/Admitter.js';
+import {
+  DispatchQueue,
+  type IDispatchQueueOptions,
+  type IReportedLoad,
+} from '../admission/DispatchQueue.js';
 import { GrantWallet } from '../admission/GrantWallet.js';
 import { RetryBudget } from '../admission/RetryBudget.js';
 import type { IClock } from '../common/Clock.js';
@@ -18,11 +23,12 @@
 import { Directory } from '../entry/Directory.js';
 import { DispatchClient } from '../entry/DispatchClient.js';
 import { Dispatcher } from '../entry/Dispatcher.js';
-import { Entry } from '../entry/Entry.js';
+import { Entry, type IEntryLimits } from '../entry/Entry.js';
 import { ModelFlow } from '../entry/ModelFlow.js';
 import { OutcomeQuery } from '../entry/OutcomeQuery.js';
 import { OpenRequests } from '../entry/OpenRequests.js';
 import { PlainFlow } from '../entry/PlainFlow.js';
+import { QueueStage } from '../entry/QueueStage.js';
 import { AdmissionStage } from '../entry/AdmissionStage.js';
 import type { IFeedSync, IFlowServices } from '../entry/Types.js';
 import type { IFeed } from '../feed/Types.js';
@@ -35,9 +41,15 @@
   type GetEntryStatusResponse,
 } from '../gen/redwingwharf/v1/control_pb.js';
 import { createPolicy } from '../policy/CreatePolicy.js';
-import { Roster } from '../roster/Roster.js';
+import { Roster, type IRosterTarget } from '../roster/Roster.js';
 import type { ILoadedSettings, IEntryRole } from '../settings/Types.js';
 
+/** Limits that differ from the defaults; for tests. */
+export interface IEntryOverrides {
+  readonly queue?: Partial<IDispatchQueueOptions>;
+  readonly limits?: IEntryLimits;
+}
+
 /** Everything that the entry role holds. */
 export class EntryRole {
   public readonly entry: Entry;
@@ -60,6 +72,7 @@
     log: ILog,
     metrics: Metrics,
     private readonly _onDrainRequested: () => void,
+    private readonly _overrides: IEntryOverrides = {},
   ) {
     const control = new ControlClient(rpc, role.control, log);
     this._decisions = new DecisionLog(log);
@@ -87,6 +100,8 @@
     const admission = new AdmissionStage(this._admitter);
     const budget = new RetryBudget(_clock.now());
     const dispatcher = new Dispatcher(this._chooser, this._client, budget, services);
+    const queue = this._createQueue();
+    const queueStage = new QueueStage(queue, services);
     const outcomes = new OutcomeQuery(this._roster, rpc, services);
     this.entry = new Entry(
       role.listen,
@@ -95,15 +110,24 @@
       {
         model: new ModelFlow(
           admission,
+          queueStage,
           this._chooser,
           dispatcher,
           this._client,
           this._openRequests,
           services,
         ),
-        plain: new PlainFlow(admission, this._chooser, dispatcher, this._openRequests, services),
+        plain: new PlainFlow(
+          admission,
+          queueStage,
+          this._chooser,
+          dispatcher,
+          this._openRequests,
+          services,
+        ),
         claim: new ClaimFlow(
           admission,
+          queueStage,
           this._chooser,
           control,
           new ClaimDispatch(this._chooser, this._client, outcomes, services),
@@ -114,7 +138,10 @@
         ),
       },
       services,
+      _overrides.limits,
     );
+    metrics.addGauge('queued_requests', () => queue.waiting);
+    metrics.addGauge('dispatches_in_progress', () => queue.inProgress);
     metrics.addGauge('open_requests', () => this._openRequests.size);
     metrics.addGauge('feed_revision', () => _feed.revision);
   }
@@ -147,6 +174,17 @@
     await this._client.close();
   }
 
+  private _createQueue(): DispatchQueue {
+    const queue = new DispatchQueue(this._clock, {
+      ...this._overrides.queue,
+      listLoads: (service, now) => this._roster.listTargets(service, now).map(describeLoad),
+    });
+    this._roster.onChange(({ kind, target: { announcement } }) => {
+      queue.refresh(announcement.service, announcement.target, kind === 'expired');
+    });
+    return queue;
+  }
+
   private _describeStatus(): GetEntryStatusResponse {
     const now = this._clock.now();
     const confirmedAt = this._feed.getConfirmedAt();
@@ -166,3 +204,7 @@
     });
   }
 }
+
+function describeLoad({ announcement: { target, load } }: IRosterTarget): IReportedLoad {
+  return { target, load: load === undefined ? 0 : load.running + load.queued };
+}
