--- a/src/entry/OpenRequests.ts
+++ b/src/entry/OpenRequests.ts
@@ -35,6 +35,10 @@
     this.release();
   }
 
+  public get isHeld(): boolean {
+    return this._held !== undefined;
+  }
+
   /** Holds the answer back until `release`. */
   public hold(): void {
     this._held ??= new Promise((resolve) => {
