--- a/src/common/Tasks.test.ts
+++ b/src/common/Tasks.test.ts
@@ -1,8 +1,6 @@
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
 import { describe, expect, it } from 'vitest';
-import { setFlagsFromString } from 'node:v8';
-import { runInNewContext } from 'node:vm';
 import { limitSignal, runPeriodically, runWithLimit, sleep } from './Tasks.js';
 
 const LONG_MS = 10_000;
--- a/src/entry/ClaimDispatch.ts
+++ b/src/entry/ClaimDispatch.ts
@@ -1,6 +1,6 @@
 /** Sends a claimed call to its sidecar and finds out what became of it. */
 import { create } from '@bufbuild/protobuf';
-import type { Dispatcher } from 'undici';
+import type { IHttpAnswer } from '../common/HttpAnswer.js';
 import { createTimeoutSignal } from '../common/Tasks.js';
 import { RefusalReason } from '../gen/redwingwharf/v1/control_pb.js';
 import { AnswerSchema } from '../gen/redwingwharf/v1/state_pb.js';
@@ -71,7 +71,7 @@
     context: IRequestContext,
     choice: IChoice,
     attempt: IClaimAttempt,
-    response: Dispatcher.ResponseData,
+    response: IHttpAnswer,
   ): Promise<ClaimOutcome> {
     const { clock } = this._services;
     try {
