Skip tslog's copies of the fields of a line and stringify decisions on demand

Cause: for each line tslog copied all fields to mask passwords, copied them again into its log object and described the runtime; the decision log then made a second JSON text that is read only by explain.

--- a/src/common/Log.ts
+++ b/src/common/Log.ts
@@ -17,20 +17,21 @@
   error(message: string, fields?: ILogFields): void;
 }
 
+/** What tslog passes on: its message and fields, and the level that `addMeta` adds. */
 interface ITslogLine {
-  readonly 0?: unknown;
-  readonly 1?: unknown;
-  readonly _meta: { readonly date: Date; readonly logLevelName: string };
+  readonly message: unknown;
+  readonly fields: unknown;
+  readonly level: string;
 }
 
 function formatLine(instance: string, line: ITslogLine): string {
-  const fields = typeof line[1] === 'object' && line[1] !== null ? line[1] : {};
+  const { message, fields, level } = line;
   return JSON.stringify({
-    time: line._meta.date.toISOString(),
-    level: line._meta.logLevelName.toLowerCase(),
+    time: new Date().toISOString(),
+    level,
     instance,
-    message: line[0],
-    ...fields,
+    message,
+    ...(typeof fields === 'object' ? fields : undefined),
   });
 }
 
@@ -52,7 +53,13 @@
     minLevel: LEVELS[level],
     // Finding the position takes a stack trace for each line.
     hideLogPositionForProduction: true,
+    // Masking copies every field of a line; callers of the log pass no secrets.
+    maskValuesOfKeys: [],
+    // The default steps copy the fields and describe the runtime for each line.
     overwrite: {
+      toLogObj: ([message, fields]) => ({ message, fields }),
+      addMeta: (line, _levelId, levelName) =>
+        Object.assign(line, { level: levelName.toLowerCase() }) as never,
       transportJSON: (line) => {
         write(formatLine(instance, line as ITslogLine));
       },
--- a/src/entry/DecisionLog.ts
+++ b/src/entry/DecisionLog.ts
@@ -7,9 +7,14 @@
 /** What kind of decision a record describes. */
 export type DecisionKind = 'refused' | 'routed' | 'retried' | 'resumed' | 'claimed' | 'finished';
 
+interface IRecord {
+  readonly time: number;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
 /** Records decisions. Fields never hold keys, prompts or generated text. */
 export class DecisionLog {
-  private readonly _records = new Map<string, string[]>();
+  private readonly _records = new Map<string, IRecord[]>();
 
   constructor(private readonly _log: ILog) {}
 
@@ -20,17 +25,31 @@
   ): void {
     const record = { requestId, decision, ...fields };
     this._log.info('decision', record);
-    const records = this._records.get(requestId) ?? [];
-    records.push(JSON.stringify({ time: new Date().toISOString(), ...record }));
-    this._records.set(requestId, records);
-    const [oldest] = this._records.keys();
-    if (this._records.size > MAX_REQUESTS && oldest !== undefined) {
-      this._records.delete(oldest);
+    // Few requests are explained, so the text is made when it is asked for.
+    const entry = { time: Date.now(), fields: record };
+    const records = this._records.get(requestId);
+    if (records !== undefined) {
+      records.push(entry);
+      return;
+    }
+    this._records.set(requestId, [entry]);
+    if (this._records.size > MAX_REQUESTS) {
+      this._dropOldest();
     }
   }
 
   /** Records of a request as JSON lines. */
   public explain(requestId: string): string[] {
-    return [...(this._records.get(requestId) ?? [])];
+    const records = this._records.get(requestId) ?? [];
+    return records.map(({ time, fields }) =>
+      JSON.stringify({ time: new Date(time).toISOString(), ...fields }),
+    );
+  }
+
+  private _dropOldest(): void {
+    const [oldest] = this._records.keys();
+    if (oldest !== undefined) {
+      this._records.delete(oldest);
+    }
   }
 }
