Generate the validators of settings and operator files

Cause: each process compiled its schema with ajv at the start and kept the compiler in memory. The options and so the errors are the same; the tests in src/settings and src/cli pass unchanged.

--- a/src/settings/SchemaCheck.ts
+++ b/src/settings/SchemaCheck.ts
@@ -1,6 +1,8 @@
 /** Checks of parsed JSON against a schema, with a remedy for each fault. */
 import type { ErrorObject, ValidateFunction } from 'ajv';
 import { Err, Ok, type Result } from '../common/Result.js';
+import { OPERATOR_SCHEMA } from '../gen/operator.js';
+import { SETTINGS_SCHEMA } from '../gen/settings.js';
 import { encodePointerSegment } from './JsonText.js';
 
 /** More problems than this hide the first ones from the reader. */
@@ -13,19 +15,19 @@
   readonly remedy: string;
 }
 
-const validators = new Map<object, ValidateFunction>();
+/** Generated validators. A process that runs needs one of them only, so each is loaded at first use. */
+const VALIDATOR_LOADERS = new Map<object, () => Promise<{ validate: unknown }>>([
+  [SETTINGS_SCHEMA, () => import('../gen/settingsValidator.js')],
+  [OPERATOR_SCHEMA, () => import('../gen/operatorValidator.js')],
+]);
 
-/** Compiled validator of a schema. The library is loaded at first use because it takes memory. */
-async function acquireValidator(schema: object): Promise<ValidateFunction> {
-  const known = validators.get(schema);
-  if (known !== undefined) {
-    return known;
+async function loadValidator(schema: object): Promise<ValidateFunction> {
+  const load = VALIDATOR_LOADERS.get(schema);
+  if (load === undefined) {
+    throw new Error('the schema has no generated validator; add it to tools/generate.mjs');
   }
-  const { Ajv } = await import('ajv');
-  const ajv = new Ajv({ allErrors: true, useDefaults: true, verbose: true });
-  const validate = ajv.compile(schema);
-  validators.set(schema, validate);
-  return validate;
+  const { validate } = await load();
+  return validate as ValidateFunction;
 }
 
 function listKnownProperties(error: ErrorObject): string {
@@ -76,7 +78,7 @@
   schema: object,
   value: unknown,
 ): Promise<Result<T, readonly ISchemaProblem[]>> {
-  const validate = await acquireValidator(schema);
+  const validate = await loadValidator(schema);
   if (validate(value)) {
     return Ok(value as T);
   }
--- a/tools/generate.mjs
+++ b/tools/generate.mjs
@@ -3,6 +3,8 @@
 import { mkdtempSync, readdirSync, readFileSync, rmSync, mkdirSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { delimiter, join, relative, resolve } from 'node:path';
+import { Ajv } from 'ajv';
+import standalone from 'ajv/dist/standalone/index.js';
 import { compile } from 'json-schema-to-typescript';
 
 const COMMITTED = 'src/gen';
@@ -28,6 +30,34 @@
   return `${types}\n/** JSON schema that the types above were generated from. */\nexport const ${constant} = ${literal};\n`;
 }
 
+// Generated validators keep ajv's compiler out of the running processes.
+function generateValidator(name) {
+  const schema = JSON.parse(readFileSync(`schema/${name}.schema.json`, 'utf8'));
+  const ajv = new Ajv({
+    allErrors: true,
+    useDefaults: true,
+    verbose: true,
+    code: { source: true, esm: true, lines: true },
+  });
+  const imports = new Set();
+  const code = standalone
+    .default(ajv, ajv.compile(schema))
+    .replace(/require\("ajv\/dist\/runtime\/(\w+)"\)\.default/g, (_call, helper) => {
+      imports.add(`import ${helper} from 'ajv/dist/runtime/${helper}.js';`);
+      // Node gives the exports of the CommonJS module, vitest its default export.
+      return `${helper}.default ?? ${helper}`;
+    });
+  if (code.includes('require(')) {
+    throw new Error(`the validator of ${name} requires a module outside ajv/dist/runtime`);
+  }
+  return [
+    `// Generated from schema/${name}.schema.json. Do not edit.`,
+    '// @ts-nocheck',
+    ...imports,
+    code,
+  ].join('\n');
+}
+
 execFileSync('node_modules/.bin/buf', ['generate', '--output', isCheck ? output : '.'], {
   stdio: 'inherit',
   env: { ...process.env, PATH: `${resolve('node_modules/.bin')}${delimiter}${process.env.PATH}` },
@@ -36,6 +66,7 @@
 mkdirSync(target, { recursive: true });
 for (const name of ['settings', 'operator']) {
   writeFileSync(join(target, `${name}.ts`), await generateSchema(name));
+  writeFileSync(join(target, `${name}Validator.ts`), generateValidator(name));
 }
 if (isCheck) {
   const expected = listFiles(target);
