--- a/tools/overhead.ts
+++ b/tools/overhead.ts
@@ -28,7 +28,7 @@
 
 /** Streams for the processor time per relayed event, and the time after the last one has begun. */
 const STREAM_SIZES = [50, 200, 800] as const;
-const STREAM_TOKENS = 200;
+const STREAM_TOKENS = 300;
 const EVENTS_MS = 3_000;
 
 const STREAMS_TIMEOUT_MS = 120_000;
@@ -214,6 +214,7 @@
   private readonly _client = new LoadClient();
   private _begun = 0;
   private _ended = 0;
+  private _failure: Error | undefined;
   public events = 0;
   public reads = 0;
 
@@ -221,13 +222,17 @@
 
   public async start(deployment: Deployment, key: string): Promise<void> {
     for (let index = 0; index < this._count; index++) {
-      void this._run(deployment, key);
+      this._run(deployment, key).catch((error: unknown) => {
+        this._failure ??= error instanceof Error ? error : new Error(String(error));
+      });
     }
-    await deployment.waitFor('the streams', () => Promise.resolve(this._begun === this._count));
+    await deployment.waitFor('the streams', () => Promise.resolve(this._isSettled(this._begun)));
+    this.assertOpen();
   }
 
   /** Throws when a stream has ended already, because then the events were fewer than planned. */
   public assertOpen(): void {
+    this._assertNoFailure();
     if (this._ended > 0) {
       throw new Error(`${this._ended} of ${this._count} streams ended during the measurement`);
     }
@@ -236,12 +241,24 @@
   public async waitEnded(deployment: Deployment): Promise<void> {
     await deployment.waitFor(
       'the end of the streams',
-      () => Promise.resolve(this._ended === this._count),
+      () => Promise.resolve(this._isSettled(this._ended)),
       STREAMS_TIMEOUT_MS,
     );
+    this._assertNoFailure();
     await this._client.close();
   }
 
+  /** A failed stream ends the wait, so that its error is what the run reports. */
+  private _isSettled(done: number): boolean {
+    return done === this._count || this._failure !== undefined;
+  }
+
+  private _assertNoFailure(): void {
+    if (this._failure !== undefined) {
+      throw this._failure;
+    }
+  }
+
   private async _run(deployment: Deployment, key: string): Promise<void> {
     let hasBegun = false;
     const url = deployment.getUrl(ENTRY);
