Say "not run" of requests that ended before they were dispatched

Cause: a key withdrawn or a deadline passed while a request waited for tokens was answered with "x-rww-ran: unknown", although nothing had been dispatched.

--- a/src/entry/ModelFlow.ts
+++ b/src/entry/ModelFlow.ts
@@ -9,7 +9,7 @@
 import type { IModelRequest } from './Parse.js';
 import type { QueueStage } from './QueueStage.js';
 import { StreamRelay } from './StreamRelay.js';
-import { describeEnd, recordRefusal } from './Outcomes.js';
+import { describeEnd, describeNotRun, recordRefusal } from './Outcomes.js';
 import type { IAdmitter, IFlowServices, IRequestContext } from './Types.js';
 import { readAnswer, sendAnswer } from './WholeAnswer.js';
 
@@ -57,7 +57,7 @@
     const tokens = model.promptTokens + outputLimit;
     const admitted = await this._admitter.admit(account, tokens, context.open.signal);
     if (admitted.err) {
-      this._refuse(context, describeEnd(context) ?? admitted.val);
+      this._refuse(context, describeNotRun(context, admitted.val));
       return;
     }
     const place = await this._queue.enter(context, tokens);
@@ -110,7 +110,7 @@
     if (context.open.signal.aborted && failure.ran !== 'no') {
       return this._endEarly(context, undefined);
     }
-    this._refuse(context, describeEnd(context) ?? failure);
+    this._refuse(context, describeNotRun(context, failure));
     return NOTHING_SERVED;
   }
 
--- a/src/entry/Outcomes.ts
+++ b/src/entry/Outcomes.ts
@@ -15,6 +15,12 @@
   }
 }
 
+/** Failure of a request that ended before it was dispatched; names the cause of the end, if it has one. */
+export function describeNotRun(context: IRequestContext, failure: IHttpFailure): IHttpFailure {
+  const end = describeEnd(context);
+  return end === undefined ? failure : { ...end, ran: 'no' };
+}
+
 /** Log line and counter of a refused request. */
 export function recordRefusal(
   services: IFlowServices,
--- a/src/entry/PlainFlow.ts
+++ b/src/entry/PlainFlow.ts
@@ -6,7 +6,7 @@
 import { fail, sendFailure, type IHttpFailure } from './Failures.js';
 import { pickAnswerHeaders, pickRequestHeaders } from './ForwardHeaders.js';
 import type { OpenRequests } from './OpenRequests.js';
-import { describeEnd, recordPlainEnd, recordRefusal } from './Outcomes.js';
+import { describeEnd, describeNotRun, recordPlainEnd, recordRefusal } from './Outcomes.js';
 import type { QueueStage } from './QueueStage.js';
 import type { IAdmitter, IFlowServices, IRequestContext } from './Types.js';
 import { AnswerTooLargeError, readAnswer, sendAnswer } from './WholeAnswer.js';
@@ -50,7 +50,7 @@
   }
   const admitted = await admitter.admit(account, tokens, context.open.signal);
   if (admitted.err) {
-    return Err(describeEnd(context) ?? admitted.val);
+    return Err(describeNotRun(context, admitted.val));
   }
   const place = await queue.enter(context, tokens);
   admitted.val.settle(place.ok ? tokens : 0);
--- a/src/entry/QueueStage.ts
+++ b/src/entry/QueueStage.ts
@@ -3,7 +3,7 @@
 import type { IDisposable } from '../common/Lifecycle.js';
 import { Err, Ok, type Result } from '../common/Result.js';
 import { refuse, type IHttpFailure } from './Failures.js';
-import { describeEnd } from './Outcomes.js';
+import { describeNotRun } from './Outcomes.js';
 import type { IFlowServices, IRequestContext } from './Types.js';
 
 /** Part of a service's time limit that a request may wait; the rest is left for the response. */
@@ -50,12 +50,8 @@
         return Err(refuse('overloaded', message, failure.retryAfterMs));
       }
       case 'aborted': {
-        const end = describeEnd(context);
-        return Err(
-          end === undefined
-            ? refuse('request_timeout', 'The request ended before it was dispatched.')
-            : { ...end, ran: 'no' },
-        );
+        const message = 'The request ended before it was dispatched.';
+        return Err(describeNotRun(context, refuse('request_timeout', message)));
       }
     }
   }
