--- a/tools/bench.ts
+++ b/tools/bench.ts
@@ -3,7 +3,7 @@
  *
  * npm run bench -- --deployment authority|franchise --policy NAME --seed N [--seeds M]
  *   [--seconds S] [--faults on|off] [--load FACTOR]
- *   [--notices evicted|used] [--compare] [--decision-times]
+ *   [--notices evicted|used] [--compare] [--explain-tail] [--decision-times]
  */
 import { parseArgs } from 'node:util';
 import { measureDecisionTimes } from './bench/DecisionTimes.js';
@@ -17,6 +17,7 @@
   formatTable,
   summariseRuns,
 } from './bench/Report.js';
+import { explainTail, type ITailSample } from './bench/Tail.js';
 import { runOnce } from './bench/Simulation.js';
 
 interface IBenchOptions {
@@ -27,6 +28,7 @@
   readonly hasFaults: boolean;
   readonly hasUseNotices: boolean;
   readonly isComparison: boolean;
+  readonly isTailExplained: boolean;
 }
 
 function readOptions(): IBenchOptions | undefined {
@@ -41,6 +43,7 @@
       load: { type: 'string', default: '1' },
       notices: { type: 'string', default: 'used' },
       compare: { type: 'boolean', default: false },
+      'explain-tail': { type: 'boolean', default: false },
       'decision-times': { type: 'boolean', default: false },
     },
   });
@@ -63,11 +66,17 @@
     hasFaults: values.faults === 'on',
     hasUseNotices: values.notices === 'used',
     isComparison: values.compare,
+    isTailExplained: values['explain-tail'],
   };
 }
 
 function runSeeds(options: IBenchOptions, policy: PolicyName | 'oracle'): IRunFigures[] {
-  return options.seeds.map((seed) => runOnce({ ...options, policy, seed }));
+  const tail: ITailSample[] | undefined = options.isTailExplained ? [] : undefined;
+  const runs = options.seeds.map((seed) => runOnce({ ...options, policy, seed, tail }));
+  if (tail !== undefined) {
+    console.log(`${policy}: ${explainTail(tail)}`);
+  }
+  return runs;
 }
 
 function main(): void {
--- a/tools/bench/Engine.ts
+++ b/tools/bench/Engine.ts
@@ -20,6 +20,9 @@
 /** A chunk used at least as often counts as hot in announcements. */
 const HOT_USES = 2;
 
+/** Age of a load report on average: half an interval of the announcements and their mean lag. */
+export const REPORT_LAG_MS = 400;
+
 /** Time from a crash until the engine is back. */
 const RESTART_MS = 800;
 
@@ -30,6 +33,9 @@
   readonly priority: number;
   /** Incarnation that the sender relied on. */
   readonly incarnation: string;
+  /** Number of the entry that sent the job, and when. */
+  readonly sender: number;
+  readonly sentAt: number;
   readonly onFirstToken: (now: number) => void;
   readonly onDone: (cachedPromptTokens: number, now: number) => void;
   readonly onFailed: (now: number) => void;
@@ -181,6 +187,20 @@
     return waitMs + this._estimatePrefill(chain, promptTokens, pending);
   }
 
+  /** Exact wait for queued work, and the part of it that `sender` cannot know from reports. */
+  public computeWait(sender: number, now: number): { waitMs: number; unseenMs: number } {
+    const pending = new Set<ChainHash>();
+    let waitMs = this._prefill === undefined ? 0 : this._prefillEndsAt - now;
+    let unseenMs = isUnseen(this._prefill?.job, sender, now) ? waitMs : 0;
+    for (const job of [...this._queue, ...this._transit]) {
+      const prefillMs = this._estimatePrefill(job.chain, job.promptTokens, pending);
+      job.chain.forEach((hash) => pending.add(hash));
+      waitMs += prefillMs;
+      unseenMs += isUnseen(job, sender, now) ? prefillMs : 0;
+    }
+    return { waitMs, unseenMs };
+  }
+
   private _estimatePrefill(
     chain: readonly ChainHash[],
     promptTokens: number,
@@ -342,3 +362,7 @@
     return missing <= 0;
   }
 }
+
+function isUnseen(job: IEngineJob | undefined, sender: number, now: number): boolean {
+  return job !== undefined && job.sender !== sender && now - job.sentAt < REPORT_LAG_MS;
+}
--- a/tools/bench/Entry.ts
+++ b/tools/bench/Entry.ts
@@ -11,6 +11,7 @@
 import type { Engine, IEngineReport } from './Engine.js';
 import type { EventQueue } from './EventQueue.js';
 import type { Measures } from './Measures.js';
+import type { ITailSample } from './Tail.js';
 import type { IArrival } from './Workload.js';
 
 /** Dispatches without a first token, for each engine of the fleet. */
@@ -28,6 +29,8 @@
 const MICROSECONDS_PER_MS = 1_000;
 
 export interface IEntryContext {
+  /** Number of this entry. */
+  readonly number: number;
   readonly deployment: IDeployment;
   readonly events: EventQueue;
   readonly engines: readonly Engine[];
@@ -37,6 +40,7 @@
   readonly warmupMs: number;
   /** Whether announcements carry used chunks besides evicted ones. */
   readonly hasUseNotices: boolean;
+  readonly isTailExplained: boolean;
   /** One-way hop in milliseconds. */
   readonly hopOf: (engine: Engine) => number;
 }
@@ -159,6 +163,9 @@
     const { requestId, chain, promptTokens, priority } = request.route;
     const hopMs = hopOf(engine);
     let ttftMs = 0;
+    const knowledge = this._context.isTailExplained
+      ? this._sampleFleet(request, engine, now)
+      : undefined;
     this._waiting += 1;
     this.policy.onDispatched(request.route, decision.target, now);
     const job = {
@@ -167,10 +174,16 @@
       outputTokens: request.arrival.outputTokens,
       priority,
       incarnation: decision.target.incarnation,
+      sender: this._context.number,
+      sentAt: now,
       onFirstToken: (at: number) => {
         events.schedule(at + hopMs, (arrivedAt) => {
           ttftMs = arrivedAt - now;
           this._acceptFirstToken(request, decision, ttftMs, arrivedAt);
+          if (knowledge !== undefined && request.arrival.at >= this._context.warmupMs) {
+            const sinceArrivalMs = arrivedAt - request.arrival.at;
+            this._context.measures.recordTail({ ...knowledge, ttftMs: sinceArrivalMs });
+          }
         });
       },
       onDone: (cachedPromptTokens: number, at: number) => {
@@ -191,6 +204,21 @@
     engine.send(job, hopMs, now);
   }
 
+  /** Exact state of the fleet at a dispatch. */
+  private _sampleFleet(
+    request: IOpenRequest,
+    chosen: Engine,
+    now: number,
+  ): Omit<ITailSample, 'ttftMs'> {
+    const { chain, promptTokens } = request.route;
+    const { number, engines } = this._context;
+    const { waitMs, unseenMs } = chosen.computeWait(number, now);
+    const prefillMs = chosen.computeTtft(chain, promptTokens, now) - waitMs;
+    const up = engines.filter((engine) => engine.isUp);
+    const bestMs = Math.min(...up.map((engine) => engine.computeTtft(chain, promptTokens, now)));
+    return { heldMs: now - request.arrival.at, waitMs, unseenMs, prefillMs, bestMs };
+  }
+
   private _acceptFirstToken(
     request: IOpenRequest,
     decision: ITargetDecision,
--- a/tools/bench/Measures.ts
+++ b/tools/bench/Measures.ts
@@ -1,6 +1,7 @@
 /** What is measured during one run. */
 import { build, type Histogram } from 'hdr-histogram-js';
 import { ACCOUNT_SHARES } from './Deployments.js';
+import type { ITailSample } from './Tail.js';
 
 /** Histograms hold whole numbers; times are recorded in units of 0.01 ms and 0.1 us. */
 const TTFT_UNITS_PER_MS = 100;
@@ -43,6 +44,7 @@
   private readonly _ttft = createHistogram();
   private readonly _decision = createHistogram();
   private readonly _estimateError = createHistogram();
+  private readonly _tail: ITailSample[];
   private readonly _due = ACCOUNT_SHARES.map(() => 0);
   private readonly _served = ACCOUNT_SHARES.map(() => 0);
   private _promptTokens = 0;
@@ -54,6 +56,15 @@
   private _failed = 0;
   private _retries = 0;
 
+  /** @param tail receives the samples of `recordTail` */
+  constructor(tail: ITailSample[] = []) {
+    this._tail = tail;
+  }
+
+  public recordTail(sample: ITailSample): void {
+    this._tail.push(sample);
+  }
+
   public recordPrefill(promptTokens: number, cachedTokens: number, wastedTokens: number): void {
     this._promptTokens += promptTokens;
     this._cachedTokens += cachedTokens;
--- a/tools/bench/Simulation.ts
+++ b/tools/bench/Simulation.ts
@@ -8,6 +8,7 @@
 import { Oracle } from './Oracle.js';
 import { createPolicy, type PolicyName } from './Policies.js';
 import { createRandom, sampleExponential } from './Random.js';
+import type { ITailSample } from './Tail.js';
 import { AdmissionMeter, TokenBucket } from './TokenBucket.js';
 import { generateWorkload, type IWorkload } from './Workload.js';
 
@@ -46,12 +47,14 @@
   readonly hasFaults: boolean;
   /** Whether announcements carry used chunks besides evicted ones. */
   readonly hasUseNotices: boolean;
+  /** Receives one sample for each measured request when given. */
+  readonly tail?: ITailSample[] | undefined;
 }
 
 class Simulation {
   private readonly _options: IRunOptions;
   private readonly _events = new EventQueue();
-  private readonly _measures = new Measures();
+  private readonly _measures: Measures;
   private readonly _workload: IWorkload;
   private readonly _engines: readonly Engine[];
   private readonly _entries: readonly Entry[];
@@ -64,6 +67,7 @@
 
   constructor(options: IRunOptions) {
     this._options = options;
+    this._measures = new Measures(options.tail);
     this._endMs = options.seconds * 1_000;
     this._warmupMs = Math.min(WARMUP_MS, this._endMs * MAX_WARMUP_SHARE);
     this._workload = generateWorkload(options.deployment, options.seed, this._endMs);
@@ -185,6 +189,8 @@
       const hopOf = (engine: Engine): number =>
         engine.dataCentre === dataCentre ? LOCAL_HOP_MS : REMOTE_HOP_MS;
       const context: IEntryContext = {
+        number,
+        isTailExplained: this._options.tail !== undefined,
         deployment,
         events: this._events,
         engines: this._engines,
