Let busy targets refuse dispatches and decide again

The load reports count requests, and entries do not see each other's dispatches for about 400 ms.

Change: a decision names the time to first token beyond which the next best target is the better choice (maxTtftMs, for the ticket). The sidecar refuses the dispatch unrun when it expects more, and its receipt tells the expected wait and the cached prompt tokens. The policy chooses again with them; the third try has no limit. The bench gives the sidecar its own index, the tokens expected when it accepted the jobs and a speed without decoding, and counts two hops for each refusal.

--- a/src/policy/BasePolicy.ts
+++ b/src/policy/BasePolicy.ts
@@ -3,6 +3,7 @@
 import type {
   ChainHash,
   IAnswer,
+  IBusyReceipt,
   INoDecision,
   IRouteDecision,
   IRouteRequest,
@@ -54,6 +55,13 @@
     this.loads.close(requestId, now);
   }
 
+  public onBusy(requestId: string, receipt: IBusyReceipt, now: number): void {
+    const targetId = this.loads.close(requestId, now);
+    if (targetId !== undefined) {
+      this.loads.reportWait(targetId, receipt.waitMs, now);
+    }
+  }
+
   /** Policies without an index of prefixes have nothing to correct. */
   public onEvicted(target: ITargetView, hashes: readonly ChainHash[]): void;
   public onEvicted(): void {
@@ -77,6 +85,7 @@
       target,
       expectedCachedTokens: 0,
       estimatedTtftMs: 0,
+      maxTtftMs: Infinity,
       reason,
       candidates: [],
     };
--- a/src/policy/DefaultPolicy.ts
+++ b/src/policy/DefaultPolicy.ts
@@ -11,6 +11,7 @@
   MAX_LOGGED_CANDIDATES,
   type ChainHash,
   type IAnswer,
+  type IBusyReceipt,
   type ICandidate,
   type IRandom,
   type IRouteDecision,
@@ -47,6 +48,15 @@
  */
 const RECOMPUTE_CHARGE = 0.3;
 
+/** Refusals of busy targets for one request; after them a target accepts whatever its queue. */
+const MAX_REFUSALS = 2;
+
+/** Requests whose refusals are remembered, so that abandoned ones do not add up. */
+const MAX_REFUSED_REQUESTS = 1_000;
+
+/** A refusal costs a round trip and a decision, and the estimates are not exact. */
+const LIMIT_MARGIN_MS = 50;
+
 /** Settings that differ between experiments. */
 export interface IDefaultPolicyOptions {
   /** Data centre of this process. */
@@ -89,6 +99,8 @@
   private readonly _index: PrefixIndex;
   private readonly _lifetime = new CacheLifetime();
   private readonly _estimator: Estimator;
+  /** How often busy targets refused a request that is still open. */
+  private readonly _refusals = new Map<string, number>();
   private readonly _dispatches = new Map<string, IDispatch>();
   private readonly _getLifetime = (targetId: string): number => this._lifetime.get(targetId);
 
@@ -115,6 +127,10 @@
       target: best.target,
       expectedCachedTokens: best.cachedTokens,
       estimatedTtftMs: best.ttftMs,
+      maxTtftMs:
+        (this._refusals.get(request.requestId) ?? 0) < MAX_REFUSALS
+          ? computeLimit(best, scored)
+          : Infinity,
       reason: best.reason,
       candidates: listCandidates(scored),
     };
@@ -141,6 +157,7 @@
       return;
     }
     this._dispatches.delete(requestId);
+    this._refusals.delete(requestId);
     const { request, target, ages } = dispatch;
     // The index needs no correction: what was missing is computed and cached by now. The count shows
     // how long this target keeps unused chunks.
@@ -151,6 +168,7 @@
 
   public override onFailed(requestId: string, now: number): void {
     this.loads.close(requestId, now);
+    this._refusals.delete(requestId);
     const dispatch = this._dispatches.get(requestId);
     if (dispatch !== undefined) {
       this._dispatches.delete(requestId);
@@ -158,6 +176,17 @@
     }
   }
 
+  public override onBusy(requestId: string, receipt: IBusyReceipt, now: number): void {
+    super.onBusy(requestId, receipt, now);
+    const dispatch = this._dispatches.get(requestId);
+    if (dispatch !== undefined) {
+      this._dispatches.delete(requestId);
+      this._recordRefusal(requestId);
+      const cachedChunks = Math.floor(receipt.cachedPromptTokens / CHUNK_TOKENS);
+      this._index.forget(dispatch.target, dispatch.request.chain, cachedChunks);
+    }
+  }
+
   public override onEvicted(target: ITargetView, hashes: readonly ChainHash[]): void {
     this._index.forget(target, hashes);
   }
@@ -174,6 +203,14 @@
     this._estimator.drop(targetId);
   }
 
+  private _recordRefusal(requestId: string): void {
+    this._refusals.set(requestId, (this._refusals.get(requestId) ?? 0) + 1);
+    const [oldest] = this._refusals.keys();
+    if (oldest !== undefined && this._refusals.size > MAX_REFUSED_REQUESTS) {
+      this._refusals.delete(oldest);
+    }
+  }
+
   private _scoreAll(
     request: IRouteRequest,
     targets: readonly ITargetView[],
@@ -276,12 +313,25 @@
       target,
       expectedCachedTokens: 0,
       estimatedTtftMs: scored.ttftMs,
+      maxTtftMs: Infinity,
       reason: 'spill',
       candidates: listCandidates([scored]),
     };
   }
 }
 
+/** Time to first token beyond which the next best target is the better choice. */
+function computeLimit(best: IScored, scored: readonly IScored[]): number {
+  let nextCost = Infinity;
+  for (const item of scored) {
+    if (item !== best && item.cost < nextCost) {
+      nextCost = item.cost;
+    }
+  }
+  const charge = best.cost - best.ttftMs;
+  return Math.max(best.ttftMs, nextCost - charge) + LIMIT_MARGIN_MS;
+}
+
 function listCandidates(scored: readonly IScored[]): ICandidate[] {
   const best = scored.length <= MAX_LOGGED_CANDIDATES ? scored : sortBest(scored);
   return best.map(({ target, cachedTokens, waitMs, ttftMs }) => ({
--- a/src/policy/Learning.test.ts
+++ b/src/policy/Learning.test.ts
@@ -55,6 +55,16 @@
     expect(view.estimateWait('t', 100, 10)).toBe(90);
   });
 
+  it('counts own dispatches once in the wait that a refusal told, and lets it run down', () => {
+    const view = new LoadView();
+    view.open('r1', 't', 100, 0);
+    view.reportWait('t', 300, 0);
+    expect(view.estimateWait('t', 100, 0)).toBe(300);
+    expect(view.estimateWait('t', 100, 50)).toBe(200);
+    view.report('t', createLoad(1, 60));
+    expect(view.estimateWait('t', 100, 60)).toBe(40);
+  });
+
   it('ignores a report older than the known one', () => {
     const view = new LoadView();
     view.report('t', createLoad(5, 20));
--- a/src/policy/LoadView.ts
+++ b/src/policy/LoadView.ts
@@ -12,6 +12,9 @@
   /** Reported queue length less the own dispatches that waited when the report arrived. */
   othersQueued: number;
   running: number;
+  /** Wait for the work of others that a receipt told, until the next report. */
+  othersMs: number | undefined;
+  othersMsAt: number;
   /** Own dispatches, answered or not, that are still open. */
   open: number;
   /** Own dispatches without a first token. */
@@ -28,6 +31,11 @@
   hasFirstToken: boolean;
 }
 
+/** The work in progress is partly done, but never reported as finished. */
+function estimateOwn(state: ITargetLoad, now: number): number {
+  return Math.max(0, state.waitingMs - (now - state.progressAt));
+}
+
 /** Joins what targets reported with what this process sent since. */
 export class LoadView {
   private readonly _targets = new Map<string, ITargetLoad>();
@@ -49,6 +57,14 @@
     state.reportedAt = load.reportedAt;
     state.othersQueued = Math.max(0, load.queued - state.waiting);
     state.running = load.running;
+    state.othersMs = undefined;
+  }
+
+  /** Takes over the wait that the target told when it refused a dispatch. */
+  public reportWait(targetId: string, waitMs: number, now: number): void {
+    const state = this._ensure(targetId);
+    state.othersMs = Math.max(0, waitMs - estimateOwn(state, now));
+    state.othersMsAt = now;
   }
 
   /** Counts a dispatch with `workMs` of estimated prompt computation. */
@@ -106,8 +122,10 @@
     if (state === undefined) {
       return 0;
     }
-    // The work in progress is partly done, but never reported as finished.
-    const own = Math.max(0, state.waitingMs - (now - state.progressAt));
+    const own = estimateOwn(state, now);
+    if (state.othersMs !== undefined) {
+      return own + Math.max(0, state.othersMs - (now - state.othersMsAt));
+    }
     return own + OTHERS_SHARE * state.othersQueued * serviceMs;
   }
 
@@ -128,6 +146,7 @@
     }
     state.reportedAt = -1;
     state.othersQueued = 0;
+    state.othersMs = undefined;
     state.running = 0;
   }
 
@@ -140,6 +159,8 @@
       reportedAt: -1,
       othersQueued: 0,
       running: 0,
+      othersMs: undefined,
+      othersMsAt: 0,
       open: 0,
       waiting: 0,
       waitingMs: 0,
--- a/src/policy/Policies.test.ts
+++ b/src/policy/Policies.test.ts
@@ -147,6 +147,39 @@
     expect(target.id).not.toBe('t-7');
   });
 
+  it('sets no limit on the last try, so that a request is not refused by all targets', () => {
+    const policy = createDefault();
+    const targets = createTargets(13);
+    serve(policy, 'r1', chain, createTarget('t-7'), 0);
+    const limits: number[] = [];
+    const chosen: string[] = [];
+    for (let i = 0; i < 3; i += 1) {
+      const request = createRequest('r2', chain);
+      const decision = policy.choose(request, targets, 100);
+      const target = expectTarget(decision);
+      limits.push(decision.kind === 'target' ? decision.maxTtftMs : NaN);
+      chosen.push(target.id);
+      policy.onDispatched(request, target, 100);
+      policy.onBusy('r2', { waitMs: 60_000, cachedPromptTokens: 0 }, 102);
+    }
+    expect(limits.map(Number.isFinite)).toEqual([true, true, false]);
+    expect(new Set(chosen).size).toBe(3);
+  });
+
+  it('sends the rest of a burst elsewhere after a refusal, until a newer report', () => {
+    const policy = createDefault();
+    const targets = createTargets(13);
+    const holder = createTarget('t-7');
+    serve(policy, 'r1', chain, holder, 0);
+    policy.onDispatched(createRequest('r2', chain), holder, 100);
+    const receipt = { waitMs: 60_000, cachedPromptTokens: 16_000 };
+    policy.onBusy('r2', receipt, 102);
+    const request = createRequest('r3', chain);
+    expect(expectTarget(policy.choose(request, targets, 103)).id).not.toBe('t-7');
+    const reported = targets.map((target) => ({ ...target, load: createLoad(0, 200) }));
+    expect(expectTarget(policy.choose(request, reported, 200)).id).toBe('t-7');
+  });
+
   it('bounds the candidates of a decision and weighs only a part of a large fleet', () => {
     const policy = createDefault(0.5);
     const targets = createTargets(5_600);
--- a/src/policy/Types.ts
+++ b/src/policy/Types.ts
@@ -59,6 +59,11 @@
   readonly target: ITargetView;
   readonly expectedCachedTokens: number;
   readonly estimatedTtftMs: number;
+  /**
+   * The target is to refuse the dispatch unrun when it expects a longer time to first token,
+   * because another target is then the better choice. Infinity without an alternative.
+   */
+  readonly maxTtftMs: number;
   readonly reason: RouteReason;
   /** At most `MAX_LOGGED_CANDIDATES` entries. */
   readonly candidates: readonly ICandidate[];
@@ -82,6 +87,14 @@
   readonly load: ILoad | undefined;
 }
 
+/** What a target told when it refused a dispatch that would take longer than `maxTtftMs`. */
+export interface IBusyReceipt {
+  /** Expected wait for the prompts queued before it. */
+  readonly waitMs: number;
+  /** Prompt tokens that the target would have taken from its cache. */
+  readonly cachedPromptTokens: number;
+}
+
 /** Chooses targets and learns from what happens to the requests. */
 export interface IRoutingPolicy {
   readonly name: string;
@@ -92,6 +105,8 @@
   onAnswered(requestId: string, answer: IAnswer, now: number): void;
   /** The dispatch ended without a complete response. */
   onFailed(requestId: string, now: number): void;
+  /** The target refused the dispatch unrun; the request may be sent elsewhere. */
+  onBusy(requestId: string, receipt: IBusyReceipt, now: number): void;
   onEvicted(target: ITargetView, hashes: readonly ChainHash[]): void;
   /** The target reported that these chunks, which may be of any chain, were just used. */
   onCached(target: ITargetView, hashes: readonly ChainHash[], now: number): void;
--- a/tools/bench/Engine.ts
+++ b/tools/bench/Engine.ts
@@ -1,6 +1,6 @@
 /** Fake engine with continuous batching and a prefix cache in limited memory. */
 import { CHUNK_TOKENS } from '../../src/policy/PrefixChain.js';
-import type { ChainHash, IRandom } from '../../src/policy/Types.js';
+import type { ChainHash, IBusyReceipt, IRandom } from '../../src/policy/Types.js';
 import type { EventQueue } from './EventQueue.js';
 
 /** Time for one output token: alone, and more for each further request in the batch. */
@@ -39,6 +39,9 @@
   readonly onFirstToken: (now: number) => void;
   readonly onDone: (cachedPromptTokens: number, now: number) => void;
   readonly onFailed: (now: number) => void;
+  /** The job is refused unrun when the sidecar expects a longer time to first token. */
+  readonly maxTtftMs: number;
+  readonly onBusy: (receipt: IBusyReceipt, now: number) => void;
 }
 
 interface IRunningJob {
@@ -103,6 +106,9 @@
   private readonly _queue: IEngineJob[] = [];
   private _prefill: IRunningJob | undefined;
   private _prefillEndsAt = 0;
+  private _prefillStartedAt = 0;
+  /** Prompt tokens to compute as the sidecar expected them when it accepted the job. */
+  private readonly _expectedMisses = new Map<IEngineJob, number>();
   private readonly _running = new Set<IRunningJob>();
   private _evicted: ChainHash[] = [];
   /** Hot chunks used since the last announcement, the latest last. */
@@ -142,6 +148,7 @@
     this._queue.length = 0;
     this._running.clear();
     this._prefill = undefined;
+    this._expectedMisses.clear();
     this._privateChunks = 0;
     this._evicted = [];
     this._used.clear();
@@ -227,11 +234,45 @@
       job.onFailed(now);
       return;
     }
+    const missedTokens = this._countMissed(job);
+    const waitMs = this._expectWait(job.priority, now);
+    if (waitMs + missedTokens / this._spec.prefillTokensPerMs > job.maxTtftMs) {
+      job.onBusy({ waitMs, cachedPromptTokens: job.promptTokens - missedTokens }, now);
+      return;
+    }
+    this._expectedMisses.set(job, missedTokens);
     const place = this._queue.findIndex((item) => item.priority < job.priority);
     this._queue.splice(place < 0 ? this._queue.length : place, 0, job);
     this._startNext(now);
   }
 
+  /** Misses by the sidecar's index, with the chunks of the jobs that it accepted before. */
+  private _countMissed(job: IEngineJob): number {
+    const pending = new Set(this._queue.flatMap((item) => item.chain));
+    let chunks = 0;
+    while (chunks < job.chain.length && this._isHeld(job.chain[chunks] ?? '', pending)) {
+      chunks += 1;
+    }
+    return job.promptTokens - chunks * CHUNK_TOKENS;
+  }
+
+  /**
+   * Wait as the sidecar expects it: from the tokens expected when the jobs were accepted and the
+   * speed of an engine that generates nothing. What is in progress counts from its start.
+   */
+  private _expectWait(priority: number, now: number): number {
+    const speed = this._spec.prefillTokensPerMs;
+    let waitMs = 0;
+    for (const [job, missedTokens] of this._expectedMisses) {
+      if (job === this._prefill?.job) {
+        waitMs += Math.max(0, missedTokens / speed - (now - this._prefillStartedAt));
+      } else if (job.priority >= priority) {
+        waitMs += missedTokens / speed;
+      }
+    }
+    return waitMs;
+  }
+
   private _startNext(now: number): void {
     const job = this._queue[0];
     if (job === undefined || this._prefill !== undefined) {
@@ -247,6 +288,7 @@
     const running = { job, privateChunks: this._countPrivate(job), cachedPromptTokens };
     this._prefill = running;
     this._prefillEndsAt = now + prefillMs;
+    this._prefillStartedAt = now;
     this._recordPrefill(job, cachedChunks, prefillMs, now);
     this._scheduleOwn(now + prefillMs, (at) => {
       this._beginDecode(running, at);
@@ -269,6 +311,7 @@
 
   private _beginDecode(running: IRunningJob, now: number): void {
     this._prefill = undefined;
+    this._expectedMisses.delete(running.job);
     this._running.add(running);
     running.job.onFirstToken(now);
     const stepMs = DECODE_STEP_MS + DECODE_STEP_PER_REQUEST_MS * this._running.size;
--- a/tools/bench/Entry.ts
+++ b/tools/bench/Entry.ts
@@ -2,6 +2,7 @@
 import { FairQueue, type IQueuedRequest } from '../../src/admission/FairQueue.js';
 import { RetryBudget } from '../../src/admission/RetryBudget.js';
 import type {
+  IBusyReceipt,
   IRouteRequest,
   IRoutingPolicy,
   ITargetDecision,
@@ -176,6 +177,15 @@
       incarnation: decision.target.incarnation,
       sender: this._context.number,
       sentAt: now,
+      maxTtftMs: decision.maxTtftMs,
+      onBusy: (receipt: IBusyReceipt, at: number) => {
+        events.schedule(at + hopMs, (arrivedAt) => {
+          this._waiting -= 1;
+          this._context.measures.recordBusy();
+          this.policy.onBusy(requestId, receipt, arrivedAt);
+          this._dispatch(request, arrivedAt);
+        });
+      },
       onFirstToken: (at: number) => {
         events.schedule(at + hopMs, (arrivedAt) => {
           ttftMs = arrivedAt - now;
--- a/tools/bench/Measures.ts
+++ b/tools/bench/Measures.ts
@@ -26,6 +26,8 @@
   readonly answered: number;
   readonly failed: number;
   readonly retries: number;
+  /** Dispatches that busy targets refused unrun. */
+  readonly busyRefusals: number;
   readonly utilisation: number;
   /** Error of the estimates of the policy: median of |estimated - real| in ms. */
   readonly estimateErrorP50Ms: number;
@@ -55,6 +57,7 @@
   private _answered = 0;
   private _failed = 0;
   private _retries = 0;
+  private _busy = 0;
 
   /** @param tail receives the samples of `recordTail` */
   constructor(tail: ITailSample[] = []) {
@@ -108,6 +111,11 @@
     this._failed += 1;
   }
 
+  /** A dispatch that a busy target refused unrun. */
+  public recordBusy(): void {
+    this._busy += 1;
+  }
+
   public recordRetry(): void {
     this._retries += 1;
   }
@@ -131,6 +139,7 @@
       answered: this._answered,
       failed: this._failed,
       retries: this._retries,
+      busyRefusals: this._busy,
       utilisation,
       estimateErrorP50Ms:
         this._estimateError.getValueAtPercentile(PERCENT_MEDIAN) / TTFT_UNITS_PER_MS,
