--- a/tools/bench/Measures.ts
+++ b/tools/bench/Measures.ts
@@ -1,6 +1,7 @@
 /** What is measured during one run. */
 import { build, type Histogram } from 'hdr-histogram-js';
 import { ACCOUNT_SHARES } from './Deployments.js';
+import type { ITailSample } from './Tail.js';
 
 /** Histograms hold whole numbers; times are recorded in units of 0.01 ms and 0.1 us. */
 const TTFT_UNITS_PER_MS = 100;
@@ -25,6 +26,8 @@
   readonly answered: number;
   readonly failed: number;
   readonly retries: number;
+  /** Dispatches that busy targets refused unrun. */
+  readonly busyRefusals: number;
   readonly utilisation: number;
   /** Error of the estimates of the policy: median of |estimated - real| in ms. */
   readonly estimateErrorP50Ms: number;
@@ -43,6 +46,7 @@
   private readonly _ttft = createHistogram();
   private readonly _decision = createHistogram();
   private readonly _estimateError = createHistogram();
+  private readonly _tail: ITailSample[];
   private readonly _due = ACCOUNT_SHARES.map(() => 0);
   private readonly _served = ACCOUNT_SHARES.map(() => 0);
   private _promptTokens = 0;
@@ -53,6 +57,16 @@
   private _answered = 0;
   private _failed = 0;
   private _retries = 0;
+  private _busy = 0;
+
+  /** @param tail receives the samples of `recordTail` */
+  constructor(tail: ITailSample[] = []) {
+    this._tail = tail;
+  }
+
+  public recordTail(sample: ITailSample): void {
+    this._tail.push(sample);
+  }
 
   public recordPrefill(promptTokens: number, cachedTokens: number, wastedTokens: number): void {
     this._promptTokens += promptTokens;
@@ -97,6 +111,11 @@
     this._failed += 1;
   }
 
+  /** A dispatch that a busy target refused unrun. */
+  public recordBusy(): void {
+    this._busy += 1;
+  }
+
   public recordRetry(): void {
     this._retries += 1;
   }
@@ -120,6 +139,7 @@
       answered: this._answered,
       failed: this._failed,
       retries: this._retries,
+      busyRefusals: this._busy,
       utilisation,
       estimateErrorP50Ms:
         this._estimateError.getValueAtPercentile(PERCENT_MEDIAN) / TTFT_UNITS_PER_MS,
