--- a/tools/demo.ts
+++ b/tools/demo.ts
@@ -14,6 +14,7 @@
 /** A third engine makes the limit of two loads at once visible. */
 const PLAN: IDeploymentPlan = {
   ...FRANCHISE_PLAN,
+  hasKvCacheStore: true,
   targets: [
     ...FRANCHISE_PLAN.targets,
     { id: 'lace-3', service: 'lace', kind: 'engine', model: 'lace-1', dataCentre: 'hr-c' },
--- a/tools/harness/Deployment.ts
+++ b/tools/harness/Deployment.ts
@@ -30,6 +30,8 @@
   /** Content of the operator's files, by folder. */
   readonly operatorFiles: Readonly<Record<string, unknown>>;
   readonly policy?: string;
+  /** Starts a KV-cache store that the sidecars of engines use. */
+  readonly hasKvCacheStore?: boolean;
 }
 
 interface IEntryPorts {
@@ -58,12 +60,13 @@
     private readonly _plan: IDeploymentPlan,
     private readonly _entryPorts: ReadonlyMap<string, IEntryPorts>,
     private readonly _targetPorts: ReadonlyMap<string, ITargetPorts>,
+    private readonly _kvCacheStorePort: number,
   ) {}
 
   /** Writes the settings of a deployment into a new folder. */
   public static async create(plan: IDeploymentPlan): Promise<Deployment> {
     const folder = mkdtempSync(join(tmpdir(), 'redwingwharf-'));
-    const ports = await findFreePorts((plan.entries.length + plan.targets.length) * 2);
+    const ports = await findFreePorts((plan.entries.length + plan.targets.length) * 2 + 1);
     const takePort = (): number => ports.shift() ?? 0;
     const entryPorts = new Map(
       plan.entries.map(({ name }) => [name, { public: takePort(), internal: takePort() }]),
@@ -71,7 +74,7 @@
     const targetPorts = new Map(
       plan.targets.map(({ id }) => [id, { target: takePort(), sidecar: takePort() }]),
     );
-    const deployment = new Deployment(folder, plan, entryPorts, targetPorts);
+    const deployment = new Deployment(folder, plan, entryPorts, targetPorts, takePort());
     deployment._writeFiles();
     return deployment;
   }
@@ -126,6 +129,16 @@
     for (const name of this.listEntries()) {
       this.startEntry(name);
     }
+    if (this._plan.hasKvCacheStore === true) {
+      this._spawn('kv-store', [
+        FAKES,
+        'kv-store',
+        '--listen',
+        this._kvCacheStore,
+        '--chunks',
+        '512',
+      ]);
+    }
     for (const id of this.listTargets()) {
       this.startFake(id);
       this.startSidecar(id);
@@ -236,6 +249,10 @@
     return child;
   }
 
+  private get _kvCacheStore(): string {
+    return `127.0.0.1:${this._kvCacheStorePort}`;
+  }
+
   private _getSettingsFile(name: string): string {
     return join(this.folder, `${name}.json`);
   }
@@ -292,6 +309,7 @@
       feed: entries,
       sidecar: {
         announceTo: entries,
+        ...(this._plan.hasKvCacheStore === true ? { kvCacheStore: this._kvCacheStore } : {}),
         target: {
           id: target.id,
           service: target.service,
