Serve again only after the state of the target has been read

After a load whose poll failed, the target took new work by the state before the load, so that a dispatch could run on weights that its ticket does not name. The sidecar now reads the state until it succeeds. The wait for a serving peer starts anew once a peer has served.

The watcher's forgetting of old chunks and the case of two engines have tests now.

--- a/src/sidecar/EngineOrders.test.ts
+++ b/src/sidecar/EngineOrders.test.ts
@@ -4,7 +4,11 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { Engine } from '../../fakes/Engine.js';
 import { createEngineServer } from '../../fakes/EngineServer.js';
+import { ManualClock } from '../common/Clock.js';
+import { SILENT_LOG } from '../common/Log.js';
+import { Agent } from 'undici';
 import { EngineOrders } from './EngineOrders.js';
+import { TargetWatcher } from './TargetWatcher.js';
 
 const never = new AbortController().signal;
 const servers: Server[] = [];
@@ -84,3 +88,32 @@
     expect((await loading).kind).toBe('unknown');
   });
 });
+
+describe('TargetWatcher', () => {
+  it('forgets the chunks of the old weights, so that none is announced or kept for the new ones', async () => {
+    const engine = await startEngine('strict');
+    const { port } = servers.at(-1)?.address() as AddressInfo;
+    const address = `127.0.0.1:${port}`;
+    const http = new Agent();
+    const clock = new ManualClock();
+    const target = { id: 't', service: 's', kind: 'engine', address, model: 'm' } as const;
+    const watcher = new TargetWatcher(
+      { ...target, healthPath: '/health' },
+      http,
+      clock,
+      SILENT_LOG,
+    );
+    engine.importChunk('00aa');
+    await watcher.pollOnce(never);
+    expect(watcher.hot.isHeld('00aa')).toBe(true);
+    clock.advance(60_000);
+    expect(watcher.hot.list(1, clock.now())).toEqual(['00aa']);
+    await engine.loadWeights(7, 'w2');
+    await watcher.pollOnce(never);
+    expect(watcher.hot.list(1, clock.now())).toEqual([]);
+    engine.importChunk('00bb');
+    await watcher.pollOnce(never);
+    expect(watcher.hot.isHeld('00bb')).toBe(true);
+    await http.destroy();
+  });
+});
--- a/src/sidecar/TargetWork.ts
+++ b/src/sidecar/TargetWork.ts
@@ -2,6 +2,7 @@
 import type { ILog } from '../common/Log.js';
 import { describeError } from '../common/Log.js';
 import type { RpcClients } from '../common/Rpc.js';
+import { isAborted, sleep } from '../common/Tasks.js';
 import {
   RosterService,
   type AnnounceRequest,
@@ -13,6 +14,7 @@
 import type { TargetWatcher } from './TargetWatcher.js';
 
 const ASK_TIMEOUT_MS = 500;
+const REFRESH_PAUSE_MS = 100;
 
 /** Other engines of the same model, as an entry knows them. */
 export interface IPeerCount {
@@ -71,10 +73,11 @@
   }
 
   public async resume(signal: AbortSignal): Promise<void> {
+    // A dispatch by the state before the load would run on weights that its ticket does not name.
+    while (!isAborted(signal) && !(await this._refresh(signal))) {
+      await sleep(REFRESH_PAUSE_MS, signal);
+    }
     // The entries learn of the new weights and of the end of the load by the same announcement.
-    await this._watcher.pollOnce(signal).catch((error: unknown) => {
-      this._log.debug('poll after a load failed', { error: describeError(error) });
-    });
     this._announcer.setLoading(false);
   }
 
@@ -83,6 +86,16 @@
     return targets && this._countPeers(targets);
   }
 
+  private async _refresh(signal: AbortSignal): Promise<boolean> {
+    try {
+      await this._watcher.pollOnce(signal);
+      return true;
+    } catch (error) {
+      this._log.debug('poll after a load failed', { error: describeError(error) });
+      return false;
+    }
+  }
+
   /** Identifiers of the other engines of the model; empty when no entry answers. */
   public async listPeers(signal: AbortSignal): Promise<readonly string[]> {
     const targets = await this._readRoster(signal);
--- a/src/sidecar/WeightsFixtures.ts
+++ b/src/sidecar/WeightsFixtures.ts
@@ -148,7 +148,7 @@
   public isLeaving = false;
   public isHeld = false;
   public open = 0;
-  public peers: IPeerCount = { known: 0, serving: 0 };
+  public getPeers: () => IPeerCount = () => ({ known: 0, serving: 0 });
   /** Waits of a frozen process: before the answer to a slot request and before the last check. */
   public slotWait: Promise<void> = Promise.resolve();
   public checkWait: Promise<void> = Promise.resolve();
@@ -223,7 +223,7 @@
   }
 
   public countPeers(): Promise<IPeerCount> {
-    return Promise.resolve(this.peers);
+    return Promise.resolve(this.getPeers());
   }
 
   private _execute(version: string, release: boolean): Result<LoadSlotResult, ControlFailure> {
--- a/src/sidecar/WeightsReconciler.test.ts
+++ b/src/sidecar/WeightsReconciler.test.ts
@@ -17,6 +17,14 @@
   }
 }
 
+function keepSynced(sidecars: readonly TestSidecar[]): NodeJS.Timeout {
+  return setInterval(() => {
+    for (const { feed } of sidecars) {
+      feed.sync();
+    }
+  }, 50);
+}
+
 function listVersions(engine: TestEngine): string[] {
   return engine.loaded.map(({ version }) => version);
 }
@@ -67,7 +75,7 @@
   it('puts a load off that would leave the model without an engine, but not for ever', async () => {
     const sidecar = createSidecar(new TestEngine());
     control.desired = 'w2';
-    sidecar.peers = { known: 1, serving: 0 };
+    sidecar.getPeers = () => ({ known: 1, serving: 0 });
     sidecar.feed.sync();
     await sidecar.reconciler.reconcileOnce(never);
     expect(sidecar.engine.arrived).toBe(0);
@@ -262,6 +270,29 @@
     expect(listVersions(engine)).toEqual(['w2']);
   });
 
+  it('never takes both of two engines out of service, and changes both in the end', async () => {
+    const control = new TestControl(clock);
+    const stop = new AbortController();
+    const pair = [1, 2].map((id) => {
+      const engine = new TestEngine('strict', () => delay(30));
+      return new TestSidecar(`e${id}`, id, control, engine, clock, FAST);
+    });
+    for (const sidecar of pair) {
+      sidecar.getPeers = () => {
+        const other = pair.find((candidate) => candidate !== sidecar);
+        return { known: 1, serving: other?.isHeld === false ? 1 : 0 };
+      };
+    }
+    control.desired = 'w2';
+    const syncing = keepSynced(pair);
+    const running = pair.map(({ reconciler }) => reconciler.run(stop.signal));
+    await waitFor(() => pair.every(({ engine }) => engine.weightsVersion === 'w2'));
+    stop.abort();
+    clearInterval(syncing);
+    await Promise.all(running);
+    expect(TestEngine.mostLoading).toBe(1);
+  });
+
   it('loads 13 engines two at a time with a bounded number of commands to the leader', async () => {
     const control = new TestControl(clock);
     const stop = new AbortController();
@@ -271,11 +302,7 @@
       return new TestSidecar(`e${index}`, index, control, engine, clock, FAST);
     });
     control.desired = 'w2';
-    const syncing = setInterval(() => {
-      sidecars.forEach(({ feed }) => {
-        feed.sync();
-      });
-    }, 50);
+    const syncing = keepSynced(sidecars);
     const running = sidecars.map(({ reconciler }) => reconciler.run(stop.signal));
     await waitFor(() => sidecars.every(({ engine }) => engine.weightsVersion === 'w2'));
     stop.abort();
--- a/src/sidecar/WeightsReconciler.ts
+++ b/src/sidecar/WeightsReconciler.ts
@@ -252,6 +252,7 @@
     const { work, clock } = this._services;
     const peers = await work.countPeers(signal);
     if (peers === undefined || peers.known === 0 || peers.serving > 0) {
+      this._hasNoPeerSince = undefined;
       return true;
     }
     this._hasNoPeerSince ??= clock.now();
