--- a/src/sidecar/WeightsReconciler.test.ts
+++ b/src/sidecar/WeightsReconciler.test.ts
@@ -85,6 +85,16 @@
     expect(listVersions(sidecar.engine)).toEqual(['w2']);
   });
 
+  it('gives way when another engine has begun in the same moment', async () => {
+    const sidecar = createSidecar(new TestEngine());
+    control.desired = 'w2';
+    sidecar.getPeers = () => ({ known: 1, serving: sidecar.isHeld ? 0 : 1 });
+    sidecar.feed.sync();
+    await sidecar.reconciler.reconcileOnce(never);
+    expect(sidecar.engine.arrived).toBe(0);
+    expect(sidecar.isHeld).toBe(false);
+  });
+
   it('sends nothing by a stale copy, so that an isolated sidecar loads no outdated weights', async () => {
     const sidecar = createSidecar(new TestEngine());
     sidecar.feed.desired = 'w0';
