Announce a change that comes up during an announcement at once

Cause: Announcer.notify woke only tasks that were sleeping. A change that came up while an announcement was under way waited for the next interval, up to 750 ms. After a load this was the rule, because the change of the weights starts an announcement just before the end of the draining.

The announcer now counts changes and announces again when one came up meanwhile. The check for a serving peer asks up to four entries and takes the one that knows of the fewest, as the entry that lagged was not the one that was asked.

--- /dev/null
+++ b/src/sidecar/Announcer.test.ts
@@ -0,0 +1,55 @@
+import { create } from '@bufbuild/protobuf';
+import { afterEach, expect, it, vi } from 'vitest';
+import { SILENT_LOG } from '../common/Log.js';
+import type { RpcClients } from '../common/Rpc.js';
+import { TargetLoadSchema, type AnnounceRequest } from '../gen/redwingwharf/v1/control_pb.js';
+import { Announcer } from './Announcer.js';
+import { TestGate } from './WeightsFixtures.js';
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+it('announces a change that came up during an announcement at once, not an interval later', async () => {
+  // The interval between two announcements never ends.
+  vi.useFakeTimers({ toFake: ['setTimeout'] });
+  const gate = new TestGate();
+  const announced: boolean[] = [];
+  const stop = new AbortController();
+  const announce = async (request: AnnounceRequest): Promise<void> => {
+    announced.push(request.draining);
+    if (announced.length === 2) {
+      stop.abort();
+    }
+    await gate.opened;
+  };
+  const clients = { get: () => ({ announce }) } as unknown as RpcClients;
+  const watcher = {
+    state: { isHealthy: true, incarnation: '', weightsVersion: '', load: create(TargetLoadSchema) },
+    takeEvicted: () => [],
+  };
+  const announcer = new Announcer(
+    {
+      target: {
+        id: 't',
+        service: 's',
+        kind: 'plain',
+        address: '',
+        model: undefined,
+        healthPath: '',
+      },
+      dataCentre: 'd',
+      address: '',
+      sidecarIncarnation: new Uint8Array(),
+      announceTo: ['entry'],
+    },
+    watcher,
+    clients,
+    SILENT_LOG,
+  );
+  const running = announcer.run(stop.signal);
+  announcer.setLoading(true);
+  gate.open();
+  await running;
+  expect(announced).toEqual([false, true]);
+});
--- a/src/sidecar/Announcer.ts
+++ b/src/sidecar/Announcer.ts
@@ -33,6 +33,7 @@
   private readonly _wakers = new Set<AbortController>();
   private readonly _pendingEvictions = new Map<string, Uint8Array[]>();
   private _sequence = 0;
+  private _changes = 0;
   private _isLeaving = false;
   private _isLoading = false;
 
@@ -67,6 +68,7 @@
 
   /** Announces now instead of at the next interval. */
   public notify(): void {
+    this._changes += 1;
     for (const waker of this._wakers) {
       waker.abort();
     }
@@ -79,6 +81,7 @@
 
   private async _runEntry(entry: string, signal: AbortSignal): Promise<void> {
     while (!isAborted(signal)) {
+      const announcedChanges = this._changes;
       try {
         const client = this._clients.get(RosterService, entry);
         await client.announce(this._buildAnnouncement(entry), {
@@ -88,6 +91,10 @@
       } catch (error) {
         this._log.debug('announcement failed', { entry, error: describeError(error) });
       }
+      if (this._changes !== announcedChanges) {
+        // The state has changed while the announcement was under way.
+        continue;
+      }
       const waker = new AbortController();
       this._wakers.add(waker);
       await sleep(addJitter(ANNOUNCE_INTERVAL_MS), AbortSignal.any([signal, waker.signal]));
--- a/src/sidecar/TargetWork.ts
+++ b/src/sidecar/TargetWork.ts
@@ -16,6 +16,9 @@
 const ASK_TIMEOUT_MS = 500;
 const REFRESH_PAUSE_MS = 100;
 
+/** Entries asked for the peers before a load. */
+const MAX_ASKED = 4;
+
 /** Other engines of the same model, as an entry knows them. */
 export interface IPeerCount {
   readonly known: number;
@@ -82,8 +85,20 @@
   }
 
   public async countPeers(signal: AbortSignal): Promise<IPeerCount | undefined> {
-    const targets = await this._readRoster(signal);
-    return targets && this._countPeers(targets);
+    const rosters = await Promise.all(
+      this._entries.slice(0, MAX_ASKED).map((entry) => this._readRoster(entry, signal)),
+    );
+    const counts = rosters.flatMap((targets) =>
+      targets === undefined ? [] : [this._countPeers(targets)],
+    );
+    if (counts.length === 0) {
+      return undefined;
+    }
+    // The entry that knows of the fewest serving engines decides: its callers would be refused.
+    return {
+      known: Math.max(...counts.map(({ known }) => known)),
+      serving: Math.min(...counts.map(({ serving }) => serving)),
+    };
   }
 
   private async _refresh(signal: AbortSignal): Promise<boolean> {
@@ -98,21 +113,27 @@
 
   /** Identifiers of the other engines of the model; empty when no entry answers. */
   public async listPeers(signal: AbortSignal): Promise<readonly string[]> {
-    const targets = await this._readRoster(signal);
-    return this._listPeers(targets ?? []).map(({ target }) => target);
-  }
-
-  private async _readRoster(signal: AbortSignal): Promise<readonly TargetStatus[] | undefined> {
     for (const entry of this._entries) {
-      try {
-        const client = this._clients.get(RosterService, entry);
-        const status = await client.getEntryStatus({}, { signal, timeoutMs: ASK_TIMEOUT_MS });
-        return status.targets;
-      } catch (error) {
-        this._log.debug('no roster', { entry, error: describeError(error) });
+      const targets = await this._readRoster(entry, signal);
+      if (targets !== undefined) {
+        return this._listPeers(targets).map(({ target }) => target);
       }
     }
-    return undefined;
+    return [];
+  }
+
+  private async _readRoster(
+    entry: string,
+    signal: AbortSignal,
+  ): Promise<readonly TargetStatus[] | undefined> {
+    try {
+      const client = this._clients.get(RosterService, entry);
+      const status = await client.getEntryStatus({}, { signal, timeoutMs: ASK_TIMEOUT_MS });
+      return status.targets;
+    } catch (error) {
+      this._log.debug('no roster', { entry, error: describeError(error) });
+      return undefined;
+    }
   }
 
   private _countPeers(targets: readonly TargetStatus[]): IPeerCount {
