--- a/src/common/HttpAnswer.ts
+++ b/src/common/HttpAnswer.ts
@@ -43,11 +43,14 @@
           reject(error);
         }
       };
-      if (this._end !== undefined) {
-        this._onEnd(this._end.error);
+      if (this._end === undefined) {
+        this.resume();
         return;
       }
-      this.resume();
+      if (this._end.error === undefined) {
+        this._deliverEarly();
+      }
+      this._onEnd(this._end.error);
     });
   }
 
@@ -92,6 +95,13 @@
     }
   }
 
+  /** Chunks of an answer that was complete before it had a reader. */
+  private _deliverEarly(): void {
+    for (const chunk of this._early.splice(0)) {
+      this._onData?.(chunk);
+    }
+  }
+
   private _mayDeliver(): boolean {
     return !this._isPaused && this._end === undefined;
   }
--- a/src/sidecar/Announcer.ts
+++ b/src/sidecar/Announcer.ts
@@ -40,6 +40,7 @@
   private readonly _pendingEvictions = new Map<string, Uint8Array[]>();
   private readonly _announcedAt = new Map<string, number>();
   private _sequence = 0;
+  private _changes = 0;
   private _isLeaving = false;
   private _isLoading = false;
 
@@ -77,6 +78,7 @@
 
   /** Announces now instead of at the next interval. */
   public notify(): void {
+    this._changes += 1;
     for (const waker of this._wakers) {
       waker.abort();
     }
@@ -89,6 +91,7 @@
 
   private async _runEntry(entry: string, signal: AbortSignal): Promise<void> {
     while (!isAborted(signal)) {
+      const announcedChanges = this._changes;
       try {
         const client = this._clients.get(RosterService, entry);
         await client.announce(this._buildAnnouncement(entry), {
@@ -98,6 +101,10 @@
       } catch (error) {
         this._log.debug('announcement failed', { entry, error: describeError(error) });
       }
+      if (this._changes !== announcedChanges) {
+        // The state has changed while the announcement was under way.
+        continue;
+      }
       const waker = new AbortController();
       this._wakers.add(waker);
       await sleep(addJitter(ANNOUNCE_INTERVAL_MS), signal, waker.signal);
--- a/src/sidecar/Dispatches.ts
+++ b/src/sidecar/Dispatches.ts
@@ -73,7 +73,7 @@
       this._refuse(request, response, create(TicketSchema), RefusalReason.BAD_TICKET);
       return;
     }
-    const refusal = this._checkTicket(ticket);
+    const refusal = this._checkTicket(ticket, request.headers[STREAM_HEADER] !== undefined);
     if (refusal !== undefined) {
       this._refuse(request, response, ticket, refusal);
       return;
@@ -87,7 +87,8 @@
     }
   }
 
-  private _checkTicket(ticket: Ticket): RefusalReason | undefined {
+  /** The rest of a running stream is no new work, so a draining target still gives it. */
+  private _checkTicket(ticket: Ticket, isResume: boolean): RefusalReason | undefined {
     const { claimId, claimAttempt } = ticket;
     const hasClaim = claimId > 0n;
     if (hasClaim && this._claims.has(claimId, claimAttempt)) {
@@ -96,7 +97,9 @@
     if (ticket.nonRepeatable && !hasClaim) {
       return RefusalReason.BAD_TICKET;
     }
-    const refusal = checkTicket(ticket, this._options.getGateState(), this._feed);
+    const state = this._options.getGateState();
+    const isDraining = state.isDraining && !isResume;
+    const refusal = checkTicket(ticket, { ...state, isDraining }, this._feed);
     if (refusal !== undefined && hasClaim) {
       this._claims.refuse(claimId, claimAttempt);
     }
--- a/src/sidecar/TargetWork.ts
+++ b/src/sidecar/TargetWork.ts
@@ -2,6 +2,7 @@
 import type { ILog } from '../common/Log.js';
 import { describeError } from '../common/Log.js';
 import type { RpcClients } from '../common/Rpc.js';
+import { isAborted, sleep } from '../common/Tasks.js';
 import {
   RosterService,
   type AnnounceRequest,
@@ -13,6 +14,10 @@
 import type { TargetWatcher } from './TargetWatcher.js';
 
 const ASK_TIMEOUT_MS = 500;
+const REFRESH_PAUSE_MS = 100;
+
+/** Entries asked for the peers before a load. */
+const MAX_ASKED = 4;
 
 /** Other engines of the same model, as an entry knows them. */
 export interface IPeerCount {
@@ -71,35 +76,64 @@
   }
 
   public async resume(signal: AbortSignal): Promise<void> {
+    // A dispatch by the state before the load would run on weights that its ticket does not name.
+    while (!isAborted(signal) && !(await this._refresh(signal))) {
+      await sleep(REFRESH_PAUSE_MS, signal);
+    }
     // The entries learn of the new weights and of the end of the load by the same announcement.
-    await this._watcher.pollOnce(signal).catch((error: unknown) => {
-      this._log.debug('poll after a load failed', { error: describeError(error) });
-    });
     this._announcer.setLoading(false);
   }
 
   public async countPeers(signal: AbortSignal): Promise<IPeerCount | undefined> {
-    const targets = await this._readRoster(signal);
-    return targets && this._countPeers(targets);
+    const rosters = await Promise.all(
+      this._entries.slice(0, MAX_ASKED).map((entry) => this._readRoster(entry, signal)),
+    );
+    const counts = rosters.flatMap((targets) =>
+      targets === undefined ? [] : [this._countPeers(targets)],
+    );
+    if (counts.length === 0) {
+      return undefined;
+    }
+    // The entry that knows of the fewest serving engines decides: its callers would be refused.
+    return {
+      known: Math.max(...counts.map(({ known }) => known)),
+      serving: Math.min(...counts.map(({ serving }) => serving)),
+    };
   }
 
-  /** Identifiers of the other engines of the model; empty when no entry answers. */
-  public async listPeers(signal: AbortSignal): Promise<readonly string[]> {
-    const targets = await this._readRoster(signal);
-    return this._listPeers(targets ?? []).map(({ target }) => target);
+  private async _refresh(signal: AbortSignal): Promise<boolean> {
+    try {
+      await this._watcher.pollOnce(signal);
+      return true;
+    } catch (error) {
+      this._log.debug('poll after a load failed', { error: describeError(error) });
+      return false;
+    }
   }
 
-  private async _readRoster(signal: AbortSignal): Promise<readonly TargetStatus[] | undefined> {
+  /** Identifiers of the other engines of the model; empty when no entry answers. */
+  public async listPeers(signal: AbortSignal): Promise<readonly string[]> {
     for (const entry of this._entries) {
-      try {
-        const client = this._clients.get(RosterService, entry);
-        const status = await client.getEntryStatus({}, { signal, timeoutMs: ASK_TIMEOUT_MS });
-        return status.targets;
-      } catch (error) {
-        this._log.debug('no roster', { entry, error: describeError(error) });
+      const targets = await this._readRoster(entry, signal);
+      if (targets !== undefined) {
+        return this._listPeers(targets).map(({ target }) => target);
       }
     }
-    return undefined;
+    return [];
+  }
+
+  private async _readRoster(
+    entry: string,
+    signal: AbortSignal,
+  ): Promise<readonly TargetStatus[] | undefined> {
+    try {
+      const client = this._clients.get(RosterService, entry);
+      const status = await client.getEntryStatus({}, { signal, timeoutMs: ASK_TIMEOUT_MS });
+      return status.targets;
+    } catch (error) {
+      this._log.debug('no roster', { entry, error: describeError(error) });
+      return undefined;
+    }
   }
 
   private _countPeers(targets: readonly TargetStatus[]): IPeerCount {
