--- a/src/sidecar/Announcer.test.ts
+++ b/src/sidecar/Announcer.test.ts
@@ -1,9 +1,11 @@
 import { create } from '@bufbuild/protobuf';
 import { afterEach, expect, it, vi } from 'vitest';
+import { ManualClock } from '../common/Clock.js';
 import { SILENT_LOG } from '../common/Log.js';
 import type { RpcClients } from '../common/Rpc.js';
 import { TargetLoadSchema, type AnnounceRequest } from '../gen/redwingwharf/v1/control_pb.js';
 import { Announcer } from './Announcer.js';
+import { UsedChunks } from './UsedChunks.js';
 import { TestGate } from './WeightsFixtures.js';
 
 afterEach(() => {
@@ -44,7 +46,9 @@
       announceTo: ['entry'],
     },
     watcher,
+    new UsedChunks(),
     clients,
+    new ManualClock(),
     SILENT_LOG,
   );
   const running = announcer.run(stop.signal);
