Tell the expected wait in load reports

Cause: after the refusals 58% (authority) and 32% (franchise) of the slowest 1% queue behind work that the reports covered: the entry estimates the wait from the number of queued requests and the mean work of a request, and chooses a busy target at a wrong estimate. A refusal corrects that only when it exceeds the limit.

Change: announcements and answers carry the wait that the sidecar expects for its queued prompts (waitMs). It replaces the number of queued requests until the next report. Own work no longer counts as advancing while the work of others does, because a target computes one prompt at a time.

--- a/src/policy/LoadView.ts
+++ b/src/policy/LoadView.ts
@@ -12,7 +12,7 @@
   /** Reported queue length less the own dispatches that waited when the report arrived. */
   othersQueued: number;
   running: number;
-  /** Wait for the work of others that a receipt told, until the next report. */
+  /** Wait for the work of others that the target told, until the next report. */
   othersMs: number | undefined;
   othersMsAt: number;
   /** Own dispatches, answered or not, that are still open. */
@@ -58,9 +58,12 @@
     state.othersQueued = Math.max(0, load.queued - state.waiting);
     state.running = load.running;
     state.othersMs = undefined;
+    if (load.waitMs !== undefined) {
+      this.reportWait(targetId, load.waitMs, load.reportedAt);
+    }
   }
 
-  /** Takes over the wait that the target told when it refused a dispatch. */
+  /** Takes over the wait that the target told in a report or when it refused a dispatch. */
   public reportWait(targetId: string, waitMs: number, now: number): void {
     const state = this._ensure(targetId);
     state.othersMs = Math.max(0, waitMs - estimateOwn(state, now));
@@ -122,10 +125,12 @@
     if (state === undefined) {
       return 0;
     }
-    const own = estimateOwn(state, now);
     if (state.othersMs !== undefined) {
-      return own + Math.max(0, state.othersMs - (now - state.othersMsAt));
+      // The target computes one prompt at a time: own work does not advance while that of others does.
+      const othersDoneMs = Math.min(state.othersMs, now - state.othersMsAt);
+      return state.othersMs - othersDoneMs + estimateOwn(state, now - othersDoneMs);
     }
+    const own = estimateOwn(state, now);
     return own + OTHERS_SHARE * state.othersQueued * serviceMs;
   }
 
--- a/src/policy/Types.ts
+++ b/src/policy/Types.ts
@@ -27,6 +27,8 @@
   /** Requests that generate output. */
   readonly running: number;
   readonly freeBlocks: number;
+  /** Expected wait for the queued prompts, if the target tells it. */
+  readonly waitMs?: number;
   /** When the report arrived, by the clock of this process. */
   readonly reportedAt: number;
 }
--- a/tools/bench/Engine.ts
+++ b/tools/bench/Engine.ts
@@ -81,6 +81,8 @@
   readonly queued: number;
   readonly running: number;
   readonly freeBlocks: number;
+  /** What the sidecar expects. */
+  readonly waitMs: number;
 }
 
 /** What an engine announces. */
@@ -161,13 +163,13 @@
   }
 
   /** State for an announcement; evictions are announced once. */
-  public report(): IEngineReport {
+  public report(now: number): IEngineReport {
     const evicted = this._evicted.slice(-MAX_ANNOUNCED_EVICTIONS);
     const used = [...this._used].filter((hash) => this._cache.has(hash));
     this._evicted = [];
     this._used.clear();
     return {
-      ...this.getLoad(),
+      ...this.getLoad(now),
       used: used.slice(-MAX_ANNOUNCED_USES),
       incarnation: this.incarnation,
       evicted: evicted.filter((hash) => !this._cache.has(hash)),
@@ -175,11 +177,12 @@
   }
 
   /** Load that an answer carries. */
-  public getLoad(): IEngineLoad {
+  public getLoad(now: number): IEngineLoad {
     return {
       queued: this._queue.length + (this._prefill === undefined ? 0 : 1),
       running: this._running.size,
       freeBlocks: this._spec.chunks - this._cache.size - this._privateChunks,
+      waitMs: this._expectWait(0, now),
     };
   }
 
--- a/tools/bench/Entry.ts
+++ b/tools/bench/Entry.ts
@@ -81,8 +81,8 @@
     if (known === undefined) {
       return;
     }
-    const { queued, running, freeBlocks, incarnation } = report;
-    const load = { queued, running, freeBlocks, reportedAt: now };
+    const { queued, running, freeBlocks, waitMs, incarnation } = report;
+    const load = { queued, running, freeBlocks, waitMs, reportedAt: now };
     const target = { ...known, incarnation, healthy: true, load };
     if (incarnation !== known.incarnation) {
       this.policy.onTargetGone(known.id);
@@ -197,7 +197,7 @@
         });
       },
       onDone: (cachedPromptTokens: number, at: number) => {
-        const reported = engine.getLoad();
+        const reported = engine.getLoad(at);
         events.schedule(at + hopMs, (arrivedAt) => {
           const load = { ...reported, reportedAt: arrivedAt };
           const answer = { cachedPromptTokens, ttftMs, load };
--- a/tools/bench/Simulation.ts
+++ b/tools/bench/Simulation.ts
@@ -126,7 +126,7 @@
     if (engine?.isUp !== true) {
       return;
     }
-    const report = engine.report();
+    const report = engine.report(now);
     const loss = this._options.hasFaults ? FAULTY_LOSS : USUAL_LOSS;
     for (const entry of this._entries) {
       const lag =
