Charge the ideal bucket for refusals that count as wrongful

Cause: one early loss of tokens left the ideal bucket ahead of the real one, so every later refusal of an account that always exceeds its rate counted.

--- a/tools/soak/FinalChecks.ts
+++ b/tools/soak/FinalChecks.ts
@@ -299,6 +299,8 @@
       level -= tokens;
     } else if (level >= tokens) {
       refusals += 1;
+      // The ideal bucket admits it; else one early loss would make every later refusal wrongful.
+      level -= tokens;
     }
   }
   return refusals;
