Let a busy sidecar refuse a dispatch unrun and tell its expected wait

A ticket now carries the prompt tokens and the longest time to first token that the choice allows. The sidecar, which sees the dispatches of all entries, estimates it from the prompts it has accepted and the engine's speed, refuses with the reason BUSY when it is longer, and tells its wait in receipts and announcements. The entry decides again at once.

Ruled out: charging the refusal to the retry budget (nothing ran, and the policy sets no limit after two refusals).

--- a/src/entry/Chooser.ts
+++ b/src/entry/Chooser.ts
@@ -12,7 +12,7 @@
   ITargetView,
 } from '../policy/Types.js';
 import type { IRosterTarget, Roster, RosterChange } from '../roster/Roster.js';
-import type { TargetLoad } from '../gen/redwingwharf/v1/control_pb.js';
+import type { Receipt, TargetLoad } from '../gen/redwingwharf/v1/control_pb.js';
 
 /** What the choice depends on. */
 export interface IChooseInput {
@@ -94,6 +94,14 @@
     this._getPolicy(service).onAnswered(requestId, answer, now);
   }
 
+  /** The target refused, because its queue is longer than the decision assumed. */
+  public recordBusy(choice: IChoice, receipt: Receipt, now: number): void {
+    const { service, requestId } = choice.routeRequest;
+    const waitMs = receipt.load?.waitMs ?? 0;
+    const { cachedPromptTokens } = receipt;
+    this._getPolicy(service).onBusy(requestId, { waitMs, cachedPromptTokens }, now);
+  }
+
   public recordFailure(choice: IChoice, now: number): void {
     const { service, requestId } = choice.routeRequest;
     this._getPolicy(service).onFailed(requestId, now);
@@ -168,6 +176,7 @@
         queued: load.queued,
         running: load.running,
         freeBlocks: load.freeBlocks,
+        ...(load.waitMs === undefined ? {} : { waitMs: load.waitMs }),
         reportedAt,
       };
 }
--- a/src/entry/DispatchClient.ts
+++ b/src/entry/DispatchClient.ts
@@ -53,7 +53,12 @@
       readonly streamId: string | undefined;
     }
   /** The sidecar or the connection proves that nothing ran. */
-  | { readonly kind: 'not_run'; readonly reason: RefusalReason }
+  | {
+      readonly kind: 'not_run';
+      readonly reason: RefusalReason;
+      /** Absent when the sidecar was not connected. */
+      readonly receipt?: Receipt;
+    }
   /** The call may have run. */
   | { readonly kind: 'unknown'; readonly message: string };
 
@@ -155,7 +160,7 @@
     if (receipt.ran) {
       return { kind: 'unknown', message: 'the target broke off' };
     }
-    return { kind: 'not_run', reason: receipt.refusal };
+    return { kind: 'not_run', reason: receipt.refusal, receipt };
   }
 }
 
--- a/src/entry/Dispatcher.ts
+++ b/src/entry/Dispatcher.ts
@@ -1,7 +1,7 @@
 /** Sixth stage: dispatches a repeatable request and retries it on other targets. */
 import { Err, Ok, type Result } from '../common/Result.js';
 import { addJitter, sleep } from '../common/Tasks.js';
-import { RefusalReason } from '../gen/redwingwharf/v1/control_pb.js';
+import { RefusalReason, type Receipt } from '../gen/redwingwharf/v1/control_pb.js';
 import type { RetryBudget } from '../admission/RetryBudget.js';
 import type { Chooser, IChoice, IChooseInput } from './Chooser.js';
 import type { DispatchClient, DispatchOutcome, IDispatch } from './DispatchClient.js';
@@ -63,7 +63,15 @@
       if (outcome.kind === 'answered') {
         return Ok({ choice, dispatch, outcome });
       }
-      this._chooser.recordFailure(choice, clock.now());
+      if (isBusy(outcome)) {
+        this._chooser.recordBusy(choice, outcome.receipt, clock.now());
+        this._services.metrics.increment('retries_total', { cause: 'busy' });
+        if (attempt < MAX_TRIES) {
+          continue;
+        }
+      } else {
+        this._chooser.recordFailure(choice, clock.now());
+      }
       ran = outcome.kind === 'unknown' ? 'unknown' : ran;
       const mayRetry = await this._prepareRetry(context, outcome, choice, tried, attempt);
       if (!mayRetry) {
@@ -88,6 +96,8 @@
         deadlineMs: remainingMs,
         cacheSalt: choice.cacheSalt,
         prefixChain: encodeChain(choice.routeRequest.chain),
+        promptTokens: choice.routeRequest.promptTokens,
+        maxTtftMs: encodeLimit(choice.decision.maxTtftMs),
         priority: context.caller?.account.priority ?? 0,
       }),
       target: choice.target,
@@ -140,6 +150,25 @@
   }
 }
 
+/**
+ * A refusal of a busy target costs one hop and no work, so it is not charged to the retry budget. The
+ * policy sets no limit after two of them.
+ */
+function isBusy(
+  outcome: DispatchOutcome,
+): outcome is Extract<DispatchOutcome, { kind: 'not_run' }> & { readonly receipt: Receipt } {
+  return (
+    outcome.kind === 'not_run' &&
+    outcome.reason === RefusalReason.BUSY &&
+    outcome.receipt !== undefined
+  );
+}
+
+/** Zero stands for no limit. */
+function encodeLimit(maxTtftMs: number): number {
+  return Number.isFinite(maxTtftMs) ? Math.max(1, Math.round(maxTtftMs)) : 0;
+}
+
 function encodeChain(chain: readonly string[]): Uint8Array[] {
   return chain.slice(0, MAX_CHAIN_HASHES).map((hash) => Buffer.from(hash, 'hex'));
 }
--- a/src/gen/settingsValidator.ts
+++ b/src/gen/settingsValidator.ts
@@ -4,7 +4,7 @@
 "use strict";
 export const validate = validate10;
 export default validate10;
-const schema11 = {"$schema":"http://json-schema.org/draft-07/schema#","$id":"settings.schema.json","title":"Settings","description":"Settings file of one process.","type":"object","additionalProperties":false,"required":["instance","region","dataCentre","internal","clusterSecretFile"],"properties":{"instance":{"$ref":"#/definitions/name","description":"Name of this instance, unique in the deployment."},"region":{"$ref":"#/definitions/name"},"dataCentre":{"$ref":"#/definitions/name"},"internal":{"$ref":"#/definitions/address","description":"Address for calls from other processes of the deployment."},"clusterSecretFile":{"type":"string","minLength":1,"description":"File with the secret that the processes of the deployment share, relative to the settings file."},"feed":{"type":"array","minItems":1,"items":{"$ref":"#/definitions/address"},"description":"Processes to copy the configuration from: control members for an entry (by default those of entry.control), entries for a sidecar."},"entry":{"$ref":"#/definitions/entry"},"control":{"$ref":"#/definitions/control"},"sidecar":{"$ref":"#/definitions/sidecar"},"logLevel":{"enum":["debug","info","warn","error"],"default":"info"}},"definitions":{"name":{"type":"string","pattern":"^[a-z0-9][a-z0-9._-]{0,62}$","description":"1 to 63 lower-case letters, digits, dots, underscores and hyphens, starting with a letter or digit."},"address":{"type":"string","pattern":"^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]+\\]):[0-9]{1,5}$","description":"IP number and port, such as 10.0.0.5:7001 or [fd00::5]:7001."},"entry":{"title":"EntrySettings","type":"object","additionalProperties":false,"required":["listen","control"],"properties":{"listen":{"$ref":"#/definitions/address","description":"Address for callers."},"control":{"type":"array","minItems":1,"items":{"$ref":"#/definitions/address"},"description":"Internal addresses of the control members."},"policy":{"enum":["default","round-robin","least-load","prefix-hash"],"default":"default"},"drainTimeoutMs":{"type":"integer","minimum":0,"maximum":3600000,"default":600000,"description":"Longest wait for open requests at shutdown."}}},"control":{"title":"ControlSettings","type":"object","additionalProperties":false,"required":["memberId","dataFolder"],"properties":{"memberId":{"$ref":"#/definitions/name"},"dataFolder":{"type":"string","minLength":1,"description":"Folder of the log and the snapshots, relative to the settings file."},"peers":{"type":"array","items":{"$ref":"#/definitions/address"},"description":"Internal addresses of the other control members, used to join."}}},"sidecar":{"title":"SidecarSettings","type":"object","additionalProperties":false,"required":["target","announceTo"],"properties":{"announceTo":{"type":"array","minItems":1,"items":{"$ref":"#/definitions/address"},"description":"Internal addresses of the entries."},"target":{"title":"TargetSettings","type":"object","additionalProperties":false,"required":["id","service","kind","address"],"properties":{"id":{"$ref":"#/definitions/name"},"service":{"$ref":"#/definitions/name"},"kind":{"enum":["engine","plain"]},"address":{"$ref":"#/definitions/address"},"model":{"type":"string","minLength":1},"healthPath":{"type":"string","pattern":"^/","default":"/health"}}}}}}};
+const schema11 = {"$schema":"http://json-schema.org/draft-07/schema#","$id":"settings.schema.json","title":"Settings","description":"Settings file of one process.","type":"object","additionalProperties":false,"required":["instance","region","dataCentre","internal","clusterSecretFile"],"properties":{"instance":{"$ref":"#/definitions/name","description":"Name of this instance, unique in the deployment."},"region":{"$ref":"#/definitions/name"},"dataCentre":{"$ref":"#/definitions/name"},"internal":{"$ref":"#/definitions/address","description":"Address for calls from other processes of the deployment."},"clusterSecretFile":{"type":"string","minLength":1,"description":"File with the secret that the processes of the deployment share, relative to the settings file."},"feed":{"type":"array","minItems":1,"items":{"$ref":"#/definitions/address"},"description":"Processes to copy the configuration from: control members for an entry (by default those of entry.control), entries for a sidecar."},"entry":{"$ref":"#/definitions/entry"},"control":{"$ref":"#/definitions/control"},"sidecar":{"$ref":"#/definitions/sidecar"},"logLevel":{"enum":["debug","info","warn","error"],"default":"info"}},"definitions":{"name":{"type":"string","pattern":"^[a-z0-9][a-z0-9._-]{0,62}$","description":"1 to 63 lower-case letters, digits, dots, underscores and hyphens, starting with a letter or digit."},"address":{"type":"string","pattern":"^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]+\\]):[0-9]{1,5}$","description":"IP number and port, such as 10.0.0.5:7001 or [fd00::5]:7001."},"entry":{"title":"EntrySettings","type":"object","additionalProperties":false,"required":["listen","control"],"properties":{"listen":{"$ref":"#/definitions/address","description":"Address for callers."},"control":{"type":"array","minItems":1,"items":{"$ref":"#/definitions/address"},"description":"Internal addresses of the control members."},"policy":{"enum":["default","round-robin","least-load","prefix-hash"],"default":"default"},"drainTimeoutMs":{"type":"integer","minimum":0,"maximum":3600000,"default":600000,"description":"Longest wait for open requests at shutdown."}}},"control":{"title":"ControlSettings","type":"object","additionalProperties":false,"required":["memberId","dataFolder"],"properties":{"memberId":{"$ref":"#/definitions/name"},"dataFolder":{"type":"string","minLength":1,"description":"Folder of the log and the snapshots, relative to the settings file."},"peers":{"type":"array","items":{"$ref":"#/definitions/address"},"description":"Internal addresses of the other control members, used to join."}}},"sidecar":{"title":"SidecarSettings","type":"object","additionalProperties":false,"required":["target","announceTo"],"properties":{"announceTo":{"type":"array","minItems":1,"items":{"$ref":"#/definitions/address"},"description":"Internal addresses of the entries."},"kvCacheStore":{"$ref":"#/definitions/address","description":"KV-cache store for the hot chunks of an engine; without it none are exported or imported."},"target":{"title":"TargetSettings","type":"object","additionalProperties":false,"required":["id","service","kind","address"],"properties":{"id":{"$ref":"#/definitions/name"},"service":{"$ref":"#/definitions/name"},"kind":{"enum":["engine","plain"]},"address":{"$ref":"#/definitions/address"},"model":{"type":"string","minLength":1},"healthPath":{"type":"string","pattern":"^/","default":"/health"}}}}}}};
 const schema12 = {"type":"string","pattern":"^[a-z0-9][a-z0-9._-]{0,62}$","description":"1 to 63 lower-case letters, digits, dots, underscores and hyphens, starting with a letter or digit."};
 const schema15 = {"type":"string","pattern":"^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]+\\]):[0-9]{1,5}$","description":"IP number and port, such as 10.0.0.5:7001 or [fd00::5]:7001."};
 const func2 = Object.prototype.hasOwnProperty;
@@ -334,8 +334,8 @@
 return errors === 0;
 }
 
-const schema23 = {"title":"SidecarSettings","type":"object","additionalProperties":false,"required":["target","announceTo"],"properties":{"announceTo":{"type":"array","minItems":1,"items":{"$ref":"#/definitions/address"},"description":"Internal addresses of the entries."},"target":{"title":"TargetSettings","type":"object","additionalProperties":false,"required":["id","service","kind","address"],"properties":{"id":{"$ref":"#/definitions/name"},"service":{"$ref":"#/definitions/name"},"kind":{"enum":["engine","plain"]},"address":{"$ref":"#/definitions/address"},"model":{"type":"string","minLength":1},"healthPath":{"type":"string","pattern":"^/","default":"/health"}}}}};
-const pattern13 = new RegExp("^/", "u");
+const schema23 = {"title":"SidecarSettings","type":"object","additionalProperties":false,"required":["target","announceTo"],"properties":{"announceTo":{"type":"array","minItems":1,"items":{"$ref":"#/definitions/address"},"description":"Internal addresses of the entries."},"kvCacheStore":{"$ref":"#/definitions/address","description":"KV-cache store for the hot chunks of an engine; without it none are exported or imported."},"target":{"title":"TargetSettings","type":"object","additionalProperties":false,"required":["id","service","kind","address"],"properties":{"id":{"$ref":"#/definitions/name"},"service":{"$ref":"#/definitions/name"},"kind":{"enum":["engine","plain"]},"address":{"$ref":"#/definitions/address"},"model":{"type":"string","minLength":1},"healthPath":{"type":"string","pattern":"^/","default":"/health"}}}}};
+const pattern14 = new RegExp("^/", "u");
 
 function validate15(data, {instancePath="", parentData, parentDataProperty, rootData=data}={}){
 let vErrors = null;
@@ -362,7 +362,7 @@
 errors++;
 }
 for(const key0 in data){
-if(!((key0 === "announceTo") || (key0 === "target"))){
+if(!(((key0 === "announceTo") || (key0 === "kvCacheStore")) || (key0 === "target"))){
 const err2 = {instancePath,schemaPath:"#/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key0},message:"must NOT have additional properties",schema:false,parentSchema:schema23,data};
 if(vErrors === null){
 vErrors = [err2];
@@ -424,14 +424,11 @@
 errors++;
 }
 }
-if(data.target !== undefined){
-let data2 = data.target;
-if(data2 && typeof data2 == "object" && !Array.isArray(data2)){
-if(data2.healthPath === undefined){
-data2.healthPath = "/health";
-}
-if(data2.id === undefined){
-const err7 = {instancePath:instancePath+"/target",schemaPath:"#/properties/target/required",keyword:"required",params:{missingProperty: "id"},message:"must have required property '"+"id"+"'",schema:schema23.properties.target.required,parentSchema:schema23.properties.target,data:data2};
+if(data.kvCacheStore !== undefined){
+let data2 = data.kvCacheStore;
+if(typeof data2 === "string"){
+if(!pattern3.test(data2)){
+const err7 = {instancePath:instancePath+"/kvCacheStore",schemaPath:"#/definitions/address/pattern",keyword:"pattern",params:{pattern: "^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]+\\]):[0-9]{1,5}$"},message:"must match pattern \""+"^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]+\\]):[0-9]{1,5}$"+"\"",schema:"^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]+\\]):[0-9]{1,5}$",parentSchema:schema15,data:data2};
 if(vErrors === null){
 vErrors = [err7];
 }
@@ -440,8 +437,9 @@
 }
 errors++;
 }
-if(data2.service === undefined){
-const err8 = {instancePath:instancePath+"/target",schemaPath:"#/properties/target/required",keyword:"required",params:{missingProperty: "service"},message:"must have required property '"+"service"+"'",schema:schema23.properties.target.required,parentSchema:schema23.properties.target,data:data2};
+}
+else {
+const err8 = {instancePath:instancePath+"/kvCacheStore",schemaPath:"#/definitions/address/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema15.type,parentSchema:schema15,data:data2};
 if(vErrors === null){
 vErrors = [err8];
 }
@@ -450,8 +448,15 @@
 }
 errors++;
 }
-if(data2.kind === undefined){
-const err9 = {instancePath:instancePath+"/target",schemaPath:"#/properties/target/required",keyword:"required",params:{missingProperty: "kind"},message:"must have required property '"+"kind"+"'",schema:schema23.properties.target.required,parentSchema:schema23.properties.target,data:data2};
+}
+if(data.target !== undefined){
+let data3 = data.target;
+if(data3 && typeof data3 == "object" && !Array.isArray(data3)){
+if(data3.healthPath === undefined){
+data3.healthPath = "/health";
+}
+if(data3.id === undefined){
+const err9 = {instancePath:instancePath+"/target",schemaPath:"#/properties/target/required",keyword:"required",params:{missingProperty: "id"},message:"must have required property '"+"id"+"'",schema:schema23.properties.target.required,parentSchema:schema23.properties.target,data:data3};
 if(vErrors === null){
 vErrors = [err9];
 }
@@ -460,8 +465,8 @@
 }
 errors++;
 }
-if(data2.address === undefined){
-const err10 = {instancePath:instancePath+"/target",schemaPath:"#/properties/target/required",keyword:"required",params:{missingProperty: "address"},message:"must have required property '"+"address"+"'",schema:schema23.properties.target.required,parentSchema:schema23.properties.target,data:data2};
+if(data3.service === undefined){
+const err10 = {instancePath:instancePath+"/target",schemaPath:"#/properties/target/required",keyword:"required",params:{missingProperty: "service"},message:"must have required property '"+"service"+"'",schema:schema23.properties.target.required,parentSchema:schema23.properties.target,data:data3};
 if(vErrors === null){
 vErrors = [err10];
 }
@@ -470,9 +475,8 @@
 }
 errors++;
 }
-for(const key1 in data2){
-if(!((((((key1 === "id") || (key1 === "service")) || (key1 === "kind")) || (key1 === "address")) || (key1 === "model")) || (key1 === "healthPath"))){
-const err11 = {instancePath:instancePath+"/target",schemaPath:"#/properties/target/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key1},message:"must NOT have additional properties",schema:false,parentSchema:schema23.properties.target,data:data2};
+if(data3.kind === undefined){
+const err11 = {instancePath:instancePath+"/target",schemaPath:"#/properties/target/required",keyword:"required",params:{missingProperty: "kind"},message:"must have required property '"+"kind"+"'",schema:schema23.properties.target.required,parentSchema:schema23.properties.target,data:data3};
 if(vErrors === null){
 vErrors = [err11];
 }
@@ -481,12 +485,8 @@
 }
 errors++;
 }
-}
-if(data2.id !== undefined){
-let data3 = data2.id;
-if(typeof data3 === "string"){
-if(!pattern0.test(data3)){
-const err12 = {instancePath:instancePath+"/target/id",schemaPath:"#/definitions/name/pattern",keyword:"pattern",params:{pattern: "^[a-z0-9][a-z0-9._-]{0,62}$"},message:"must match pattern \""+"^[a-z0-9][a-z0-9._-]{0,62}$"+"\"",schema:"^[a-z0-9][a-z0-9._-]{0,62}$",parentSchema:schema12,data:data3};
+if(data3.address === undefined){
+const err12 = {instancePath:instancePath+"/target",schemaPath:"#/properties/target/required",keyword:"required",params:{missingProperty: "address"},message:"must have required property '"+"address"+"'",schema:schema23.properties.target.required,parentSchema:schema23.properties.target,data:data3};
 if(vErrors === null){
 vErrors = [err12];
 }
@@ -495,9 +495,9 @@
 }
 errors++;
 }
-}
-else {
-const err13 = {instancePath:instancePath+"/target/id",schemaPath:"#/definitions/name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema12.type,parentSchema:schema12,data:data3};
+for(const key1 in data3){
+if(!((((((key1 === "id") || (key1 === "service")) || (key1 === "kind")) || (key1 === "address")) || (key1 === "model")) || (key1 === "healthPath"))){
+const err13 = {instancePath:instancePath+"/target",schemaPath:"#/properties/target/additionalProperties",keyword:"additionalProperties",params:{additionalProperty: key1},message:"must NOT have additional properties",schema:false,parentSchema:schema23.properties.target,data:data3};
 if(vErrors === null){
 vErrors = [err13];
 }
@@ -507,11 +507,11 @@
 errors++;
 }
 }
-if(data2.service !== undefined){
-let data4 = data2.service;
+if(data3.id !== undefined){
+let data4 = data3.id;
 if(typeof data4 === "string"){
 if(!pattern0.test(data4)){
-const err14 = {instancePath:instancePath+"/target/service",schemaPath:"#/definitions/name/pattern",keyword:"pattern",params:{pattern: "^[a-z0-9][a-z0-9._-]{0,62}$"},message:"must match pattern \""+"^[a-z0-9][a-z0-9._-]{0,62}$"+"\"",schema:"^[a-z0-9][a-z0-9._-]{0,62}$",parentSchema:schema12,data:data4};
+const err14 = {instancePath:instancePath+"/target/id",schemaPath:"#/definitions/name/pattern",keyword:"pattern",params:{pattern: "^[a-z0-9][a-z0-9._-]{0,62}$"},message:"must match pattern \""+"^[a-z0-9][a-z0-9._-]{0,62}$"+"\"",schema:"^[a-z0-9][a-z0-9._-]{0,62}$",parentSchema:schema12,data:data4};
 if(vErrors === null){
 vErrors = [err14];
 }
@@ -522,7 +522,7 @@
 }
 }
 else {
-const err15 = {instancePath:instancePath+"/target/service",schemaPath:"#/definitions/name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema12.type,parentSchema:schema12,data:data4};
+const err15 = {instancePath:instancePath+"/target/id",schemaPath:"#/definitions/name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema12.type,parentSchema:schema12,data:data4};
 if(vErrors === null){
 vErrors = [err15];
 }
@@ -532,10 +532,11 @@
 errors++;
 }
 }
-if(data2.kind !== undefined){
-let data5 = data2.kind;
-if(!((data5 === "engine") || (data5 === "plain"))){
-const err16 = {instancePath:instancePath+"/target/kind",schemaPath:"#/properties/target/properties/kind/enum",keyword:"enum",params:{allowedValues: schema23.properties.target.properties.kind.enum},message:"must be equal to one of the allowed values",schema:schema23.properties.target.properties.kind.enum,parentSchema:schema23.properties.target.properties.kind,data:data5};
+if(data3.service !== undefined){
+let data5 = data3.service;
+if(typeof data5 === "string"){
+if(!pattern0.test(data5)){
+const err16 = {instancePath:instancePath+"/target/service",schemaPath:"#/definitions/name/pattern",keyword:"pattern",params:{pattern: "^[a-z0-9][a-z0-9._-]{0,62}$"},message:"must match pattern \""+"^[a-z0-9][a-z0-9._-]{0,62}$"+"\"",schema:"^[a-z0-9][a-z0-9._-]{0,62}$",parentSchema:schema12,data:data5};
 if(vErrors === null){
 vErrors = [err16];
 }
@@ -545,11 +546,8 @@
 errors++;
 }
 }
-if(data2.address !== undefined){
-let data6 = data2.address;
-if(typeof data6 === "string"){
-if(!pattern3.test(data6)){
-const err17 = {instancePath:instancePath+"/target/address",schemaPath:"#/definitions/address/pattern",keyword:"pattern",params:{pattern: "^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]+\\]):[0-9]{1,5}$"},message:"must match pattern \""+"^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]+\\]):[0-9]{1,5}$"+"\"",schema:"^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]+\\]):[0-9]{1,5}$",parentSchema:schema15,data:data6};
+else {
+const err17 = {instancePath:instancePath+"/target/service",schemaPath:"#/definitions/name/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema12.type,parentSchema:schema12,data:data5};
 if(vErrors === null){
 vErrors = [err17];
 }
@@ -559,8 +557,10 @@
 errors++;
 }
 }
-else {
-const err18 = {instancePath:instancePath+"/target/address",schemaPath:"#/definitions/address/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema15.type,parentSchema:schema15,data:data6};
+if(data3.kind !== undefined){
+let data6 = data3.kind;
+if(!((data6 === "engine") || (data6 === "plain"))){
+const err18 = {instancePath:instancePath+"/target/kind",schemaPath:"#/properties/target/properties/kind/enum",keyword:"enum",params:{allowedValues: schema23.properties.target.properties.kind.enum},message:"must be equal to one of the allowed values",schema:schema23.properties.target.properties.kind.enum,parentSchema:schema23.properties.target.properties.kind,data:data6};
 if(vErrors === null){
 vErrors = [err18];
 }
@@ -570,11 +570,11 @@
 errors++;
 }
 }
-if(data2.model !== undefined){
-let data7 = data2.model;
+if(data3.address !== undefined){
+let data7 = data3.address;
 if(typeof data7 === "string"){
-if(func3(data7) < 1){
-const err19 = {instancePath:instancePath+"/target/model",schemaPath:"#/properties/target/properties/model/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema23.properties.target.properties.model,data:data7};
+if(!pattern3.test(data7)){
+const err19 = {instancePath:instancePath+"/target/address",schemaPath:"#/definitions/address/pattern",keyword:"pattern",params:{pattern: "^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]+\\]):[0-9]{1,5}$"},message:"must match pattern \""+"^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]+\\]):[0-9]{1,5}$"+"\"",schema:"^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]+\\]):[0-9]{1,5}$",parentSchema:schema15,data:data7};
 if(vErrors === null){
 vErrors = [err19];
 }
@@ -585,7 +585,7 @@
 }
 }
 else {
-const err20 = {instancePath:instancePath+"/target/model",schemaPath:"#/properties/target/properties/model/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema23.properties.target.properties.model.type,parentSchema:schema23.properties.target.properties.model,data:data7};
+const err20 = {instancePath:instancePath+"/target/address",schemaPath:"#/definitions/address/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema15.type,parentSchema:schema15,data:data7};
 if(vErrors === null){
 vErrors = [err20];
 }
@@ -595,10 +595,11 @@
 errors++;
 }
 }
-let data8 = data2.healthPath;
+if(data3.model !== undefined){
+let data8 = data3.model;
 if(typeof data8 === "string"){
-if(!pattern13.test(data8)){
-const err21 = {instancePath:instancePath+"/target/healthPath",schemaPath:"#/properties/target/properties/healthPath/pattern",keyword:"pattern",params:{pattern: "^/"},message:"must match pattern \""+"^/"+"\"",schema:"^/",parentSchema:schema23.properties.target.properties.healthPath,data:data8};
+if(func3(data8) < 1){
+const err21 = {instancePath:instancePath+"/target/model",schemaPath:"#/properties/target/properties/model/minLength",keyword:"minLength",params:{limit: 1},message:"must NOT have fewer than 1 characters",schema:1,parentSchema:schema23.properties.target.properties.model,data:data8};
 if(vErrors === null){
 vErrors = [err21];
 }
@@ -609,7 +610,7 @@
 }
 }
 else {
-const err22 = {instancePath:instancePath+"/target/healthPath",schemaPath:"#/properties/target/properties/healthPath/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema23.properties.target.properties.healthPath.type,parentSchema:schema23.properties.target.properties.healthPath,data:data8};
+const err22 = {instancePath:instancePath+"/target/model",schemaPath:"#/properties/target/properties/model/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema23.properties.target.properties.model.type,parentSchema:schema23.properties.target.properties.model,data:data8};
 if(vErrors === null){
 vErrors = [err22];
 }
@@ -619,8 +620,10 @@
 errors++;
 }
 }
-else {
-const err23 = {instancePath:instancePath+"/target",schemaPath:"#/properties/target/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema23.properties.target.type,parentSchema:schema23.properties.target,data:data2};
+let data9 = data3.healthPath;
+if(typeof data9 === "string"){
+if(!pattern14.test(data9)){
+const err23 = {instancePath:instancePath+"/target/healthPath",schemaPath:"#/properties/target/properties/healthPath/pattern",keyword:"pattern",params:{pattern: "^/"},message:"must match pattern \""+"^/"+"\"",schema:"^/",parentSchema:schema23.properties.target.properties.healthPath,data:data9};
 if(vErrors === null){
 vErrors = [err23];
 }
@@ -630,9 +633,8 @@
 errors++;
 }
 }
-}
 else {
-const err24 = {instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema23.type,parentSchema:schema23,data};
+const err24 = {instancePath:instancePath+"/target/healthPath",schemaPath:"#/properties/target/properties/healthPath/type",keyword:"type",params:{type: "string"},message:"must be string",schema:schema23.properties.target.properties.healthPath.type,parentSchema:schema23.properties.target.properties.healthPath,data:data9};
 if(vErrors === null){
 vErrors = [err24];
 }
@@ -641,6 +643,29 @@
 }
 errors++;
 }
+}
+else {
+const err25 = {instancePath:instancePath+"/target",schemaPath:"#/properties/target/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema23.properties.target.type,parentSchema:schema23.properties.target,data:data3};
+if(vErrors === null){
+vErrors = [err25];
+}
+else {
+vErrors.push(err25);
+}
+errors++;
+}
+}
+}
+else {
+const err26 = {instancePath,schemaPath:"#/type",keyword:"type",params:{type: "object"},message:"must be object",schema:schema23.type,parentSchema:schema23,data};
+if(vErrors === null){
+vErrors = [err26];
+}
+else {
+vErrors.push(err26);
+}
+errors++;
+}
 validate15.errors = vErrors;
 return errors === 0;
 }
--- a/src/sidecar/Announcer.test.ts
+++ b/src/sidecar/Announcer.test.ts
@@ -28,6 +28,7 @@
   const clients = { get: () => ({ announce }) } as unknown as RpcClients;
   const watcher = {
     state: { isHealthy: true, incarnation: '', weightsVersion: '', load: create(TargetLoadSchema) },
+    hasChunk: () => false,
     takeEvicted: () => [],
   };
   const announcer = new Announcer(
@@ -47,6 +48,7 @@
     },
     watcher,
     new UsedChunks(),
+    undefined,
     clients,
     new ManualClock(),
     SILENT_LOG,
--- a/src/sidecar/Announcer.ts
+++ b/src/sidecar/Announcer.ts
@@ -13,6 +13,8 @@
 } from '../gen/redwingwharf/v1/control_pb.js';
 import type { ITargetRole } from '../settings/Types.js';
 import type { ITargetWatcher } from './Types.js';
+import { addWait } from './Dispatches.js';
+import type { PromptQueue } from './PromptQueue.js';
 import type { UsedChunks } from './UsedChunks.js';
 
 /** Four announcements fit into the expiry at the entry. */
@@ -48,6 +50,8 @@
     private readonly _options: IAnnouncerOptions,
     private readonly _watcher: ITargetWatcher,
     private readonly _usedChunks: UsedChunks,
+    /** Present beside an engine. */
+    private readonly _prompts: PromptQueue | undefined,
     private readonly _clients: RpcClients,
     private readonly _clock: IClock,
     private readonly _log: ILog,
@@ -128,7 +132,7 @@
       weightsVersion: state.weightsVersion,
       draining: this.isDraining,
       healthy: state.isHealthy,
-      load: state.load,
+      load: addWait(state.load, this._prompts, this._clock.now()),
       evicted: this._takeEvictions(entry),
       used: this._listUsed(entry),
       sequence: BigInt(this._sequence),
--- a/src/sidecar/Dispatches.ts
+++ b/src/sidecar/Dispatches.ts
@@ -11,6 +11,7 @@
   TICKET_HEADER,
 } from '../common/Headers.js';
 import type { AnswerBody, IHttpAnswer } from '../common/HttpAnswer.js';
+import type { IClock } from '../common/Clock.js';
 import type { ILog } from '../common/Log.js';
 import { createTimeoutSignal } from '../common/Tasks.js';
 import type { IFeed } from '../feed/Types.js';
@@ -18,6 +19,7 @@
   ReceiptSchema,
   RefusalReason,
   TicketSchema,
+  type TargetLoad,
   type Ticket,
 } from '../gen/redwingwharf/v1/control_pb.js';
 import { AnswerSchema, type Answer } from '../gen/redwingwharf/v1/state_pb.js';
@@ -31,6 +33,7 @@
   type IForwardRequest,
 } from './Forwarder.js';
 import { checkTicket, type IGateState } from './Gate.js';
+import type { PromptQueue } from './PromptQueue.js';
 import type { ITargetWatcher } from './Types.js';
 
 /** Status of a refusal: the entry reads the reason from the receipt. */
@@ -47,6 +50,9 @@
   readonly getGateState: () => IGateState;
   /** Called for each dispatch that passes the gate. */
   readonly onAccepted?: (ticket: Ticket) => void;
+  /** Present beside an engine. */
+  readonly prompts?: PromptQueue | undefined;
+  readonly clock: IClock;
 }
 
 /** One handler for all dispatches to the target beside this sidecar. */
@@ -73,18 +79,33 @@
       this._refuse(request, response, create(TicketSchema), RefusalReason.BAD_TICKET);
       return;
     }
-    const refusal = this._checkTicket(ticket, request.headers[STREAM_HEADER] !== undefined);
+    const isResume = request.headers[STREAM_HEADER] !== undefined;
+    const refusal = this._checkTicket(ticket, isResume) ?? this._checkWait(ticket, isResume);
     if (refusal !== undefined) {
       this._refuse(request, response, ticket, refusal);
       return;
     }
     this._options.onAccepted?.(ticket);
     this._open += 1;
+    if (!isResume) {
+      this._options.prompts?.begin(ticket, this._options.clock.now());
+    }
     try {
       await this._forward(request, response, ticket);
     } finally {
       this._open -= 1;
+      this._options.prompts?.end(ticket.requestId, false, this._options.clock.now());
+    }
+  }
+
+  /** A dispatch that would wait longer than its limit is better off elsewhere. */
+  private _checkWait(ticket: Ticket, isResume: boolean): RefusalReason | undefined {
+    const { prompts, clock } = this._options;
+    if (prompts === undefined || isResume || ticket.maxTtftMs === 0) {
+      return undefined;
     }
+    const { ttftMs } = prompts.estimate(ticket, clock.now());
+    return ttftMs > ticket.maxTtftMs ? RefusalReason.BUSY : undefined;
   }
 
   /** The rest of a running stream is no new work, so a draining target still gives it. */
@@ -225,7 +246,9 @@
     }
     response.writeHead(reply.statusCode, headers);
     response.flushHeaders();
-    await passBody(reply.body, response);
+    await passBody(reply.body, response, () => {
+      this._options.prompts?.end(ticket.requestId, true, this._options.clock.now());
+    });
   }
 
   private _refuse(
@@ -256,20 +279,35 @@
 
   private _formatReceipt(ticket: Ticket, ran: boolean, refusal: RefusalReason): string {
     const state = this._watcher.state;
+    const { prompts, clock } = this._options;
+    const isBusy = refusal === RefusalReason.BUSY;
+    const estimate = isBusy ? prompts?.estimate(ticket, clock.now()) : undefined;
     return encodeHeader(
       ReceiptSchema,
       create(ReceiptSchema, {
+        cachedPromptTokens: estimate?.cachedTokens ?? 0,
         requestId: ticket.requestId,
         ran,
         refusal,
         sidecarIncarnation: this._options.getGateState().sidecarIncarnation,
         targetIncarnation: state.incarnation,
-        load: state.load,
+        load: addWait(state.load, prompts, clock.now()),
       }),
     );
   }
 }
 
+/** The load with the wait that the accepted prompts mean. */
+export function addWait(
+  load: TargetLoad,
+  prompts: PromptQueue | undefined,
+  now: number,
+): TargetLoad {
+  return prompts === undefined
+    ? load
+    : { ...load, waitMs: Math.round(prompts.estimateWaitMs(now)) };
+}
+
 function buildResume(forward: IForwardRequest, streamId: string): IForwardRequest {
   const path = `/v1/streams/${encodeURIComponent(streamId)}`;
   return { ...forward, method: 'GET', path, body: undefined };
@@ -298,9 +336,18 @@
 }
 
 /** A break on either side destroys the other one; the entry sees an incomplete answer. */
-async function passBody(body: AnswerBody, response: ServerResponse): Promise<void> {
+async function passBody(
+  body: AnswerBody,
+  response: ServerResponse,
+  onFirstChunk: () => void,
+): Promise<void> {
+  let isFirst = true;
   try {
     await body.read((chunk) => {
+      if (isFirst) {
+        isFirst = false;
+        onFirstChunk();
+      }
       if (!response.write(chunk)) {
         body.pause();
         response.once('drain', () => {
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -29,6 +29,7 @@
 import { KvCacheExchange } from './KvCacheExchange.js';
 import { KvCacheStore } from './KvCacheStore.js';
 import { LoadSlotClient } from './LoadSlotClient.js';
+import { PromptQueue } from './PromptQueue.js';
 import { TargetWatcher } from './TargetWatcher.js';
 import { TargetWork } from './TargetWork.js';
 import { UsedChunks } from './UsedChunks.js';
@@ -49,6 +50,7 @@
   private readonly _claims = new ClaimTable();
   private readonly _usedChunks = new UsedChunks();
   private readonly _watcher: TargetWatcher;
+  private readonly _prompts: PromptQueue | undefined;
   private readonly _announcer: Announcer;
   private readonly _dispatches: Dispatches;
   private readonly _weights: WeightsReconciler | undefined;
@@ -65,11 +67,15 @@
     private readonly _log: ILog,
   ) {
     const { target, announceTo } = _settings;
-    this._watcher = new TargetWatcher(target, this._http, clock, _log);
+    const watcher = new TargetWatcher(target, this._http, clock, _log);
+    this._watcher = watcher;
+    this._prompts =
+      target.kind === 'engine' ? new PromptQueue((hash) => watcher.hasChunk(hash)) : undefined;
     this._announcer = new Announcer(
       { target, dataCentre, address, sidecarIncarnation: this._incarnation, announceTo },
       this._watcher,
       this._usedChunks,
+      this._prompts,
       clients,
       clock,
       _log,
@@ -78,6 +84,8 @@
       {
         targetAddress: target.address,
         getGateState: () => this._getGateState(),
+        prompts: this._prompts,
+        clock,
         onAccepted: (ticket) => {
           this._usedChunks.record(ticket.prefixChain, clock.now());
         },
@@ -107,6 +115,7 @@
         weightsVersion: state.weightsVersion,
       });
       this._usedChunks.clear();
+      this._prompts?.clear();
       this._announcer.notify();
     });
   }
--- a/src/sidecar/TargetWatcher.ts
+++ b/src/sidecar/TargetWatcher.ts
@@ -64,6 +64,10 @@
     return this._state;
   }
 
+  public hasChunk(hash: string): boolean {
+    return this._cache.has(hash);
+  }
+
   public takeEvicted(limit: number): Uint8Array[] {
     return this._cache.takeEvicted(limit);
   }
--- a/src/sidecar/Types.ts
+++ b/src/sidecar/Types.ts
@@ -13,6 +13,8 @@
 /** Watches the target beside this sidecar. */
 export interface ITargetWatcher {
   readonly state: ITargetState;
+  /** True when the engine holds the chunk, as far as its events told. */
+  hasChunk(hash: string): boolean;
   /** Prefix hashes that the engine dropped since the last call, at most `limit`. */
   takeEvicted(limit: number): Uint8Array[];
 }
