Measure the relay with four engines and join twins

Cause: the fair queue keeps at most 256 dispatches open for a target, so 800 streams to one engine were refused with 503 and the measurement ended. The connect errors that prove 'not run' stood in three places, the token estimate in three, and the parser's refusals made Entry.ts long.

--- /dev/null
+++ b/src/common/ConnectErrors.test.ts
@@ -0,0 +1,43 @@
+import { createServer, type AddressInfo } from 'node:net';
+import { once } from 'node:events';
+import { Client } from 'undici';
+import { afterEach, describe, expect, it } from 'vitest';
+import { isNeverConnected } from './ConnectErrors.js';
+
+async function callPort(port: number): Promise<unknown> {
+  const client = new Client(`http://127.0.0.1:${port}`);
+  try {
+    await client.request({ path: '/', method: 'POST', body: 'x' });
+    return undefined;
+  } catch (error) {
+    return error;
+  } finally {
+    await client.destroy();
+  }
+}
+
+describe('isNeverConnected', () => {
+  const server = createServer((socket) => {
+    socket.once('data', () => socket.destroy());
+  });
+
+  afterEach(() => {
+    server.close();
+  });
+
+  it('takes a refused connection for a proof, and one that broke after the request for none', async () => {
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const { port } = server.address() as AddressInfo;
+    expect(isNeverConnected(await callPort(port))).toBe(false);
+    server.close();
+    await once(server, 'close');
+    expect(isNeverConnected(await callPort(port))).toBe(true);
+  });
+
+  it('finds the code in the cause of a wrapped error', () => {
+    const cause = Object.assign(new Error('refused'), { code: 'ECONNREFUSED' });
+    expect(isNeverConnected(new Error('call failed', { cause }))).toBe(true);
+    expect(isNeverConnected(Object.assign(new Error('reset'), { code: 'ECONNRESET' }))).toBe(false);
+  });
+});
--- a/src/control/ControlClient.ts
+++ b/src/control/ControlClient.ts
@@ -1,6 +1,7 @@
 /** Calls the leader of the control members from any process. */
 import { Code, ConnectError } from '@connectrpc/connect';
 import type { MessageInitShape } from '@bufbuild/protobuf';
+import { isNeverConnected } from '../common/ConnectErrors.js';
 import type { ILog } from '../common/Log.js';
 import { Err, Ok, type IFailure, type Result } from '../common/Result.js';
 import type { RpcClients } from '../common/Rpc.js';
@@ -23,14 +24,6 @@
 const FIRST_PAUSE_MS = 50;
 const LONGEST_PAUSE_MS = 800;
 
-/** Errors of a connection that was never made: nothing was sent. */
-const NOT_CONNECTED_CODES: readonly unknown[] = [
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'EADDRNOTAVAIL',
-];
-
 /** Body of a command; the leader stamps the time. */
 export type ICommandBody = NonNullable<MessageInitShape<typeof CommandSchema>['body']>;
 
@@ -74,20 +67,9 @@
   readonly endsAt: number;
 }
 
-function isNotConnected(error: unknown): boolean {
-  let current: unknown = error;
-  while (current instanceof Error) {
-    if ('code' in current && NOT_CONNECTED_CODES.includes(current.code)) {
-      return true;
-    }
-    current = current.cause;
-  }
-  return false;
-}
-
 /** What a failed call proves about the command. */
 export function describeCallError(error: unknown): CallOutcome {
-  if (isNotConnected(error)) {
+  if (isNeverConnected(error)) {
     return { kind: 'not_connected', reason: 'connection refused' };
   }
   const { code, rawMessage } = ConnectError.from(error);
--- a/src/entry/DispatchClient.ts
+++ b/src/entry/DispatchClient.ts
@@ -9,6 +9,7 @@
   TICKET_HEADER,
 } from '../common/Headers.js';
 import { sendRequest, type IHttpAnswer } from '../common/HttpAnswer.js';
+import { isNeverConnected } from '../common/ConnectErrors.js';
 import { CLUSTER_SECRET_HEADER } from '../common/Rpc.js';
 import {
   ReceiptSchema,
@@ -19,15 +20,6 @@
 } from '../gen/redwingwharf/v1/control_pb.js';
 import type { IRosterTarget } from '../roster/Roster.js';
 
-/** Errors that prove that the sidecar was never connected, so that nothing ran. */
-const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'EADDRNOTAVAIL',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 const CONNECT_TIMEOUT_MS = 1_000;
 
 /** Idle connections to a sidecar are closed before its own limit, so that none is used as it closes. */
@@ -165,8 +157,7 @@
 }
 
 function describeError(error: unknown): DispatchOutcome {
-  const code = (error as { code?: unknown }).code;
-  if (typeof code === 'string' && CONNECT_ERROR_CODES.has(code)) {
+  if (isNeverConnected(error)) {
     return { kind: 'not_run', reason: RefusalReason.TARGET_DOWN };
   }
   return { kind: 'unknown', message: error instanceof Error ? error.message : String(error) };
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -18,14 +18,9 @@
   type ICaller,
 } from './Authenticate.js';
 import { IDEMPOTENCY_KEY_HEADER, type ClaimFlow } from './ClaimFlow.js';
+import { formatClientError, MAX_HEADER_BYTES } from './ClientErrors.js';
 import type { Directory } from './Directory.js';
-import {
-  describeUnlooked,
-  formatFailure,
-  refuse,
-  sendFailure,
-  type IHttpFailure,
-} from './Failures.js';
+import { describeUnlooked, refuse, sendFailure, type IHttpFailure } from './Failures.js';
 import { hasKeyForm, hasKeyInBody } from './KeyFilter.js';
 import type { ModelFlow } from './ModelFlow.js';
 import { OpenRequest, type OpenRequests } from './OpenRequests.js';
@@ -33,8 +28,6 @@
 import type { PlainFlow } from './PlainFlow.js';
 import type { IFlowServices, IRequestContext } from './Types.js';
 
-const MAX_HEADER_BYTES = 16 * 1024;
-
 /** Node looks for connections past their header time at this interval; its default is 30 s. */
 const CONNECTION_CHECK_MS = 1_000;
 
@@ -412,36 +405,3 @@
 function describeMethod(allowed: string): IHttpFailure {
   return refuse('method_not_allowed', `Use one of these methods: ${allowed}.`);
 }
-
-/**
- * Response to a request that Node's parser refused before there was a request object. It may have carried
- * an Idempotency-Key, so "not run" cannot be said of the call.
- */
-function formatClientError(errorCode: string | undefined): string {
-  const { status, failure } = describeClientError(errorCode);
-  const body = formatFailure(failure, randomUUID());
-  return (
-    `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\nx-rww-ran: unknown\r\n` +
-    `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`
-  );
-}
-
-function describeClientError(code: string | undefined): { status: string; failure: IHttpFailure } {
-  switch (code) {
-    case 'HPE_HEADER_OVERFLOW': {
-      const message = `Send at most ${MAX_HEADER_BYTES} bytes of headers.`;
-      return {
-        status: '431 Request Header Fields Too Large',
-        failure: refuse('header_too_large', message),
-      };
-    }
-    case 'ERR_HTTP_REQUEST_TIMEOUT':
-      return {
-        status: '408 Request Timeout',
-        failure: refuse('request_timeout', 'Send the headers faster.'),
-      };
-    case undefined:
-    default:
-      return { status: '400 Bad Request', failure: refuse('bad_request', 'Send valid HTTP/1.1.') };
-  }
-}
--- a/src/entry/Parse.ts
+++ b/src/entry/Parse.ts
@@ -1,14 +1,12 @@
 /** First stage: reads and checks what the caller sent. */
 import type { IncomingMessage } from 'node:http';
 import { Err, Ok, type Result } from '../common/Result.js';
+import { estimateTokens } from '../policy/PrefixChain.js';
 import { refuse, type IHttpFailure } from './Failures.js';
 
 /** Largest body of a request. */
 export const MAX_BODY_BYTES = 8 * 1024 * 1024;
 
-/** Rough length of a token in UTF-8 bytes, used before the engine counts exactly. */
-const BYTES_PER_TOKEN = 4;
-
 const MAX_OUTPUT_TOKENS = 1_000_000;
 
 /** A completion request after its body was checked. */
@@ -108,7 +106,7 @@
     isStream: stream === true,
     maxTokens,
     prompt,
-    promptTokens: Math.max(1, Math.ceil(Buffer.byteLength(prompt) / BYTES_PER_TOKEN)),
+    promptTokens: Math.max(1, estimateTokens(Buffer.byteLength(prompt))),
     body: fields,
   });
 }
--- a/src/entry/PlainFlow.ts
+++ b/src/entry/PlainFlow.ts
@@ -1,6 +1,7 @@
 /** Repeatable calls of plain services and of routes that are open to all. */
 import type { IDisposable } from '../common/Lifecycle.js';
 import { Err, type Result } from '../common/Result.js';
+import { estimateTokens } from '../policy/PrefixChain.js';
 import type { Chooser, IChooseInput } from './Chooser.js';
 import type { Dispatcher, IDispatched } from './Dispatcher.js';
 import { fail, sendFailure, type IHttpFailure } from './Failures.js';
@@ -14,12 +15,9 @@
 /** Fresh starts after an answer broke off. */
 const MAX_STARTS = 2;
 
-/** Rough length of a token in bytes; a plain call is charged by its body. */
-const BYTES_PER_TOKEN = 4;
-
-/** Tokens that a plain call is charged: at least one. */
+/** Tokens that a plain call is charged by its body: at least one. */
 export function countPlainTokens(body: Buffer): number {
-  return Math.max(1, Math.ceil(body.length / BYTES_PER_TOKEN));
+  return Math.max(1, estimateTokens(body.length));
 }
 
 /** What the choice of a plain target depends on. */
--- a/src/sidecar/Forwarder.ts
+++ b/src/sidecar/Forwarder.ts
@@ -1,19 +1,11 @@
 /** Sends accepted dispatches to the target. */
 import { Client, type Dispatcher } from 'undici';
 import type { IncomingMessage } from 'node:http';
+import { isNeverConnected } from '../common/ConnectErrors.js';
 import { REQUEST_ID_HEADER } from '../common/Headers.js';
 import { sendRequest, type IHttpAnswer } from '../common/HttpAnswer.js';
 import { Err, Ok, type IFailure, type Result } from '../common/Result.js';
 
-/** Errors that prove that no connection was made, so that nothing reached the target. */
-const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'EADDRNOTAVAIL',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 const CONNECT_TIMEOUT_MS = 1_000;
 
 /** Why a dispatch got no answer. */
@@ -106,9 +98,8 @@
 }
 
 function describeFailure(error: unknown): ForwardFailure {
-  const code = (error as { code?: unknown }).code;
-  if (typeof code === 'string' && CONNECT_ERROR_CODES.has(code)) {
-    return { kind: 'not_connected', message: `no connection to the target: ${code}` };
+  if (isNeverConnected(error)) {
+    return { kind: 'not_connected', message: `no connection to the target: ${String(error)}` };
   }
   return { kind: 'broken', message: `the call to the target broke off: ${String(error)}` };
 }
--- a/src/sidecar/PromptQueue.ts
+++ b/src/sidecar/PromptQueue.ts
@@ -1,8 +1,6 @@
 /** Prompts that the engine accepted and has not computed yet, and the wait that they mean. */
 import type { Ticket } from '../gen/redwingwharf/v1/control_pb.js';
-
-/** Engines cache prompts in chunks of about this many tokens. */
-const CHUNK_TOKENS = 2_000;
+import { CHUNK_TOKENS } from '../policy/PrefixChain.js';
 
 /** Shorter computations say little about the speed of the engine. */
 const MIN_SAMPLE_TOKENS = 1_000;
--- a/tools/overhead.ts
+++ b/tools/overhead.ts
@@ -46,23 +46,26 @@
 const PHASES = ['latency', 'requests', 'events', 'idle'] as const;
 type Phase = (typeof PHASES)[number];
 
-const TARGETS: IDeploymentPlan['targets'] = [
-  {
-    id: 'lace-1',
-    service: 'lace',
-    kind: 'engine',
-    model: 'lace-1',
-    dataCentre: 'dc-a',
-    fakeArgs: [
-      '--decode-ms',
-      String(DECODE_MS),
-      '--max-running',
-      '4096',
-      '--prefill-tps',
-      '1000000000',
-    ],
-  },
-];
+/** An entry keeps at most 256 dispatches open for a target, so 800 streams need four. */
+const ENGINE_COUNT = 4;
+
+const TARGETS: IDeploymentPlan['targets'] = Array.from({ length: ENGINE_COUNT }, (_, index) => ({
+  id: `lace-${index + 1}`,
+  service: 'lace',
+  kind: 'engine',
+  model: 'lace-1',
+  dataCentre: 'dc-a',
+  fakeArgs: [
+    '--decode-ms',
+    String(DECODE_MS),
+    '--max-running',
+    '4096',
+    '--prefill-tps',
+    '1000000000',
+  ],
+}));
+
+const SIDECARS = TARGETS.map(({ id }) => `sidecar-${id}`);
 
 const OPERATOR_FILES: IDeploymentPlan['operatorFiles'] = {
   lace: { services: [{ name: 'lace', kind: 'model', models: ['lace-1'] }] },
@@ -88,6 +91,7 @@
 
 const IDLE_PLAN: IDeploymentPlan = {
   ...LOAD_PLAN,
+  targets: TARGETS.slice(0, 1),
   entries: [
     { name: 'entry-1', dataCentre: 'dc-a' },
     { name: 'entry-2', dataCentre: 'dc-a' },
@@ -98,7 +102,7 @@
 
 type Result = Readonly<Record<string, unknown>>;
 
-/** Processor time of entry and sidecar in milliseconds. */
+/** Processor time of the entry and of all sidecars together in milliseconds. */
 type CpuPair = readonly [entry: number, sidecar: number];
 
 /** Processor time per millisecond of an idle entry and sidecar. */
@@ -169,7 +173,11 @@
 }
 
 function readCpuPair(deployment: Deployment): CpuPair {
-  return [readCpuMs(getPid(deployment, ENTRY)), readCpuMs(getPid(deployment, SIDECAR))];
+  const sidecarMs = SIDECARS.map((name) => readCpuMs(getPid(deployment, name)));
+  return [
+    readCpuMs(getPid(deployment, ENTRY)),
+    sidecarMs.reduce((sum, milliseconds) => sum + milliseconds, 0),
+  ];
 }
 
 async function measureBackground(deployment: Deployment): Promise<Background> {
