Word the unknown outcome for every command

Cause: the message spoke of operation ids, which only changes have; claims and grants share the client.

--- a/src/control/ControlClient.ts
+++ b/src/control/ControlClient.ts
@@ -109,7 +109,7 @@
 
 function createGivenUp(progress: IProgress): ControlFailure {
   if (progress.unknownReason !== undefined) {
-    const message = `The outcome is unknown (${progress.unknownReason}); resend with the same operation id.`;
+    const message = `The outcome is unknown (${progress.unknownReason}). Check whether the command took effect before sending it anew.`;
     return { kind: 'indeterminate', message };
   }
   if (progress.hasAnswer) {
