Allow many listeners on the stop signal of a process

Cause: entries logged MaxListenersExceededWarning under load; each task of a process listens to its stop signal, and Node takes more than ten listeners for a leak.

Ruled out: listeners that stay behind (sleep, runWithLimit and the queue remove theirs).

Conclusion: the warning was a false alarm; the limit is lifted for this signal only.

--- a/src/run/Process.ts
+++ b/src/run/Process.ts
@@ -1,5 +1,6 @@
 /** Runs the roles that the settings name in this process, until it is told to stop. */
 import type { ConnectRouter } from '@connectrpc/connect';
+import { setMaxListeners } from 'node:events';
 import { MonotonicClock, type IClock } from '../common/Clock.js';
 import { createLog, describeError, type ILog } from '../common/Log.js';
 import { Metrics } from '../common/Metrics.js';
@@ -42,6 +43,8 @@
     private readonly _settings: ILoadedSettings,
     private readonly _log: ILog,
   ) {
+    // Each task listens to this signal; Node takes more than ten listeners for a leak.
+    setMaxListeners(0, this._stop.signal);
     const { entry, sidecar, internal, clusterSecret } = _settings;
     this._rpc = new RpcClients(clusterSecret);
     this._feedClient = new FeedClient(
