Keep the wait of a load beside the queue that it comes from

Check: type check and lint pass.

Conclusion: no module depends on the dispatch handler for a conversion.

--- a/src/sidecar/Announcer.ts
+++ b/src/sidecar/Announcer.ts
@@ -13,8 +13,7 @@
 } from '../gen/redwingwharf/v1/control_pb.js';
 import type { ITargetRole } from '../settings/Types.js';
 import type { ITargetWatcher } from './Types.js';
-import { addWait } from './Dispatches.js';
-import type { PromptQueue } from './PromptQueue.js';
+import { addWait, type PromptQueue } from './PromptQueue.js';
 import type { UsedChunks } from './UsedChunks.js';
 
 /** Four announcements fit into the expiry at the entry. */
--- a/src/sidecar/Dispatches.ts
+++ b/src/sidecar/Dispatches.ts
@@ -19,7 +19,6 @@
   ReceiptSchema,
   RefusalReason,
   TicketSchema,
-  type TargetLoad,
   type Ticket,
 } from '../gen/redwingwharf/v1/control_pb.js';
 import { AnswerSchema, type Answer } from '../gen/redwingwharf/v1/state_pb.js';
@@ -33,7 +32,7 @@
   type IForwardRequest,
 } from './Forwarder.js';
 import { checkTicket, type IGateState } from './Gate.js';
-import type { PromptQueue } from './PromptQueue.js';
+import { addWait, type PromptQueue } from './PromptQueue.js';
 import type { ITargetWatcher } from './Types.js';
 
 /** Status of a refusal: the entry reads the reason from the receipt. */
@@ -297,17 +296,6 @@
   }
 }
 
-/** The load with the wait that the accepted prompts mean. */
-export function addWait(
-  load: TargetLoad,
-  prompts: PromptQueue | undefined,
-  now: number,
-): TargetLoad {
-  return prompts === undefined
-    ? load
-    : { ...load, waitMs: Math.round(prompts.estimateWaitMs(now)) };
-}
-
 function buildResume(forward: IForwardRequest, streamId: string): IForwardRequest {
   const path = `/v1/streams/${encodeURIComponent(streamId)}`;
   return { ...forward, method: 'GET', path, body: undefined };
--- a/src/sidecar/PromptQueue.ts
+++ b/src/sidecar/PromptQueue.ts
@@ -1,5 +1,5 @@
 /** Prompts that the engine accepted and has not computed yet, and the wait that they mean. */
-import type { Ticket } from '../gen/redwingwharf/v1/control_pb.js';
+import type { TargetLoad, Ticket } from '../gen/redwingwharf/v1/control_pb.js';
 import { CHUNK_TOKENS } from '../policy/PrefixChain.js';
 
 /** Shorter computations say little about the speed of the engine. */
@@ -134,6 +134,17 @@
   }
 }
 
+/** The load with the wait that the accepted prompts mean. */
+export function addWait(
+  load: TargetLoad,
+  prompts: PromptQueue | undefined,
+  now: number,
+): TargetLoad {
+  return prompts === undefined
+    ? load
+    : { ...load, waitMs: Math.round(prompts.estimateWaitMs(now)) };
+}
+
 function listHashes(ticket: Ticket): string[] {
   return ticket.prefixChain.map((hash) => Buffer.from(hash).toString('hex'));
 }
