Share the services of the franchise between demo and soak

Cause: both plans wrote the same entries and operator files, so a changed route would have been tested in one of them only.

Conclusion: one place describes the services.

--- a/tools/harness/Franchise.ts
+++ b/tools/harness/Franchise.ts
@@ -3,14 +3,38 @@
 
 const SERVICES = ['lace', 'order-desk'];
 
+/** Entries with disks in three data centres. */
+export const FRANCHISE_ENTRIES: IDeploymentPlan['entries'] = [
+  { name: 'entry-1', dataCentre: 'hr-a' },
+  { name: 'entry-2', dataCentre: 'hr-b' },
+  { name: 'entry-3', dataCentre: 'hr-c' },
+];
+
+/** Operator files of the two services. */
+export const FRANCHISE_SERVICES: IDeploymentPlan['operatorFiles'] = {
+  lace: {
+    services: [{ name: 'lace', kind: 'model', models: ['lace-1'], defaultOutputTokens: 64 }],
+  },
+  'order-desk': {
+    services: [
+      {
+        name: 'order-desk',
+        kind: 'plain',
+        timeoutMs: 15_000,
+        routes: [
+          { path: '/orders', methods: ['POST'], nonRepeatable: true },
+          { path: '/stock', methods: ['GET'] },
+          { path: '/opening-hours', methods: ['GET'], open: true },
+        ],
+      },
+    ],
+  },
+};
+
 /** Three entries with disks, two engines and two order desk targets in three data centres. */
 export const FRANCHISE_PLAN: IDeploymentPlan = {
   region: 'hr-central',
-  entries: [
-    { name: 'entry-1', dataCentre: 'hr-a' },
-    { name: 'entry-2', dataCentre: 'hr-b' },
-    { name: 'entry-3', dataCentre: 'hr-c' },
-  ],
+  entries: FRANCHISE_ENTRIES,
   targets: [
     { id: 'lace-1', service: 'lace', kind: 'engine', model: 'lace-1', dataCentre: 'hr-a' },
     { id: 'lace-2', service: 'lace', kind: 'engine', model: 'lace-1', dataCentre: 'hr-b' },
@@ -18,23 +42,7 @@
     { id: 'desk-2', service: 'order-desk', kind: 'plain', dataCentre: 'hr-c' },
   ],
   operatorFiles: {
-    lace: {
-      services: [{ name: 'lace', kind: 'model', models: ['lace-1'], defaultOutputTokens: 64 }],
-    },
-    'order-desk': {
-      services: [
-        {
-          name: 'order-desk',
-          kind: 'plain',
-          timeoutMs: 15_000,
-          routes: [
-            { path: '/orders', methods: ['POST'], nonRepeatable: true },
-            { path: '/stock', methods: ['GET'] },
-            { path: '/opening-hours', methods: ['GET'], open: true },
-          ],
-        },
-      ],
-    },
+    ...FRANCHISE_SERVICES,
     accounts: {
       clientAccounts: [
         { id: 'pag', tokensPerSecond: 20_000, burstTokens: 60_000, services: SERVICES },
--- a/tools/soak/Plan.ts
+++ b/tools/soak/Plan.ts
@@ -1,4 +1,5 @@
 /** Deployment and client accounts of the soak. */
+import { FRANCHISE_ENTRIES, FRANCHISE_SERVICES } from '../harness/Franchise.js';
 import type { IDeploymentPlan } from '../harness/Deployment.js';
 
 const SERVICES = ['lace', 'order-desk'];
@@ -93,11 +94,7 @@
 export function buildPlan(breakName: string | undefined): IDeploymentPlan {
   return {
     region: 'hr-central',
-    entries: [
-      { name: 'entry-1', dataCentre: 'hr-a' },
-      { name: 'entry-2', dataCentre: 'hr-b' },
-      { name: 'entry-3', dataCentre: 'hr-c' },
-    ],
+    entries: FRANCHISE_ENTRIES,
     targets: [
       describeEngine(1, 'hr-a'),
       describeEngine(2, 'hr-b'),
@@ -110,23 +107,7 @@
     preload: './dist/tools/network.cjs',
     environment: breakName === undefined ? {} : { REDWINGWHARF_BREAK: breakName },
     operatorFiles: {
-      lace: {
-        services: [{ name: 'lace', kind: 'model', models: ['lace-1'], defaultOutputTokens: 64 }],
-      },
-      'order-desk': {
-        services: [
-          {
-            name: 'order-desk',
-            kind: 'plain',
-            timeoutMs: 15_000,
-            routes: [
-              { path: '/orders', methods: ['POST'], nonRepeatable: true },
-              { path: '/stock', methods: ['GET'] },
-              { path: '/opening-hours', methods: ['GET'], open: true },
-            ],
-          },
-        ],
-      },
+      ...FRANCHISE_SERVICES,
       accounts: {
         clientAccounts: ACCOUNTS.map(({ id, tokensPerSecond, burstTokens }) => ({
           id,
