Remove the listener of a time limit when the limit is reached

Cause: limitSignal was written for commands that end soon and left its listener at the parent. The KV-cache transfers and the reads of an engine's state use it in tasks, up to 20 times a second, with a parent that lives as long as the process; each call kept a listener and a controller for good. A parent that was aborted already was ignored.

Ruled out: runWithLimit at those places; the reader of a blob goes on after the call that opened it has returned.

Check: two new tests, one for the listeners and one for the aborted parent; both fail on the old code and pass on the new one.

Conclusion: the mechanism cleans up after itself, so its callers need no rule.

--- a/src/common/Tasks.test.ts
+++ b/src/common/Tasks.test.ts
@@ -1,3 +1,4 @@
+import { getEventListeners } from 'node:events';
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
 import { describe, expect, it } from 'vitest';
@@ -51,6 +52,19 @@
     expect(signals.filter((signal) => signal.aborted)).toHaveLength(20);
   });
 
+  it('leaves nothing behind at a signal that lives as long as the process', async () => {
+    const parent = new AbortController();
+    const signals = Array.from({ length: 5 }, () => limitSignal(parent.signal, 1));
+    await Promise.all(signals.map((signal) => sleep(5_000, signal)));
+    expect(getEventListeners(parent.signal, 'abort')).toHaveLength(0);
+  });
+
+  it('is aborted at once when its parent already is, so that no call starts after a stop', () => {
+    const parent = new AbortController();
+    parent.abort();
+    expect(limitSignal(parent.signal, 60_000).aborted).toBe(true);
+  });
+
   it('accepts the remaining time of a deadline, which is no whole number', async () => {
     const signal = limitSignal(new AbortController().signal, 0.5);
     await sleep(5_000, signal);
--- a/src/common/Tasks.ts
+++ b/src/common/Tasks.ts
@@ -41,16 +41,21 @@
 }
 
 /**
- * A signal that is aborted with its parent or after `ms` milliseconds, for commands that end soon: the
- * listener stays at the parent. Tasks use `runWithLimit`.
+ * A signal that is aborted with its parent or after `ms` milliseconds, for work that goes on after a call
+ * returned. Its listener leaves the parent at the limit at the latest; `runWithLimit` ends it earlier.
  */
 export function limitSignal(parent: AbortSignal, ms: number): AbortSignal {
   const controller = new AbortController();
   const abort = (): void => {
+    clearTimeout(timer);
+    parent.removeEventListener('abort', abort);
     controller.abort();
   };
-  setTimeout(abort, ms).unref();
+  const timer = setTimeout(abort, ms).unref();
   parent.addEventListener('abort', abort, { once: true });
+  if (parent.aborted) {
+    abort();
+  }
   return controller.signal;
 }
 
