Join the checks of freshness and the reading of answers

The soak's switch key-freshness moves with the check, so it now also covers the weights; it exists in the test bundle only.

Conclusion: src/feed/Freshness.ts and src/common/HttpAnswer.ts serve both sides.

--- a/src/common/HttpAnswer.ts
+++ b/src/common/HttpAnswer.ts
@@ -118,6 +118,26 @@
   }
 }
 
+/** Largest buffered answer. */
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
+/** Raised when an answer exceeds the limit. */
+export class AnswerTooLargeError extends Error {}
+
+/** Reads the body to its end; throws when it breaks off. */
+export async function readAnswer(body: AnswerBody): Promise<Buffer> {
+  const parts: Buffer[] = [];
+  let size = 0;
+  await body.read((part) => {
+    size += part.length;
+    if (size > MAX_ANSWER_BYTES) {
+      throw new AnswerTooLargeError(`the answer exceeds ${MAX_ANSWER_BYTES} bytes`);
+    }
+    parts.push(part);
+  });
+  return Buffer.concat(parts);
+}
+
 /** One request on its way. */
 class Exchange implements Dispatcher.DispatchHandler {
   private _controller: Dispatcher.DispatchController | undefined;
--- a/src/entry/Authenticate.test.ts
+++ b/src/entry/Authenticate.test.ts
@@ -2,13 +2,14 @@
 import { describe, expect, it } from 'vitest';
 import { createCallerKey } from '../common/CallerKeys.js';
 import { FeedCopy } from '../feed/FeedCopy.js';
+import { FRESHNESS_LIMIT_MS } from '../feed/Freshness.js';
 import { SyncResponseSchema } from '../gen/redwingwharf/v1/control_pb.js';
 import {
   CallerKeySchema,
   ClientAccountSchema,
   ItemSchema,
 } from '../gen/redwingwharf/v1/state_pb.js';
-import { authenticate, KEY_FRESHNESS_LIMIT_MS, stripKeyFromQuery } from './Authenticate.js';
+import { authenticate, stripKeyFromQuery } from './Authenticate.js';
 import { Directory } from './Directory.js';
 
 const KEY = createCallerKey('pag');
@@ -65,8 +66,8 @@
 
   it('serves no key once its copy may miss a withdrawal', () => {
     const headers = { 'x-api-key': KEY.text };
-    expect(authenticateWith(headers, '', KEY_FRESHNESS_LIMIT_MS - 1)).toBe('pag');
-    expect(authenticateWith(headers, '', KEY_FRESHNESS_LIMIT_MS)).toBe('freshness_unknown');
+    expect(authenticateWith(headers, '', FRESHNESS_LIMIT_MS - 1)).toBe('pag');
+    expect(authenticateWith(headers, '', FRESHNESS_LIMIT_MS)).toBe('freshness_unknown');
   });
 });
 
--- a/src/entry/Authenticate.ts
+++ b/src/entry/Authenticate.ts
@@ -2,19 +2,13 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { parseCallerKey, verifyCallerKey } from '../common/CallerKeys.js';
 import { Err, Ok, type Result } from '../common/Result.js';
-import { isBroken } from '../common/TestSwitches.js';
+import { isFresh } from '../feed/Freshness.js';
 import type { IFeed } from '../feed/Types.js';
 import type { ClientAccount } from '../gen/redwingwharf/v1/state_pb.js';
 import type { Directory } from './Directory.js';
 import { refuse, type IHttpFailure } from './Failures.js';
 import { hasKeyForm } from './KeyFilter.js';
 
-/**
- * A copy of the configuration that was confirmed longer ago than this may miss a withdrawn key. Chosen
- * above the time of a control failover, so that one does not interrupt service.
- */
-export const KEY_FRESHNESS_LIMIT_MS = 3_000;
-
 const KEY_COOKIE = 'rww_key';
 const KEY_QUERY_PARAMETER = 'api_key';
 
@@ -26,13 +20,6 @@
   readonly keyId: string;
 }
 
-/** True when the configuration is confirmed recently enough to trust a key. */
-export function isFresh(feed: IFeed, now: number): boolean {
-  TEST_ONLY: if (isBroken('key-freshness')) return true;
-  const confirmedAt = feed.getConfirmedAt();
-  return confirmedAt !== undefined && now - confirmedAt < KEY_FRESHNESS_LIMIT_MS;
-}
-
 /**
  * Checks the key of a request for a service. Keys are accepted in `Authorization: Bearer`, `x-api-key`,
  * the cookie `rww_key` and the query parameter `api_key`.
--- a/src/entry/ClaimDispatch.ts
+++ b/src/entry/ClaimDispatch.ts
@@ -1,6 +1,6 @@
 /** Sends a claimed call to its sidecar and finds out what became of it. */
 import { create } from '@bufbuild/protobuf';
-import type { IHttpAnswer } from '../common/HttpAnswer.js';
+import { readAnswer, type IHttpAnswer } from '../common/HttpAnswer.js';
 import { createTimeoutSignal } from '../common/Tasks.js';
 import { RefusalReason } from '../gen/redwingwharf/v1/control_pb.js';
 import { AnswerSchema } from '../gen/redwingwharf/v1/state_pb.js';
@@ -11,7 +11,6 @@
 import type { OutcomeQuery } from './OutcomeQuery.js';
 import { buildOutgoing } from './PlainFlow.js';
 import type { IFlowServices, IRequestContext } from './Types.js';
-import { readAnswer } from './WholeAnswer.js';
 
 /** Dispatches of claimed calls. */
 export class ClaimDispatch {
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -8,11 +8,11 @@
 import { sleep } from '../common/Tasks.js';
 import { isBroken } from '../common/TestSwitches.js';
 import { Err, Ok, type Result } from '../common/Result.js';
+import { isFresh } from '../feed/Freshness.js';
 import type { Service } from '../gen/redwingwharf/v1/state_pb.js';
 import {
   authenticate,
   authorise,
-  isFresh,
   listKeys,
   stripKeyFromQuery,
   type ICaller,
--- a/src/entry/ModelFlow.ts
+++ b/src/entry/ModelFlow.ts
@@ -1,4 +1,5 @@
 /** Completion requests: admit, choose, dispatch, relay and settle. */
+import { readAnswer } from '../common/HttpAnswer.js';
 import { readUsage } from './SseScanner.js';
 import { pickAnswerHeaders, pickRequestHeaders } from './ForwardHeaders.js';
 import { convertLoad, type Chooser, type IChoice, type IChooseInput } from './Chooser.js';
@@ -11,7 +12,7 @@
 import { StreamRelay } from './StreamRelay.js';
 import { describeEnd, describeNotRun, recordRefusal } from './Outcomes.js';
 import type { IAdmitter, IFlowServices, IRequestContext } from './Types.js';
-import { readAnswer, sendAnswer } from './WholeAnswer.js';
+import { sendAnswer } from './WholeAnswer.js';
 
 /** Fresh starts of one request after a target broke off before anything was relayed. */
 const MAX_STARTS = 3;
--- a/src/entry/OpenRequests.ts
+++ b/src/entry/OpenRequests.ts
@@ -1,7 +1,8 @@
 /** Keyed requests in progress. Their keys are checked while they run. */
 import { isBroken } from '../common/TestSwitches.js';
+import { isFresh } from '../feed/Freshness.js';
 import type { IFeed } from '../feed/Types.js';
-import { isFresh, isKeyValid, type ICaller } from './Authenticate.js';
+import { isKeyValid, type ICaller } from './Authenticate.js';
 import type { Directory } from './Directory.js';
 
 /** Why an open request was ended from inside. */
--- a/src/entry/PlainFlow.ts
+++ b/src/entry/PlainFlow.ts
@@ -1,4 +1,5 @@
 /** Repeatable calls of plain services and of routes that are open to all. */
+import { AnswerTooLargeError, readAnswer } from '../common/HttpAnswer.js';
 import type { IDisposable } from '../common/Lifecycle.js';
 import { Err, type Result } from '../common/Result.js';
 import { estimateTokens } from '../policy/PrefixChain.js';
@@ -10,7 +11,7 @@
 import { describeEnd, describeNotRun, recordPlainEnd, recordRefusal } from './Outcomes.js';
 import type { QueueStage } from './QueueStage.js';
 import type { IAdmitter, IFlowServices, IRequestContext } from './Types.js';
-import { AnswerTooLargeError, readAnswer, sendAnswer } from './WholeAnswer.js';
+import { sendAnswer } from './WholeAnswer.js';
 
 /** Fresh starts after an answer broke off. */
 const MAX_STARTS = 2;
--- a/src/sidecar/Dispatches.ts
+++ b/src/sidecar/Dispatches.ts
@@ -10,7 +10,7 @@
   STREAM_HEADER,
   TICKET_HEADER,
 } from '../common/Headers.js';
-import type { AnswerBody, IHttpAnswer } from '../common/HttpAnswer.js';
+import { readAnswer, type AnswerBody, type IHttpAnswer } from '../common/HttpAnswer.js';
 import type { IClock } from '../common/Clock.js';
 import type { ILog } from '../common/Log.js';
 import { createTimeoutSignal } from '../common/Tasks.js';
@@ -41,9 +41,6 @@
 /** Status of a call that reached the target and gave no answer. */
 const BROKEN_STATUS = 502;
 
-/** Largest answer of a claimed call. */
-const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
-
 export interface IDispatchOptions {
   readonly targetAddress: string;
   readonly getGateState: () => IGateState;
@@ -190,7 +187,7 @@
       this._buildForward(request, ticket, body),
       createTimeoutSignal(ticket.deadlineMs),
       async (reply) => {
-        answer = await readAnswer(reply);
+        answer = await convertAnswer(reply);
       },
     );
     this._recordOutcome(
@@ -350,21 +347,9 @@
   }
 }
 
-async function readAnswer(reply: IHttpAnswer): Promise<Answer> {
-  const parts: Buffer[] = [];
-  let size = 0;
-  await reply.body.read((part) => {
-    parts.push(part);
-    size += part.length;
-    if (size > MAX_ANSWER_BYTES) {
-      throw new Error(`the answer is larger than ${MAX_ANSWER_BYTES} bytes`);
-    }
-  });
+async function convertAnswer(reply: IHttpAnswer): Promise<Answer> {
+  const body = await readAnswer(reply.body);
   const headers = copyAnswerHeaders(reply.headers);
   delete headers['content-length'];
-  return create(AnswerSchema, {
-    status: reply.statusCode,
-    headers,
-    body: Buffer.concat(parts),
-  });
+  return create(AnswerSchema, { status: reply.statusCode, headers, body });
 }
--- a/src/sidecar/PromptQueue.ts
+++ b/src/sidecar/PromptQueue.ts
@@ -1,4 +1,5 @@
 /** Prompts that the engine accepted and has not computed yet, and the wait that they mean. */
+import { encodeHex } from '../common/Hashes.js';
 import type { TargetLoad, Ticket } from '../gen/redwingwharf/v1/control_pb.js';
 import { CHUNK_TOKENS } from '../policy/PrefixChain.js';
 
@@ -146,5 +147,5 @@
 }
 
 function listHashes(ticket: Ticket): string[] {
-  return ticket.prefixChain.map((hash) => Buffer.from(hash).toString('hex'));
+  return ticket.prefixChain.map(encodeHex);
 }
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -35,9 +35,6 @@
 import { UsedChunks } from './UsedChunks.js';
 import { WeightsReconciler } from './WeightsReconciler.js';
 
-/** Longer than the entries keep idle connections, so that the entry closes them first. */
-export const SIDECAR_KEEP_ALIVE_MS = 10_000;
-
 const DRAIN_POLL_MS = 50;
 
 /** Entries learn of the draining target within one announcement. */
--- a/src/sidecar/UsedChunks.ts
+++ b/src/sidecar/UsedChunks.ts
@@ -1,5 +1,7 @@
 /** Chunks that dispatches to this engine used more than once, for the announcements. */
 
+import { encodeHex } from '../common/Hashes.js';
+
 /** Hashes remembered; about 1 MB. */
 const MAX_CHUNKS = 4_096;
 
@@ -27,7 +29,7 @@
 
   public record(chain: readonly Uint8Array[], now: number): void {
     for (const bytes of chain) {
-      const hash = Buffer.from(bytes).toString('hex');
+      const hash = encodeHex(bytes);
       const known = this._uses.get(hash);
       const isRecent = known !== undefined && now - known.usedAt < USE_EXPIRY_MS;
       this._uses.delete(hash);
--- a/src/sidecar/WeightsReconciler.test.ts
+++ b/src/sidecar/WeightsReconciler.test.ts
@@ -3,7 +3,8 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 import { ManualClock, MonotonicClock } from '../common/Clock.js';
 import { TestControl, TestEngine, TestGate, TestSidecar } from './WeightsFixtures.js';
-import { FEED_FRESHNESS_LIMIT_MS, WEIGHTS_TIMINGS } from './WeightsReconciler.js';
+import { FRESHNESS_LIMIT_MS } from '../feed/Freshness.js';
+import { WEIGHTS_TIMINGS } from './WeightsReconciler.js';
 
 const never = new AbortController().signal;
 
@@ -98,7 +99,7 @@
   it('sends nothing by a stale copy, so that an isolated sidecar loads no outdated weights', async () => {
     const sidecar = createSidecar(new TestEngine());
     sidecar.feed.desired = 'w0';
-    clock.advance(FEED_FRESHNESS_LIMIT_MS);
+    clock.advance(FRESHNESS_LIMIT_MS);
     await sidecar.reconciler.reconcileOnce(never);
     expect(control.commands).toBe(0);
   });
@@ -205,7 +206,7 @@
       frozen[stage === 'waits for a slot' ? 'slotWait' : 'checkWait'] = gate.opened;
       const woken = frozen.reconciler.reconcileOnce(never);
       await delay(5);
-      clock.advance(FEED_FRESHNESS_LIMIT_MS);
+      clock.advance(FRESHNESS_LIMIT_MS);
       control.desired = 'w3';
       const successor = createSidecar(engine, 2);
       // Within 3 s the slot of the frozen process is still leased: only its stale copy stops it.
--- a/src/sidecar/WeightsReconciler.ts
+++ b/src/sidecar/WeightsReconciler.ts
@@ -3,6 +3,7 @@
 import type { IClock } from '../common/Clock.js';
 import { describeError, type ILog } from '../common/Log.js';
 import { addJitter, isAborted, sleep } from '../common/Tasks.js';
+import { isFresh } from '../feed/Freshness.js';
 import type { IFeed } from '../feed/Types.js';
 import { DesiredWeightsSchema } from '../gen/redwingwharf/v1/state_pb.js';
 import type { IEngineOrders, IEngineState, ILoadOrder, OrderOutcome } from './EngineOrders.js';
@@ -10,9 +11,6 @@
 import { SlotLease } from './SlotLease.js';
 import type { ITargetWork } from './TargetWork.js';
 
-/** Age of the feed copy from which on it decides nothing. */
-export const FEED_FRESHNESS_LIMIT_MS = 3_000;
-
 export interface IWeightsTimings {
   /** Interval at which the desired and the reported weights are compared. */
   readonly pollMs: number;
@@ -126,7 +124,7 @@
   /** The desired version, when there is reason to load it now. */
   private _findWanted(): string | undefined {
     const { feed, work, clock } = this._services;
-    if (!this._isFresh(clock.now())) {
+    if (!isFresh(feed, clock.now())) {
       return undefined;
     }
     // Each token of an earlier process of this sidecar is a lower log index than this revision.
@@ -141,11 +139,6 @@
     return item && (fromBinary(DesiredWeightsSchema, item.value).version || undefined);
   }
 
-  private _isFresh(now: number): boolean {
-    const confirmedAt = this._services.feed.getConfirmedAt();
-    return confirmedAt !== undefined && now - confirmedAt < FEED_FRESHNESS_LIMIT_MS;
-  }
-
   /**
    * An earlier process of this sidecar may have sent a command that the engine is still carrying out.
    * Only an engine that reports that it has got none makes the wait unnecessary.
@@ -278,7 +271,7 @@
     const { clock, work } = this._services;
     const now = clock.now();
     const maySend =
-      this._isFresh(now) &&
+      isFresh(this._services.feed, now) &&
       lease.isHeld(now) &&
       work.open === 0 &&
       !work.isLeaving &&
