--- a/src/entry/Chooser.ts
+++ b/src/entry/Chooser.ts
@@ -36,9 +36,16 @@
   readonly cacheSalt: string;
 }
 
+interface ISaltedRequest {
+  readonly cacheSalt: string;
+  readonly routeRequest: IRouteRequest;
+}
+
 /** Joins the roster with one policy for each service. */
 export class Chooser implements IDisposable {
   private readonly _policies = new Map<string, IRoutingPolicy>();
+  /** Hashing the prompt is the longest part of a choice, so a retry uses the chain again. */
+  private readonly _routeRequests = new WeakMap<IChooseInput, ISaltedRequest>();
   private readonly _subscription: IDisposable;
 
   constructor(
@@ -64,7 +71,7 @@
     const group = this._pickWeightsGroup(targets);
     const weightsVersion = group[0]?.announcement.weightsVersion ?? '';
     const cacheSalt = this._deriveCacheSalt(input, weightsVersion);
-    const routeRequest = buildRouteRequest(input, cacheSalt);
+    const routeRequest = this._buildRouteRequest(input, cacheSalt);
     const views = group.map(describeTarget);
     const decision = this._getPolicy(input.service).choose(routeRequest, views, now);
     if (decision.kind === 'none') {
@@ -107,6 +114,17 @@
     this._getPolicy(service).onFailed(requestId, now);
   }
 
+  private _buildRouteRequest(input: IChooseInput, cacheSalt: string): IRouteRequest {
+    const known = this._routeRequests.get(input);
+    if (known?.cacheSalt === cacheSalt) {
+      return known.routeRequest;
+    }
+    const { prompt, ...fields } = input;
+    const routeRequest = { ...fields, chain: hashPrefixChain(prompt, cacheSalt) };
+    this._routeRequests.set(input, { cacheSalt, routeRequest });
+    return routeRequest;
+  }
+
   /** During a change of weights the groups of targets share the load by their size. */
   private _pickWeightsGroup(targets: readonly IRosterTarget[]): IRosterTarget[] {
     const picked = targets[Math.floor(this._random() * targets.length)];
@@ -163,11 +181,6 @@
   return hasModel && !tried.has(announcement.target);
 }
 
-function buildRouteRequest(input: IChooseInput, cacheSalt: string): IRouteRequest {
-  const { prompt, ...fields } = input;
-  return { ...fields, chain: hashPrefixChain(prompt, cacheSalt) };
-}
-
 /** Load of an announcement or a receipt in the form of the policies. */
 export function convertLoad(load: TargetLoad | undefined, reportedAt: number): ILoad | undefined {
   return load === undefined
--- a/tools/bench.ts
+++ b/tools/bench.ts
@@ -9,7 +9,8 @@
 import { measureDecisionTimes } from './bench/DecisionTimes.js';
 import { DEPLOYMENTS, type IDeployment } from './bench/Deployments.js';
 import type { IRunFigures } from './bench/Measures.js';
-import { POLICY_NAMES, type PolicyName } from './bench/Policies.js';
+import type { PolicyName } from '../src/policy/CreatePolicy.js';
+import { POLICY_NAMES } from './bench/Policies.js';
 import {
   checkTargets,
   formatChecks,
--- a/tools/bench/Simulation.ts
+++ b/tools/bench/Simulation.ts
@@ -6,7 +6,8 @@
 import { EventQueue } from './EventQueue.js';
 import { Measures, type IRunFigures } from './Measures.js';
 import { Oracle } from './Oracle.js';
-import { createPolicy, type PolicyName } from './Policies.js';
+import type { PolicyName } from '../../src/policy/CreatePolicy.js';
+import { createEntryPolicy } from './Policies.js';
 import { createRandom, sampleExponential } from './Random.js';
 import type { ITailSample } from './Tail.js';
 import { AdmissionMeter, TokenBucket } from './TokenBucket.js';
@@ -204,7 +205,7 @@
       const chosen =
         policy === 'oracle'
           ? new Oracle(this._engines, hopOf)
-          : createPolicy(policy, number, dataCentre, random);
+          : createEntryPolicy(policy, number, dataCentre, random);
       return new Entry(chosen, context);
     });
   }
