--- a/src/consensus/ReplicatedLog.ts
+++ b/src/consensus/ReplicatedLog.ts
@@ -71,9 +71,10 @@
   path: string,
   memberId: string,
   address: string,
+  isExclusive = false,
 ): Promise<Result<IFoundedGroup, StorageError>> {
   return runStorageStep(async () => {
-    const directory = await DataDirectory.open(path);
+    const directory = await DataDirectory.open(path, isExclusive);
     try {
       return await initialiseStore(directory, memberId, address);
     } finally {
--- /dev/null
+++ b/src/fleet/ConfigurationCheck.ts
@@ -0,0 +1,73 @@
+/** Rules that a configuration must keep beyond its form. */
+import type { IClientAccount, IFleetConfiguration, IRoute } from './Types.js';
+
+/**
+ * Describes the first rule that a configuration breaks; undefined if it is valid.
+ *
+ * @example
+ * const fault = checkConfiguration(configuration);
+ * if (fault !== undefined) respond(400, fault);
+ */
+export function checkConfiguration(configuration: IFleetConfiguration): string | undefined {
+  if (!Number.isSafeInteger(configuration.version) || configuration.version < 0) {
+    return `version ${configuration.version} is not a whole number`;
+  }
+  const services = new Set(configuration.services.map((service) => service.name));
+  return (
+    findRouteFault(configuration.routes, services) ??
+    findSharedKey(configuration.clientAccounts ?? [])
+  );
+}
+
+function findRouteFault(
+  routes: readonly IRoute[],
+  services: ReadonlySet<string>,
+): string | undefined {
+  const places = new Set<string>();
+  for (const route of routes) {
+    const fault = checkRoute(route, services);
+    if (fault !== undefined) {
+      return `route ${JSON.stringify(route.name)}: ${fault}`;
+    }
+    const place = `${route.host} ${route.pathPrefix}`;
+    if (places.has(place)) {
+      return `route ${JSON.stringify(route.name)}: another route has the same host and prefix`;
+    }
+    places.add(place);
+  }
+  return undefined;
+}
+
+function checkRoute(route: IRoute, services: ReadonlySet<string>): string | undefined {
+  const unknown = route.shares.find((share) => !services.has(share.service));
+  if (unknown !== undefined) {
+    return `service ${JSON.stringify(unknown.service)} does not exist`;
+  }
+  if (route.shares.some((share) => !(share.weight >= 0))) {
+    return 'a weight is not a number of 0 or more';
+  }
+  if (!(route.shares.reduce((sum, share) => sum + share.weight, 0) > 0)) {
+    return 'its weights add up to 0';
+  }
+  if (!(route.timeoutMs > 0)) {
+    return 'its time limit is not above 0 ms';
+  }
+  if (!route.pathPrefix.startsWith('/') || !route.pathPrefix.endsWith('/')) {
+    return `prefix ${JSON.stringify(route.pathPrefix)} does not begin and end with a slash`;
+  }
+  return undefined;
+}
+
+function findSharedKey(accounts: readonly IClientAccount[]): string | undefined {
+  const owners = new Map<string, string>();
+  for (const account of accounts) {
+    for (const key of account.keys) {
+      const owner = owners.get(key);
+      if (owner !== undefined && owner !== account.name) {
+        return `client accounts ${JSON.stringify(owner)} and ${JSON.stringify(account.name)} share a key`;
+      }
+      owners.set(key, account.name);
+    }
+  }
+  return undefined;
+}
--- /dev/null
+++ b/src/fleet/FleetNode.ts
@@ -0,0 +1,539 @@
+/** Part of every process that exchanges knowledge with the leader, and serves as hub while it leads. */
+import { create, toBinary } from '@bufbuild/protobuf';
+import type { ConnectRouter } from '@connectrpc/connect';
+import type { IClock } from '../common/Clock.js';
+import { describeError, type ILog } from '../common/Log.js';
+import type { RpcClients } from '../common/Rpc.js';
+import { addJitter, isAborted, runWithLimit, sleep } from '../common/Tasks.js';
+import type { IConsensusStatus, IReplicatedLog } from '../consensus/Types.js';
+import {
+  ExchangeRequestSchema,
+  ExchangeResponseSchema,
+  FleetCommandSchema,
+  FleetService,
+  QuotaGrantSchema,
+  QuotaReportSchema,
+  ReadDocumentResponseSchema,
+  SubmitResponseSchema,
+  type ExchangeRequest,
+  type ExchangeResponse,
+  type FleetCommand,
+  type FleetDocument,
+  type ReadDocumentResponse,
+  type SubmitResponse,
+  type TargetRecord,
+  type TargetWork,
+} from '../gen/redwingwharf/v1/fleet_pb.js';
+import { FleetHub, type IHubOptions } from './FleetHub.js';
+import type { FleetState } from './FleetState.js';
+import type { FleetView } from './FleetView.js';
+import type { QuotaWallet } from './QuotaWallet.js';
+import { hasNews } from './TargetOrder.js';
+import type { RouteTable } from './RouteTable.js';
+import { deriveWindowLimit } from './QuotaRule.js';
+
+/** Between two exchanges; a change reaches every process within this time and a round trip. */
+const EXCHANGE_MS = 150;
+
+/** Limit of one exchange; a leader that does not answer is given up. */
+const EXCHANGE_LIMIT_MS = 700;
+
+/** Shortest time between two exchanges that a request asked for. */
+const URGENT_GAP_MS = 15;
+
+/** Limit of a change or a read, so that its caller can turn to another process within a second. */
+const COMMAND_LIMIT_MS = 900;
+
+/** A leader whose majority has been silent for this long acts as no hub. */
+const LEADER_STALE_MS = 1_500;
+
+/** Between two looks at the confirmation that a read waits for. */
+const CONFIRM_POLL_MS = 15;
+
+/** The replicated log of a process with a disk. */
+export interface IFleetMember {
+  readonly log: IReplicatedLog;
+  readonly state: FleetState;
+}
+
+export interface IFleetNodeOptions {
+  /** Identity of this process in exchanges: its internal address. */
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly takesRequests: boolean;
+  readonly hub: IHubOptions;
+}
+
+/** What the data path of this process adds to an exchange. */
+export interface IWorkSource {
+  listWork(): readonly TargetWork[];
+}
+
+export type SubmitOutcome =
+  { readonly kind: 'committed' } | { readonly kind: 'unknown'; readonly reason: string };
+
+export type ReadOutcome =
+  | { readonly kind: 'read'; readonly document: FleetDocument | undefined }
+  | { readonly kind: 'unsure'; readonly reason: string };
+
+/** Announcements, changes, reads and exchanges of one process. */
+export class FleetNode {
+  private _member: IFleetMember | undefined;
+  private _hub: { readonly hub: FleetHub; readonly term: number } | undefined;
+  private _leader: string | undefined;
+  private _members: readonly string[] = [];
+  /** Announcements to pass on with the next exchange. */
+  private readonly _pending = new Map<string, TargetRecord>();
+  private readonly _pendingSince = new Map<string, number>();
+  private _woken = new AbortController();
+  private _waiters: (() => void)[] = [];
+  private _isInTouch = false;
+
+  constructor(
+    private readonly _options: IFleetNodeOptions,
+    private readonly _view: FleetView,
+    private readonly _wallet: QuotaWallet,
+    private readonly _work: IWorkSource,
+    private readonly _rpc: RpcClients,
+    private readonly _clock: IClock,
+    private readonly _log: ILog,
+    private _seeds: readonly string[],
+  ) {
+    _view.onTableChange((table) => {
+      this._hub?.hub.setLimits(this._deriveLimits(table));
+    });
+  }
+
+  /** Sets the replicated log of this process; undefined while its disk is not open. */
+  public setMember(member: IFleetMember | undefined): void {
+    this._member = member;
+    this._hub = undefined;
+    if (member !== undefined) {
+      member.state.onChange(() => {
+        this._applyState(member.state);
+      });
+      this._applyState(member.state);
+    }
+  }
+
+  /** Addresses to ask first; replaces those given before. */
+  public setSeeds(seeds: readonly string[]): void {
+    this._seeds = seeds;
+  }
+
+  /** Address of the leader as far as it is known. */
+  public get leader(): string | undefined {
+    return this._leader;
+  }
+
+  /** The hub, while this process leads; for decisions that only the leader makes. */
+  public getHub(now: number): FleetHub | undefined {
+    const log = this._member?.log;
+    const confirmedAt = log?.getConfirmedAt();
+    if (log === undefined || confirmedAt === undefined || now - confirmedAt > LEADER_STALE_MS) {
+      return undefined;
+    }
+    const { term } = log.status;
+    if (this._hub?.term !== term) {
+      this._startHub(term, now);
+    }
+    return this._hub?.hub;
+  }
+
+  public registerRpc(router: ConnectRouter): void {
+    router.service(FleetService, {
+      exchange: (request) => this.answerExchange(request, this._clock.now()),
+      submit: (request, context) =>
+        request.command === undefined
+          ? create(SubmitResponseSchema, { reason: 'the command is missing' })
+          : this._commit(request.command, context.signal),
+      readDocument: (_request, context) => this._readConfirmed(context.signal),
+    });
+  }
+
+  /** Takes an announcement that a target sent to this process. */
+  public announce(record: TargetRecord, now: number): void {
+    const known = this._view.getTarget(record.id);
+    this._view.applyTarget(record);
+    this._pending.set(record.id, record);
+    this._pendingSince.set(record.id, now);
+    if (known === undefined || hasNews(record, known)) {
+      this._woken.abort();
+    }
+  }
+
+  /** Waits until the next exchange with the hub has ended; false after the limit. */
+  public async awaitExchange(limitMs: number, signal: AbortSignal): Promise<boolean> {
+    if (this.getHub(this._clock.now()) !== undefined) {
+      this._exchangeLocally(this._clock.now());
+      return true;
+    }
+    const controller = new AbortController();
+    let isDone = false;
+    this._waiters.push(() => {
+      isDone = true;
+      controller.abort();
+    });
+    this._woken.abort();
+    await sleep(limitMs, controller.signal, signal);
+    return isDone;
+  }
+
+  /** Brings a change to the leader; its outcome is known only if it was committed. */
+  public async submit(command: FleetCommand, signal: AbortSignal): Promise<SubmitOutcome> {
+    return runWithLimit(signal, COMMAND_LIMIT_MS, async (limited) => {
+      let reason = 'no leader is known';
+      while (!isAborted(limited)) {
+        const answer = await this._submitOnce(command, limited);
+        if (answer.committed) {
+          return { kind: 'committed' };
+        }
+        reason = answer.reason;
+        await sleep(addJitter(50), limited);
+      }
+      return { kind: 'unknown', reason };
+    });
+  }
+
+  /** Reads the newest document; unsure unless a majority confirmed the leader after the call began. */
+  public async readDocument(signal: AbortSignal): Promise<ReadOutcome> {
+    return runWithLimit(signal, COMMAND_LIMIT_MS, async (limited) => {
+      let reason = 'no leader is known';
+      while (!isAborted(limited)) {
+        const answer = await this._readOnce(limited);
+        if (typeof answer !== 'string' && answer.confirmed) {
+          return { kind: 'read', document: answer.document };
+        }
+        reason = typeof answer === 'string' ? answer : 'the leader is not confirmed';
+        await sleep(addJitter(50), limited);
+      }
+      return { kind: 'unsure', reason };
+    });
+  }
+
+  /** Exchanges with the leader until the signal is aborted. */
+  public async run(signal: AbortSignal): Promise<void> {
+    while (!isAborted(signal)) {
+      const startedAt = this._clock.now();
+      await this._exchangeOnce(signal);
+      if (this._woken.signal.aborted) {
+        this._woken = new AbortController();
+      } else {
+        await sleep(
+          addJitter(EXCHANGE_MS, () => 0.25 + Math.random() / 2),
+          this._woken.signal,
+          signal,
+        );
+      }
+      const gapMs = URGENT_GAP_MS - (this._clock.now() - startedAt);
+      if (gapMs > 0) {
+        await sleep(gapMs, signal);
+      }
+    }
+  }
+
+  /** Answers another process; only a leader has news. */
+  public answerExchange(request: ExchangeRequest, now: number): ExchangeResponse {
+    const hub = this.getHub(now);
+    const response = create(ExchangeResponseSchema, {
+      leads: hub !== undefined,
+      leaderAddress: hub === undefined ? (this._leader ?? '') : this._options.address,
+      members: this._listMembers(),
+    });
+    if (hub === undefined || this._member === undefined) {
+      return response;
+    }
+    hub.takeReport(request, now);
+    const news = hub.listNews(request.epoch, Number(request.revision));
+    const { state } = this._member;
+    response.epoch = hub.epoch;
+    response.revision = BigInt(news.revision);
+    response.targets = [...news.targets];
+    response.full = news.isFull;
+    response.weights = [...state.weights];
+    response.work = hub.sumWork(request.node);
+    response.entries = hub.countEntries();
+    response.grants = hub
+      .grantQuotas(request.node, request.quotas, now)
+      .map((grant) => create(QuotaGrantSchema, grant));
+    if (state.document !== undefined) {
+      response.documentVersion = state.document.version;
+      if (state.document.version > request.documentVersion) {
+        response.document = state.document;
+      }
+    }
+    return response;
+  }
+
+  private _startHub(term: number, now: number): void {
+    const hub = new FleetHub(`${this._options.address}/${term}`, this._options.hub, now);
+    this._hub = { hub, term };
+    for (const record of this._view.listRecords()) {
+      hub.announce(record, now);
+    }
+    if (this._view.table !== undefined) {
+      hub.setLimits(this._deriveLimits(this._view.table));
+    }
+    this._log.info('hub started', { term, targets: this._view.listRecords().length });
+  }
+
+  private _deriveLimits(table: RouteTable): Map<string, number> {
+    const limits = new Map<string, number>();
+    for (const account of table.configuration.clientAccounts ?? []) {
+      if (account.tokensPerSecond > 0) {
+        this._log.info('quota limit', {
+          clientAccount: account.name,
+          tokensPerSecond: account.tokensPerSecond,
+          burst: account.burstTokens,
+          version: table.version,
+        });
+        limits.set(account.name, deriveWindowLimit(account, this._options.hub.quota));
+      }
+    }
+    return limits;
+  }
+
+  private _applyState(state: FleetState): void {
+    if (state.document !== undefined) {
+      this._view.applyDocument(state.document);
+    }
+    this._view.applyWeights(state.weights);
+    this._woken.abort();
+  }
+
+  private _buildRequest(now: number): ExchangeRequest {
+    const isKnownEpoch = this._view.epoch !== '';
+    const announced = isKnownEpoch ? [...this._pending.values()] : this._view.listRecords();
+    return create(ExchangeRequestSchema, {
+      node: this._options.address,
+      dataCentre: this._options.dataCentre,
+      epoch: this._view.epoch,
+      revision: BigInt(this._view.revision),
+      documentVersion: BigInt(this._view.documentVersion),
+      announced: announced.map((record) => ({
+        ...record,
+        ageMs: Math.round(now - (this._pendingSince.get(record.id) ?? now)),
+      })),
+      work: [...this._work.listWork()],
+      quotas: this._wallet.report(now).map((line) => create(QuotaReportSchema, line)),
+      takesRequests: this._options.takesRequests,
+    });
+  }
+
+  private _exchangeLocally(now: number): void {
+    this._applyAnswer(this.answerExchange(this._buildRequest(now), now), [], this._waiters, now);
+    this._waiters = [];
+  }
+
+  private async _exchangeOnce(signal: AbortSignal): Promise<void> {
+    const now = this._clock.now();
+    if (this.getHub(now) !== undefined) {
+      this._exchangeLocally(now);
+      return;
+    }
+    for (const address of this._listLeaderCandidates()) {
+      if (isAborted(signal) || (await this._exchangeWith(address, signal))) {
+        return;
+      }
+    }
+    this._noteTouch(false, 'no leader answered');
+  }
+
+  /** True if the process at the address answered as leader. */
+  private async _exchangeWith(address: string, signal: AbortSignal): Promise<boolean> {
+    const waiters = this._waiters;
+    this._waiters = [];
+    const request = this._buildRequest(this._clock.now());
+    try {
+      const answer = await runWithLimit(signal, EXCHANGE_LIMIT_MS, (limited) =>
+        this._rpc.get(FleetService, address).exchange(request, { signal: limited }),
+      );
+      this._members = answer.members.length > 0 ? answer.members : this._members;
+      if (answer.leads) {
+        this._leader = address;
+        this._applyAnswer(answer, request.announced, waiters, this._clock.now());
+        return true;
+      }
+      this._leader = answer.leaderAddress === '' ? undefined : answer.leaderAddress;
+    } catch (error) {
+      this._log.debug('exchange failed', { address, reason: describeError(error) });
+      this._leader = this._leader === address ? undefined : this._leader;
+    }
+    this._waiters.push(...waiters);
+    return false;
+  }
+
+  private _applyAnswer(
+    answer: ExchangeResponse,
+    announced: readonly TargetRecord[],
+    waiters: readonly (() => void)[],
+    now: number,
+  ): void {
+    const isNewEpoch = answer.epoch !== this._view.epoch;
+    this._view.applyAnswer(answer, now);
+    for (const record of announced) {
+      const pending = this._pending.get(record.id);
+      if (pending?.sequence === record.sequence && pending.born === record.born) {
+        this._pending.delete(record.id);
+        this._pendingSince.delete(record.id);
+      }
+    }
+    if (isNewEpoch) {
+      // The new hub may not know what this process was told before.
+      for (const record of this._view.listRecords()) {
+        this._pending.set(record.id, this._pending.get(record.id) ?? record);
+      }
+    }
+    this._wallet.noteAnswer(now);
+    for (const { clientAccount, tokens, waitMs } of answer.grants) {
+      this._wallet.addGrant(clientAccount, tokens, waitMs, now);
+    }
+    for (const finish of waiters) {
+      finish();
+    }
+    this._noteTouch(true, answer.epoch);
+  }
+
+  private _noteTouch(isInTouch: boolean, detail: string): void {
+    if (isInTouch !== this._isInTouch) {
+      this._isInTouch = isInTouch;
+      this._log.info(isInTouch ? 'leader regained' : 'leader lost', {
+        detail,
+        lastAnswerAgeMs: Math.round(this._clock.now() - this._view.answeredAt),
+      });
+    }
+  }
+
+  private _listLeaderCandidates(): string[] {
+    const status = this._member?.log.status;
+    const first = status?.leaderAddress ?? this._leader;
+    const others = [...this._members, ...this._seeds].sort(() => Math.random() - 0.5);
+    const all = first === undefined ? others : [first, ...others];
+    return [...new Set(all)].filter((address) => address !== this._options.address);
+  }
+
+  private _listMembers(): string[] {
+    const status: IConsensusStatus | undefined = this._member?.log.status;
+    return status === undefined
+      ? [...this._members]
+      : status.membership.members.map((member) => member.address);
+  }
+
+  private async _submitOnce(command: FleetCommand, signal: AbortSignal): Promise<SubmitResponse> {
+    if (this.getHub(this._clock.now()) !== undefined) {
+      return this._commit(command, signal);
+    }
+    let reason = 'no leader is known';
+    for (const address of this._listLeaderCandidates()) {
+      try {
+        const answer = await runWithLimit(signal, EXCHANGE_LIMIT_MS, (limited) =>
+          this._rpc.get(FleetService, address).submit({ command }, { signal: limited }),
+        );
+        if (answer.committed) {
+          return answer;
+        }
+        reason = answer.reason;
+      } catch (error) {
+        reason = describeError(error);
+      }
+      if (isAborted(signal)) {
+        break;
+      }
+    }
+    return create(SubmitResponseSchema, { reason });
+  }
+
+  /** Commits a command on this leader, unless the state shows that it would change nothing. */
+  private async _commit(command: FleetCommand, signal: AbortSignal): Promise<SubmitResponse> {
+    const member = this._member;
+    if (member === undefined || this.getHub(this._clock.now()) === undefined) {
+      return create(SubmitResponseSchema, {
+        leaderAddress: this._leader ?? '',
+        reason: 'this process does not lead',
+      });
+    }
+    if (isSettled(command, member.state)) {
+      const confirmed = await this._waitConfirmed(signal);
+      return create(SubmitResponseSchema, {
+        committed: confirmed,
+        reason: confirmed ? '' : 'the leader is not confirmed',
+      });
+    }
+    const done = await runWithLimit(signal, COMMAND_LIMIT_MS, (limited) =>
+      member.log.propose(toBinary(FleetCommandSchema, command), limited),
+    );
+    return done.ok
+      ? create(SubmitResponseSchema, { committed: true })
+      : create(SubmitResponseSchema, { reason: done.val.message });
+  }
+
+  private async _readOnce(signal: AbortSignal): Promise<ReadDocumentResponse | string> {
+    if (this.getHub(this._clock.now()) !== undefined) {
+      return this._readConfirmed(signal);
+    }
+    let reason = 'no leader is known';
+    for (const address of this._listLeaderCandidates()) {
+      try {
+        const answer = await runWithLimit(signal, EXCHANGE_LIMIT_MS, (limited) =>
+          this._rpc.get(FleetService, address).readDocument({}, { signal: limited }),
+        );
+        if (answer.confirmed) {
+          return answer;
+        }
+      } catch (error) {
+        reason = describeError(error);
+      }
+      if (isAborted(signal)) {
+        break;
+      }
+    }
+    return reason;
+  }
+
+  private async _readConfirmed(signal: AbortSignal): Promise<ReadDocumentResponse> {
+    const isConfirmed = await this._waitConfirmed(signal);
+    const response = create(ReadDocumentResponseSchema, {
+      confirmed: isConfirmed,
+      leaderAddress: this._leader ?? '',
+    });
+    const document = this._member?.state.document;
+    if (document !== undefined) {
+      response.document = document;
+    }
+    return response;
+  }
+
+  /** True once a majority has confirmed this leader after the call began. */
+  private async _waitConfirmed(signal: AbortSignal): Promise<boolean> {
+    const calledAt = this._clock.now();
+    return runWithLimit(signal, EXCHANGE_LIMIT_MS, async (limited) => {
+      while (!isAborted(limited)) {
+        const confirmedAt = this._member?.log.getConfirmedAt();
+        if (confirmedAt === undefined) {
+          return false;
+        }
+        if (confirmedAt >= calledAt) {
+          return true;
+        }
+        await sleep(CONFIRM_POLL_MS, limited);
+      }
+      return false;
+    });
+  }
+}
+
+/** True if the committed state already holds the command or something newer. */
+function isSettled(command: FleetCommand, state: FleetState): boolean {
+  switch (command.body.case) {
+    case 'putDocument': {
+      const { version } = command.body.value;
+      return state.document !== undefined && version <= state.document.version;
+    }
+    case 'nameWeights': {
+      const { model, version } = command.body.value;
+      return state.weights.some((known) => known.model === model && version <= known.version);
+    }
+    case undefined:
+      return true;
+  }
+}
--- /dev/null
+++ b/src/fleet/FleetState.ts
@@ -0,0 +1,94 @@
+/** The replicated state of a fleet: the newest configuration document and the newest weights. */
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
+import { Emitter } from '../common/Lifecycle.js';
+import type { IStateMachine } from '../consensus/Types.js';
+import {
+  FleetCommandSchema,
+  FleetSnapshotSchema,
+  NamedWeightsSchema,
+  type FleetCommand,
+  type FleetDocument,
+  type NamedWeights,
+} from '../gen/redwingwharf/v1/fleet_pb.js';
+
+const EMPTY_RESULT = new Uint8Array();
+
+/** Bytes that don't decode make no command; all members treat them alike. */
+function decodeCommand(bytes: Uint8Array): FleetCommand | undefined {
+  try {
+    return fromBinary(FleetCommandSchema, bytes);
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * State machine in which the highest version wins. A document whose version is not higher changes
+ * nothing, so repeats and late arrivals are harmless.
+ */
+export class FleetState implements IStateMachine {
+  private readonly _changes = new Emitter<undefined>();
+  private readonly _weights = new Map<string, NamedWeights>();
+  private _document: FleetDocument | undefined;
+
+  /** Fires after a command that changed the state, and after a restore. */
+  public readonly onChange = this._changes.onFire;
+
+  public get document(): FleetDocument | undefined {
+    return this._document;
+  }
+
+  /** The newest version named for each model. */
+  public get weights(): readonly NamedWeights[] {
+    return [...this._weights.values()];
+  }
+
+  public apply(command: Uint8Array): Uint8Array {
+    // Decoded byte fields share the buffer; a copy keeps what is stored from holding a whole batch.
+    const body = decodeCommand(new Uint8Array(command))?.body;
+    switch (body?.case) {
+      case 'putDocument':
+        this._putDocument(body.value);
+        break;
+      case 'nameWeights':
+        this._nameWeights(body.value);
+        break;
+      case undefined:
+        break;
+    }
+    return EMPTY_RESULT;
+  }
+
+  public snapshot(): Uint8Array {
+    const snapshot = create(FleetSnapshotSchema, { weights: [...this._weights.values()] });
+    if (this._document !== undefined) {
+      snapshot.document = this._document;
+    }
+    return toBinary(FleetSnapshotSchema, snapshot);
+  }
+
+  public restore(bytes: Uint8Array): void {
+    const saved = fromBinary(FleetSnapshotSchema, new Uint8Array(bytes));
+    this._document = saved.document;
+    this._weights.clear();
+    for (const weights of saved.weights) {
+      this._weights.set(weights.model, weights);
+    }
+    this._changes.fire(undefined);
+  }
+
+  private _putDocument(document: FleetDocument): void {
+    if (this._document === undefined || document.version > this._document.version) {
+      this._document = document;
+      this._changes.fire(undefined);
+    }
+  }
+
+  private _nameWeights({ model, version }: NamedWeights): void {
+    const known = this._weights.get(model);
+    if (known === undefined || version > known.version) {
+      this._weights.set(model, create(NamedWeightsSchema, { model, version }));
+      this._changes.fire(undefined);
+    }
+  }
+}
--- /dev/null
+++ b/src/fleet/WeightsRollout.ts
@@ -0,0 +1,246 @@
+/** Brings every engine to the newest named weights. Runs on the leader only. */
+import type { IClock } from '../common/Clock.js';
+import { describeError, type ILog } from '../common/Log.js';
+import { isAborted, runWithLimit, sleep } from '../common/Tasks.js';
+import { TargetPhase, type TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
+import type { FleetHub } from './FleetHub.js';
+
+/** Between two looks at what is to be done. */
+const STEP_MS = 100;
+
+/**
+ * Time between the mark that an engine is loading and the order, so that the entries stop sending first.
+ * An exchange takes this long at most in steady state.
+ */
+const ANNOUNCE_AHEAD_MS = 200;
+
+/** Between two questions to an engine that is loading. */
+const POLL_MS = 150;
+
+/** An engine that has not loaded by then is asked anew. */
+const LOAD_LIMIT_MS = 8_000;
+
+/** Limit of one call to an engine. */
+const CALL_LIMIT_MS = 1_000;
+
+/** Pause after a failed order, so that a broken engine does not take a place for itself. */
+const FAILED_REST_MS = 1_500;
+
+/**
+ * Engines that are out at once: a part of the service, at least three. More than a quarter would make each
+ * load slower, but some of them only wait until their runs have finished.
+ */
+const AT_ONCE_PART = 0.35;
+const AT_ONCE_MIN = 3;
+
+/** What an engine reports of itself. */
+export interface IEngineReport {
+  readonly isBusy: boolean;
+  /** Orders accepted since its start. */
+  readonly sequence: number;
+  readonly versions: ReadonlyMap<string, number>;
+}
+
+export interface IWeightsOrder {
+  readonly model: string;
+  readonly version: number;
+  readonly holder: string;
+  readonly fence: number;
+  /** Sequence that the engine must still have when it carries the order out. */
+  readonly expectedSequence: number;
+}
+
+export type OrderOutcome = 'accepted' | 'done' | 'busy' | 'fenced' | 'refused' | 'other_target';
+
+/** Calls to the engines. A call without an answer rejects. */
+export interface IEngineOrders {
+  fetchReport(target: TargetRecord, signal: AbortSignal): Promise<IEngineReport>;
+  sendOrder(target: TargetRecord, order: IWeightsOrder, signal: AbortSignal): Promise<OrderOutcome>;
+}
+
+export interface IRolloutOptions {
+  /** Name of this process as holder of orders. */
+  readonly holder: string;
+  /** Holders that follow each other within this time count as taking turns. */
+  readonly leaseMs: number;
+}
+
+/** The leader's part in the fleet. */
+export interface IRolloutLeader {
+  getHub(now: number): FleetHub | undefined;
+  /** Term of the log; each has one leader at most, so it serves as fencing token. */
+  readonly term: number;
+  readonly weights: readonly { readonly model: string; readonly version: bigint }[];
+}
+
+export class WeightsRollout {
+  private readonly _active = new Map<string, Promise<void>>();
+  private readonly _restUntil = new Map<string, number>();
+  private _leading: { readonly term: number; readonly since: number } | undefined;
+
+  constructor(
+    private readonly _leader: IRolloutLeader,
+    private readonly _orders: IEngineOrders,
+    private readonly _options: IRolloutOptions,
+    private readonly _clock: IClock,
+    private readonly _log: ILog,
+  ) {}
+
+  public async run(signal: AbortSignal): Promise<void> {
+    while (!isAborted(signal)) {
+      this._startLoads(this._clock.now(), signal);
+      await sleep(STEP_MS, signal);
+    }
+    await Promise.all(this._active.values());
+  }
+
+  private _startLoads(now: number, signal: AbortSignal): void {
+    const hub = this._leader.getHub(now);
+    if (hub === undefined) {
+      this._leading = undefined;
+      return;
+    }
+    const { term } = this._leader;
+    if (this._leading?.term !== term) {
+      this._leading = { term, since: now };
+    }
+    // The holder before may have sent an order just before it lost the lead.
+    if (term > 1 && now - this._leading.since < this._options.leaseMs) {
+      return;
+    }
+    const targets = hub.listTargets();
+    for (const { model, version } of this._leader.weights) {
+      this._startLoadsOf(model, Number(version), hub, targets, signal);
+    }
+  }
+
+  private _startLoadsOf(
+    model: string,
+    version: number,
+    hub: FleetHub,
+    targets: readonly TargetRecord[],
+    signal: AbortSignal,
+  ): void {
+    // The oldest weights first, so that no engine is passed over by newer and newer versions.
+    const holders = targets
+      .filter((target) => isLoadable(target, model))
+      .sort((left, right) => getVersion(left, model) - getVersion(right, model));
+    const places = Math.max(AT_ONCE_MIN, Math.floor(holders.length * AT_ONCE_PART));
+    const now = this._clock.now();
+    for (const target of holders) {
+      if (this._active.size >= places) {
+        return;
+      }
+      const isDue = getVersion(target, model) < version && !this._active.has(target.id);
+      if (isDue && now >= (this._restUntil.get(target.id) ?? 0)) {
+        const load = this._load(target, model, version, hub, signal)
+          .catch((error: unknown) => {
+            this._restUntil.set(target.id, this._clock.now() + FAILED_REST_MS);
+            this._log.warn('weights order failed', {
+              target: target.id,
+              model,
+              version,
+              reason: describeError(error),
+            });
+          })
+          .finally(() => {
+            this._active.delete(target.id);
+            hub.setLoading(target.id, false);
+          });
+        this._active.set(target.id, load);
+      }
+    }
+  }
+
+  private async _load(
+    target: TargetRecord,
+    model: string,
+    version: number,
+    hub: FleetHub,
+    signal: AbortSignal,
+  ): Promise<void> {
+    hub.setLoading(target.id, true);
+    const [before] = await Promise.all([
+      this._report(target, signal),
+      sleep(ANNOUNCE_AHEAD_MS, signal),
+    ]);
+    if ((before.versions.get(model) ?? 0) >= version) {
+      hub.setWeights(target.id, target.born, model, before.versions.get(model) ?? version);
+      return;
+    }
+    const fence = this._leader.term;
+    if (this._leader.getHub(this._clock.now()) !== hub) {
+      return;
+    }
+    const startedAt = this._clock.now();
+    const order = {
+      model,
+      version,
+      holder: this._options.holder,
+      fence,
+      expectedSequence: before.sequence,
+    };
+    const outcome = await runWithLimit(signal, CALL_LIMIT_MS, (limited) =>
+      this._orders.sendOrder(target, order, limited),
+    );
+    this._log.info('weights ordered', {
+      target: target.id,
+      model,
+      version,
+      fence,
+      sequence: before.sequence,
+      outcome,
+    });
+    if (outcome === 'done') {
+      hub.setWeights(target.id, target.born, model, version);
+    } else if (outcome === 'accepted') {
+      await this._waitLoaded(target, model, version, hub, signal);
+    } else {
+      throw new Error(`the engine answered ${outcome}`);
+    }
+    this._log.info('weights loaded', {
+      target: target.id,
+      model,
+      version,
+      tookMs: Math.round(this._clock.now() - startedAt),
+    });
+  }
+
+  private async _waitLoaded(
+    target: TargetRecord,
+    model: string,
+    version: number,
+    hub: FleetHub,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const giveUpAt = this._clock.now() + LOAD_LIMIT_MS;
+    while (!isAborted(signal) && this._clock.now() < giveUpAt) {
+      await sleep(POLL_MS, signal);
+      const report = await this._report(target, signal);
+      const held = report.versions.get(model) ?? 0;
+      if (held >= version && !report.isBusy) {
+        hub.setWeights(target.id, target.born, model, held);
+        return;
+      }
+    }
+    throw new Error('the engine did not load in time');
+  }
+
+  private _report(target: TargetRecord, signal: AbortSignal): Promise<IEngineReport> {
+    return runWithLimit(signal, CALL_LIMIT_MS, (limited) =>
+      this._orders.fetchReport(target, limited),
+    );
+  }
+}
+
+function isLoadable(target: TargetRecord, model: string): boolean {
+  return (
+    target.phase === TargetPhase.READY &&
+    !target.silent &&
+    target.models.some(({ name }) => name === model)
+  );
+}
+
+function getVersion(target: TargetRecord, model: string): number {
+  return Number(target.models.find(({ name }) => name === model)?.version ?? 0);
+}
--- /dev/null
+++ b/src/gateway/Attempt.ts
@@ -0,0 +1,285 @@
+/** One request at one target, and the relay of its answer. */
+import type { IClock } from '../common/Clock.js';
+import type { Metrics } from '../common/Metrics.js';
+import type { IRoute, IService } from '../fleet/Types.js';
+import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
+import { EventFramer } from './EventFramer.js';
+import { noteGood, noteLoad, type ITargetState } from './TargetStates.js';
+import type {
+  IAnswerSink,
+  ICall,
+  IDispatch,
+  ITargetClient,
+  ITargetExchange,
+  ITargetHead,
+} from './Types.js';
+
+/** How one attempt ended. */
+export type AttemptOutcome =
+  /** The answer was passed on in full. */
+  | { readonly kind: 'answered' }
+  /** The target proved that it did not run the request. */
+  | {
+      readonly kind: 'not_run';
+      readonly reason: string;
+      /** True if the target was not even reached. */
+      readonly isUnreachable: boolean;
+      /** Pause before the next attempt. */
+      readonly pauseMs: number;
+    }
+  /** The target may have run the request. */
+  | { readonly kind: 'failed'; readonly reason: string }
+  /** The time limit was reached, or the client left. */
+  | { readonly kind: 'ended'; readonly reason: string };
+
+export interface IAttemptOptions {
+  readonly target: TargetRecord;
+  readonly state: ITargetState;
+  readonly route: IRoute;
+  readonly service: IService;
+  /** Time at which the client's or the route's limit is reached. */
+  readonly endsAt: number;
+  readonly lastEventId: number | undefined;
+  /** Prompt tokens that the target is expected to read. */
+  readonly pendingTokens: number;
+  /** True: an error status of the target may be dropped in favour of another target's answer. */
+  readonly mayReplaceError: boolean;
+  readonly dispatch: Omit<IDispatch, 'deadlineMs' | 'resumeAfter'>;
+}
+
+export interface IAttemptContext<T extends ICall> {
+  readonly client: ITargetClient<T>;
+  readonly clock: IClock;
+  readonly metrics: Metrics;
+}
+
+const FIRST_ERROR_STATUS = 500;
+
+export class Attempt<T extends ICall> {
+  /** Number of the last event that was passed on, over all attempts. */
+  public lastEventId: number | undefined;
+  public status: number | undefined;
+  public firstByteAt: number | undefined;
+
+  private readonly _framer: EventFramer | undefined;
+  private readonly _finished: Promise<AttemptOutcome>;
+  private _finish: (outcome: AttemptOutcome) => void = () => undefined;
+  private _exchange: ITargetExchange | undefined;
+  private _head: ITargetHead | undefined;
+  private _isOver = false;
+  /** True: the answer is read and dropped, because it says "not run" or is replaced. */
+  private _isDropped = false;
+  private _isPaused = false;
+
+  constructor(
+    private readonly _context: IAttemptContext<T>,
+    private readonly _call: T,
+    private readonly _sink: IAnswerSink,
+    private readonly _options: IAttemptOptions,
+  ) {
+    this.lastEventId = _options.lastEventId;
+    this._framer = _options.route.kind === 'streaming' ? new EventFramer() : undefined;
+    this._finished = new Promise((resolve) => {
+      this._finish = resolve;
+    });
+  }
+
+  /** True once a part of the answer's body has come. */
+  public get hasFirstByte(): boolean {
+    return this.firstByteAt !== undefined;
+  }
+
+  public async run(): Promise<AttemptOutcome> {
+    const { clock, client } = this._context;
+    const { state, pendingTokens, endsAt, target, dispatch } = this._options;
+    const { signal } = this._call;
+    const leftMs = endsAt - clock.now();
+    state.open += 1;
+    state.pendingTokens += pendingTokens;
+    const timer = setTimeout(
+      () => {
+        this._end({ kind: 'ended', reason: 'time limit' });
+      },
+      Math.max(0, leftMs),
+    );
+    const leave = (): void => {
+      this._end({ kind: 'ended', reason: 'client left' });
+    };
+    signal.addEventListener('abort', leave, { once: true });
+    try {
+      this._exchange = client.send(
+        target,
+        this._call,
+        { ...dispatch, deadlineMs: Math.max(1, Math.floor(leftMs)), resumeAfter: this.lastEventId },
+        {
+          onHead: (head) => {
+            this._handleHead(head);
+          },
+          onData: (chunk) => {
+            this._handleData(chunk);
+          },
+          onEnd: () => {
+            this._handleEnd();
+          },
+          onError: (reason, wasSent) => {
+            this._handleError(reason, wasSent);
+          },
+        },
+      );
+      if (signal.aborted) {
+        leave();
+      }
+      return await this._finished;
+    } finally {
+      clearTimeout(timer);
+      signal.removeEventListener('abort', leave);
+      state.open -= 1;
+      if (!this.hasFirstByte) {
+        state.pendingTokens -= pendingTokens;
+      }
+    }
+  }
+
+  /** Ends the attempt and, if the target is still at it, the exchange. */
+  private _end(outcome: AttemptOutcome): void {
+    if (this._isOver) {
+      return;
+    }
+    this._isOver = true;
+    this._exchange?.abort();
+    this._finish(outcome);
+  }
+
+  private _handleHead(head: ITargetHead): void {
+    if (this._isOver) {
+      return;
+    }
+    if (!head.isOwn) {
+      this._end({ kind: 'failed', reason: 'answer to another request' });
+      return;
+    }
+    const { state, mayReplaceError } = this._options;
+    const now = this._context.clock.now();
+    this._head = head;
+    this.status = head.status;
+    if (head.load !== undefined) {
+      noteLoad(state, head.load, now);
+    }
+    this._isDropped =
+      head.isNotRun ||
+      head.isOtherTarget ||
+      (mayReplaceError && head.status >= FIRST_ERROR_STATUS && !this._sink.isStarted);
+    // An answer that goes on where another target stopped must be one of the same kind.
+    if (this._sink.isStarted && !this._isDropped && head.status !== 200) {
+      this._end({ kind: 'failed', reason: `status ${head.status} to a resumed stream` });
+    }
+  }
+
+  private _handleData(chunk: Buffer): void {
+    if (this._isOver || this._isDropped || chunk.length === 0) {
+      return;
+    }
+    if (this._framer === undefined || !this._isSuccess()) {
+      this._noteFirstByte();
+      this._startSink();
+      this._write(chunk);
+      return;
+    }
+    const { bytes, lastId } = this._framer.push(chunk);
+    if (bytes.length > 0) {
+      this._noteFirstByte();
+      this._startSink();
+      this._write(bytes);
+      this.lastEventId = lastId ?? this.lastEventId;
+    }
+  }
+
+  private _handleEnd(): void {
+    if (this._isOver) {
+      return;
+    }
+    this._isOver = true;
+    if (this._isDropped) {
+      this._finish(this._describeDropped());
+      return;
+    }
+    this._startSink();
+    const rest = this._framer?.rest;
+    if (rest !== undefined && rest.length > 0) {
+      this._sink.write(rest);
+    }
+    this._sink.end();
+    if (this._isSuccess()) {
+      noteGood(this._options.state, this._context.clock.now());
+    }
+    this._finish({ kind: 'answered' });
+  }
+
+  private _handleError(reason: string, wasSent: boolean): void {
+    if (this._isOver) {
+      return;
+    }
+    this._isOver = true;
+    if (this._isDropped) {
+      this._finish(this._describeDropped());
+    } else if (wasSent) {
+      this._finish({ kind: 'failed', reason });
+    } else {
+      this._finish({ kind: 'not_run', reason, isUnreachable: true, pauseMs: 0 });
+    }
+  }
+
+  private _describeDropped(): AttemptOutcome {
+    const head = this._head;
+    if (head?.isOtherTarget === true) {
+      return { kind: 'not_run', reason: 'other target', isUnreachable: true, pauseMs: 0 };
+    }
+    return head?.isNotRun === true
+      ? {
+          kind: 'not_run',
+          reason: `status ${head.status}, not run`,
+          isUnreachable: false,
+          pauseMs: 0,
+        }
+      : { kind: 'failed', reason: `status ${head?.status ?? 0}` };
+  }
+
+  private _isSuccess(): boolean {
+    return this._head !== undefined && this._head.status < 300;
+  }
+
+  private _noteFirstByte(): void {
+    if (this.hasFirstByte) {
+      return;
+    }
+    const { state, pendingTokens, route } = this._options;
+    this.firstByteAt = this._context.clock.now();
+    state.pendingTokens -= pendingTokens;
+    this._context.metrics.observe(
+      'gateway_first_byte_ms',
+      this.firstByteAt - this._call.arrivedAt,
+      {
+        route: route.name,
+      },
+    );
+  }
+
+  private _startSink(): void {
+    if (!this._sink.isStarted && this._head !== undefined) {
+      this._sink.start(this._head.status, this._head.headers);
+    }
+  }
+
+  /** Passes bytes on; a slow client pauses the target. */
+  private _write(bytes: Uint8Array): void {
+    if (this._sink.write(bytes) || this._isPaused) {
+      return;
+    }
+    this._isPaused = true;
+    this._exchange?.pause();
+    void this._sink.waitWritable().then(() => {
+      this._isPaused = false;
+      this._exchange?.resume();
+    });
+  }
+}
--- /dev/null
+++ b/src/gateway/CallRunner.ts
@@ -0,0 +1,438 @@
+/** Carries one request through: route, client account, quota, targets, answer. */
+import type { IClock } from '../common/Clock.js';
+import type { ILog } from '../common/Log.js';
+import type { Metrics } from '../common/Metrics.js';
+import { sleep } from '../common/Tasks.js';
+import type { FleetNode } from '../fleet/FleetNode.js';
+import type { FleetView } from '../fleet/FleetView.js';
+import type { QuotaWallet } from '../fleet/QuotaWallet.js';
+import type { RetryBudget } from '../fleet/RetryBudget.js';
+import type { RouteTable } from '../fleet/RouteTable.js';
+import type { IClientAccount, IRoute, IService } from '../fleet/Types.js';
+import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
+import { hashText } from '../policy/TargetTable.js';
+import { Attempt, type AttemptOutcome } from './Attempt.js';
+import type { IPlacement, IPlacementRequest, IPlacementTarget, Placement } from './Placement.js';
+import { noteFailure, noteUnreachable, type TargetStates } from './TargetStates.js';
+import type { IAnswerSink, ICall, ITargetClient, RefusalReason } from './Types.js';
+
+/** A request waits this long for tokens that the hub may grant. */
+const QUOTA_WAIT_MS = 150;
+
+/** Retry-After while the configuration is not known or no target exists, in milliseconds. */
+const NOT_READY_RETRY_MS = 300;
+
+/** Retry-After of a request that targets turned away. */
+const TURNED_AWAY_RETRY_MS = 250;
+
+/** Retry-After at least this long, so that a refused client does not hammer. */
+const MIN_RETRY_MS = 50;
+
+/** Without a client's own limit a request may take this long. */
+const DEFAULT_DEADLINE_MS = 60_000;
+
+/** Least time that a further target must have left to be worth trying. */
+const MIN_ATTEMPT_MS = 30;
+
+/** Targets that were not reached don't count as tried; this many end the search. */
+const MAX_UNREACHED = 3;
+
+/** Rank of the least urgent requests at a target. */
+const LOWEST_PRIORITY = 9;
+
+/** Parts of the entry that a call needs. */
+export interface ICallContext<T extends ICall> {
+  readonly view: FleetView;
+  readonly node: Pick<FleetNode, 'awaitExchange'>;
+  readonly wallet: QuotaWallet;
+  readonly budget: RetryBudget;
+  readonly states: TargetStates;
+  readonly placement: Placement;
+  readonly client: ITargetClient<T>;
+  readonly clock: IClock;
+  readonly metrics: Metrics;
+  readonly log: ILog;
+}
+
+/** A call whose route and client account are known. */
+interface IAdmitted {
+  readonly table: RouteTable;
+  readonly route: IRoute;
+  readonly account: IClientAccount | undefined;
+  readonly tokens: number;
+  readonly endsAt: number;
+}
+
+/** Progress over all targets of one call. */
+interface IProgress {
+  readonly tried: Set<string>;
+  attempts: number;
+  unreached: number;
+  /** Number of the last event that was passed on. */
+  lastEventId: number | undefined;
+  /** True once a target may have run the request. */
+  mayHaveRun: boolean;
+}
+
+export class CallRunner<T extends ICall> {
+  constructor(private readonly _context: ICallContext<T>) {}
+
+  /** Ends with exactly one final answer, or silently if the client left. */
+  public async run(call: T, sink: IAnswerSink): Promise<void> {
+    const admitted = await this._admit(call, sink);
+    if (admitted === undefined) {
+      return;
+    }
+    this._context.budget.noteRequest(pickName(admitted.route), call.arrivedAt);
+    const progress: IProgress = {
+      tried: new Set(),
+      attempts: 0,
+      unreached: 0,
+      lastEventId: call.resumeAfter,
+      mayHaveRun: false,
+    };
+    const didRun = await this._runAttempts(call, sink, admitted, progress);
+    if (!didRun && admitted.account !== undefined) {
+      this._context.wallet.refund(
+        admitted.account.name,
+        admitted.tokens,
+        this._context.clock.now(),
+      );
+    }
+  }
+
+  private async _admit(call: T, sink: IAnswerSink): Promise<IAdmitted | undefined> {
+    const { table } = this._context.view;
+    if (table === undefined) {
+      this._refuse(call, sink, 503, 'no_configuration', NOT_READY_RETRY_MS);
+      return;
+    }
+    const route = table.findRoute(call.host, call.path);
+    if (route === undefined) {
+      this._refuse(call, sink, 404, 'no_route', undefined, { version: table.version });
+      return;
+    }
+    const account = call.key === undefined ? undefined : table.findAccount(call.key);
+    if (table.needsKeys && !route.isPublic && account === undefined) {
+      this._refuse(call, sink, 401, 'bad_key', undefined, { version: table.version });
+      return;
+    }
+    const payer = route.isPublic ? undefined : account;
+    const tokens = countTokens(call, payer);
+    const limitMs = Math.min(call.deadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
+    const admitted: IAdmitted = {
+      table,
+      route,
+      account: payer,
+      tokens,
+      endsAt: call.arrivedAt + limitMs,
+    };
+    return (await this._spendQuota(call, sink, admitted)) ? admitted : undefined;
+  }
+
+  private async _spendQuota(call: T, sink: IAnswerSink, admitted: IAdmitted): Promise<boolean> {
+    const { account, tokens } = admitted;
+    if (account === undefined || account.tokensPerSecond <= 0) {
+      return true;
+    }
+    const { wallet, view, clock, node } = this._context;
+    const limits = { tokensPerSecond: account.tokensPerSecond, entries: view.entries };
+    let outcome = wallet.trySpend(account.name, tokens, limits, clock.now());
+    const giveUpAt = clock.now() + QUOTA_WAIT_MS;
+    while (outcome.kind === 'ask') {
+      const leftMs = giveUpAt - clock.now();
+      if (leftMs <= 0 || call.signal.aborted) {
+        outcome = { kind: 'over', retryAfterMs: QUOTA_WAIT_MS };
+        break;
+      }
+      await node.awaitExchange(leftMs, call.signal);
+      outcome = wallet.retrySpend(account.name, tokens, limits, clock.now());
+    }
+    if (outcome.kind === 'over') {
+      const detail = { clientAccount: account.name, tokens };
+      this._refuse(call, sink, 429, 'quota', outcome.retryAfterMs, detail);
+      return false;
+    }
+    return true;
+  }
+
+  /** Tries targets until the call has its final answer. True if the call's tokens are spent. */
+  private async _runAttempts(
+    call: T,
+    sink: IAnswerSink,
+    admitted: IAdmitted,
+    progress: IProgress,
+  ): Promise<boolean> {
+    for (;;) {
+      const now = this._context.clock.now();
+      if (call.signal.aborted) {
+        this._context.log.info('client left', { request: call.id, attempts: progress.attempts });
+        return progress.mayHaveRun;
+      }
+      const service = pickService(admitted, call.id);
+      const placement = this._place(call, admitted, service, progress, now);
+      if (placement === undefined) {
+        this._finishWithout(call, sink, progress, 'no_target');
+        return progress.mayHaveRun;
+      }
+      const outcome = await this._tryTarget(call, sink, admitted, service, placement, progress);
+      if (!this._shouldRetry(call, admitted, outcome, progress, service)) {
+        this._finish(call, sink, outcome, progress);
+        return progress.mayHaveRun;
+      }
+      this._context.metrics.increment('gateway_repeats_total', { service: service.name });
+      if (outcome.kind === 'not_run' && outcome.pauseMs > 0) {
+        await sleep(outcome.pauseMs, call.signal);
+      }
+    }
+  }
+
+  private _place(
+    call: T,
+    admitted: IAdmitted,
+    service: IService,
+    progress: IProgress,
+    now: number,
+  ): IPlacement | undefined {
+    const { view, states, placement } = this._context;
+    const all = view.listTargets(service.name);
+    const fresh = all.filter((record) => !progress.tried.has(record.id));
+    const targets = fresh.map((record): IPlacementTarget => {
+      const others = view.getOthersWork(record.id);
+      return {
+        record,
+        state: states.ensure(record),
+        othersOpen: others.open,
+        othersTokens: others.pendingTokens,
+      };
+    });
+    const rested = targets.filter(({ state }) => now >= state.restUntil);
+    const request = this._describe(call, admitted, service);
+    return placement.choose(request, rested.length > 0 ? rested : targets, now);
+  }
+
+  private _describe(call: T, admitted: IAdmitted, service: IService): IPlacementRequest {
+    const { account, route } = admitted;
+    return {
+      parts: service.engine === undefined ? [] : call.parts,
+      promptTokens: call.promptTokens ?? 0,
+      objectiveMs: route.objectiveMs,
+      cacheWall: account?.isIsolated === true ? account.name : undefined,
+      isEngine: service.engine !== undefined,
+      model: call.model,
+      wantedVersion:
+        call.model === undefined ? undefined : this._context.view.getNamedVersion(call.model),
+    };
+  }
+
+  private async _tryTarget(
+    call: T,
+    sink: IAnswerSink,
+    admitted: IAdmitted,
+    service: IService,
+    placement: IPlacement,
+    progress: IProgress,
+  ): Promise<AttemptOutcome> {
+    const { clock, states, log, placement: placements } = this._context;
+    const { target } = placement;
+    const { route, account } = admitted;
+    progress.tried.add(target.id);
+    progress.attempts += 1;
+    const state = states.ensure(target);
+    const request = this._describe(call, admitted, service);
+    const attempt = new Attempt(this._context, call, sink, {
+      target,
+      state,
+      route,
+      service,
+      endsAt: admitted.endsAt,
+      lastEventId: progress.lastEventId,
+      pendingTokens: Math.round(placement.missedTokens + (call.parts.at(-1)?.tokens ?? 0)),
+      mayReplaceError: route.kind === 'safe' && progress.attempts < route.maxAttempts,
+      dispatch: {
+        clientAccount: account?.name,
+        priority: Math.min(LOWEST_PRIORITY, Math.max(0, account?.priority ?? route.priority)),
+        cacheWall: request.cacheWall,
+      },
+    });
+    const startedAt = clock.now();
+    const outcome = await attempt.run();
+    progress.lastEventId = attempt.lastEventId;
+    if (outcome.kind !== 'not_run') {
+      progress.mayHaveRun = true;
+    }
+    const now = clock.now();
+    if (attempt.hasFirstByte) {
+      placements.noteRead(request, target, now);
+    }
+    log.info('attempt ended', {
+      request: call.id,
+      route: route.name,
+      target: target.id,
+      attempt: progress.attempts,
+      outcome: outcome.kind,
+      reason: outcome.kind === 'answered' ? undefined : outcome.reason,
+      status: attempt.status,
+      expectedMs: Math.round(placement.expectedMs),
+      missedTokens: Math.round(placement.missedTokens),
+      open: state.open,
+      firstMs: attempt.firstByteAt && Math.round(attempt.firstByteAt - startedAt),
+      totalMs: Math.round(now - startedAt),
+      version: admitted.table.version,
+      viewAgeMs: Math.round(now - this._context.view.answeredAt),
+    });
+    this._noteOutcome(target, outcome, now);
+    return outcome;
+  }
+
+  private _noteOutcome(target: TargetRecord, outcome: AttemptOutcome, now: number): void {
+    const state = this._context.states.ensure(target);
+    if (outcome.kind === 'not_run' && outcome.isUnreachable) {
+      noteUnreachable(state, now);
+    } else if (outcome.kind === 'failed') {
+      noteFailure(state, now);
+    }
+  }
+
+  private _shouldRetry(
+    call: T,
+    admitted: IAdmitted,
+    outcome: AttemptOutcome,
+    progress: IProgress,
+    service: IService,
+  ): boolean {
+    const { route } = admitted;
+    const { clock, budget, view } = this._context;
+    const now = clock.now();
+    if (call.signal.aborted || admitted.endsAt - now < MIN_ATTEMPT_MS) {
+      return false;
+    }
+    switch (outcome.kind) {
+      case 'answered':
+      case 'ended':
+        return false;
+      case 'not_run':
+        if (outcome.isUnreachable) {
+          progress.attempts -= 1;
+          progress.unreached += 1;
+          return progress.unreached <= MAX_UNREACHED;
+        }
+        break;
+      case 'failed':
+        if (!mayRepeat(route)) {
+          return false;
+        }
+        break;
+    }
+    return (
+      progress.attempts < route.maxAttempts && budget.trySpend(service.name, view.entries, now)
+    );
+  }
+
+  private _finish(call: T, sink: IAnswerSink, outcome: AttemptOutcome, progress: IProgress): void {
+    switch (outcome.kind) {
+      case 'answered':
+        return;
+      case 'ended':
+        if (call.signal.aborted) {
+          return;
+        }
+        if (sink.isStarted) {
+          sink.cut();
+        } else {
+          this._refuse(call, sink, 504, 'time_limit', undefined);
+        }
+        return;
+      case 'failed':
+        if (sink.isStarted) {
+          sink.cut();
+        } else {
+          this._refuse(call, sink, 502, 'failed', undefined, { detail: outcome.reason });
+        }
+        return;
+      case 'not_run':
+        this._finishWithout(call, sink, progress, 'not_run');
+    }
+  }
+
+  /** Ends a call for which no further target is tried. */
+  private _finishWithout(
+    call: T,
+    sink: IAnswerSink,
+    progress: IProgress,
+    reason: RefusalReason,
+  ): void {
+    if (call.signal.aborted) {
+      return;
+    }
+    if (sink.isStarted) {
+      sink.cut();
+    } else if (progress.mayHaveRun) {
+      this._refuse(call, sink, 502, 'failed', undefined);
+    } else {
+      const retryMs = reason === 'no_target' ? NOT_READY_RETRY_MS : TURNED_AWAY_RETRY_MS;
+      this._refuse(call, sink, 503, reason, retryMs);
+    }
+  }
+
+  private _refuse(
+    call: T,
+    sink: IAnswerSink,
+    status: number,
+    reason: RefusalReason,
+    retryAfterMs: number | undefined,
+    detail: Readonly<Record<string, unknown>> = {},
+  ): undefined {
+    const { clock, log, metrics, view } = this._context;
+    const retryMs = retryAfterMs === undefined ? undefined : Math.max(MIN_RETRY_MS, retryAfterMs);
+    log.info('refused', {
+      request: call.id,
+      status,
+      reason,
+      retryAfterMs: retryMs && Math.round(retryMs),
+      afterMs: Math.round(clock.now() - call.arrivedAt),
+      viewAgeMs: Math.round(clock.now() - view.answeredAt),
+      ...detail,
+    });
+    metrics.increment('gateway_refusals_total', { reason, status: String(status) });
+    sink.refuse(status, reason, retryMs);
+    return undefined;
+  }
+}
+
+/** Requests that may run more than once. */
+function mayRepeat(route: IRoute): boolean {
+  return route.kind === 'safe' || (route.kind === 'streaming' && route.isResumable);
+}
+
+function countTokens(call: ICall, account: IClientAccount | undefined): number {
+  return call.promptTokens === undefined && call.outputTokens === undefined
+    ? (account?.defaultTokens ?? 0)
+    : (call.promptTokens ?? 0) + (call.outputTokens ?? 0);
+}
+
+function pickName(route: IRoute): string {
+  return route.shares[0]?.service ?? '';
+}
+
+/** Splits a route's requests by weight; the same request always gets the same service. */
+function pickService(admitted: IAdmitted, requestId: string): IService {
+  const { route, table } = admitted;
+  const total = route.shares.reduce((sum, share) => sum + share.weight, 0);
+  let point = (hashText(requestId) / 2 ** 32) * total;
+  let name = pickName(route);
+  for (const share of route.shares) {
+    if (share.weight > 0) {
+      name = share.service;
+      if (point < share.weight) {
+        break;
+      }
+    }
+    point -= share.weight;
+  }
+  const service = table.getService(name);
+  if (service === undefined) {
+    throw new Error(`route ${route.name} names service ${name}, which the configuration lacks`);
+  }
+  return service;
+}
--- /dev/null
+++ b/src/gateway/Placement.ts
@@ -0,0 +1,243 @@
+/**
+ * Chooses the target of a request. Cost is the part of the request's worth that is expected to be lost:
+ * by answering late, by reading shared prompt parts again, or by running on old weights.
+ */
+import { hashBits, hashText } from '../policy/TargetTable.js';
+import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
+import { getFreshLoad, type ITargetState } from './TargetStates.js';
+import type { IPromptPart } from './Types.js';
+
+/** Prompt tokens that an engine reads in a millisecond; the engines' data sheet says 56.6. */
+const PREFILL_TOKENS_PER_MS = 55;
+
+/** Time to the first token of an idle engine with a warm cache, in milliseconds (data sheet). */
+const ENGINE_BASE_MS = 25;
+
+/** Delay that each running request adds to the first token of another (data sheet: 0.09 ms a step). */
+const RUNNING_MS = 1.5;
+
+/** Time that a plain service takes for one request until answers have shown it. */
+const PLAIN_WORK_MS = 60;
+
+/** Worth lost with 1,000 shared tokens that are read again, as part of a request's worth. */
+const REREAD_COST_PER_1000 = 0.25;
+
+/** Evidence that a target holds a part is trusted for this long; engines drop parts within seconds. */
+const EVIDENCE_MS = 10_000;
+
+/** Prompt parts whose holders are kept. */
+const MAX_PARTS = 4_000;
+
+/** Expected time as a part of the objective at which lateness begins to count, and where it is certain. */
+const RISK_FROM = 0.3;
+const RISK_FULL = 1.1;
+
+/** Worth lost by an answer on old weights. */
+const OLD_WEIGHTS_COST = 0.2;
+
+/** Cost of a target in another data centre, so that equal choices stay in the own one. */
+const FAR_COST = 0.004;
+
+/** Cost of a target that is silent or has just failed: used only when others are worse. */
+const DOUBTFUL_COST = 2;
+
+/** Chance that the n-th target in rendezvous order holds a shared part. */
+const HOME_CHANCES = [1, 0.3] as const;
+
+/** What the choice depends on. */
+export interface IPlacementRequest {
+  /** Shared and own parts of the prompt, in order; empty for plain services. */
+  readonly parts: readonly IPromptPart[];
+  readonly promptTokens: number;
+  readonly objectiveMs: number;
+  /** Requests with different walls share no part. */
+  readonly cacheWall: string | undefined;
+  readonly isEngine: boolean;
+  readonly model: string | undefined;
+  /** Version that answers should be made on; undefined if any will do. */
+  readonly wantedVersion: number | undefined;
+}
+
+/** One target as the entry sees it. */
+export interface IPlacementTarget {
+  readonly record: TargetRecord;
+  readonly state: ITargetState;
+  /** Requests of other entries, as of the last exchange. */
+  readonly othersOpen: number;
+  readonly othersTokens: number;
+}
+
+/** The chosen target and what decided. */
+export interface IPlacement {
+  readonly target: TargetRecord;
+  readonly cost: number;
+  /** Expected time to the first byte in milliseconds. */
+  readonly expectedMs: number;
+  readonly missedTokens: number;
+  readonly candidates: number;
+}
+
+interface IHolder {
+  readonly born: number;
+  readonly at: number;
+}
+
+export class Placement {
+  /** Holders of each prompt part, by the key of the part and the id of the target. */
+  private readonly _holders = new Map<string, Map<string, IHolder>>();
+
+  constructor(private readonly _dataCentre: string) {}
+
+  /** Undefined if there is no target. */
+  public choose(
+    request: IPlacementRequest,
+    targets: readonly IPlacementTarget[],
+    now: number,
+  ): IPlacement | undefined {
+    const ranks = rankTargets(request, targets);
+    let best: IPlacement | undefined;
+    for (const target of targets) {
+      const placement = this._estimateCost(request, target, ranks, targets.length, now);
+      if (best === undefined || placement.cost < best.cost) {
+        best = placement;
+      }
+    }
+    return best;
+  }
+
+  /** Records that a target has read the parts of a prompt. */
+  public noteRead(request: IPlacementRequest, target: TargetRecord, now: number): void {
+    for (const part of listSharedParts(request)) {
+      const key = formatPartKey(request, part);
+      const holders = this._holders.get(key) ?? new Map<string, IHolder>();
+      holders.set(target.id, { born: target.born, at: now });
+      // Moved to the end, so that the part used longest ago is dropped first.
+      this._holders.delete(key);
+      this._holders.set(key, holders);
+    }
+    while (this._holders.size > MAX_PARTS) {
+      const [oldest] = this._holders.keys();
+      this._holders.delete(oldest ?? '');
+    }
+  }
+
+  /** A target that restarted or loaded weights holds nothing of before. */
+  public forgetTarget(id: string): void {
+    for (const holders of this._holders.values()) {
+      holders.delete(id);
+    }
+  }
+
+  private _estimateCost(
+    request: IPlacementRequest,
+    target: IPlacementTarget,
+    ranks: ReadonlyMap<string, number>,
+    candidates: number,
+    now: number,
+  ): IPlacement {
+    const { record, state } = target;
+    const missedTokens = this._estimateMissed(request, record, ranks.get(record.id) ?? 0, now);
+    const expectedMs = request.isEngine
+      ? estimateEngineMs(request, target, missedTokens, now)
+      : estimatePlainMs(target, now);
+    const isDoubtful = record.silent || record.loading || now < state.restUntil;
+    const cost =
+      measureLateness(expectedMs, request.objectiveMs) +
+      (missedTokens / 1_000) * REREAD_COST_PER_1000 +
+      (isOld(request, record) ? OLD_WEIGHTS_COST : 0) +
+      (record.dataCentre === this._dataCentre ? 0 : FAR_COST) +
+      (isDoubtful ? DOUBTFUL_COST : 0) +
+      // Breaks ties between idle targets.
+      expectedMs / 1_000_000;
+    return { target: record, cost, expectedMs, missedTokens, candidates };
+  }
+
+  /** Shared tokens that the target is expected to read again. */
+  private _estimateMissed(
+    request: IPlacementRequest,
+    record: TargetRecord,
+    rank: number,
+    now: number,
+  ): number {
+    const homeChance = HOME_CHANCES[rank] ?? 0;
+    let missed = 0;
+    let chance = 1;
+    for (const part of listSharedParts(request)) {
+      const holder = this._holders.get(formatPartKey(request, part))?.get(record.id);
+      const isHeld = holder?.born === record.born && now - holder.at <= EVIDENCE_MS;
+      // A part counts only if all parts before it are held too.
+      chance *= isHeld ? 1 : homeChance;
+      missed += part.tokens * (1 - chance);
+    }
+    return missed;
+  }
+}
+
+/** The last part belongs to the request itself. */
+function listSharedParts(request: IPlacementRequest): readonly IPromptPart[] {
+  return request.parts.slice(0, -1);
+}
+
+function formatPartKey(request: IPlacementRequest, part: IPromptPart): string {
+  return `${request.model ?? ''}/${request.cacheWall ?? ''}/${part.id}`;
+}
+
+/** Rendezvous order by the last shared part, on which all entries agree. */
+function rankTargets(
+  request: IPlacementRequest,
+  targets: readonly IPlacementTarget[],
+): ReadonlyMap<string, number> {
+  const subject = request.parts.at(-2);
+  if (subject === undefined) {
+    return new Map();
+  }
+  const key = hashText(formatPartKey(request, subject));
+  const scored = targets.map(({ record }) => ({
+    id: record.id,
+    score: hashBits(hashText(record.address) ^ key),
+  }));
+  scored.sort((left, right) => right.score - left.score);
+  return new Map(scored.map(({ id }, rank) => [id, rank]));
+}
+
+function countOpen({ state, othersOpen }: IPlacementTarget): number {
+  return state.open + othersOpen;
+}
+
+function estimateEngineMs(
+  request: IPlacementRequest,
+  target: IPlacementTarget,
+  missedTokens: number,
+  now: number,
+): number {
+  const own = request.parts.at(-1)?.tokens ?? request.promptTokens;
+  const backlog = target.state.pendingTokens + target.othersTokens;
+  const load = getFreshLoad(target.state, now);
+  const running = Math.max(countOpen(target), load?.running ?? 0);
+  const waiting = load?.waiting ?? 0;
+  const readMs = (backlog + own + missedTokens) / PREFILL_TOKENS_PER_MS;
+  return ENGINE_BASE_MS + readMs + (running + waiting) * RUNNING_MS;
+}
+
+function estimatePlainMs(target: IPlacementTarget, now: number): number {
+  const load = getFreshLoad(target.state, now);
+  const slots = Math.max(1, load?.slots ?? target.record.slots);
+  const open = Math.max(countOpen(target), load === undefined ? 0 : load.running + load.waiting);
+  const rounds = Math.max(0, (open + 1 - slots) / slots);
+  // The small part prefers the less loaded of two targets that both have room.
+  return PLAIN_WORK_MS * (1 + rounds + (0.2 * Math.min(open, slots)) / slots);
+}
+
+function measureLateness(expectedMs: number, objectiveMs: number): number {
+  const part = (expectedMs / Math.max(1, objectiveMs) - RISK_FROM) / (RISK_FULL - RISK_FROM);
+  return part <= 0 ? 0 : part * part;
+}
+
+function isOld(request: IPlacementRequest, record: TargetRecord): boolean {
+  const { wantedVersion, model } = request;
+  if (wantedVersion === undefined) {
+    return false;
+  }
+  const held = record.models.find(({ name }) => name === model);
+  return held !== undefined && Number(held.version) < wantedVersion;
+}
--- /dev/null
+++ b/src/gateway/TargetStates.ts
@@ -0,0 +1,92 @@
+/** What this entry knows of each target from its own requests. */
+import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
+import type { IToldLoad } from './Types.js';
+
+/** A target that failed is left alone for this long, doubled with each further failure. */
+const FIRST_REST_MS = 250;
+const LONGEST_REST_MS = 4_000;
+
+/** Failures in a row before a target is left alone; a single one may be chance. */
+const FAILURES_BEFORE_REST = 2;
+
+/** Age beyond which a told load says nothing. */
+const LOAD_KEPT_MS = 1_000;
+
+/** Own record of one start of a target. */
+export interface ITargetState {
+  readonly born: number;
+  /** Own requests in progress. */
+  open: number;
+  /** Prompt tokens of own requests that have no first event yet. */
+  pendingTokens: number;
+  failures: number;
+  restUntil: number;
+  /** Time of the last answer that was no failure. */
+  goodAt: number;
+  load: (IToldLoad & { readonly at: number }) | undefined;
+}
+
+export class TargetStates {
+  private readonly _states = new Map<string, ITargetState>();
+
+  public ensure(target: TargetRecord): ITargetState {
+    let state = this._states.get(target.id);
+    if (state?.born !== target.born) {
+      state = {
+        born: target.born,
+        open: 0,
+        pendingTokens: 0,
+        failures: 0,
+        restUntil: 0,
+        goodAt: Number.NEGATIVE_INFINITY,
+        load: undefined,
+      };
+      this._states.set(target.id, state);
+    }
+    return state;
+  }
+
+  /** Own work for the exchange with the hub. */
+  public listOpen(): { id: string; open: number; pendingTokens: number }[] {
+    return [...this._states]
+      .filter(([, state]) => state.open > 0)
+      .map(([id, { open, pendingTokens }]) => ({ id, open, pendingTokens }));
+  }
+
+  public forget(id: string): void {
+    const state = this._states.get(id);
+    if (state?.open === 0) {
+      this._states.delete(id);
+    }
+  }
+}
+
+export function noteGood(state: ITargetState, now: number): void {
+  state.failures = 0;
+  state.restUntil = 0;
+  state.goodAt = now;
+}
+
+/** Counts a failure; several in a row take the target out for a while. */
+export function noteFailure(state: ITargetState, now: number): void {
+  state.failures += 1;
+  const doublings = state.failures - FAILURES_BEFORE_REST;
+  if (doublings >= 0) {
+    state.restUntil = now + Math.min(LONGEST_REST_MS, FIRST_REST_MS * 2 ** doublings);
+  }
+}
+
+/** A target that can't be reached at all is left alone at once. */
+export function noteUnreachable(state: ITargetState, now: number): void {
+  state.failures = Math.max(state.failures, FAILURES_BEFORE_REST - 1);
+  noteFailure(state, now);
+}
+
+export function noteLoad(state: ITargetState, load: IToldLoad, now: number): void {
+  state.load = { ...load, at: now };
+}
+
+/** The load that the target told lately. */
+export function getFreshLoad(state: ITargetState, now: number): IToldLoad | undefined {
+  return state.load !== undefined && now - state.load.at <= LOAD_KEPT_MS ? state.load : undefined;
+}
--- /dev/null
+++ b/src/run/FleetProcess.ts
@@ -0,0 +1,179 @@
+/** One process of a deployment whose targets announce themselves: entry, hub and member of the log. */
+import { setMaxListeners } from 'node:events';
+import { MonotonicClock } from '../common/Clock.js';
+import { describeError, type ILog } from '../common/Log.js';
+import { Metrics } from '../common/Metrics.js';
+import { RpcClients } from '../common/Rpc.js';
+import { FleetNode, type IFleetMember } from '../fleet/FleetNode.js';
+import { FleetView } from '../fleet/FleetView.js';
+import type { IQuotaTerms } from '../fleet/QuotaRule.js';
+import { QuotaWallet } from '../fleet/QuotaWallet.js';
+import { RetryBudget, type IRetryLimits } from '../fleet/RetryBudget.js';
+import type { DocumentDecoder } from '../fleet/Types.js';
+import { WeightsRollout, type IEngineOrders } from '../fleet/WeightsRollout.js';
+import { CallRunner } from '../gateway/CallRunner.js';
+import { Placement } from '../gateway/Placement.js';
+import { TargetStates } from '../gateway/TargetStates.js';
+import type { ICall, ITargetClient } from '../gateway/Types.js';
+import { create } from '@bufbuild/protobuf';
+import { TargetWorkSchema } from '../gen/redwingwharf/v1/fleet_pb.js';
+import { InternalServer } from './InternalServer.js';
+import { MemberHost, type IMemberOptions } from './MemberHost.js';
+
+export interface IFleetProcessOptions {
+  readonly dataCentre: string;
+  /** Address for calls between the processes, also the identity of this one. */
+  readonly internal: string;
+  readonly seeds: readonly string[];
+  readonly clusterSecret: string;
+  readonly takesRequests: boolean;
+  /** Undefined on machines without a disk. */
+  readonly member: Pick<IMemberOptions, 'dataFolder' | 'isFounder'> | undefined;
+  readonly announceMs: number;
+  readonly quota: IQuotaTerms;
+  readonly leaseMs: number;
+  readonly retry: IRetryLimits;
+}
+
+/** What the platform supplies. */
+export interface IFleetAdapters<T extends ICall> {
+  readonly decode: DocumentDecoder;
+  readonly client: ITargetClient<T>;
+  readonly orders: IEngineOrders;
+}
+
+export class FleetProcess<T extends ICall> {
+  public readonly clock = new MonotonicClock();
+  public readonly metrics = new Metrics();
+  public readonly view: FleetView;
+  public readonly node: FleetNode;
+  public readonly calls: CallRunner<T>;
+
+  private readonly _stop = new AbortController();
+  private readonly _rpc: RpcClients;
+  private readonly _member: MemberHost | undefined;
+  private readonly _rollout: WeightsRollout;
+  private readonly _server: InternalServer;
+  private readonly _tasks: Promise<void>[] = [];
+  private _log: IFleetMember | undefined;
+
+  constructor(
+    private readonly _options: IFleetProcessOptions,
+    adapters: IFleetAdapters<T>,
+    private readonly _logger: ILog,
+  ) {
+    // Each call listens to this signal; Node takes more than ten listeners for a leak.
+    setMaxListeners(0, this._stop.signal);
+    const { internal, seeds, clusterSecret, dataCentre, member, takesRequests } = _options;
+    const { clock, metrics } = this;
+    const wallet = new QuotaWallet(_options.quota.windowMs);
+    const states = new TargetStates();
+    const placement = new Placement(dataCentre);
+    this._rpc = new RpcClients(clusterSecret);
+    this.view = new FleetView(adapters.decode, _logger);
+    this.node = new FleetNode(
+      {
+        address: internal,
+        dataCentre,
+        takesRequests,
+        hub: {
+          announceMs: _options.announceMs,
+          quota: _options.quota,
+          log: _logger,
+        },
+      },
+      this.view,
+      wallet,
+      { listWork: () => states.listOpen().map((work) => create(TargetWorkSchema, work)) },
+      this._rpc,
+      clock,
+      _logger,
+      seeds,
+    );
+    this.view.onTargetLoss(({ id }) => {
+      states.forget(id);
+      placement.forgetTarget(id);
+    });
+    this.calls = new CallRunner<T>({
+      view: this.view,
+      node: this.node,
+      wallet,
+      budget: new RetryBudget(_options.retry),
+      states,
+      placement,
+      client: adapters.client,
+      clock,
+      metrics,
+      log: _logger,
+    });
+    this._member =
+      member &&
+      new MemberHost(
+        { ...member, address: internal, peers: seeds },
+        this._rpc,
+        clock,
+        _logger,
+        (opened) => {
+          this._log = opened;
+          this.node.setMember(opened);
+        },
+      );
+    this._rollout = this._createRollout(adapters.orders);
+    this._server = this._createServer();
+  }
+
+  public async start(): Promise<void> {
+    await this._server.listen();
+    const { signal } = this._stop;
+    const tasks = [this.node.run(signal), this._rollout.run(signal)];
+    if (this._member !== undefined) {
+      tasks.push(this._member.run(signal));
+    }
+    for (const task of tasks) {
+      this._tasks.push(
+        task.catch((error: unknown) => {
+          this._logger.error('task failed', { reason: describeError(error) });
+          process.exitCode = 1;
+        }),
+      );
+    }
+  }
+
+  public async stop(): Promise<void> {
+    this._stop.abort();
+    await Promise.allSettled(this._tasks);
+    this._server.dispose();
+    this._rpc.dispose();
+  }
+
+  private _createRollout(orders: IEngineOrders): WeightsRollout {
+    const readLog = (): IFleetMember | undefined => this._log;
+    const { node } = this;
+    return new WeightsRollout(
+      {
+        getHub: (now) => node.getHub(now),
+        get term() {
+          return readLog()?.log.status.term ?? 0;
+        },
+        get weights() {
+          return readLog()?.state.weights ?? [];
+        },
+      },
+      orders,
+      { holder: this._options.internal, leaseMs: this._options.leaseMs },
+      this.clock,
+      this._logger,
+    );
+  }
+
+  private _createServer(): InternalServer {
+    return new InternalServer(this._options.internal, this._options.clusterSecret, {
+      registerRpc: (router) => {
+        this.node.registerRpc(router);
+        this._member?.registerRpc(router);
+      },
+      handleDispatch: undefined,
+      metrics: this.metrics,
+    });
+  }
+}
--- /dev/null
+++ b/src/run/MemberHost.ts
@@ -0,0 +1,136 @@
+/** Keeps the member of the replicated log of one process open, also after its disk failed. */
+import type { ConnectRouter } from '@connectrpc/connect';
+import { Code, ConnectError } from '@connectrpc/connect';
+import type { IClock } from '../common/Clock.js';
+import { describeError, type ILog } from '../common/Log.js';
+import type { RpcClients } from '../common/Rpc.js';
+import { isAborted, sleep } from '../common/Tasks.js';
+import {
+  initialiseDataFolder,
+  ReplicatedLog,
+  type IConsensusHandlers,
+} from '../consensus/ReplicatedLog.js';
+import { DEFAULT_TIMINGS } from '../consensus/Timings.js';
+import { RpcConsensusTransport } from '../consensus/Transport.js';
+import type { IFleetMember } from '../fleet/FleetNode.js';
+import { FleetState } from '../fleet/FleetState.js';
+import { ConsensusService } from '../gen/redwingwharf/v1/consensus_pb.js';
+import { DataDirectory } from '../storage/DataDirectory.js';
+import { StorageError } from '../storage/StorageError.js';
+
+/** Pause before a disk that failed is opened again. */
+const REOPEN_MS = 1_000;
+
+export interface IMemberOptions {
+  readonly dataFolder: string;
+  /** Internal address; also the member's id, so that a new disk at the address replaces the old one. */
+  readonly address: string;
+  /** Addresses of members to ask for admission. */
+  readonly peers: readonly string[];
+  /** True: this process founds the group if its disk is empty. */
+  readonly isFounder: boolean;
+}
+
+export class MemberHost {
+  private _handlers: IConsensusHandlers | undefined;
+
+  constructor(
+    private readonly _options: IMemberOptions,
+    private readonly _rpc: RpcClients,
+    private readonly _clock: IClock,
+    private readonly _log: ILog,
+    private readonly _setMember: (member: IFleetMember | undefined) => void,
+  ) {}
+
+  public registerRpc(router: ConnectRouter): void {
+    router.service(ConsensusService, {
+      requestVote: (request) => this._requireHandlers().requestVote(request),
+      appendEntries: (request) => this._requireHandlers().appendEntries(request),
+      installSnapshot: (request) => this._requireHandlers().installSnapshot(request),
+      join: (request, context) => this._requireHandlers().join(request, context),
+    });
+  }
+
+  /** Takes part in the group until the signal is aborted; opens the disk anew after a failure. */
+  public async run(signal: AbortSignal): Promise<void> {
+    while (!isAborted(signal)) {
+      try {
+        await this._runOnce(signal);
+      } catch (error) {
+        this._log.error('member failed', { reason: describeError(error) });
+      }
+      this._handlers = undefined;
+      this._setMember(undefined);
+      await sleep(REOPEN_MS, signal);
+    }
+  }
+
+  private async _runOnce(signal: AbortSignal): Promise<void> {
+    await this._initialiseIfEmpty();
+    const directory = await DataDirectory.open(this._options.dataFolder, true);
+    const state = new FleetState();
+    const opened = await ReplicatedLog.open(directory, {
+      memberId: this._options.address,
+      address: this._options.address,
+      peers: this._options.peers,
+      machine: state,
+      transport: new RpcConsensusTransport(this._rpc),
+      clock: this._clock,
+      log: this._log,
+      timings: DEFAULT_TIMINGS,
+      random: Math.random,
+    });
+    if (opened.err) {
+      throw opened.val;
+    }
+    const log = opened.val;
+    const failed = new AbortController();
+    log.onFailure((error) => {
+      this._log.error('member stopped', { reason: describeError(error) });
+      failed.abort();
+    });
+    log.onRoleChange(({ role, term, leaderAddress }) => {
+      this._log.info('control role changed', { role, term, leaderAddress });
+    });
+    this._handlers = log.handlers;
+    this._setMember({ log, state });
+    log.start();
+    await waitAborted(signal, failed.signal);
+    await log.stop();
+  }
+
+  private async _initialiseIfEmpty(): Promise<void> {
+    const { isFounder, dataFolder, address } = this._options;
+    if (!isFounder) {
+      return;
+    }
+    const founded = await initialiseDataFolder(dataFolder, address, address, true);
+    if (founded.ok) {
+      this._log.info('group founded', { member: address });
+    } else if (!(founded.val instanceof StorageError && founded.val.kind === 'not_empty')) {
+      throw founded.val;
+    }
+  }
+
+  private _requireHandlers(): IConsensusHandlers {
+    if (this._handlers === undefined) {
+      throw new ConnectError('The disk of this member is not open; ask another.', Code.Unavailable);
+    }
+    return this._handlers;
+  }
+}
+
+async function waitAborted(...signals: readonly AbortSignal[]): Promise<void> {
+  const any = AbortSignal.any([...signals]);
+  if (!any.aborted) {
+    await new Promise<void>((resolve) => {
+      any.addEventListener(
+        'abort',
+        () => {
+          resolve();
+        },
+        { once: true },
+      );
+    });
+  }
+}
--- a/src/storage/DataDirectory.ts
+++ b/src/storage/DataDirectory.ts
@@ -31,17 +31,21 @@
 export class DataDirectory implements IDataDirectory {
   private constructor(
     public readonly path: string,
-    private readonly _lock: LockFile,
+    private readonly _lock: LockFile | undefined,
   ) {}
 
-  /** Creates the directory if needed and locks it. Throws `StorageError` of kind `locked`. */
-  public static async open(path: string): Promise<DataDirectory> {
+  /**
+   * Creates the directory if needed and locks it. Throws `StorageError` of kind `locked`.
+   * `isExclusive` skips the lock: for file systems without hard links, where whoever starts the process
+   * gives the directory to no other one.
+   */
+  public static async open(path: string, isExclusive = false): Promise<DataDirectory> {
     const created = await mkdir(path, { recursive: true });
     if (created !== undefined) {
       await syncDirectory(dirname(path));
       await syncDirectory(dirname(created));
     }
-    const lock = await LockFile.acquire(join(path, LOCK_FILE));
+    const lock = isExclusive ? undefined : await LockFile.acquire(join(path, LOCK_FILE));
     for (const name of await readdir(path)) {
       if (name.endsWith(TEMPORARY_SUFFIX)) {
         await unlink(join(path, name));
@@ -68,6 +72,6 @@
 
   /** Releases the lock. The log is closed by its owner. */
   public async close(): Promise<void> {
-    await this._lock.release();
+    await this._lock?.release();
   }
 }
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -26,6 +26,8 @@
   ['tools/overhead.ts', 'dist/tools/overhead.cjs'],
 ];
 
+const SHIPPED_BUNDLES = new Set(['dist/redwingwharf.cjs', 'target/redwingwharf-platform.cjs']);
+
 async function bundle(source, output) {
   await build({
     entryPoints: [source],
@@ -39,7 +41,7 @@
     define: { __VERSION__: JSON.stringify(version) },
     logLevel: 'warning',
     // Switches that turn a mechanism off for the soak are compiled out of the product.
-    dropLabels: output === 'dist/redwingwharf.cjs' ? ['TEST_ONLY'] : [],
+    dropLabels: SHIPPED_BUNDLES.has(output) ? ['TEST_ONLY'] : [],
     minifySyntax: true,
   });
 }
@@ -61,10 +63,15 @@
   );
 }
 
-mkdirSync('dist/tools', { recursive: true });
-for (const [source, output] of ENTRY_POINTS) {
-  if (existsSync(source)) {
-    await bundle(source, output);
+if (process.argv.includes('--platform')) {
+  mkdirSync('target', { recursive: true });
+  await bundle('platform/main.ts', 'target/redwingwharf-platform.cjs');
+} else {
+  mkdirSync('dist/tools', { recursive: true });
+  for (const [source, output] of ENTRY_POINTS) {
+    if (existsSync(source)) {
+      await bundle(source, output);
+    }
   }
 }
 if (process.argv.includes('--executable')) {
