--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -44,6 +44,9 @@
   readonly targets: readonly TargetRecord[];
 }
 
+/** Progress of a target with new weights. */
+export type LoadState = 'none' | 'preparing' | 'loading';
+
 export interface IHubOptions {
   /** Time between two announcements of a target in milliseconds. */
   readonly announceMs: number;
@@ -85,7 +88,9 @@
     if (known === undefined) {
       this._store(record, seenAt);
     } else if (isLater(record, known.record)) {
-      record.loading = known.record.loading && record.born === known.record.born;
+      const isSameStart = record.born === known.record.born;
+      record.loading = isSameStart && known.record.loading;
+      record.preparing = isSameStart && known.record.preparing;
       if (known.record.silent || hasNews(record, known.record)) {
         this._store(record, seenAt);
       } else {
@@ -130,11 +135,14 @@
     return [...this._records.values()].map((entry) => entry.record);
   }
 
-  /** Marks a target as loading weights, or as done; spread like an announcement. */
-  public setLoading(id: string, isLoading: boolean): void {
+  /** Marks how far a target is with new weights; spread like an announcement. */
+  public setLoadState(id: string, state: LoadState): void {
     const known = this._records.get(id);
-    if (known !== undefined && known.record.loading !== isLoading) {
-      this._store(copyWith(known.record, { loading: isLoading }), known.seenAt);
+    const loading = state === 'loading';
+    const preparing = state === 'preparing';
+    const { record } = known ?? {};
+    if (record !== undefined && (record.loading !== loading || record.preparing !== preparing)) {
+      this._store(copyWith(record, { loading, preparing }), known?.seenAt ?? 0);
     }
   }
 
@@ -149,7 +157,7 @@
         ? create(TargetModelSchema, { name: model, version: BigInt(version) })
         : held,
     );
-    this._store(copyWith(known.record, { models, loading: false }), known.seenAt);
+    this._store(copyWith(known.record, { models, loading: false, preparing: false }), known.seenAt);
   }
 
   /** Work of all processes but one at each target. */
@@ -212,6 +220,7 @@
       sequence: String(sequence),
       silent,
       loading: record.loading,
+      preparing: record.preparing,
       weights: models.map(({ name, version }) => `${name}@${version}`),
     });
   }
@@ -247,7 +256,7 @@
 
 function copyWith(
   record: TargetRecord,
-  changes: Partial<Pick<TargetRecord, 'phase' | 'silent' | 'loading' | 'models'>>,
+  changes: Partial<Pick<TargetRecord, 'phase' | 'silent' | 'loading' | 'preparing' | 'models'>>,
 ): TargetRecord {
   return create(TargetRecordSchema, { ...record, ...changes });
 }
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -154,7 +154,7 @@
   /** Takes an announcement that a target sent to this process. */
   public announce(record: TargetRecord, now: number): void {
     const known = this._view.getTarget(record.id);
-    this._view.applyTarget(record);
+    this._view.applyAnnouncement(record);
     this._pending.set(record.id, record);
     this._pendingSince.set(record.id, now);
     if (known === undefined || hasNews(record, known)) {
@@ -297,7 +297,7 @@
     if (state.document !== undefined) {
       this._view.applyDocument(state.document);
     }
-    this._view.applyWeights(state.weights);
+    this._view.applyWeights(state.weights, this._clock.now());
     this._woken.abort();
   }
 
--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -12,6 +12,7 @@
 import { RouteTable } from './RouteTable.js';
 import { isLater } from './TargetOrder.js';
 import type { DocumentDecoder } from './Types.js';
+import { WeightsHistory } from './WeightsHistory.js';
 
 const NO_WORK = { open: 0, pendingTokens: 0 };
 
@@ -25,7 +26,7 @@
 export class FleetView {
   private readonly _targets = new Map<string, TargetRecord>();
   private readonly _byService = new Map<string, TargetRecord[]>();
-  private readonly _weights = new Map<string, number>();
+  private readonly _weights = new WeightsHistory();
   private readonly _tableChanges = new Emitter<RouteTable>();
   private readonly _targetLosses = new Emitter<TargetRecord>();
   private _work: ReadonlyMap<string, IOthersWork> = new Map();
@@ -60,9 +61,9 @@
     return this._entries;
   }
 
-  /** Newest named version of a model; undefined if none was named. */
-  public getNamedVersion(model: string): number | undefined {
-    return this._weights.get(model);
+  /** Versions of the models' weights and when they were named. */
+  public get weights(): WeightsHistory {
+    return this._weights;
   }
 
   /** Targets of a service that take new work. */
@@ -99,16 +100,25 @@
     this._tableChanges.fire(this._table);
   }
 
-  public applyWeights(weights: readonly NamedWeights[]): void {
+  public applyWeights(weights: readonly NamedWeights[], now: number): void {
     for (const { model, version } of weights) {
-      if (Number(version) > (this._weights.get(model) ?? 0)) {
-        this._weights.set(model, Number(version));
+      if (this._weights.note(model, Number(version), now)) {
         this._log.info('weights named', { model, version: Number(version) });
       }
     }
   }
 
-  /** Applies one announcement that arrived here or through the hub. */
+  /** Applies an announcement that arrived here; what the hub said of the target's weights stays. */
+  public applyAnnouncement(record: TargetRecord): void {
+    const known = this._targets.get(record.id);
+    if (known?.born === record.born) {
+      record.loading = known.loading;
+      record.preparing = known.preparing;
+    }
+    this.applyTarget(record);
+  }
+
+  /** Applies what the hub says of a target. */
   public applyTarget(record: TargetRecord): void {
     const known = this._targets.get(record.id);
     const isSameStart = known?.born === record.born;
@@ -135,7 +145,7 @@
     if (answer.document !== undefined) {
       this.applyDocument(answer.document);
     }
-    this.applyWeights(answer.weights);
+    this.applyWeights(answer.weights, now);
     for (const record of answer.targets) {
       this.applyTarget(record);
     }
--- a/src/fleet/WeightsRollout.ts
+++ b/src/fleet/WeightsRollout.ts
@@ -27,11 +27,14 @@
 const FAILED_REST_MS = 1_500;
 
 /**
- * Engines that are out at once: a part of the service, at least three. More than a quarter would make each
- * load slower, but some of them only wait until their runs have finished.
+ * Engines that load at once: a part of the service, at least two; more make each load slower. As many
+ * again get ready for it.
  */
-const AT_ONCE_PART = 0.35;
-const AT_ONCE_MIN = 3;
+const AT_ONCE_PART = 0.25;
+const AT_ONCE_MIN = 2;
+
+/** Time for which an engine gets no long streams before it loads, so that few runs delay the load. */
+const PREPARE_MS = 1_500;
 
 /** What an engine reports of itself. */
 export interface IEngineReport {
@@ -74,7 +77,9 @@
 }
 
 export class WeightsRollout {
-  private readonly _active = new Map<string, Promise<void>>();
+  /** Engines that load, and those that get ready with the time since when. */
+  private readonly _loading = new Map<string, Promise<void>>();
+  private readonly _preparing = new Map<string, number>();
   private readonly _restUntil = new Map<string, number>();
   private _leading: { readonly term: number; readonly since: number } | undefined;
 
@@ -91,13 +96,14 @@
       this._startLoads(this._clock.now(), signal);
       await sleep(STEP_MS, signal);
     }
-    await Promise.all(this._active.values());
+    await Promise.all(this._loading.values());
   }
 
   private _startLoads(now: number, signal: AbortSignal): void {
     const hub = this._leader.getHub(now);
     if (hub === undefined) {
       this._leading = undefined;
+      this._preparing.clear();
       return;
     }
     const { term } = this._leader;
@@ -121,34 +127,65 @@
     targets: readonly TargetRecord[],
     signal: AbortSignal,
   ): void {
+    const now = this._clock.now();
     // The oldest weights first, so that no engine is passed over by newer and newer versions.
     const holders = targets
       .filter((target) => isLoadable(target, model))
       .sort((left, right) => getVersion(left, model) - getVersion(right, model));
     const places = Math.max(AT_ONCE_MIN, Math.floor(holders.length * AT_ONCE_PART));
-    const now = this._clock.now();
     for (const target of holders) {
-      if (this._active.size >= places) {
-        return;
+      const isDue =
+        getVersion(target, model) < version &&
+        !this._loading.has(target.id) &&
+        now >= (this._restUntil.get(target.id) ?? 0);
+      if (isDue) {
+        this._advance(target, model, version, hub, places, signal);
       }
-      const isDue = getVersion(target, model) < version && !this._active.has(target.id);
-      if (isDue && now >= (this._restUntil.get(target.id) ?? 0)) {
-        const load = this._load(target, model, version, hub, signal)
-          .catch((error: unknown) => {
-            this._restUntil.set(target.id, this._clock.now() + FAILED_REST_MS);
-            this._log.warn('weights order failed', {
-              target: target.id,
-              model,
-              version,
-              reason: describeError(error),
-            });
-          })
-          .finally(() => {
-            this._active.delete(target.id);
-            hub.setLoading(target.id, false);
-          });
-        this._active.set(target.id, load);
+    }
+  }
+
+  /** Begins to prepare an engine, or its load once it is prepared, as far as there are places. */
+  private _advance(
+    target: TargetRecord,
+    model: string,
+    version: number,
+    hub: FleetHub,
+    places: number,
+    signal: AbortSignal,
+  ): void {
+    const now = this._clock.now();
+    const preparedSince = this._preparing.get(target.id);
+    if (preparedSince === undefined) {
+      if (this._preparing.size < places) {
+        this._preparing.set(target.id, now);
+        hub.setLoadState(target.id, 'preparing');
       }
+    } else if (now - preparedSince >= PREPARE_MS && this._loading.size < places) {
+      this._preparing.delete(target.id);
+      this._loading.set(target.id, this._runLoad(target, model, version, hub, signal));
+    }
+  }
+
+  private async _runLoad(
+    target: TargetRecord,
+    model: string,
+    version: number,
+    hub: FleetHub,
+    signal: AbortSignal,
+  ): Promise<void> {
+    try {
+      await this._load(target, model, version, hub, signal);
+    } catch (error) {
+      this._restUntil.set(target.id, this._clock.now() + FAILED_REST_MS);
+      this._log.warn('weights order failed', {
+        target: target.id,
+        model,
+        version,
+        reason: describeError(error),
+      });
+    } finally {
+      this._loading.delete(target.id);
+      hub.setLoadState(target.id, 'none');
     }
   }
 
@@ -159,7 +196,7 @@
     hub: FleetHub,
     signal: AbortSignal,
   ): Promise<void> {
-    hub.setLoading(target.id, true);
+    hub.setLoadState(target.id, 'loading');
     const [before] = await Promise.all([
       this._report(target, signal),
       sleep(ANNOUNCE_AHEAD_MS, signal),
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -13,8 +13,8 @@
 import { hashText } from '../policy/TargetTable.js';
 import { Attempt, type AttemptOutcome } from './Attempt.js';
 import type { IPlacement, IPlacementRequest, IPlacementTarget, Placement } from './Placement.js';
-import { noteFailure, noteUnreachable, type TargetStates } from './TargetStates.js';
-import type { IAnswerSink, ICall, ITargetClient, RefusalReason } from './Types.js';
+import { noteBusy, noteFailure, noteUnreachable, type TargetStates } from './TargetStates.js';
+import type { IAnswerSink, ICall, IDispatch, ITargetClient, RefusalReason } from './Types.js';
 
 /** A request waits this long for tokens that the hub may grant. */
 const QUOTA_WAIT_MS = 150;
@@ -52,6 +52,8 @@
   readonly clock: IClock;
   readonly metrics: Metrics;
   readonly log: ILog;
+  /** A request may not begin on weights that were replaced for this long. */
+  readonly weightsDueMs: number;
 }
 
 /** A call whose route and client account are known. */
@@ -196,7 +198,13 @@
   ): IPlacement | undefined {
     const { view, states, placement } = this._context;
     const all = view.listTargets(service.name);
-    const fresh = all.filter((record) => !progress.tried.has(record.id));
+    const dueVersion =
+      call.model === undefined
+        ? 0
+        : view.weights.getDue(call.model, this._context.weightsDueMs, now);
+    const fresh = all.filter(
+      (record) => !progress.tried.has(record.id) && hasVersion(record, call.model, dueVersion),
+    );
     const targets = fresh.map((record): IPlacementTarget => {
       const others = view.getOthersWork(record.id);
       return {
@@ -216,12 +224,13 @@
     return {
       parts: service.engine === undefined ? [] : call.parts,
       promptTokens: call.promptTokens ?? 0,
+      outputTokens: call.lengthHint ?? call.outputTokens ?? 0,
       objectiveMs: route.objectiveMs,
       cacheWall: account?.isIsolated === true ? account.name : undefined,
       isEngine: service.engine !== undefined,
       model: call.model,
       wantedVersion:
-        call.model === undefined ? undefined : this._context.view.getNamedVersion(call.model),
+        call.model === undefined ? undefined : this._context.view.weights.getNewest(call.model),
     };
   }
 
@@ -252,7 +261,7 @@
       dispatch: {
         clientAccount: account?.name,
         priority: Math.min(LOWEST_PRIORITY, Math.max(0, account?.priority ?? route.priority)),
-        cacheWall: request.cacheWall,
+        ...describeCache(request, placement),
       },
     });
     const startedAt = clock.now();
@@ -275,6 +284,7 @@
       status: attempt.status,
       expectedMs: Math.round(placement.expectedMs),
       missedTokens: Math.round(placement.missedTokens),
+      source: placement.source?.id,
       open: state.open,
       firstMs: attempt.firstByteAt && Math.round(attempt.firstByteAt - startedAt),
       totalMs: Math.round(now - startedAt),
@@ -287,8 +297,12 @@
 
   private _noteOutcome(target: TargetRecord, outcome: AttemptOutcome, now: number): void {
     const state = this._context.states.ensure(target);
-    if (outcome.kind === 'not_run' && outcome.isUnreachable) {
-      noteUnreachable(state, now);
+    if (outcome.kind === 'not_run') {
+      if (outcome.isUnreachable) {
+        noteUnreachable(state, now);
+      } else {
+        noteBusy(state, now);
+      }
     } else if (outcome.kind === 'failed') {
       noteFailure(state, now);
     }
@@ -405,6 +419,31 @@
   return route.kind === 'safe' || (route.kind === 'streaming' && route.isResumable);
 }
 
+/**
+ * Parts of other weights must not be found, also not where they were moved to, so the scope names the
+ * weights and the target must still hold them.
+ */
+function describeCache(
+  request: IPlacementRequest,
+  { target, source }: IPlacement,
+): Pick<IDispatch, 'cacheScope' | 'weightsVersion' | 'cacheSource'> {
+  const held = target.models.find(({ name }) => name === request.model);
+  if (held === undefined) {
+    return { cacheScope: undefined, weightsVersion: undefined, cacheSource: undefined };
+  }
+  const version = Number(held.version);
+  return {
+    cacheScope: `${version}/${request.cacheWall ?? ''}`,
+    weightsVersion: version,
+    cacheSource: source?.address,
+  };
+}
+
+function hasVersion(record: TargetRecord, model: string | undefined, version: number): boolean {
+  const held = record.models.find(({ name }) => name === model);
+  return held === undefined || Number(held.version) >= version;
+}
+
 function countTokens(call: ICall, account: IClientAccount | undefined): number {
   return call.promptTokens === undefined && call.outputTokens === undefined
     ? (account?.defaultTokens ?? 0)
--- a/src/gateway/Placement.ts
+++ b/src/gateway/Placement.ts
@@ -32,14 +32,29 @@
 const RISK_FROM = 0.3;
 const RISK_FULL = 1.1;
 
+/** Tokens beyond which a stream delays the load of new weights (about half a second). */
+const LONG_STREAM_TOKENS = 100;
+
+/** Cost of a long stream on an engine that will load weights shortly: it delays the load for all. */
+const DELAYED_LOAD_COST = 0.5;
+
 /** Worth lost by an answer on old weights. */
 const OLD_WEIGHTS_COST = 0.2;
 
 /** Cost of a target in another data centre, so that equal choices stay in the own one. */
 const FAR_COST = 0.004;
 
-/** Cost of a target that is silent or has just failed: used only when others are worse. */
-const DOUBTFUL_COST = 2;
+/** Worth lost by moving 1,000 tokens of KV cache between engines, as part of a request's worth. */
+const MOVE_COST_PER_1000 = 0.005;
+
+/** Time to move 1,000 tokens of KV cache over an engine's link (18 KB each, 370 Gbit/s), with set-up. */
+const MOVE_MS_PER_1000 = 1;
+
+/** Parts below this size are read faster than they are moved. */
+const MIN_MOVED_TOKENS = 500;
+
+/** Cost of a target that is silent or has just failed: used only when there is no other. */
+const DOUBTFUL_COST = 20;
 
 /** Chance that the n-th target in rendezvous order holds a shared part. */
 const HOME_CHANCES = [1, 0.3] as const;
@@ -49,6 +64,8 @@
   /** Shared and own parts of the prompt, in order; empty for plain services. */
   readonly parts: readonly IPromptPart[];
   readonly promptTokens: number;
+  /** Tokens that are expected to be generated. */
+  readonly outputTokens: number;
   readonly objectiveMs: number;
   /** Requests with different walls share no part. */
   readonly cacheWall: string | undefined;
@@ -73,15 +90,27 @@
   readonly cost: number;
   /** Expected time to the first byte in milliseconds. */
   readonly expectedMs: number;
+  /** Shared tokens that are expected to be read again. */
   readonly missedTokens: number;
+  /** Target from whose memory the shared parts are to be fetched. */
+  readonly source: TargetRecord | undefined;
   readonly candidates: number;
 }
 
 interface IHolder {
   readonly born: number;
+  readonly version: number;
   readonly at: number;
 }
 
+/** A target with the shared tokens that it is expected to hold. */
+interface IHolding {
+  readonly target: IPlacementTarget;
+  readonly version: number;
+  readonly heldTokens: number;
+  readonly isDoubtful: boolean;
+}
+
 export class Placement {
   /** Holders of each prompt part, by the key of the part and the id of the target. */
   private readonly _holders = new Map<string, Map<string, IHolder>>();
@@ -95,9 +124,18 @@
     now: number,
   ): IPlacement | undefined {
     const ranks = rankTargets(request, targets);
+    const holdings = targets.map((target): IHolding => {
+      const { record, state } = target;
+      return {
+        target,
+        version: getVersion(request, record),
+        heldTokens: this._estimateHeld(request, record, ranks.get(record.id) ?? 0, now),
+        isDoubtful: record.silent || record.loading || now < state.restUntil,
+      };
+    });
     let best: IPlacement | undefined;
-    for (const target of targets) {
-      const placement = this._estimateCost(request, target, ranks, targets.length, now);
+    for (const holding of holdings) {
+      const placement = this._estimateCost(request, holding, holdings, now);
       if (best === undefined || placement.cost < best.cost) {
         best = placement;
       }
@@ -110,7 +148,7 @@
     for (const part of listSharedParts(request)) {
       const key = formatPartKey(request, part);
       const holders = this._holders.get(key) ?? new Map<string, IHolder>();
-      holders.set(target.id, { born: target.born, at: now });
+      holders.set(target.id, { born: target.born, version: getVersion(request, target), at: now });
       // Moved to the end, so that the part used longest ago is dropped first.
       this._holders.delete(key);
       this._holders.set(key, holders);
@@ -130,47 +168,85 @@
 
   private _estimateCost(
     request: IPlacementRequest,
-    target: IPlacementTarget,
-    ranks: ReadonlyMap<string, number>,
-    candidates: number,
+    holding: IHolding,
+    all: readonly IHolding[],
     now: number,
   ): IPlacement {
-    const { record, state } = target;
-    const missedTokens = this._estimateMissed(request, record, ranks.get(record.id) ?? 0, now);
+    const { target, heldTokens, isDoubtful } = holding;
+    const { record } = target;
+    const source = findSource(holding, all);
+    const sharedTokens = sumTokens(listSharedParts(request));
+    const movedTokens = source === undefined ? 0 : source.heldTokens - heldTokens;
+    const missedTokens = sharedTokens - heldTokens - movedTokens;
+    const moveMs = (movedTokens / 1_000) * MOVE_MS_PER_1000;
     const expectedMs = request.isEngine
-      ? estimateEngineMs(request, target, missedTokens, now)
+      ? estimateEngineMs(request, target, missedTokens, now) + moveMs
       : estimatePlainMs(target, now);
-    const isDoubtful = record.silent || record.loading || now < state.restUntil;
     const cost =
       measureLateness(expectedMs, request.objectiveMs) +
       (missedTokens / 1_000) * REREAD_COST_PER_1000 +
+      (movedTokens / 1_000) * MOVE_COST_PER_1000 +
       (isOld(request, record) ? OLD_WEIGHTS_COST : 0) +
+      (record.preparing && request.outputTokens > LONG_STREAM_TOKENS ? DELAYED_LOAD_COST : 0) +
       (record.dataCentre === this._dataCentre ? 0 : FAR_COST) +
       (isDoubtful ? DOUBTFUL_COST : 0) +
       // Breaks ties between idle targets.
       expectedMs / 1_000_000;
-    return { target: record, cost, expectedMs, missedTokens, candidates };
+    return {
+      target: record,
+      cost,
+      expectedMs,
+      missedTokens,
+      source: source?.target.record,
+      candidates: all.length,
+    };
   }
 
-  /** Shared tokens that the target is expected to read again. */
-  private _estimateMissed(
+  /** Shared tokens that the target is expected to hold. */
+  private _estimateHeld(
     request: IPlacementRequest,
     record: TargetRecord,
     rank: number,
     now: number,
   ): number {
     const homeChance = HOME_CHANCES[rank] ?? 0;
-    let missed = 0;
+    const version = getVersion(request, record);
+    let held = 0;
     let chance = 1;
     for (const part of listSharedParts(request)) {
       const holder = this._holders.get(formatPartKey(request, part))?.get(record.id);
-      const isHeld = holder?.born === record.born && now - holder.at <= EVIDENCE_MS;
+      const isHeld =
+        holder?.born === record.born &&
+        holder.version === version &&
+        now - holder.at <= EVIDENCE_MS;
       // A part counts only if all parts before it are held too.
       chance *= isHeld ? 1 : homeChance;
-      missed += part.tokens * (1 - chance);
+      held += part.tokens * chance;
+    }
+    return held;
+  }
+}
+
+/** The target of the same weights from which most would be gained by a move. */
+function findSource(holding: IHolding, all: readonly IHolding[]): IHolding | undefined {
+  let best: IHolding | undefined;
+  for (const other of all) {
+    const isUsable = other !== holding && other.version === holding.version && !other.isDoubtful;
+    if (isUsable && other.heldTokens > (best ?? holding).heldTokens) {
+      best = other;
     }
-    return missed;
   }
+  const gain = (best?.heldTokens ?? 0) - holding.heldTokens;
+  return gain >= MIN_MOVED_TOKENS ? best : undefined;
+}
+
+function sumTokens(parts: readonly IPromptPart[]): number {
+  return parts.reduce((sum, part) => sum + part.tokens, 0);
+}
+
+/** Version of the request's model that the target holds; 0 if it names none. */
+function getVersion({ model }: IPlacementRequest, record: TargetRecord): number {
+  return Number(record.models.find(({ name }) => name === model)?.version ?? 0);
 }
 
 /** The last part belongs to the request itself. */
@@ -234,10 +310,6 @@
 }
 
 function isOld(request: IPlacementRequest, record: TargetRecord): boolean {
-  const { wantedVersion, model } = request;
-  if (wantedVersion === undefined) {
-    return false;
-  }
-  const held = record.models.find(({ name }) => name === model);
-  return held !== undefined && Number(held.version) < wantedVersion;
+  const version = getVersion(request, record);
+  return request.wantedVersion !== undefined && version > 0 && version < request.wantedVersion;
 }
--- a/src/gateway/TargetStates.ts
+++ b/src/gateway/TargetStates.ts
@@ -9,6 +9,9 @@
 /** Failures in a row before a target is left alone; a single one may be chance. */
 const FAILURES_BEFORE_REST = 2;
 
+/** A target that turned a request away as full is left alone for this long. */
+const BUSY_REST_MS = 150;
+
 /** Age beyond which a told load says nothing. */
 const LOAD_KEPT_MS = 1_000;
 
@@ -82,6 +85,11 @@
   noteFailure(state, now);
 }
 
+/** Counts a refusal of a target that is full or loads weights. */
+export function noteBusy(state: ITargetState, now: number): void {
+  state.restUntil = Math.max(state.restUntil, now + BUSY_REST_MS);
+}
+
 export function noteLoad(state: ITargetState, load: IToldLoad, now: number): void {
   state.load = { ...load, at: now };
 }
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -24,6 +24,8 @@
   readonly promptTokens: number | undefined;
   /** Most tokens to generate. */
   readonly outputTokens: number | undefined;
+  /** The client's estimate of the tokens to generate. */
+  readonly lengthHint: number | undefined;
   readonly parts: readonly IPromptPart[];
   /** Number of the last event that the client has; undefined for a stream from the start. */
   readonly resumeAfter: number | undefined;
@@ -65,8 +67,12 @@
   readonly clientAccount: string | undefined;
   /** From 0, the most urgent, to 9. */
   readonly priority: number;
-  /** Requests with different walls share no cached prompt part. */
-  readonly cacheWall: string | undefined;
+  /** Requests with different scopes share no cached prompt part, wherever it is moved. */
+  readonly cacheScope: string | undefined;
+  /** Version of the weights that the target must hold; undefined where it has none. */
+  readonly weightsVersion: number | undefined;
+  /** Address of the target from whose memory shared prompt parts are fetched. */
+  readonly cacheSource: string | undefined;
   readonly resumeAfter: number | undefined;
 }
 
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -20,6 +20,9 @@
 import { InternalServer } from './InternalServer.js';
 import { MemberHost, type IMemberOptions } from './MemberHost.js';
 
+/** Covers the way of a version to this process and of a request into an engine's queue. */
+const WEIGHTS_MARGIN_MS = 2_000;
+
 export interface IFleetProcessOptions {
   readonly dataCentre: string;
   /** Address for calls between the processes, also the identity of this one. */
@@ -32,6 +35,8 @@
   readonly announceMs: number;
   readonly quota: IQuotaTerms;
   readonly leaseMs: number;
+  /** A request may begin on older weights for this long after newer ones were named. */
+  readonly weightsLimitMs: number;
   readonly retry: IRetryLimits;
 }
 
@@ -105,6 +110,7 @@
       clock,
       metrics,
       log: _logger,
+      weightsDueMs: _options.weightsLimitMs - WEIGHTS_MARGIN_MS,
     });
     this._member =
       member &&
