Keep shared prompt parts in the store of KV cache

Change: what engines read goes to the store, and a request fetches from a better engine or the store; the leader asks the store for its news and tells all processes whether it answers.

--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -253,6 +253,7 @@
     response.weights = [...state.weights];
     response.work = hub.sumWork(request.node);
     response.entries = hub.countEntries();
+    response.stores = hub.listStores();
     response.grants = hub
       .grantQuotas(request.node, request.quotas, now)
       .map((grant) => create(QuotaGrantSchema, grant));
--- a/src/fleet/Types.ts
+++ b/src/fleet/Types.ts
@@ -49,8 +49,8 @@
   readonly maxConnections: number;
   /** Undefined for plain services. */
   readonly engine: IEngineTraits | undefined;
-  /** True for a store of KV cache, which takes no requests. */
-  readonly isStore: boolean;
+  /** Address of a store of KV cache, which takes no requests; undefined for all others. */
+  readonly storeAddress: string | undefined;
 }
 
 /** A client account and its limits. */
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -34,6 +34,9 @@
 /** Least time that a further target must have left to be worth trying. */
 const MIN_ATTEMPT_MS = 30;
 
+/** Shared parts below this size are read faster than they are fetched from a store. */
+const MIN_STORED_TOKENS = 1_000;
+
 /** Targets that were not reached don't count as tried; this many end the search. */
 const MAX_UNREACHED = 3;
 
@@ -261,7 +264,7 @@
       dispatch: {
         clientAccount: account?.name,
         priority: Math.min(LOWEST_PRIORITY, Math.max(0, account?.priority ?? route.priority)),
-        ...describeCache(request, placement),
+        ...describeCache(request, placement, this._context.view.store),
       },
     });
     const startedAt = clock.now();
@@ -426,16 +429,25 @@
 function describeCache(
   request: IPlacementRequest,
   { target, source }: IPlacement,
-): Pick<IDispatch, 'cacheScope' | 'weightsVersion' | 'cacheSource'> {
+  store: string | undefined,
+): Pick<IDispatch, 'cacheScope' | 'weightsVersion' | 'cacheSource' | 'cacheStore'> {
   const held = target.models.find(({ name }) => name === request.model);
   if (held === undefined) {
-    return { cacheScope: undefined, weightsVersion: undefined, cacheSource: undefined };
+    return {
+      cacheScope: undefined,
+      weightsVersion: undefined,
+      cacheSource: undefined,
+      cacheStore: undefined,
+    };
   }
   const version = Number(held.version);
+  const sharedTokens = request.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+  const isShared = sharedTokens >= MIN_STORED_TOKENS;
   return {
     cacheScope: `${version}/${request.cacheWall ?? ''}`,
     weightsVersion: version,
-    cacheSource: source?.address,
+    cacheSource: isShared ? (source?.address ?? store) : undefined,
+    cacheStore: isShared ? store : undefined,
   };
 }
 
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -45,7 +45,8 @@
   | 'overloaded'
   | 'not_run'
   | 'failed'
-  | 'time_limit';
+  | 'time_limit'
+  | 'stopping';
 
 /** Takes the answer to a call. Exactly one of `refuse`, `end` and `cut` ends it. */
 export interface IAnswerSink {
@@ -73,6 +74,8 @@
   readonly weightsVersion: number | undefined;
   /** Address of the target from whose memory shared prompt parts are fetched. */
   readonly cacheSource: string | undefined;
+  /** Address of the store that gets the prompt parts that the target reads. */
+  readonly cacheStore: string | undefined;
   readonly resumeAfter: number | undefined;
 }
 
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -10,6 +10,7 @@
 import { QuotaWallet } from '../fleet/QuotaWallet.js';
 import { RetryBudget, type IRetryLimits } from '../fleet/RetryBudget.js';
 import type { DocumentDecoder } from '../fleet/Types.js';
+import { StoreWatch, type StoreQuestion } from '../fleet/StoreWatch.js';
 import { WeightsRollout, type IEngineOrders } from '../fleet/WeightsRollout.js';
 import { CallRunner } from '../gateway/CallRunner.js';
 import { Placement } from '../gateway/Placement.js';
@@ -45,6 +46,7 @@
   readonly decode: DocumentDecoder;
   readonly client: ITargetClient<T>;
   readonly orders: IEngineOrders;
+  readonly askStore: StoreQuestion;
 }
 
 export class FleetProcess<T extends ICall> {
@@ -58,6 +60,7 @@
   private readonly _rpc: RpcClients;
   private readonly _member: MemberHost | undefined;
   private readonly _rollout: WeightsRollout;
+  private readonly _stores: StoreWatch;
   private readonly _server: InternalServer;
   private readonly _tasks: Promise<void>[] = [];
   private _log: IFleetMember | undefined;
@@ -125,13 +128,20 @@
         },
       );
     this._rollout = this._createRollout(adapters.orders);
+    this._stores = new StoreWatch(
+      this.view,
+      (now) => this.node.getHub(now),
+      adapters.askStore,
+      clock,
+      _logger,
+    );
     this._server = this._createServer();
   }
 
   public async start(): Promise<void> {
     await this._server.listen();
     const { signal } = this._stop;
-    const tasks = [this.node.run(signal), this._rollout.run(signal)];
+    const tasks = [this.node.run(signal), this._rollout.run(signal), this._stores.run(signal)];
     if (this._member !== undefined) {
       tasks.push(this._member.run(signal));
     }
