--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -185,19 +185,29 @@
       if (node === except) {
         continue;
       }
-      for (const { id, open, pendingTokens } of report.work) {
+      for (const { id, open, pendingTokens, longStreams } of report.work) {
         const sum = sums.get(id);
         if (sum === undefined) {
-          sums.set(id, create(TargetWorkSchema, { id, open, pendingTokens }));
+          sums.set(id, create(TargetWorkSchema, { id, open, pendingTokens, longStreams }));
         } else {
           sum.open += open;
           sum.pendingTokens += pendingTokens;
+          sum.longStreams += longStreams;
         }
       }
     }
     return [...sums.values()];
   }
 
+  /** Streams that are expected to last at a target, as the processes last told. */
+  public countLongStreams(id: string): number {
+    let count = 0;
+    for (const { work } of this._processes.values()) {
+      count += work.find((item) => item.id === id)?.longStreams ?? 0;
+    }
+    return count;
+  }
+
   public countEntries(): number {
     return [...this._processes.values()].filter((report) => report.takesRequests).length;
   }
--- a/src/fleet/WeightsRollout.ts
+++ b/src/fleet/WeightsRollout.ts
@@ -33,8 +33,12 @@
 const AT_ONCE_PART = 0.25;
 const AT_ONCE_MIN = 2;
 
-/** Time for which an engine gets no long streams before it loads, so that few runs delay the load. */
-const PREPARE_MS = 1_500;
+/**
+ * An engine gets no long streams before it loads, until those that it has have ended: the load waits for
+ * all runs. These are the shortest time, in which every process learns of it, and the longest.
+ */
+const PREPARE_MIN_MS = 400;
+const PREPARE_MAX_MS = 4_000;
 
 /** What an engine reports of itself. */
 export interface IEngineReport {
@@ -73,6 +77,8 @@
   getHub(now: number): FleetHub | undefined;
   /** Term of the log; each has one leader at most, so it serves as fencing token. */
   readonly term: number;
+  /** Version below which no request may begin any more. */
+  getDueVersion(model: string, now: number): number;
   readonly weights: readonly { readonly model: string; readonly version: bigint }[];
 }
 
@@ -132,7 +138,10 @@
     const holders = targets
       .filter((target) => isLoadable(target, model))
       .sort((left, right) => getVersion(left, model) - getVersion(right, model));
-    const places = Math.max(AT_ONCE_MIN, Math.floor(holders.length * AT_ONCE_PART));
+    // Engines whose weights may no longer begin a request are out anyway; each gets a place.
+    const due = this._leader.getDueVersion(model, now);
+    const idle = holders.filter((target) => getVersion(target, model) < due).length;
+    const places = Math.max(AT_ONCE_MIN, Math.floor(holders.length * AT_ONCE_PART), idle);
     for (const target of holders) {
       const isDue =
         getVersion(target, model) < version &&
@@ -156,16 +165,23 @@
     const now = this._clock.now();
     const preparedSince = this._preparing.get(target.id);
     if (preparedSince === undefined) {
-      if (this._preparing.size < places) {
+      if (this._preparing.size <= places) {
         this._preparing.set(target.id, now);
         hub.setLoadState(target.id, 'preparing');
       }
-    } else if (now - preparedSince >= PREPARE_MS && this._loading.size < places) {
+    } else if (this._isPrepared(target, hub, now - preparedSince) && this._loading.size < places) {
       this._preparing.delete(target.id);
       this._loading.set(target.id, this._runLoad(target, model, version, hub, signal));
     }
   }
 
+  private _isPrepared(target: TargetRecord, hub: FleetHub, preparedMs: number): boolean {
+    if (preparedMs >= PREPARE_MAX_MS) {
+      return true;
+    }
+    return preparedMs >= PREPARE_MIN_MS && hub.countLongStreams(target.id) === 0;
+  }
+
   private async _runLoad(
     target: TargetRecord,
     model: string,
--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -42,6 +42,8 @@
   readonly lastEventId: number | undefined;
   /** Prompt tokens that the target is expected to read. */
   readonly pendingTokens: number;
+  /** True: the stream is expected to last. */
+  readonly isLong: boolean;
   /** True: an error status of the target may be dropped in favour of another target's answer. */
   readonly mayReplaceError: boolean;
   readonly dispatch: Omit<IDispatch, 'deadlineMs' | 'resumeAfter'>;
@@ -91,11 +93,12 @@
 
   public async run(): Promise<AttemptOutcome> {
     const { clock, client } = this._context;
-    const { state, pendingTokens, endsAt, target, dispatch } = this._options;
+    const { state, pendingTokens, isLong, endsAt, target, dispatch } = this._options;
     const { signal } = this._call;
     const leftMs = endsAt - clock.now();
     state.open += 1;
     state.pendingTokens += pendingTokens;
+    state.longStreams += isLong ? 1 : 0;
     const timer = setTimeout(
       () => {
         this._end({ kind: 'ended', reason: 'time limit' });
@@ -134,6 +137,7 @@
       clearTimeout(timer);
       signal.removeEventListener('abort', leave);
       state.open -= 1;
+      state.longStreams -= isLong ? 1 : 0;
       if (!this.hasFirstByte) {
         state.pendingTokens -= pendingTokens;
       }
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -13,7 +13,13 @@
 import { hashText } from '../policy/TargetTable.js';
 import { Attempt, type AttemptOutcome } from './Attempt.js';
 import type { IPlacement, IPlacementRequest, IPlacementTarget, Placement } from './Placement.js';
-import { noteBusy, noteFailure, noteUnreachable, type TargetStates } from './TargetStates.js';
+import {
+  LONG_STREAM_TOKENS,
+  noteBusy,
+  noteFailure,
+  noteUnreachable,
+  type TargetStates,
+} from './TargetStates.js';
 import type { IAnswerSink, ICall, IDispatch, ITargetClient, RefusalReason } from './Types.js';
 
 /** A request waits this long for tokens that the hub may grant. */
@@ -260,6 +266,7 @@
       endsAt: admitted.endsAt,
       lastEventId: progress.lastEventId,
       pendingTokens: Math.round(placement.missedTokens + (call.parts.at(-1)?.tokens ?? 0)),
+      isLong: request.isEngine && request.outputTokens > LONG_STREAM_TOKENS,
       mayReplaceError: route.kind === 'safe' && progress.attempts < route.maxAttempts,
       dispatch: {
         clientAccount: account?.name,
--- a/src/gateway/Placement.ts
+++ b/src/gateway/Placement.ts
@@ -4,7 +4,7 @@
  */
 import { hashBits, hashText } from '../policy/TargetTable.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
-import { getFreshLoad, type ITargetState } from './TargetStates.js';
+import { getFreshLoad, LONG_STREAM_TOKENS, type ITargetState } from './TargetStates.js';
 import type { IPromptPart } from './Types.js';
 
 /** Prompt tokens that an engine reads in a millisecond; the engines' data sheet says 56.6. */
@@ -32,9 +32,6 @@
 const RISK_FROM = 0.3;
 const RISK_FULL = 1.1;
 
-/** Tokens beyond which a stream delays the load of new weights (about half a second). */
-const LONG_STREAM_TOKENS = 100;
-
 /** Cost of a long stream on an engine that will load weights shortly: it delays the load for all. */
 const DELAYED_LOAD_COST = 0.5;
 
--- a/src/gateway/TargetStates.ts
+++ b/src/gateway/TargetStates.ts
@@ -1,7 +1,10 @@
 /** What this entry knows of each target from its own requests. */
-import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
+import type { TargetRecord, TargetWork } from '../gen/redwingwharf/v1/fleet_pb.js';
 import type { IToldLoad } from './Types.js';
 
+/** Tokens beyond which a stream is expected to last (about half a second). */
+export const LONG_STREAM_TOKENS = 100;
+
 /** A target that failed is left alone for this long, doubled with each further failure. */
 const FIRST_REST_MS = 250;
 const LONGEST_REST_MS = 4_000;
@@ -22,6 +25,8 @@
   open: number;
   /** Prompt tokens of own requests that have no first event yet. */
   pendingTokens: number;
+  /** Own streams in progress that were expected to last. */
+  longStreams: number;
   failures: number;
   restUntil: number;
   /** Time of the last answer that was no failure. */
@@ -39,6 +44,7 @@
         born: target.born,
         open: 0,
         pendingTokens: 0,
+        longStreams: 0,
         failures: 0,
         restUntil: 0,
         goodAt: Number.NEGATIVE_INFINITY,
@@ -50,10 +56,15 @@
   }
 
   /** Own work for the exchange with the hub. */
-  public listOpen(): { id: string; open: number; pendingTokens: number }[] {
+  public listOpen(): Pick<TargetWork, 'id' | 'open' | 'pendingTokens' | 'longStreams'>[] {
     return [...this._states]
       .filter(([, state]) => state.open > 0)
-      .map(([id, { open, pendingTokens }]) => ({ id, open, pendingTokens }));
+      .map(([id, { open, pendingTokens, longStreams }]) => ({
+        id,
+        open,
+        pendingTokens,
+        longStreams,
+      }));
   }
 
   public forget(id: string): void {
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -22,7 +22,7 @@
 import { MemberHost, type IMemberOptions } from './MemberHost.js';
 
 /** Covers the way of a version to this process and of a request into an engine's queue. */
-const WEIGHTS_MARGIN_MS = 2_000;
+const WEIGHTS_MARGIN_MS = 3_500;
 
 export interface IFleetProcessOptions {
   readonly dataCentre: string;
@@ -164,10 +164,12 @@
 
   private _createRollout(orders: IEngineOrders): WeightsRollout {
     const readLog = (): IFleetMember | undefined => this._log;
-    const { node } = this;
+    const { node, view } = this;
     return new WeightsRollout(
       {
         getHub: (now) => node.getHub(now),
+        getDueVersion: (model, now) =>
+          view.weights.getDue(model, this._options.weightsLimitMs - WEIGHTS_MARGIN_MS, now),
         get term() {
           return readLog()?.log.status.term ?? 0;
         },
