Serve sooner after a common stop

Cause: after all processes lost power the first answer came 1.7 s after they were back: 0.9 s until the first election and up to 1.2 s until the targets announced themselves. A restarted member also obeyed its own log while it was being replayed, before a leader had confirmed it. Change: a member that has heard of no leader since its start stands after 100 to 400 ms (the trial round protects a leader that lives); members keep the known targets in a file; a process takes configurations and weights only from the confirmed leader.

--- a/src/consensus/Elections.ts
+++ b/src/consensus/Elections.ts
@@ -88,12 +88,12 @@
 
   /** Waits until this member is a voter and has not heard from a leader for a random time. */
   private async _waitForSilence(signal: AbortSignal): Promise<void> {
-    const { electionMinMs, electionMaxMs, heartbeatMs } = this._timings;
-    const timeoutMs = electionMinMs + (electionMaxMs - electionMinMs) * this._random();
+    const { heartbeatMs } = this._timings;
+    const random = this._random();
     const state = this._state;
     while (!isAborted(signal)) {
       const since = Math.max(state.lastContactAt, this._lastCampaignAt);
-      const remainingMs = since + timeoutMs - state.clock.now();
+      const remainingMs = since + this._pickTimeout(random) - state.clock.now();
       const mayStand = state.role !== 'leader' && state.isVoter;
       // A group of one has nobody to wait for.
       if (mayStand && (remainingMs <= 0 || state.membership.members.length === 1)) {
@@ -103,6 +103,14 @@
     }
   }
 
+  private _pickTimeout(random: number): number {
+    const { electionMinMs, electionMaxMs, firstElectionMinMs, firstElectionMaxMs } = this._timings;
+    const hasHeard = this._state.hasHeardLeader || this._lastCampaignAt > Number.NEGATIVE_INFINITY;
+    return hasHeard
+      ? electionMinMs + (electionMaxMs - electionMinMs) * random
+      : firstElectionMinMs + (firstElectionMaxMs - firstElectionMinMs) * random;
+  }
+
   private async _runElection(signal: AbortSignal): Promise<void> {
     const state = this._state;
     const isCandidate = await state.exclusive.run(async () => {
--- a/src/consensus/MemberState.ts
+++ b/src/consensus/MemberState.ts
@@ -60,6 +60,7 @@
   private _appliedIndex: number;
   private _bytesSinceSnapshot = 0;
   private _isSnapshotting = false;
+  private _hasHeardLeader = false;
   private _failure: unknown;
 
   constructor(
@@ -112,6 +113,11 @@
     return this._leaderAddress;
   }
 
+  /** True once a leader or a candidate was heard of since the start. */
+  public get hasHeardLeader(): boolean {
+    return this._hasHeardLeader;
+  }
+
   /** Time of the last message from the leader, or of the start. */
   public get lastContactAt(): number {
     return this._lastContactAt;
@@ -229,6 +235,7 @@
 
   /** Notes that the leader is alive. */
   public noteContact(): void {
+    this._hasHeardLeader = true;
     this._lastContactAt = this.clock.now();
   }
 
--- a/src/consensus/TestCluster.ts
+++ b/src/consensus/TestCluster.ts
@@ -33,6 +33,8 @@
   heartbeatMs: 20,
   electionMinMs: 350,
   electionMaxMs: 700,
+  firstElectionMinMs: 350,
+  firstElectionMaxMs: 700,
   callMs: 350,
   joinRetryMs: 50,
   joinMs: 1_000,
@@ -43,6 +45,8 @@
   ...TEST_TIMINGS,
   electionMinMs: 150,
   electionMaxMs: 300,
+  firstElectionMinMs: 150,
+  firstElectionMaxMs: 300,
   callMs: 150,
 };
 
--- a/src/consensus/Timings.ts
+++ b/src/consensus/Timings.ts
@@ -10,6 +10,13 @@
 const ELECTION_MIN_MS = 600;
 const ELECTION_MAX_MS = 1_200;
 
+/**
+ * The same for a member that has heard of no leader since its start: after a common stop there is none,
+ * and where there is one, its members refuse the trial round.
+ */
+const FIRST_ELECTION_MIN_MS = 100;
+const FIRST_ELECTION_MAX_MS = 400;
+
 /** Limit of one call to a member. */
 const CALL_MS = 600;
 
@@ -23,6 +30,8 @@
   readonly heartbeatMs: number;
   readonly electionMinMs: number;
   readonly electionMaxMs: number;
+  readonly firstElectionMinMs: number;
+  readonly firstElectionMaxMs: number;
   readonly callMs: number;
   readonly joinRetryMs: number;
   readonly joinMs: number;
@@ -32,6 +41,8 @@
   heartbeatMs: HEARTBEAT_MS,
   electionMinMs: ELECTION_MIN_MS,
   electionMaxMs: ELECTION_MAX_MS,
+  firstElectionMinMs: FIRST_ELECTION_MIN_MS,
+  firstElectionMaxMs: FIRST_ELECTION_MAX_MS,
   callMs: CALL_MS,
   joinRetryMs: JOIN_RETRY_MS,
   joinMs: JOIN_MS,
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -109,10 +109,10 @@
     this._member = member;
     this._hub = undefined;
     if (member !== undefined) {
+      // The own state may lack what a majority has; the view takes it from the confirmed leader.
       member.state.onChange(() => {
-        this._applyState(member.state);
+        this._woken.abort();
       });
-      this._applyState(member.state);
     }
   }
 
@@ -151,6 +151,13 @@
     });
   }
 
+  /** Takes targets that were known before a restart; they are silent unless they announce themselves. */
+  public restoreTargets(records: readonly TargetRecord[]): void {
+    for (const record of records) {
+      this._view.applyTarget(record);
+    }
+  }
+
   /** Takes an announcement that a target sent to this process. */
   public announce(record: TargetRecord, now: number): void {
     const known = this._view.getTarget(record.id);
@@ -294,14 +301,6 @@
     return limits;
   }
 
-  private _applyState(state: FleetState): void {
-    if (state.document !== undefined) {
-      this._view.applyDocument(state.document);
-    }
-    this._view.applyWeights(state.weights, this._clock.now());
-    this._woken.abort();
-  }
-
   private _buildRequest(now: number): ExchangeRequest {
     const isKnownEpoch = this._view.epoch !== '';
     const announced = isKnownEpoch ? [...this._pending.values()] : this._view.listRecords();
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -126,6 +126,12 @@
           this._log = opened;
           this.node.setMember(opened);
         },
+        {
+          list: () => this.view.listRecords(),
+          restore: (records) => {
+            this.node.restoreTargets(records);
+          },
+        },
       );
     this._rollout = this._createRollout(adapters.orders);
     this._stores = new StoreWatch(
--- a/src/run/MemberHost.ts
+++ b/src/run/MemberHost.ts
@@ -1,4 +1,5 @@
 /** Keeps the member of the replicated log of one process open, also after its disk failed. */
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import type { ConnectRouter } from '@connectrpc/connect';
 import { Code, ConnectError } from '@connectrpc/connect';
 import type { IClock } from '../common/Clock.js';
@@ -15,12 +16,25 @@
 import type { IFleetMember } from '../fleet/FleetNode.js';
 import { FleetState } from '../fleet/FleetState.js';
 import { ConsensusService } from '../gen/redwingwharf/v1/consensus_pb.js';
+import { TargetListSchema, type TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { DataDirectory } from '../storage/DataDirectory.js';
 import { StorageError } from '../storage/StorageError.js';
 
 /** Pause before a disk that failed is opened again. */
 const REOPEN_MS = 1_000;
 
+/** Between two looks whether the kept targets have changed. */
+const KEEP_TARGETS_MS = 2_000;
+
+/** File with the targets that were known last. */
+const TARGETS_FILE = 'targets';
+
+/** Soft state that shortens the time to the first answer after a restart of all processes. */
+export interface IKeptTargets {
+  list(): readonly TargetRecord[];
+  restore(records: readonly TargetRecord[]): void;
+}
+
 export interface IMemberOptions {
   readonly dataFolder: string;
   /** Internal address; also the member's id, so that a new disk at the address replaces the old one. */
@@ -40,6 +54,7 @@
     private readonly _clock: IClock,
     private readonly _log: ILog,
     private readonly _setMember: (member: IFleetMember | undefined) => void,
+    private readonly _targets: IKeptTargets,
   ) {}
 
   public registerRpc(router: ConnectRouter): void {
@@ -92,13 +107,46 @@
     log.onRoleChange(({ role, term, leaderAddress }) => {
       this._log.info('control role changed', { role, term, leaderAddress });
     });
+    await this._restoreTargets(directory);
     this._handlers = log.handlers;
     this._setMember({ log, state });
     log.start();
-    await waitAborted(signal, failed.signal);
+    const ended = AbortSignal.any([signal, failed.signal]);
+    await this._keepTargets(directory, ended);
     await log.stop();
   }
 
+  private async _restoreTargets(directory: DataDirectory): Promise<void> {
+    try {
+      const content = await directory.read(TARGETS_FILE);
+      if (content !== undefined) {
+        const { targets } = fromBinary(TargetListSchema, content);
+        this._targets.restore(targets);
+        this._log.info('targets restored', { targets: targets.length });
+      }
+    } catch (error) {
+      // They announce themselves anew within a second or two.
+      this._log.warn('kept targets cannot be read', { reason: describeError(error) });
+    }
+  }
+
+  /** Writes the targets down when they change, until the signal is aborted. */
+  private async _keepTargets(directory: DataDirectory, signal: AbortSignal): Promise<void> {
+    let written = '';
+    while (!isAborted(signal)) {
+      await sleep(KEEP_TARGETS_MS, signal);
+      const targets = this._targets.list();
+      const current = describeTargets(targets);
+      if (current !== written && !isAborted(signal)) {
+        await directory.replace(
+          TARGETS_FILE,
+          toBinary(TargetListSchema, create(TargetListSchema, { targets: [...targets] })),
+        );
+        written = current;
+      }
+    }
+  }
+
   private async _initialiseIfEmpty(): Promise<void> {
     const { isFounder, dataFolder, address } = this._options;
     if (!isFounder) {
@@ -120,17 +168,9 @@
   }
 }
 
-async function waitAborted(...signals: readonly AbortSignal[]): Promise<void> {
-  const any = AbortSignal.any([...signals]);
-  if (!any.aborted) {
-    await new Promise<void>((resolve) => {
-      any.addEventListener(
-        'abort',
-        () => {
-          resolve();
-        },
-        { once: true },
-      );
-    });
-  }
+/** Changes with whatever matters after a restart; the sequence of announcements does not. */
+function describeTargets(targets: readonly TargetRecord[]): string {
+  return targets
+    .map(({ id, born, phase, models }) => `${id} ${born} ${phase} ${models[0]?.version ?? ''}`)
+    .join();
 }
