--- /dev/null
+++ b/src/fleet/FleetHub.test.ts
@@ -0,0 +1,92 @@
+/** Guards against targets that are believed ready though they are gone, and the reverse. */
+import { create, type MessageInitShape } from '@bufbuild/protobuf';
+import { describe, expect, it } from 'vitest';
+import { SILENT_LOG } from '../common/Log.js';
+import {
+  ExchangeRequestSchema,
+  TargetPhase,
+  type ExchangeRequest,
+  type TargetRecord,
+} from '../gen/redwingwharf/v1/fleet_pb.js';
+import { buildTarget } from './Fixtures.js';
+import { FleetHub } from './FleetHub.js';
+
+const QUOTA = { windowMs: 8_000, excess: 0, tolerance: 0 };
+const ANNOUNCE_MS = 1_200;
+
+function createHub(): FleetHub {
+  return new FleetHub('e1', { announceMs: ANNOUNCE_MS, quota: QUOTA, log: SILENT_LOG }, 0);
+}
+
+function buildReport(changes: MessageInitShape<typeof ExchangeRequestSchema>): ExchangeRequest {
+  return create(ExchangeRequestSchema, { node: 'n1', takesRequests: true, ...changes });
+}
+
+function getTarget(hub: FleetHub, id = 'i-1'): TargetRecord | undefined {
+  return hub.listTargets().find((target) => target.id === id);
+}
+
+describe('FleetHub', () => {
+  it('ignores announcements that were overtaken', () => {
+    const hub = createHub();
+    hub.announce(buildTarget({ sequence: 5n, phase: TargetPhase.DRAINING }), 0);
+    expect(hub.announce(buildTarget({ sequence: 4n }), 10)).toBe(false);
+    expect(getTarget(hub)?.phase).toBe(TargetPhase.DRAINING);
+  });
+
+  it('keeps a target gone until it starts anew under its id', () => {
+    const hub = createHub();
+    hub.announce(buildTarget({ phase: TargetPhase.GONE, sequence: 5n }), 0);
+    hub.announce(buildTarget({ sequence: 9n }), 10);
+    expect(getTarget(hub)?.phase).toBe(TargetPhase.GONE);
+    hub.announce(buildTarget({ sequence: 1n, born: 2_000 }), 20);
+    expect(getTarget(hub)?.phase).toBe(TargetPhase.READY);
+  });
+
+  it('gives an address to the target that started last there', () => {
+    const hub = createHub();
+    hub.announce(buildTarget({ id: 'i-new', born: 2_000 }), 0);
+    // Announced before its crash, held up on the way.
+    hub.announce(buildTarget({ id: 'i-old', born: 1_000, sequence: 99n }), 10);
+    expect(getTarget(hub, 'i-old')?.phase).toBe(TargetPhase.GONE);
+    expect(getTarget(hub, 'i-new')?.phase).toBe(TargetPhase.READY);
+  });
+
+  it('marks a target as silent, and as heard of again', () => {
+    const hub = createHub();
+    hub.announce(buildTarget(), 0);
+    hub.takeReport(buildReport({}), 4 * ANNOUNCE_MS);
+    expect(getTarget(hub)?.silent).toBe(true);
+    hub.announce(buildTarget({ sequence: 2n }), 4 * ANNOUNCE_MS + 10);
+    expect(getTarget(hub)?.silent).toBe(false);
+  });
+
+  it('keeps the marks of a load over announcements, but not over a restart of the target', () => {
+    const hub = createHub();
+    hub.announce(buildTarget(), 0);
+    hub.setLoadState('i-1', 'loading');
+    hub.announce(buildTarget({ sequence: 2n }), 10);
+    expect(getTarget(hub)?.loading).toBe(true);
+    hub.announce(buildTarget({ sequence: 1n, born: 2_000 }), 20);
+    expect(getTarget(hub)?.loading).toBe(false);
+  });
+
+  it('tells a process what changed since its revision, and all to one of another epoch', () => {
+    const hub = createHub();
+    hub.announce(buildTarget({ id: 'i-1' }), 0);
+    const { revision } = hub.listNews('', 0);
+    hub.announce(buildTarget({ id: 'i-2', address: '10.1.0.2:8000' }), 10);
+    expect(hub.listNews('e1', revision).targets.map(({ id }) => id)).toEqual(['i-2']);
+    expect(hub.listNews('e0', revision).targets.map(({ id }) => id)).toEqual(['i-1', 'i-2']);
+  });
+
+  it('adds up the work of all processes but the one that asks', () => {
+    const hub = createHub();
+    const work = [{ id: 'i-1', open: 2, pendingTokens: 100, longStreams: 1 }];
+    hub.takeReport(buildReport({ node: 'n1', work }), 0);
+    hub.takeReport(buildReport({ node: 'n2', work }), 0);
+    hub.takeReport(buildReport({ node: 'n3', work }), 0);
+    expect(hub.sumWork('n1')).toMatchObject([{ id: 'i-1', open: 4, pendingTokens: 200 }]);
+    expect(hub.countLongStreams('i-1')).toBe(3);
+  });
+});
--- /dev/null
+++ b/src/fleet/FleetState.test.ts
@@ -0,0 +1,70 @@
+/** Guards against a configuration that reverts, or that differs under one version. */
+import { create, toBinary } from '@bufbuild/protobuf';
+import { describe, expect, it } from 'vitest';
+import { FleetCommandSchema, type FleetCommand } from '../gen/redwingwharf/v1/fleet_pb.js';
+import { FleetState } from './FleetState.js';
+
+function putDocument(version: number, text: string): FleetCommand {
+  return create(FleetCommandSchema, {
+    body: {
+      case: 'putDocument',
+      value: { version: BigInt(version), content: new TextEncoder().encode(text) },
+    },
+  });
+}
+
+function nameWeights(model: string, version: number): FleetCommand {
+  return create(FleetCommandSchema, {
+    body: { case: 'nameWeights', value: { model, version: BigInt(version) } },
+  });
+}
+
+function apply(state: FleetState, ...commands: readonly FleetCommand[]): void {
+  for (const command of commands) {
+    state.apply(toBinary(FleetCommandSchema, command));
+  }
+}
+
+function readText(state: FleetState): string {
+  return new TextDecoder().decode(state.document?.content);
+}
+
+describe('FleetState', () => {
+  it('keeps the highest version, whatever the order of arrival', () => {
+    const state = new FleetState();
+    apply(state, putDocument(9, 'nine'), putDocument(4, 'four'), putDocument(12, 'twelve'));
+    expect(readText(state)).toBe('twelve');
+    apply(state, putDocument(9, 'nine'));
+    expect(readText(state)).toBe('twelve');
+  });
+
+  it('keeps the content that was first committed under a version', () => {
+    const state = new FleetState();
+    apply(state, putDocument(9, 'first'), putDocument(9, 'second'));
+    expect(readText(state)).toBe('first');
+  });
+
+  it('keeps the newest weights of each model', () => {
+    const state = new FleetState();
+    apply(state, nameWeights('m', 3), nameWeights('n', 2), nameWeights('m', 2));
+    expect(state.weights.map(({ model, version }) => `${model}@${version}`)).toEqual([
+      'm@3',
+      'n@2',
+    ]);
+  });
+
+  it('is the same after a snapshot and a restore', () => {
+    const state = new FleetState();
+    apply(state, putDocument(9, 'nine'), nameWeights('m', 3));
+    const copy = new FleetState();
+    copy.restore(state.snapshot());
+    expect(readText(copy)).toBe('nine');
+    expect(copy.snapshot()).toEqual(state.snapshot());
+  });
+
+  it('ignores bytes that are no command', () => {
+    const state = new FleetState();
+    state.apply(new Uint8Array([255, 255, 255]));
+    expect(state.document).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/src/fleet/RetryBudget.test.ts
@@ -0,0 +1,41 @@
+/** Guards against retries that feed a collapse. */
+import { describe, expect, it } from 'vitest';
+import { RetryBudget } from './RetryBudget.js';
+
+const LIMITS = { ratio: 0.2, slack: 60, windowMs: 10_000 };
+
+function spendAll(budget: RetryBudget, entries: number, now: number): number {
+  let spent = 0;
+  while (budget.trySpend('lace', entries, now)) {
+    spent += 1;
+  }
+  return spent;
+}
+
+describe('RetryBudget', () => {
+  it('keeps all entries together below ratio and slack', () => {
+    const budgets = Array.from({ length: 6 }, () => new RetryBudget(LIMITS));
+    let spent = 0;
+    for (const budget of budgets) {
+      for (let i = 0; i < 100; i += 1) {
+        budget.noteRequest('lace', i * 50);
+      }
+      spent += spendAll(budget, 6, 5_000);
+    }
+    expect(spent).toBeLessThanOrEqual(0.2 * 600 + 60);
+    expect(spent).toBeGreaterThan(100);
+  });
+
+  it('gives repeats back when the window has passed', () => {
+    const budget = new RetryBudget(LIMITS);
+    expect(spendAll(budget, 6, 0)).toBe(7);
+    expect(spendAll(budget, 6, 5_000)).toBe(0);
+    expect(spendAll(budget, 6, 12_000)).toBe(7);
+  });
+
+  it('keeps services apart', () => {
+    const budget = new RetryBudget(LIMITS);
+    spendAll(budget, 6, 0);
+    expect(budget.trySpend('orders', 6, 0)).toBe(true);
+  });
+});
--- /dev/null
+++ b/src/gateway/EventFramer.test.ts
@@ -0,0 +1,37 @@
+/** Guards against streams in which a piece is torn, missing or doubled where two runs are joined. */
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { EventFramer } from './EventFramer.js';
+
+const EVENTS = ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\ndata: c\n\n', 'id:3\r\ndata: d\r\n\r\n'];
+
+describe('EventFramer', () => {
+  it('passes on whole events only, however the bytes arrive', () => {
+    const text = EVENTS.join('');
+    fc.assert(
+      fc.property(fc.array(fc.nat({ max: text.length }), { maxLength: 12 }), (cuts) => {
+        const framer = new EventFramer();
+        const points = [0, ...cuts.sort((left, right) => left - right), text.length];
+        let passed = '';
+        let lastId: number | undefined;
+        for (let i = 1; i < points.length; i += 1) {
+          const framed = framer.push(Buffer.from(text.slice(points[i - 1], points[i])));
+          passed += framed.bytes.toString();
+          lastId = framed.lastId ?? lastId;
+          const whole = EVENTS.map((_, count) => EVENTS.slice(0, count).join(''));
+          expect([...whole, text]).toContain(passed);
+        }
+        expect(passed).toBe(text);
+        expect(lastId).toBe(3);
+      }),
+    );
+  });
+
+  it('keeps the bytes of an event that was cut off', () => {
+    const framer = new EventFramer();
+    const { bytes, lastId } = framer.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'));
+    expect(bytes.toString()).toBe('id: 1\ndata: a\n\n');
+    expect(lastId).toBe(1);
+    expect(framer.rest.toString()).toBe('id: 2\nda');
+  });
+});
