Refuse at once what would be answered late

The estimate was too good for engines that had just loaded weights, as their caches are empty, and entries herded there. Change: a request is refused with Retry-After when its first byte is expected after 0.8 of its objective; targets learn how much slower than expected they answer; a home is warm only 8 s after a load; entries follow the store's events and send there only what it lacks; exchanges every 100 ms.

--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -60,7 +60,6 @@
   private readonly _processes = new Map<string, IProcessReport>();
   private readonly _pools = new Map<string, QuotaPool>();
   private _limits: ReadonlyMap<string, number> = new Map();
-  private readonly _stores = new Set<string>();
   private _revision = 0;
 
   constructor(
@@ -161,23 +160,6 @@
     this._store(copyWith(known.record, { models, loading: false, preparing: false }), known.seenAt);
   }
 
-  /** Notes whether a store of KV cache answers. */
-  public setStore(address: string, isUp: boolean): void {
-    if (isUp !== this._stores.has(address)) {
-      this._options.log.info('store changed', { address, isUp });
-    }
-    if (isUp) {
-      this._stores.add(address);
-    } else {
-      this._stores.delete(address);
-    }
-  }
-
-  /** Stores of KV cache that answer. */
-  public listStores(): string[] {
-    return [...this._stores];
-  }
-
   /** Work of all processes but one at each target. */
   public sumWork(except: string): TargetWork[] {
     const sums = new Map<string, TargetWork>();
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -32,8 +32,12 @@
 import type { RouteTable } from './RouteTable.js';
 import { deriveWindowLimit } from './QuotaRule.js';
 
-/** Between two exchanges; a change reaches every process within this time and a round trip. */
-const EXCHANGE_MS = 150;
+/**
+ * Between two exchanges; a change reaches every process within this time and a round trip. Each process
+ * more makes the interval longer, so that the leader answers at most about 100 a second.
+ */
+const EXCHANGE_MS = 100;
+const EXCHANGE_PER_ENTRY_MS = 10;
 
 /** Limit of one exchange; a leader that does not answer is given up. */
 const EXCHANGE_LIMIT_MS = 700;
@@ -227,7 +231,7 @@
         this._woken = new AbortController();
       } else {
         await sleep(
-          addJitter(EXCHANGE_MS, () => 0.25 + Math.random() / 2),
+          addJitter(this._pickInterval(), () => 0.25 + Math.random() / 2),
           this._woken.signal,
           signal,
         );
@@ -260,7 +264,6 @@
     response.weights = [...state.weights];
     response.work = hub.sumWork(request.node);
     response.entries = hub.countEntries();
-    response.stores = hub.listStores();
     response.grants = hub
       .grantQuotas(request.node, request.quotas, now)
       .map((grant) => create(QuotaGrantSchema, grant));
@@ -339,6 +342,10 @@
     this._noteTouch(false, 'no leader answered');
   }
 
+  private _pickInterval(): number {
+    return Math.max(EXCHANGE_MS, this._view.entries * EXCHANGE_PER_ENTRY_MS);
+  }
+
   /** True if the process at the address answered as leader. */
   private async _exchangeWith(address: string, signal: AbortSignal): Promise<boolean> {
     const waiters = this._waiters;
--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -32,7 +32,6 @@
   private _work: ReadonlyMap<string, IOthersWork> = new Map();
   private _table: RouteTable | undefined;
   private _entries = 1;
-  private _stores: readonly string[] = [];
 
   public readonly onTableChange = this._tableChanges.onFire;
   /** Fires when a target takes no new work any more. */
@@ -62,11 +61,6 @@
     return this._entries;
   }
 
-  /** Address of a store of KV cache that answers; undefined if there is none. */
-  public get store(): string | undefined {
-    return this._stores[0];
-  }
-
   /** Versions of the models' weights and when they were named. */
   public get weights(): WeightsHistory {
     return this._weights;
@@ -148,7 +142,6 @@
     this.epoch = answer.epoch;
     this.revision = Number(answer.revision);
     this._entries = Math.max(1, answer.entries);
-    this._stores = answer.stores;
     if (answer.document !== undefined) {
       this.applyDocument(answer.document);
     }
--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -12,6 +12,7 @@
   ITargetClient,
   ITargetExchange,
   ITargetHead,
+  IToldLoad,
 } from './Types.js';
 
 /** How one attempt ended. */
@@ -46,6 +47,8 @@
   readonly isLong: boolean;
   /** True: an error status of the target may be dropped in favour of another target's answer. */
   readonly mayReplaceError: boolean;
+  /** Called with the time of the first byte of the answer's body. */
+  readonly onFirstByte: (at: number) => void;
   readonly dispatch: Omit<IDispatch, 'deadlineMs' | 'resumeAfter'>;
 }
 
@@ -63,6 +66,10 @@
   public status: number | undefined;
   public firstByteAt: number | undefined;
 
+  /** Longest pause between two parts of the body in milliseconds. */
+  public longestGapMs = 0;
+
+  private _lastByteAt = 0;
   private readonly _framer: EventFramer | undefined;
   private readonly _finished: Promise<AttemptOutcome>;
   private _finish: (outcome: AttemptOutcome) => void = () => undefined;
@@ -86,6 +93,11 @@
     });
   }
 
+  /** Load that the target told with its answer. */
+  public get load(): IToldLoad | undefined {
+    return this._head?.load;
+  }
+
   /** True once a part of the answer's body has come. */
   public get hasFirstByte(): boolean {
     return this.firstByteAt !== undefined;
@@ -258,6 +270,7 @@
     }
     const { state, pendingTokens, route } = this._options;
     this.firstByteAt = this._context.clock.now();
+    this._options.onFirstByte(this.firstByteAt);
     state.pendingTokens -= pendingTokens;
     this._context.metrics.observe(
       'gateway_first_byte_ms',
@@ -276,6 +289,11 @@
 
   /** Passes bytes on; a slow client pauses the target. */
   private _write(bytes: Uint8Array): void {
+    const now = this._context.clock.now();
+    if (this._lastByteAt > 0) {
+      this.longestGapMs = Math.max(this.longestGapMs, now - this._lastByteAt);
+    }
+    this._lastByteAt = now;
     if (this._sink.write(bytes) || this._isPaused) {
       return;
     }
--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -13,6 +13,7 @@
 import { FleetDocumentSchema, type TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { CallRunner } from './CallRunner.js';
 import { Placement } from './Placement.js';
+import { StoreIndex } from './StoreIndex.js';
 import { TargetStates } from './TargetStates.js';
 import type {
   IAnswerSink,
@@ -130,6 +131,7 @@
     budget: new RetryBudget({ ratio: 0.2, slack: 60, windowMs: 10_000 }),
     states: new TargetStates(),
     placement: new Placement('zg-a'),
+    store: new StoreIndex(view, () => Promise.reject(new Error('no store')), clock, SILENT_LOG),
     client: targets,
     clock,
     metrics: new Metrics(),
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -12,14 +12,23 @@
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { hashText } from '../policy/TargetTable.js';
 import { Attempt, type AttemptOutcome } from './Attempt.js';
-import type { IPlacement, IPlacementRequest, IPlacementTarget, Placement } from './Placement.js';
+import {
+  formatCacheScope,
+  type IPlacement,
+  type IPlacementRequest,
+  type IPlacementTarget,
+  type Placement,
+} from './Placement.js';
 import {
   LONG_STREAM_TOKENS,
   noteBusy,
+  noteFirstByte,
   noteFailure,
   noteUnreachable,
   type TargetStates,
 } from './TargetStates.js';
+import { decideOverload } from './Overload.js';
+import type { StoreIndex } from './StoreIndex.js';
 import type { IAnswerSink, ICall, IDispatch, ITargetClient, RefusalReason } from './Types.js';
 
 /** A request waits this long for tokens that the hub may grant. */
@@ -40,8 +49,8 @@
 /** Least time that a further target must have left to be worth trying. */
 const MIN_ATTEMPT_MS = 30;
 
-/** Shared parts below this size are read faster than they are fetched from a store. */
-const MIN_STORED_TOKENS = 1_000;
+/** Shared parts below this size are not worth a fetch from a store. */
+const MIN_STORED_TOKENS = 50;
 
 /** Targets that were not reached don't count as tried; this many end the search. */
 const MAX_UNREACHED = 3;
@@ -57,6 +66,7 @@
   readonly budget: RetryBudget;
   readonly states: TargetStates;
   readonly placement: Placement;
+  readonly store: StoreIndex;
   readonly client: ITargetClient<T>;
   readonly clock: IClock;
   readonly metrics: Metrics;
@@ -186,6 +196,9 @@
         this._finishWithout(call, sink, progress, 'no_target');
         return progress.mayHaveRun;
       }
+      if (this._refuseOverload(call, sink, admitted, service, placement, progress)) {
+        return false;
+      }
       const outcome = await this._tryTarget(call, sink, admitted, service, placement, progress);
       if (!this._shouldRetry(call, admitted, outcome, progress, service)) {
         this._finish(call, sink, outcome, progress);
@@ -198,6 +211,29 @@
     }
   }
 
+  /** Refuses a request that no target is expected to answer in time; true if it did. */
+  private _refuseOverload(
+    call: T,
+    sink: IAnswerSink,
+    admitted: IAdmitted,
+    service: IService,
+    placement: IPlacement,
+    progress: IProgress,
+  ): boolean {
+    if (service.engine === undefined || progress.attempts > 0 || sink.isStarted) {
+      return false;
+    }
+    const { objectiveMs } = admitted.route;
+    const { expectedMs, target } = placement;
+    const decision = decideOverload(expectedMs, objectiveMs);
+    if (decision.kind === 'serve') {
+      return false;
+    }
+    const detail = { target: target.id, expectedMs: Math.round(expectedMs), objectiveMs };
+    this._refuse(call, sink, 503, 'overloaded', decision.retryAfterMs, detail);
+    return true;
+  }
+
   private _place(
     call: T,
     admitted: IAdmitted,
@@ -218,14 +254,19 @@
       const others = view.getOthersWork(record.id);
       return {
         record,
-        state: states.ensure(record),
+        state: states.ensure(record, now),
         othersOpen: others.open,
         othersTokens: others.pendingTokens,
       };
     });
     const rested = targets.filter(({ state }) => now >= state.restUntil);
     const request = this._describe(call, admitted, service);
-    return placement.choose(request, rested.length > 0 ? rested : targets, now);
+    return placement.choose(
+      request,
+      rested.length > 0 ? rested : targets,
+      this._context.store,
+      now,
+    );
   }
 
   private _describe(call: T, admitted: IAdmitted, service: IService): IPlacementRequest {
@@ -256,8 +297,9 @@
     const { route, account } = admitted;
     progress.tried.add(target.id);
     progress.attempts += 1;
-    const state = states.ensure(target);
+    const state = states.ensure(target, clock.now());
     const request = this._describe(call, admitted, service);
+    const startedAt = clock.now();
     const attempt = new Attempt(this._context, call, sink, {
       target,
       state,
@@ -268,22 +310,22 @@
       pendingTokens: Math.round(placement.missedTokens + (call.parts.at(-1)?.tokens ?? 0)),
       isLong: request.isEngine && request.outputTokens > LONG_STREAM_TOKENS,
       mayReplaceError: route.kind === 'safe' && progress.attempts < route.maxAttempts,
+      onFirstByte: (at) => {
+        placements.noteRead(request, target, at);
+        noteFirstByte(state, placement.modelMs, at - startedAt, at);
+      },
       dispatch: {
         clientAccount: account?.name,
         priority: Math.min(LOWEST_PRIORITY, Math.max(0, account?.priority ?? route.priority)),
-        ...describeCache(request, placement, this._context.view.store),
+        ...describeCache(request, placement, this._context.store, clock.now()),
       },
     });
-    const startedAt = clock.now();
     const outcome = await attempt.run();
     progress.lastEventId = attempt.lastEventId;
     if (outcome.kind !== 'not_run') {
       progress.mayHaveRun = true;
     }
     const now = clock.now();
-    if (attempt.hasFirstByte) {
-      placements.noteRead(request, target, now);
-    }
     log.info('attempt ended', {
       request: call.id,
       route: route.name,
@@ -293,10 +335,13 @@
       reason: outcome.kind === 'answered' ? undefined : outcome.reason,
       status: attempt.status,
       expectedMs: Math.round(placement.expectedMs),
+      modelMs: Math.round(placement.modelMs),
       missedTokens: Math.round(placement.missedTokens),
       source: placement.source?.id,
       open: state.open,
+      load: attempt.load && `${attempt.load.running}+${attempt.load.waiting}`,
       firstMs: attempt.firstByteAt && Math.round(attempt.firstByteAt - startedAt),
+      longestGapMs: Math.round(attempt.longestGapMs),
       totalMs: Math.round(now - startedAt),
       version: admitted.table.version,
       viewAgeMs: Math.round(now - this._context.view.answeredAt),
@@ -306,7 +351,7 @@
   }
 
   private _noteOutcome(target: TargetRecord, outcome: AttemptOutcome, now: number): void {
-    const state = this._context.states.ensure(target);
+    const state = this._context.states.ensure(target, now);
     if (outcome.kind === 'not_run') {
       if (outcome.isUnreachable) {
         noteUnreachable(state, now);
@@ -436,7 +481,8 @@
 function describeCache(
   request: IPlacementRequest,
   { target, source }: IPlacement,
-  store: string | undefined,
+  store: StoreIndex,
+  now: number,
 ): Pick<IDispatch, 'cacheScope' | 'weightsVersion' | 'cacheSource' | 'cacheStore'> {
   const held = target.models.find(({ name }) => name === request.model);
   if (held === undefined) {
@@ -447,14 +493,22 @@
       cacheStore: undefined,
     };
   }
-  const version = Number(held.version);
-  const sharedTokens = request.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
-  const isShared = sharedTokens >= MIN_STORED_TOKENS;
+  const scope = formatCacheScope(request, target);
+  const shared = request.parts.slice(0, -1);
+  const isShared = shared.reduce((sum, part) => sum + part.tokens, 0) >= MIN_STORED_TOKENS;
+  const isMissing = shared.some((part) => !store.isExpected(scope, part.id, now));
+  const isStored = shared.some((part) => store.isHeld(scope, part.id));
+  if (isShared && isMissing && store.address !== undefined) {
+    shared.forEach((part) => {
+      store.noteSent(scope, part.id, now);
+    });
+  }
   return {
-    cacheScope: `${version}/${request.cacheWall ?? ''}`,
-    weightsVersion: version,
-    cacheSource: isShared ? (source?.address ?? store) : undefined,
-    cacheStore: isShared ? store : undefined,
+    cacheScope: scope,
+    weightsVersion: Number(held.version),
+    cacheSource: isShared ? (source?.address ?? (isStored ? store.address : undefined)) : undefined,
+    // Also the own part of the prompt would go there, so only what is not held yet is sent.
+    cacheStore: isShared && isMissing ? store.address : undefined,
   };
 }
 
--- /dev/null
+++ b/src/gateway/Overload.test.ts
@@ -0,0 +1,60 @@
+/** Load pattern: a third of the engines is lost while the traffic goes on. */
+import { describe, expect, it } from 'vitest';
+import { decideOverload } from './Overload.js';
+
+const OBJECTIVE_MS = 500;
+const WORK_MS = 60;
+const LATE_WORTH = 0.3;
+
+interface IDay {
+  readonly worth: number;
+  readonly refused: number;
+}
+
+/** One engine with a queue; each request takes the same time. A refused client comes back once. */
+function play(gapMs: number, decide: (expectedMs: number) => number | undefined): IDay {
+  const arrivals = Array.from({ length: 400 }, (_, i) => ({ at: i * gapMs, first: i * gapMs }));
+  const count = arrivals.length;
+  let freeAt = 0;
+  let worth = 0;
+  let refused = 0;
+  while (arrivals.length > 0) {
+    arrivals.sort((left, right) => left.at - right.at);
+    const { at, first } = arrivals.shift() ?? { at: 0, first: 0 };
+    const startsAt = Math.max(freeAt, at);
+    const retryAfterMs = decide(startsAt + WORK_MS - at);
+    if (retryAfterMs === undefined) {
+      freeAt = startsAt + WORK_MS;
+      worth += freeAt - first <= OBJECTIVE_MS ? 1 : LATE_WORTH;
+    } else if (at === first) {
+      arrivals.push({ at: at + retryAfterMs, first });
+    } else {
+      refused += 1;
+    }
+  }
+  return { worth: worth / count, refused: refused / count };
+}
+
+function shed(expectedMs: number): number | undefined {
+  const decision = decideOverload(expectedMs, OBJECTIVE_MS);
+  return decision.kind === 'refuse' ? decision.retryAfterMs : undefined;
+}
+
+describe('decideOverload', () => {
+  it('keeps the served ones on time while a third too much arrives', () => {
+    const queued = play(40, () => undefined);
+    const refusing = play(40, shed);
+    expect(queued.worth).toBeLessThan(0.4);
+    expect(refusing.worth).toBeGreaterThan(0.6);
+  });
+
+  it('refuses nobody while the targets keep up', () => {
+    expect(play(70, shed)).toEqual({ worth: 1, refused: 0 });
+  });
+
+  it('names a time to come back that grows with the backlog, within bounds', () => {
+    expect(decideOverload(401, OBJECTIVE_MS)).toEqual({ kind: 'refuse', retryAfterMs: 150 });
+    expect(decideOverload(1_200, OBJECTIVE_MS)).toEqual({ kind: 'refuse', retryAfterMs: 700 });
+    expect(decideOverload(60_000, OBJECTIVE_MS)).toEqual({ kind: 'refuse', retryAfterMs: 1_500 });
+  });
+});
--- a/src/gateway/Placement.ts
+++ b/src/gateway/Placement.ts
@@ -4,7 +4,12 @@
  */
 import { hashBits, hashText } from '../policy/TargetTable.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
-import { getFreshLoad, LONG_STREAM_TOKENS, type ITargetState } from './TargetStates.js';
+import {
+  getFreshLoad,
+  getSlowness,
+  LONG_STREAM_TOKENS,
+  type ITargetState,
+} from './TargetStates.js';
 import type { IPromptPart } from './Types.js';
 
 /** Prompt tokens that an engine reads in a millisecond; the engines' data sheet says 56.6. */
@@ -47,13 +52,19 @@
 /** Time to move 1,000 tokens of KV cache over an engine's link (18 KB each, 370 Gbit/s), with set-up. */
 const MOVE_MS_PER_1000 = 1;
 
-/** Parts below this size are read faster than they are moved. */
-const MIN_MOVED_TOKENS = 500;
+/** The same from a store, whose link is slower (26 Gbit/s). */
+const STORE_MS_PER_1000 = 7;
+
+/** Parts below this size are not worth a move. */
+const MIN_MOVED_TOKENS = 50;
 
 /** Cost of a target that is silent or has just failed: used only when there is no other. */
 const DOUBTFUL_COST = 20;
 
-/** Chance that the n-th target in rendezvous order holds a shared part. */
+/** Time in which a target that has loaded weights or started has read the parts of its subjects again. */
+const WARM_UP_MS = 8_000;
+
+/** Chance that the n-th target in rendezvous order holds a shared part, once it is warm. */
 const HOME_CHANCES = [1, 0.3] as const;
 
 /** What the choice depends on. */
@@ -81,12 +92,19 @@
   readonly othersTokens: number;
 }
 
+/** What a store of KV cache holds. */
+export interface IStoreContent {
+  isHeld(scope: string, part: string): boolean;
+}
+
 /** The chosen target and what decided. */
 export interface IPlacement {
   readonly target: TargetRecord;
   readonly cost: number;
   /** Expected time to the first byte in milliseconds. */
   readonly expectedMs: number;
+  /** The same before what was learned of the target's speed. */
+  readonly modelMs: number;
   /** Shared tokens that are expected to be read again. */
   readonly missedTokens: number;
   /** Target from whose memory the shared parts are to be fetched. */
@@ -118,6 +136,7 @@
   public choose(
     request: IPlacementRequest,
     targets: readonly IPlacementTarget[],
+    store: IStoreContent,
     now: number,
   ): IPlacement | undefined {
     const ranks = rankTargets(request, targets);
@@ -126,13 +145,13 @@
       return {
         target,
         version: getVersion(request, record),
-        heldTokens: this._estimateHeld(request, record, ranks.get(record.id) ?? 0, now),
+        heldTokens: this._estimateHeld(request, target, ranks.get(record.id) ?? 0, now),
         isDoubtful: record.silent || record.loading || now < state.restUntil,
       };
     });
     let best: IPlacement | undefined;
     for (const holding of holdings) {
-      const placement = this._estimateCost(request, holding, holdings, now);
+      const placement = this._estimateCost(request, holding, holdings, store, now);
       if (best === undefined || placement.cost < best.cost) {
         best = placement;
       }
@@ -167,18 +186,24 @@
     request: IPlacementRequest,
     holding: IHolding,
     all: readonly IHolding[],
+    store: IStoreContent,
     now: number,
   ): IPlacement {
     const { target, heldTokens, isDoubtful } = holding;
     const { record } = target;
     const source = findSource(holding, all);
     const sharedTokens = sumTokens(listSharedParts(request));
-    const movedTokens = source === undefined ? 0 : source.heldTokens - heldTokens;
+    const siblingTokens = source === undefined ? 0 : source.heldTokens - heldTokens;
+    const storeTokens =
+      source === undefined ? Math.max(0, sumStored(request, record, store) - heldTokens) : 0;
+    const movedTokens = siblingTokens + storeTokens;
     const missedTokens = sharedTokens - heldTokens - movedTokens;
-    const moveMs = (movedTokens / 1_000) * MOVE_MS_PER_1000;
-    const expectedMs = request.isEngine
+    const moveMs =
+      (siblingTokens / 1_000) * MOVE_MS_PER_1000 + (storeTokens / 1_000) * STORE_MS_PER_1000;
+    const modelMs = request.isEngine
       ? estimateEngineMs(request, target, missedTokens, now) + moveMs
       : estimatePlainMs(target, now);
+    const expectedMs = modelMs * getSlowness(target.state, now);
     const cost =
       measureLateness(expectedMs, request.objectiveMs) +
       (missedTokens / 1_000) * REREAD_COST_PER_1000 +
@@ -193,6 +218,7 @@
       target: record,
       cost,
       expectedMs,
+      modelMs,
       missedTokens,
       source: source?.target.record,
       candidates: all.length,
@@ -202,11 +228,12 @@
   /** Shared tokens that the target is expected to hold. */
   private _estimateHeld(
     request: IPlacementRequest,
-    record: TargetRecord,
+    { record, state }: IPlacementTarget,
     rank: number,
     now: number,
   ): number {
-    const homeChance = HOME_CHANCES[rank] ?? 0;
+    const warmth = Math.min(1, (now - state.weightsAt) / WARM_UP_MS);
+    const homeChance = (HOME_CHANCES[rank] ?? 0) * warmth;
     const version = getVersion(request, record);
     let held = 0;
     let chance = 1;
@@ -237,6 +264,19 @@
   return gain >= MIN_MOVED_TOKENS ? best : undefined;
 }
 
+/** Parts of other weights or walls must never be found, wherever they are moved. */
+export function formatCacheScope(request: IPlacementRequest, target: TargetRecord): string {
+  return `${getVersion(request, target)}/${request.cacheWall ?? ''}`;
+}
+
+/** Shared tokens in the store; a part counts only if all parts before it are there too. */
+function sumStored(request: IPlacementRequest, target: TargetRecord, store: IStoreContent): number {
+  const scope = formatCacheScope(request, target);
+  const parts = listSharedParts(request);
+  const missing = parts.findIndex((part) => !store.isHeld(scope, part.id));
+  return sumTokens(missing < 0 ? parts : parts.slice(0, missing));
+}
+
 function sumTokens(parts: readonly IPromptPart[]): number {
   return parts.reduce((sum, part) => sum + part.tokens, 0);
 }
--- a/src/gateway/TargetStates.ts
+++ b/src/gateway/TargetStates.ts
@@ -2,7 +2,7 @@
 import type { TargetRecord, TargetWork } from '../gen/redwingwharf/v1/fleet_pb.js';
 import type { IToldLoad } from './Types.js';
 
-/** Tokens beyond which a stream is expected to last (about half a second). */
+/** Tokens beyond which a stream is expected to last for seconds on a busy engine (about 40 ms a token). */
 export const LONG_STREAM_TOKENS = 100;
 
 /** A target that failed is left alone for this long, doubled with each further failure. */
@@ -18,15 +18,29 @@
 /** Age beyond which a told load says nothing. */
 const LOAD_KEPT_MS = 1_000;
 
+/** Weight of one answer in a target's slowness, and its bounds. */
+const SLOWNESS_WEIGHT = 0.15;
+const MIN_SLOWNESS = 0.7;
+const MAX_SLOWNESS = 4;
+
+/** Without answers a target's slowness is forgotten with this time constant. */
+const SLOWNESS_KEPT_MS = 4_000;
+
 /** Own record of one start of a target. */
 export interface ITargetState {
   readonly born: number;
+  /** Weights that the target holds, and since when this entry knows; its cache was empty then. */
+  weights: string;
+  weightsAt: number;
   /** Own requests in progress. */
   open: number;
   /** Prompt tokens of own requests that have no first event yet. */
   pendingTokens: number;
   /** Own streams in progress that were expected to last. */
   longStreams: number;
+  /** Time to the first byte as a multiple of what was expected, averaged over the last answers. */
+  slowness: number;
+  slownessAt: number;
   failures: number;
   restUntil: number;
   /** Time of the last answer that was no failure. */
@@ -37,20 +51,28 @@
 export class TargetStates {
   private readonly _states = new Map<string, ITargetState>();
 
-  public ensure(target: TargetRecord): ITargetState {
+  public ensure(target: TargetRecord, now: number): ITargetState {
+    const weights = target.models.map(({ name, version }) => `${name}@${version}`).join();
     let state = this._states.get(target.id);
     if (state?.born !== target.born) {
       state = {
         born: target.born,
+        weights,
+        weightsAt: now,
         open: 0,
         pendingTokens: 0,
         longStreams: 0,
+        slowness: 1,
+        slownessAt: Number.NEGATIVE_INFINITY,
         failures: 0,
         restUntil: 0,
         goodAt: Number.NEGATIVE_INFINITY,
         load: undefined,
       };
       this._states.set(target.id, state);
+    } else if (state.weights !== weights) {
+      state.weights = weights;
+      state.weightsAt = now;
     }
     return state;
   }
@@ -101,6 +123,24 @@
   state.restUntil = Math.max(state.restUntil, now + BUSY_REST_MS);
 }
 
+/** How much slower than expected the target answers now. */
+export function getSlowness(state: ITargetState, now: number): number {
+  return 1 + (state.slowness - 1) * Math.exp(-(now - state.slownessAt) / SLOWNESS_KEPT_MS);
+}
+
+/** Learns from the time to the first byte of one answer. */
+export function noteFirstByte(
+  state: ITargetState,
+  expectedMs: number,
+  actualMs: number,
+  now: number,
+): void {
+  const ratio = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, actualMs / Math.max(1, expectedMs)));
+  const before = getSlowness(state, now);
+  state.slowness = before + SLOWNESS_WEIGHT * (ratio - before);
+  state.slownessAt = now;
+}
+
 export function noteLoad(state: ITargetState, load: IToldLoad, now: number): void {
   state.load = { ...load, at: now };
 }
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -10,10 +10,10 @@
 import { QuotaWallet } from '../fleet/QuotaWallet.js';
 import { RetryBudget, type IRetryLimits } from '../fleet/RetryBudget.js';
 import type { DocumentDecoder } from '../fleet/Types.js';
-import { StoreWatch, type StoreQuestion } from '../fleet/StoreWatch.js';
 import { WeightsRollout, type IEngineOrders } from '../fleet/WeightsRollout.js';
 import { CallRunner } from '../gateway/CallRunner.js';
 import { Placement } from '../gateway/Placement.js';
+import { StoreIndex, type StoreQuestion } from '../gateway/StoreIndex.js';
 import { TargetStates } from '../gateway/TargetStates.js';
 import type { ICall, ITargetClient } from '../gateway/Types.js';
 import { create } from '@bufbuild/protobuf';
@@ -60,7 +60,7 @@
   private readonly _rpc: RpcClients;
   private readonly _member: MemberHost | undefined;
   private readonly _rollout: WeightsRollout;
-  private readonly _stores: StoreWatch;
+  private readonly _store: StoreIndex;
   private readonly _server: InternalServer;
   private readonly _tasks: Promise<void>[] = [];
   private _log: IFleetMember | undefined;
@@ -102,6 +102,7 @@
       states.forget(id);
       placement.forgetTarget(id);
     });
+    this._store = new StoreIndex(this.view, adapters.askStore, clock, _logger);
     this.calls = new CallRunner<T>({
       view: this.view,
       node: this.node,
@@ -109,6 +110,7 @@
       budget: new RetryBudget(_options.retry),
       states,
       placement,
+      store: this._store,
       client: adapters.client,
       clock,
       metrics,
@@ -134,23 +136,19 @@
         },
       );
     this._rollout = this._createRollout(adapters.orders);
-    this._stores = new StoreWatch(
-      this.view,
-      (now) => this.node.getHub(now),
-      adapters.askStore,
-      clock,
-      _logger,
-    );
     this._server = this._createServer();
   }
 
   public async start(): Promise<void> {
     await this._server.listen();
     const { signal } = this._stop;
-    const tasks = [this.node.run(signal), this._rollout.run(signal), this._stores.run(signal)];
+    const tasks = [this.node.run(signal), this._rollout.run(signal)];
     if (this._member !== undefined) {
       tasks.push(this._member.run(signal));
     }
+    if (this._options.takesRequests) {
+      tasks.push(this._store.run(signal));
+    }
     for (const task of tasks) {
       this._tasks.push(
         task.catch((error: unknown) => {
