--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -60,6 +60,9 @@
 
 const FIRST_ERROR_STATUS = 500;
 
+/** Longer answers to safe requests are passed on as they come. */
+const MAX_HELD_BYTES = 64 * 1024;
+
 export class Attempt<T extends ICall> {
   /** Number of the last event that was passed on, over all attempts. */
   public lastEventId: number | undefined;
@@ -70,6 +73,8 @@
   public longestGapMs = 0;
 
   private _lastByteAt = 0;
+  private readonly _held: Buffer[] = [];
+  private _heldBytes = 0;
   private readonly _framer: EventFramer | undefined;
   private readonly _finished: Promise<AttemptOutcome>;
   private _finish: (outcome: AttemptOutcome) => void = () => undefined;
@@ -197,8 +202,7 @@
     }
     if (this._framer === undefined || !this._isSuccess()) {
       this._noteFirstByte();
-      this._startSink();
-      this._write(chunk);
+      this._holdOrWrite(chunk);
       return;
     }
     const { bytes, lastId } = this._framer.push(chunk);
@@ -220,6 +224,9 @@
       return;
     }
     this._startSink();
+    for (const chunk of this._held) {
+      this._sink.write(chunk);
+    }
     const rest = this._framer?.rest;
     if (rest !== undefined && rest.length > 0) {
       this._sink.write(rest);
@@ -287,6 +294,21 @@
     }
   }
 
+  /** Holds the answer to a safe request back until it is whole, so that another target may replace it. */
+  private _holdOrWrite(chunk: Buffer): void {
+    const { route } = this._options;
+    this._heldBytes += chunk.length;
+    if (route.kind === 'safe' && !this._sink.isStarted && this._heldBytes <= MAX_HELD_BYTES) {
+      this._held.push(chunk);
+      return;
+    }
+    this._startSink();
+    for (const held of this._held.splice(0)) {
+      this._write(held);
+    }
+    this._write(chunk);
+  }
+
   /** Passes bytes on; a slow client pauses the target. */
   private _write(bytes: Uint8Array): void {
     const now = this._context.clock.now();
--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -259,6 +259,32 @@
     expect(sink).toMatchObject({ ending: 'cut' });
   });
 
+  it('joins no two answers to a safe request', async () => {
+    const breakMidway: Script = (listener) => {
+      listener.onHead(OK_HEAD);
+      listener.onData(Buffer.from('half of'));
+      listener.onError('reset', true);
+    };
+    const answerWhole: Script = (listener) => {
+      listener.onHead(OK_HEAD);
+      listener.onData(Buffer.from('the whole'));
+      listener.onEnd();
+    };
+    const { sink } = await play([breakMidway, answerWhole], { route: { kind: 'safe' } });
+    expect(sink).toMatchObject({ status: 200, body: 'the whole', ending: 'end' });
+  });
+
+  it('cuts a long answer to a safe request that breaks after it was begun', async () => {
+    const breakLate: Script = (listener) => {
+      listener.onHead(OK_HEAD);
+      listener.onData(Buffer.alloc(100_000));
+      listener.onError('reset', true);
+    };
+    const { sink, targets } = await play([breakLate, answerOk], { route: { kind: 'safe' } });
+    expect(targets.sent).toHaveLength(1);
+    expect(sink.ending).toBe('cut');
+  });
+
   it('passes on no answer to another request', async () => {
     const answerOther: Script = (listener) => {
       listener.onHead({ ...OK_HEAD, isOwn: false });
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -200,7 +200,7 @@
         return false;
       }
       const outcome = await this._tryTarget(call, sink, admitted, service, placement, progress);
-      if (!this._shouldRetry(call, admitted, outcome, progress, service)) {
+      if (!this._shouldRetry(call, sink, admitted, outcome, progress, service)) {
         this._finish(call, sink, outcome, progress);
         return progress.mayHaveRun;
       }
@@ -365,6 +365,7 @@
 
   private _shouldRetry(
     call: T,
+    sink: IAnswerSink,
     admitted: IAdmitted,
     outcome: AttemptOutcome,
     progress: IProgress,
@@ -376,6 +377,10 @@
     if (call.signal.aborted || admitted.endsAt - now < MIN_ATTEMPT_MS) {
       return false;
     }
+    // Only a stream can go on where it stopped; other bytes must not be joined.
+    if (sink.isStarted && route.kind !== 'streaming') {
+      return false;
+    }
     switch (outcome.kind) {
       case 'answered':
       case 'ended':
--- a/src/gateway/Overload.ts
+++ b/src/gateway/Overload.ts
@@ -19,7 +19,8 @@
 
 /**
  * Decides about one request by the expected time to its first byte at the best target. Clients that come
- * back are treated alike: letting them wait longer was measured to make all others late.
+ * back are treated alike: longer waits for them were measured to make all others late, and shorter ones
+ * to turn away twice whom there was room for.
  *
  * @example
  * const decision = decideOverload(placement.expectedMs, route.objectiveMs);
