--- a/src/cli/Types.ts
+++ b/src/cli/Types.ts
@@ -2,7 +2,7 @@
 import type { IFailure, Result } from '../common/Result.js';
 import type { ILoadedSettings } from '../settings/Types.js';
 
-/** Exit codes of the program; documented in docs/operations.md. */
+/** Exit codes of the program; documented in docs/OPERATIONS.md. */
 export const EXIT_CODE = {
   ok: 0,
   /** A check failed or the request was refused. */
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -236,8 +236,8 @@
       return false;
     }
     const { objectiveMs } = admitted.route;
-    const { expectedMs, target } = placement;
-    const decision = decideOverload(expectedMs, objectiveMs);
+    const { expectedMs, workMs, target } = placement;
+    const decision = decideOverload(expectedMs, workMs, objectiveMs);
     if (decision.kind === 'serve') {
       return false;
     }
--- a/src/gateway/Overload.ts
+++ b/src/gateway/Overload.ts
@@ -10,6 +10,12 @@
  */
 const REFUSE_FACTOR = 0.8;
 
+/**
+ * A long prompt takes most of its objective by itself. It is refused only if the wait before it exceeds
+ * this part of the objective; else the longest requests would never be served.
+ */
+const WAIT_FACTOR = 0.4;
+
 /** Shortest and longest time after which a refused client is asked to come back. */
 const MIN_RETRY_MS = 150;
 const MAX_RETRY_MS = 1_500;
@@ -22,11 +28,18 @@
  * back are treated alike: longer waits for them were measured to make all others late, and shorter ones
  * to turn away twice whom there was room for.
  *
+ * `workMs` is the part of the expected time that the request itself takes at an idle target.
+ *
  * @example
- * const decision = decideOverload(placement.expectedMs, route.objectiveMs);
+ * const decision = decideOverload(placement.expectedMs, placement.workMs, route.objectiveMs);
  */
-export function decideOverload(expectedMs: number, objectiveMs: number): OverloadDecision {
-  if (expectedMs <= objectiveMs * REFUSE_FACTOR) {
+export function decideOverload(
+  expectedMs: number,
+  workMs: number,
+  objectiveMs: number,
+): OverloadDecision {
+  const limitMs = Math.max(objectiveMs * REFUSE_FACTOR, workMs + objectiveMs * WAIT_FACTOR);
+  if (expectedMs <= limitMs) {
     return { kind: 'serve' };
   }
   // The backlog beyond the objective has to be worked off before the client would be served in time.
--- a/src/gateway/Placement.ts
+++ b/src/gateway/Placement.ts
@@ -105,6 +105,8 @@
   readonly expectedMs: number;
   /** The same before what was learned of the target's speed. */
   readonly modelMs: number;
+  /** The part of it that the request itself takes at an idle target. */
+  readonly workMs: number;
   /** Shared tokens that are expected to be read again. */
   readonly missedTokens: number;
   /** Target from whose memory the shared parts are to be fetched. */
@@ -200,10 +202,12 @@
     const missedTokens = sharedTokens - heldTokens - movedTokens;
     const moveMs =
       (siblingTokens / 1_000) * MOVE_MS_PER_1000 + (storeTokens / 1_000) * STORE_MS_PER_1000;
+    const ownMs = request.isEngine ? estimateWorkMs(request, missedTokens) + moveMs : PLAIN_WORK_MS;
     const modelMs = request.isEngine
-      ? estimateEngineMs(request, target, missedTokens, now) + moveMs
+      ? ownMs + estimateWaitMs(target, now)
       : estimatePlainMs(target, now);
-    const expectedMs = modelMs * getSlowness(target.state, now);
+    const slowness = getSlowness(target.state, now);
+    const expectedMs = modelMs * slowness;
     const cost =
       measureLateness(expectedMs, request.objectiveMs) +
       (missedTokens / 1_000) * REREAD_COST_PER_1000 +
@@ -219,6 +223,7 @@
       cost,
       expectedMs,
       modelMs,
+      workMs: ownMs * slowness,
       missedTokens,
       source: source?.target.record,
       candidates: all.length,
@@ -317,19 +322,19 @@
   return state.open + othersOpen;
 }
 
-function estimateEngineMs(
-  request: IPlacementRequest,
-  target: IPlacementTarget,
-  missedTokens: number,
-  now: number,
-): number {
+/** Time that the request itself takes at an idle engine. */
+function estimateWorkMs(request: IPlacementRequest, missedTokens: number): number {
   const own = request.parts.at(-1)?.tokens ?? request.promptTokens;
+  return ENGINE_BASE_MS + (own + missedTokens) / PREFILL_TOKENS_PER_MS;
+}
+
+/** Time until an engine has read the prompts before, and what running requests add. */
+function estimateWaitMs(target: IPlacementTarget, now: number): number {
   const backlog = target.state.pendingTokens + target.othersTokens;
   const load = getFreshLoad(target.state, now);
   const running = Math.max(countOpen(target), load?.running ?? 0);
   const waiting = load?.waiting ?? 0;
-  const readMs = (backlog + own + missedTokens) / PREFILL_TOKENS_PER_MS;
-  return ENGINE_BASE_MS + readMs + (running + waiting) * RUNNING_MS;
+  return backlog / PREFILL_TOKENS_PER_MS + (running + waiting) * RUNNING_MS;
 }
 
 function estimatePlainMs(target: IPlacementTarget, now: number): number {
--- a/src/settings/SettingsLoader.ts
+++ b/src/settings/SettingsLoader.ts
@@ -94,7 +94,7 @@
     return await loadChecked(file);
   } catch (error) {
     const message = `the file cannot be checked (${describeError(error)})`;
-    const remedy = 'Compare it with the examples in docs/operations.md.';
+    const remedy = 'Compare it with the examples in docs/OPERATIONS.md.';
     return Err(createFailure('invalid', [{ file, pointer: '', message, remedy }]));
   }
 }
