--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -4,7 +4,8 @@
 import type { IRoute, IService } from '../fleet/Types.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { EventFramer } from './EventFramer.js';
-import { noteGood, noteLoad, type ITargetState } from './TargetStates.js';
+import { isSilent } from './Silence.js';
+import { noteGood, noteLoad, noteUnreachable, type ITargetState } from './TargetStates.js';
 import type {
   IAnswerSink,
   ICall,
@@ -43,6 +44,10 @@
   readonly lastEventId: number | undefined;
   /** Prompt tokens that the target is expected to read. */
   readonly pendingTokens: number;
+  /** Expected time to the first byte. */
+  readonly expectedMs: number;
+  /** True: a silent target may be left for another one. */
+  readonly mayMove: boolean;
   /** True: the stream is expected to last. */
   readonly isLong: boolean;
   /** True: an error status of the target may be dropped in favour of another target's answer. */
@@ -58,6 +63,9 @@
   readonly metrics: Metrics;
 }
 
+/** Between two looks whether the target has gone silent. */
+const SILENCE_CHECK_MS = 250;
+
 const FIRST_ERROR_STATUS = 500;
 
 /** Longer answers to safe requests are passed on as they come. */
@@ -73,6 +81,7 @@
   public longestGapMs = 0;
 
   private _lastByteAt = 0;
+  private _sentAt = 0;
   private readonly _held: Buffer[] = [];
   private _heldBytes = 0;
   private readonly _framer: EventFramer | undefined;
@@ -122,6 +131,10 @@
       },
       Math.max(0, leftMs),
     );
+    this._sentAt = clock.now();
+    const watch = setInterval(() => {
+      this._checkSilence();
+    }, SILENCE_CHECK_MS);
     const leave = (): void => {
       this._end({ kind: 'ended', reason: 'client left' });
     };
@@ -152,6 +165,7 @@
       return await this._finished;
     } finally {
       clearTimeout(timer);
+      clearInterval(watch);
       signal.removeEventListener('abort', leave);
       state.open -= 1;
       state.longStreams -= isLong ? 1 : 0;
@@ -171,7 +185,23 @@
     this._finish(outcome);
   }
 
+  /** Leaves a target that has gone silent; others are warned of it in any case. */
+  private _checkSilence(): void {
+    const { state, expectedMs, mayMove } = this._options;
+    const now = this._context.clock.now();
+    const lastByteAt = this._lastByteAt > 0 ? this._lastByteAt : undefined;
+    const view = { sentAt: this._sentAt, expectedMs, lastByteAt, aliveAt: state.aliveAt };
+    if (this._isPaused || !isSilent(view, now)) {
+      return;
+    }
+    if (mayMove) {
+      this._end({ kind: 'failed', reason: 'the target is silent' });
+    }
+    noteUnreachable(state, now);
+  }
+
   private _handleHead(head: ITargetHead): void {
+    this._options.state.aliveAt = this._context.clock.now();
     if (this._isOver) {
       return;
     }
@@ -197,6 +227,7 @@
   }
 
   private _handleData(chunk: Buffer): void {
+    this._options.state.aliveAt = this._context.clock.now();
     if (this._isOver || this._isDropped || chunk.length === 0) {
       return;
     }
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -334,6 +334,8 @@
       endsAt: admitted.endsAt,
       lastEventId: progress.lastEventId,
       pendingTokens: Math.round(placement.missedTokens + (call.parts.at(-1)?.tokens ?? 0)),
+      expectedMs: placement.expectedMs,
+      mayMove: mayRepeat(route) && progress.attempts < route.maxAttempts,
       isLong: request.isEngine && request.outputTokens > LONG_STREAM_TOKENS,
       mayReplaceError: route.kind === 'safe' && progress.attempts < route.maxAttempts,
       onFirstByte: (at) => {
--- a/src/gateway/TargetStates.ts
+++ b/src/gateway/TargetStates.ts
@@ -45,6 +45,8 @@
   restUntil: number;
   /** Time of the last answer that was no failure. */
   goodAt: number;
+  /** Time of the last sign of life: any byte of any answer. */
+  aliveAt: number;
   load: (IToldLoad & { readonly at: number }) | undefined;
 }
 
@@ -67,6 +69,7 @@
         failures: 0,
         restUntil: 0,
         goodAt: Number.NEGATIVE_INFINITY,
+        aliveAt: Number.NEGATIVE_INFINITY,
         load: undefined,
       };
       this._states.set(target.id, state);
