--- a/src/consensus/ReplicatedLog.ts
+++ b/src/consensus/ReplicatedLog.ts
@@ -278,7 +278,11 @@
   private _listJoinAddresses(leaderAddress: string | undefined): string[] {
     const known = this._state.membership.members.map((member) => member.address);
     const first = leaderAddress ?? this._state.leaderAddress;
-    const addresses = [...(first === undefined ? [] : [first]), ...this._options.listPeers(), ...known];
+    const addresses = [
+      ...(first === undefined ? [] : [first]),
+      ...this._options.listPeers(),
+      ...known,
+    ];
     return [...new Set(addresses)].filter((address) => address !== this._options.address);
   }
 
