Replace voters that are lost for good

Cause: a member of the core that is removed stayed a voter for ever; with its successor four were counted and three needed, so the next loss would have stopped all changes. Change: a learner that is ready takes the place of a voter that has been silent for 6 s (removed first, promoted then), at most seven voters; a member that was replaced while it was cut off joins again. Only with the policy that the fleet sets; elsewhere an operator decides as before.

--- a/src/consensus/MembershipChanges.ts
+++ b/src/consensus/MembershipChanges.ts
@@ -26,7 +26,7 @@
   type IMemberPair,
 } from './Memberships.js';
 import type { IConsensusTimings } from './Timings.js';
-import type { ConsensusFailure } from './Types.js';
+import type { ConsensusFailure, IMembershipPolicy } from './Types.js';
 
 /** Why a membership change was not made. */
 export type MembershipFailure = ConsensusFailure | IFailure<'refused'>;
@@ -40,6 +40,7 @@
   constructor(
     private readonly _state: MemberState,
     private readonly _timings: IConsensusTimings,
+    private readonly _policy: IMembershipPolicy | undefined,
   ) {}
 
   /** Answers a disk that asks to be added. */
@@ -88,7 +89,8 @@
    */
   public promoteIfReady(leadership: Leadership): void {
     const learner = this._findReadyLearner(leadership);
-    if (learner === undefined || this._isPromoting) {
+    const lost = this._findLostVoter(leadership);
+    if (learner === undefined || this._isPromoting || (lost === undefined && this._isFull())) {
       return;
     }
     this._isPromoting = true;
@@ -96,7 +98,14 @@
     const promote = (membership: Membership): Membership | undefined =>
       this._isReady(leadership, pair) ? promoteLearner(membership, pair) : undefined;
     this._changes
-      .run(() => this._applyChange(leadership, promote, leadership.signal))
+      .run(async () => {
+        // Removed first: with the lost voter among them, the new voters would all be needed.
+        const removed =
+          lost === undefined
+            ? Ok(undefined)
+            : await this._removeMember(leadership, lost, leadership.signal);
+        return removed.ok ? this._applyChange(leadership, promote, leadership.signal) : removed;
+      })
       .then((result) => {
         this._state.log.info('learner promoted', { member: learner.id, ok: result.ok });
       })
@@ -222,6 +231,25 @@
     );
   }
 
+  private _isFull(): boolean {
+    const { maxVoters } = this._policy ?? { maxVoters: Number.POSITIVE_INFINITY };
+    return listVoters(this._state.membership).length >= maxVoters;
+  }
+
+  /** A voter that has been silent for so long that a learner takes its place. */
+  private _findLostVoter(leadership: Leadership): Member | undefined {
+    const policy = this._policy;
+    if (policy === undefined) {
+      return undefined;
+    }
+    const now = this._state.clock.now();
+    return listVoters(this._state.membership).find((voter) => {
+      const pair = toPair(voter);
+      const contactAt = leadership.getContact(pair) ?? now;
+      return !isSamePair(pair, this._state.pair) && now - contactAt > policy.lostVoterMs;
+    });
+  }
+
   private _isReady(leadership: Leadership, pair: IMemberPair): boolean {
     const { commitIndex, store, membership } = this._state;
     const isCaughtUp = leadership.getMatchIndex(pair) >= commitIndex;
--- a/src/consensus/ReplicatedLog.test.ts
+++ b/src/consensus/ReplicatedLog.test.ts
@@ -175,6 +175,31 @@
     expect(leader.machine.commands).not.toContain('on one disk');
   });
 
+  it('replaces a lost voter by a new member, and takes it back when it returns', async () => {
+    const policy = { lostVoterMs: 1_000, maxVoters: 3 };
+    const group = await TestCluster.create(3, 1, TEST_TIMINGS, undefined, policy);
+    cluster = group;
+    const names = await commitMany(cluster, 'before', 5);
+    const leader = await cluster.waitForLeader();
+    const [lost = '', survivor = ''] = listFollowers(cluster, leader.id);
+    await cluster.kill(lost);
+    await cluster.startMember('m4');
+    await waitUntil('the new member votes in place of the lost one', () => {
+      const members = group.findLeader()?.log.status.membership.members ?? [];
+      const voters = members.filter((member) => member.voter).map((member) => member.id);
+      return voters.length === 3 && voters.includes('m4') && !voters.includes(lost);
+    });
+    // With the lost one still counted, three of four would be needed now.
+    await cluster.kill(survivor === leader.id ? leader.id : survivor);
+    names.push(await cluster.commit('after the next loss'));
+    await cluster.startMember(lost);
+    await waitUntil('the lost one votes again', () => {
+      const members = group.findLeader()?.log.status.membership.members ?? [];
+      return members.some((member) => member.id === lost && member.voter);
+    });
+    expect(await cluster.waitForAgreement()).toEqual(expect.arrayContaining(names));
+  });
+
   it('loses nothing when a second member is lost right after a repair', async () => {
     cluster = await TestCluster.create(3);
     const names = await commitMany(cluster, 'before', 20);
--- a/src/consensus/ReplicatedLog.ts
+++ b/src/consensus/ReplicatedLog.ts
@@ -33,6 +33,7 @@
   ConsensusFailure,
   ICommitted,
   IConsensusStatus,
+  IMembershipPolicy,
   IReplicatedLog,
   IStateMachine,
 } from './Types.js';
@@ -44,6 +45,11 @@
   readonly address: string;
   /** Addresses to ask for admission while the disk is empty; they may change meanwhile. */
   readonly listPeers: () => readonly string[];
+  /**
+   * Replaces lost voters by learners, and lets a member that was replaced while it was cut off join again.
+   * Without it only an operator changes the voters of a group, and removed members stay removed.
+   */
+  readonly policy?: IMembershipPolicy;
   readonly machine: IStateMachine;
   readonly transport: IConsensusTransport;
   readonly clock: IClock;
@@ -123,7 +129,7 @@
     const { address, clock, log, machine, transport, timings, random } = _options;
     const state = new MemberState(_store, address, clock, log, machine);
     this._state = state;
-    this._changes = new MembershipChanges(state, timings);
+    this._changes = new MembershipChanges(state, timings, _options.policy);
     this._elections = new Elections(state, transport, timings, random, () => {
       this._startLeadership();
     });
@@ -272,7 +278,18 @@
       return true;
     }
     const self = findMember(this._state.membership, this._state.pair);
-    return self !== undefined && self.address !== this._options.address;
+    if (self?.address === this._options.address) {
+      return this._mayBeReplaced();
+    }
+    return self !== undefined || this._options.policy !== undefined;
+  }
+
+  /** True if no leader was heard of for so long that another member may have this one's place. */
+  private _mayBeReplaced(): boolean {
+    const { policy, clock } = this._options;
+    const { role, lastContactAt } = this._state;
+    const silentMs = clock.now() - lastContactAt;
+    return policy !== undefined && role !== 'leader' && silentMs > policy.lostVoterMs;
   }
 
   private _listJoinAddresses(leaderAddress: string | undefined): string[] {
--- a/src/consensus/TestCluster.ts
+++ b/src/consensus/TestCluster.ts
@@ -21,7 +21,7 @@
 import { formatPair } from './Memberships.js';
 import type { IConsensusTimings } from './Timings.js';
 import type { IConsensusTransport } from './Transport.js';
-import type { IConsensusStatus, IStateMachine } from './Types.js';
+import type { IConsensusStatus, IMembershipPolicy, IStateMachine } from './Types.js';
 
 /** Limit of a wait; far above what a busy machine takes, so that verdicts don't depend on load. */
 const WAIT_LIMIT_MS = 15_000;
@@ -215,6 +215,7 @@
     private readonly _random: () => number,
     private readonly _timings: IConsensusTimings,
     private readonly _createMachine: CreateMachine,
+    private readonly _policy: IMembershipPolicy | undefined,
   ) {
     this.network = new FakeNetwork(_random);
   }
@@ -225,9 +226,10 @@
     seed = 1,
     timings: IConsensusTimings = TEST_TIMINGS,
     createMachine: CreateMachine = (noteApplied) => new ListMachine(noteApplied),
+    policy?: IMembershipPolicy,
   ): Promise<TestCluster> {
     const root = await mkdtemp(join(tmpdir(), 'redwingwharf-consensus-'));
-    const cluster = new TestCluster(root, createRandom(seed), timings, createMachine);
+    const cluster = new TestCluster(root, createRandom(seed), timings, createMachine, policy);
     const founded = await initialiseDataFolder(cluster.getPath('m1'), 'm1', 'node-1');
     founded.unwrap();
     for (let n = 1; n <= size; n += 1) {
@@ -263,6 +265,7 @@
       memberId: id,
       address,
       listPeers: () => ['node-1', 'node-2', 'node-3', 'node-4', 'node-5'],
+      ...(this._policy === undefined ? {} : { policy: this._policy }),
       machine,
       transport: this.network.createTransport(address),
       clock: new MonotonicClock(),
--- a/src/consensus/Types.ts
+++ b/src/consensus/Types.ts
@@ -39,6 +39,14 @@
   | IFailure<'indeterminate'>
   | IFailure<'stopped'>;
 
+/** How a group replaces members that are lost, where no operator does it. */
+export interface IMembershipPolicy {
+  /** A voter that has been silent for this long gives its place to a learner that is ready. */
+  readonly lostVoterMs: number;
+  /** Learners beyond this number of voters wait until a voter is lost. */
+  readonly maxVoters: number;
+}
+
 /** A log that a majority of members keeps on disk. */
 export interface IReplicatedLog {
   readonly status: IConsensusStatus;
--- a/src/run/MemberHost.ts
+++ b/src/run/MemberHost.ts
@@ -29,6 +29,12 @@
 /** File with the targets that were known last. */
 const TARGETS_FILE = 'targets';
 
+/** Longer than a planned restart (2 s), and than a machine counts as lost after its return (4 s). */
+const LOST_VOTER_MS = 6_000;
+
+/** Bears the loss of three; more voters would only make each change wait for more disks. */
+const MAX_VOTERS = 7;
+
 /** Soft state that shortens the time to the first answer after a restart of all processes. */
 export interface IKeptTargets {
   list(): readonly TargetRecord[];
@@ -88,6 +94,7 @@
       memberId: this._options.address,
       address: this._options.address,
       listPeers: this._options.listPeers,
+      policy: { lostVoterMs: LOST_VOTER_MS, maxVoters: MAX_VOTERS },
       machine: state,
       transport: new RpcConsensusTransport(this._rpc),
       clock: this._clock,
