Let a group shrink to the voters that are left, never below what bears the losses

Change: a lost voter is also removed without a successor while more than twice the tolerated losses and one are left.

--- a/src/consensus/MembershipChanges.ts
+++ b/src/consensus/MembershipChanges.ts
@@ -88,26 +88,31 @@
    * first: they ignore vote requests from pairs outside the membership they know.
    */
   public promoteIfReady(leadership: Leadership): void {
+    if (this._isPromoting) {
+      return;
+    }
     const learner = this._findReadyLearner(leadership);
     const lost = this._findLostVoter(leadership);
-    if (learner === undefined || this._isPromoting || (lost === undefined && this._isFull())) {
-      return;
+    const minVoters = this._policy?.minVoters ?? Number.POSITIVE_INFINITY;
+    const canShrink = listVoters(this._state.membership).length > minVoters;
+    if (learner !== undefined && (lost !== undefined || !this._isFull())) {
+      this._runChange('learner promoted', learner, () =>
+        this._promote(leadership, toPair(learner), lost),
+      );
+    } else if (lost !== undefined && canShrink) {
+      this._runChange('lost voter removed', lost, () =>
+        this._removeMember(leadership, lost, leadership.signal),
+      );
     }
+  }
+
+  /** Makes a change that no caller waits for, one at a time. */
+  private _runChange(what: string, member: Member, change: () => Promise<ChangeResult>): void {
     this._isPromoting = true;
-    const pair = toPair(learner);
-    const promote = (membership: Membership): Membership | undefined =>
-      this._isReady(leadership, pair) ? promoteLearner(membership, pair) : undefined;
     this._changes
-      .run(async () => {
-        // Removed first: with the lost voter among them, the new voters would all be needed.
-        const removed =
-          lost === undefined
-            ? Ok(undefined)
-            : await this._removeMember(leadership, lost, leadership.signal);
-        return removed.ok ? this._applyChange(leadership, promote, leadership.signal) : removed;
-      })
+      .run(change)
       .then((result) => {
-        this._state.log.info('learner promoted', { member: learner.id, ok: result.ok });
+        this._state.log.info(what, { member: member.id, ok: result.ok });
       })
       .catch((error: unknown) => {
         this._state.fail(error);
@@ -117,6 +122,23 @@
       });
   }
 
+  /** The lost voter goes first: with it among them, the other voters would all be needed. */
+  private async _promote(
+    leadership: Leadership,
+    pair: IMemberPair,
+    lost: Member | undefined,
+  ): Promise<ChangeResult> {
+    if (lost !== undefined) {
+      const removed = await this._removeMember(leadership, lost, leadership.signal);
+      if (!removed.ok) {
+        return removed;
+      }
+    }
+    const promote = (membership: Membership): Membership | undefined =>
+      this._isReady(leadership, pair) ? promoteLearner(membership, pair) : undefined;
+    return this._applyChange(leadership, promote, leadership.signal);
+  }
+
   private _respond(reason: string | undefined): JoinResponse {
     return create(JoinResponseSchema, {
       accepted: reason === undefined,
--- a/src/consensus/ReplicatedLog.test.ts
+++ b/src/consensus/ReplicatedLog.test.ts
@@ -176,7 +176,7 @@
   });
 
   it('replaces a lost voter by a new member, and takes it back when it returns', async () => {
-    const policy = { lostVoterMs: 1_000, maxVoters: 3 };
+    const policy = { lostVoterMs: 1_000, minVoters: 3, maxVoters: 3 };
     const group = await TestCluster.create(3, 1, TEST_TIMINGS, undefined, policy);
     cluster = group;
     const names = await commitMany(cluster, 'before', 5);
@@ -200,6 +200,25 @@
     expect(await cluster.waitForAgreement()).toEqual(expect.arrayContaining(names));
   });
 
+  it('removes a lost voter while three others are left, so that the next loss is borne', async () => {
+    const policy = { lostVoterMs: 1_000, minVoters: 3, maxVoters: 7 };
+    const group = await TestCluster.create(4, 1, TEST_TIMINGS, undefined, policy);
+    cluster = group;
+    const leader = await group.waitForLeader();
+    const [lost = '', next = ''] = listFollowers(group, leader.id);
+    await group.kill(lost);
+    await waitUntil('the lost voter is removed', () => {
+      const members = group.findLeader()?.log.status.membership.members ?? [];
+      return members.length === 3 && !members.some((member) => member.id === lost);
+    });
+    await group.kill(next);
+    const name = await group.commit('after the next loss');
+    await group.startMember(lost);
+    await group.startMember(next);
+    await group.waitForVoters(4);
+    expect(await group.waitForAgreement()).toContain(name);
+  });
+
   it('loses nothing when a second member is lost right after a repair', async () => {
     cluster = await TestCluster.create(3);
     const names = await commitMany(cluster, 'before', 20);
--- a/src/consensus/Types.ts
+++ b/src/consensus/Types.ts
@@ -43,6 +43,8 @@
 export interface IMembershipPolicy {
   /** A voter that has been silent for this long gives its place to a learner that is ready. */
   readonly lostVoterMs: number;
+  /** The group does not shrink below this number of voters: twice the losses to be borne and one. */
+  readonly minVoters: number;
   /** Learners beyond this number of voters wait until a voter is lost. */
   readonly maxVoters: number;
 }
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -35,7 +35,7 @@
   readonly clusterSecret: string;
   readonly takesRequests: boolean;
   /** Undefined on machines without a disk. */
-  readonly member: Pick<IMemberOptions, 'dataFolder' | 'isFounder'> | undefined;
+  readonly member: Omit<IMemberOptions, 'address' | 'listPeers'> | undefined;
   readonly announceMs: number;
   readonly quota: IQuotaTerms;
   readonly leaseMs: number;
--- a/src/run/MemberHost.ts
+++ b/src/run/MemberHost.ts
@@ -32,6 +32,9 @@
 /** Longer than a planned restart (2 s), and than a machine counts as lost after its return (4 s). */
 const LOST_VOTER_MS = 6_000;
 
+/** A group that has shrunk to this still bears the loss of one. */
+const MIN_VOTERS = 3;
+
 /** Bears the loss of three; more voters would only make each change wait for more disks. */
 const MAX_VOTERS = 7;
 
@@ -47,6 +50,8 @@
   readonly address: string;
   /** Addresses of processes to ask for admission, as known now. */
   readonly listPeers: () => readonly string[];
+  /** Members that may be lost at once, with their disks. */
+  readonly toleratedLosses: number;
   /** True: this process founds the group if its disk is empty. */
   readonly isFounder: boolean;
 }
@@ -94,7 +99,11 @@
       memberId: this._options.address,
       address: this._options.address,
       listPeers: this._options.listPeers,
-      policy: { lostVoterMs: LOST_VOTER_MS, maxVoters: MAX_VOTERS },
+      policy: {
+        lostVoterMs: LOST_VOTER_MS,
+        minVoters: Math.max(MIN_VOTERS, 2 * this._options.toleratedLosses + 1),
+        maxVoters: MAX_VOTERS,
+      },
       machine: state,
       transport: new RpcConsensusTransport(this._rpc),
       clock: this._clock,
