Fetch from the store what a sibling engine may have dropped

Requests away from their home fetched from the home, which engines leave within seconds, though the store held the parts. Change: a sibling is the source only if this entry saw it read the parts within 5 s; else the store, if it holds them.

--- a/src/gateway/Placement.test.ts
+++ b/src/gateway/Placement.test.ts
@@ -91,6 +91,20 @@
     expect(chosen?.source?.id).toBe(home?.id);
   });
 
+  it('fetches from the store what it holds for certain, unless the home was seen to read it', () => {
+    const targets = buildTargets(6, 9);
+    const placement = new Placement('zg-a');
+    const fullStore = { isHeld: () => true };
+    const home = placement.choose(buildRequest(), targets, EMPTY_STORE, 0)?.target;
+    const full = updateTarget(targets, home?.id, { othersTokens: 40_000 });
+    expect(placement.choose(buildRequest(), full, fullStore, 0)?.source).toBeUndefined();
+    expect(placement.choose(buildRequest(), full, fullStore, 0)?.missedTokens).toBe(0);
+    if (home !== undefined) {
+      placement.noteRead(buildRequest(), home, 0);
+    }
+    expect(placement.choose(buildRequest(), full, fullStore, 100)?.source?.id).toBe(home?.id);
+  });
+
   it('never fetches parts that were read under other weights', () => {
     const targets = buildTargets(6, 4);
     const placement = new Placement('zg-a');
--- a/src/gateway/Placement.ts
+++ b/src/gateway/Placement.ts
@@ -28,7 +28,7 @@
 const REREAD_COST_PER_1000 = 0.25;
 
 /** Evidence that a target holds a part is trusted for this long; engines drop parts within seconds. */
-const EVIDENCE_MS = 10_000;
+const EVIDENCE_MS = 5_000;
 
 /** Prompt parts whose holders are kept. */
 const MAX_PARTS = 4_000;
@@ -125,6 +125,8 @@
   readonly target: IPlacementTarget;
   readonly version: number;
   readonly heldTokens: number;
+  /** The part of them that this entry has seen the target read lately. */
+  readonly knownTokens: number;
   readonly isDoubtful: boolean;
 }
 
@@ -147,7 +149,7 @@
       return {
         target,
         version: getVersion(request, record),
-        heldTokens: this._estimateHeld(request, target, ranks.get(record.id) ?? 0, now),
+        ...this._estimateHeld(request, target, ranks.get(record.id) ?? 0, now),
         isDoubtful: record.silent || record.loading || now < state.restUntil,
       };
     });
@@ -193,11 +195,13 @@
   ): IPlacement {
     const { target, heldTokens, isDoubtful } = holding;
     const { record } = target;
-    const source = findSource(holding, all);
+    const storedTokens = sumStored(request, record, store);
+    const sibling = findSource(holding, all);
+    // What the store holds is certain; what a sibling should hold may have been dropped.
+    const source = (sibling?.knownTokens ?? 0) >= storedTokens ? sibling : undefined;
     const sharedTokens = sumTokens(listSharedParts(request));
     const siblingTokens = source === undefined ? 0 : source.heldTokens - heldTokens;
-    const storeTokens =
-      source === undefined ? Math.max(0, sumStored(request, record, store) - heldTokens) : 0;
+    const storeTokens = source === undefined ? Math.max(0, storedTokens - heldTokens) : 0;
     const movedTokens = siblingTokens + storeTokens;
     const missedTokens = sharedTokens - heldTokens - movedTokens;
     const moveMs =
@@ -236,11 +240,12 @@
     { record, state }: IPlacementTarget,
     rank: number,
     now: number,
-  ): number {
+  ): Pick<IHolding, 'heldTokens' | 'knownTokens'> {
     const warmth = Math.min(1, (now - state.weightsAt) / WARM_UP_MS);
     const homeChance = (HOME_CHANCES[rank] ?? 0) * warmth;
     const version = getVersion(request, record);
-    let held = 0;
+    let heldTokens = 0;
+    let knownTokens = 0;
     let chance = 1;
     for (const part of listSharedParts(request)) {
       const holder = this._holders.get(formatPartKey(request, part))?.get(record.id);
@@ -250,9 +255,10 @@
         now - holder.at <= EVIDENCE_MS;
       // A part counts only if all parts before it are held too.
       chance *= isHeld ? 1 : homeChance;
-      held += part.tokens * chance;
+      heldTokens += part.tokens * chance;
+      knownTokens += isHeld && chance === 1 ? part.tokens : 0;
     }
-    return held;
+    return { heldTokens, knownTokens };
   }
 }
 
