--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -105,6 +105,10 @@
   readonly route?: Partial<IRoute>;
   readonly call?: Partial<ICall>;
   readonly targets?: number;
+  /** Version named for the model, and for how long it has been known. */
+  readonly named?: { readonly version: number; readonly knownMs: number };
+  /** Versions of the targets' weights; 1 where it names none. */
+  readonly held?: readonly number[];
 }
 
 interface IPlayed {
@@ -121,7 +125,11 @@
   const view = new FleetView(() => Ok(configuration), SILENT_LOG);
   view.applyDocument(create(FleetDocumentSchema, { version: 7n }));
   for (let i = 0; i < (setup.targets ?? 3); i += 1) {
-    view.applyTarget(buildTarget({ id: `i-${i}`, address: `10.1.0.${i}:8000` }));
+    const models = [{ name: 'm', version: BigInt(setup.held?.[i] ?? 1) }];
+    view.applyTarget(buildTarget({ id: `i-${i}`, address: `10.1.0.${i}:8000`, models }));
+  }
+  if (setup.named !== undefined) {
+    view.weights.note('m', setup.named.version, clock.now() - setup.named.knownMs);
   }
   const targets = new ScriptedTargets(scripts);
   const runner = new CallRunner<ICall>({
@@ -327,6 +335,22 @@
     });
   });
 
+  it('serves on replaced weights while no target has newer ones, up to the limit', async () => {
+    const early = await play([answerOk], { named: { version: 2, knownMs: 7_000 } });
+    expect(early.sink.status).toBe(200);
+    const late = await play([answerOk], { named: { version: 2, knownMs: 9_000 } });
+    expect(late.sink).toMatchObject({ status: 503, ending: 'refuse' });
+    expect(late.targets.sent).toEqual([]);
+  });
+
+  it('passes over targets with weights replaced long ago while another is left', async () => {
+    const { targets } = await play([answerOk], {
+      named: { version: 2, knownMs: 7_000 },
+      held: [1, 1, 2],
+    });
+    expect(targets.sent.map(({ target }) => target)).toEqual(['i-2']);
+  });
+
   it.each([
     ['an unknown route', { call: { path: '/nowhere/' } }, 404],
     ['an unknown key', { call: { key: 'nobody' } }, 401],
