Give back the places of engines that leave while they get ready for weights

Cause, found by reading the change: an engine that crashed, drained or went silent between its mark and its order kept its place for ever; after places + 1 such engines the leader loaded no weights any more, until it lost the lead. Change: at each step the places of engines that need no load are given back and their marks are taken off.

--- a/src/fleet/WeightsRollout.ts
+++ b/src/fleet/WeightsRollout.ts
@@ -121,11 +121,26 @@
       return;
     }
     const targets = hub.listTargets();
+    this._dropPrepared(hub, targets);
     for (const { model, version } of this._leader.weights) {
       this._startLoadsOf(model, Number(version), hub, targets, signal);
     }
   }
 
+  /** Gives the places of engines back that left, or got their weights, while they were getting ready. */
+  private _dropPrepared(hub: FleetHub, targets: readonly TargetRecord[]): void {
+    const needsLoad = (target: TargetRecord): boolean =>
+      this._leader.weights.some(
+        ({ model, version }) =>
+          isLoadable(target, model) && getVersion(target, model) < Number(version),
+      );
+    const waiting = new Set(targets.filter(needsLoad).map(({ id }) => id));
+    for (const id of [...this._preparing.keys()].filter((prepared) => !waiting.has(prepared))) {
+      this._preparing.delete(id);
+      hub.setLoadState(id, 'none');
+    }
+  }
+
   private _startLoadsOf(
     model: string,
     version: number,
