Take out dead state and join twins in the platform's path

Found by reading the change: a pause between attempts that was always 0, a time, a count, a service and five wire fields that nobody read; the loop over leader candidates and the loop around it, each written for changes and for reads; three lookups of the weights that a target holds; a request described twice for each attempt and its service picked anew; the leader's own announcements sent to itself at every exchange, as they never left its queue; a log line for each client account at each configuration, now only where the limit changed. The fleet-wide budget has a name of its own beside the one in src/admission, and a member closes its directory. Behaviour stays; tests keep their assertions.

--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -40,7 +40,6 @@
 /** Part of an answer that depends on what the process knows already. */
 export interface IHubNews {
   readonly revision: number;
-  readonly isFull: boolean;
   readonly targets: readonly TargetRecord[];
 }
 
@@ -72,6 +71,11 @@
 
   /** Most tokens of each client account within the window; accounts without limit are left out. */
   public setLimits(limits: ReadonlyMap<string, number>): void {
+    for (const [clientAccount, limit] of limits) {
+      if (this._limits.get(clientAccount) !== limit) {
+        this._options.log.info('quota limit', { clientAccount, limit: Math.round(limit) });
+      }
+    }
     this._limits = limits;
     for (const [account, pool] of this._pools) {
       const changed = limits.get(account);
@@ -125,11 +129,7 @@
     const changed = [...this._records.values()].filter(
       (entry) => isFull || entry.revision > revision,
     );
-    return {
-      revision: this._revision,
-      isFull,
-      targets: changed.map((entry) => entry.record),
-    };
+    return { revision: this._revision, targets: changed.map((entry) => entry.record) };
   }
 
   /** Latest announcements, for the leader's own decisions. */
--- a/src/fleet/FleetNode.test.ts
+++ b/src/fleet/FleetNode.test.ts
@@ -47,7 +47,6 @@
     const node = new FleetNode(
       {
         address,
-        dataCentre: 'zg-a',
         takesRequests: true,
         hub: { announceMs: 1_200, quota: QUOTA, processStartedAt: 0, log: SILENT_LOG },
       },
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -1,6 +1,6 @@
 /** Part of every process that exchanges knowledge with the leader, and serves as hub while it leads. */
 import { create, toBinary } from '@bufbuild/protobuf';
-import type { ConnectRouter } from '@connectrpc/connect';
+import type { Client, ConnectRouter } from '@connectrpc/connect';
 import type { IClock } from '../common/Clock.js';
 import { describeError, type ILog } from '../common/Log.js';
 import type { RpcClients } from '../common/Rpc.js';
@@ -48,6 +48,11 @@
 /** Limit of a change or a read, so that its caller can turn to another process within a second. */
 const COMMAND_LIMIT_MS = 900;
 
+/** Between two attempts of a change or a read. */
+const COMMAND_PAUSE_MS = 50;
+
+const NOT_CONFIRMED = 'the leader is not confirmed';
+
 /** A leader whose majority has been silent for this long acts as no hub. */
 const LEADER_STALE_MS = 1_500;
 
@@ -69,7 +74,6 @@
 export interface IFleetNodeOptions {
   /** Identity of this process in exchanges: its internal address. */
   readonly address: string;
-  readonly dataCentre: string;
   readonly takesRequests: boolean;
   readonly hub: IHubOptions;
 }
@@ -200,34 +204,32 @@
 
   /** Brings a change to the leader; its outcome is known only if it was committed. */
   public async submit(command: FleetCommand, signal: AbortSignal): Promise<SubmitOutcome> {
-    return runWithLimit(signal, COMMAND_LIMIT_MS, async (limited) => {
-      let reason = 'no leader is known';
-      while (!isAborted(limited)) {
-        const answer = await this._submitOnce(command, limited);
-        if (answer.committed) {
-          return { kind: 'committed' };
-        }
-        reason = answer.reason;
-        await sleep(addJitter(50), limited);
-      }
-      return { kind: 'unknown', reason };
+    const answer = await this._repeatCommand(signal, async (limited) => {
+      const done = this._isLeading()
+        ? await this._commit(command, limited)
+        : await this._queryLeader(limited, async (client, callLimit) => {
+            const reply = await client.submit({ command }, { signal: callLimit });
+            return reply.committed ? reply : reply.reason;
+          });
+      return typeof done === 'string' || done.committed ? done : done.reason;
     });
+    return typeof answer === 'string' ? { kind: 'unknown', reason: answer } : { kind: 'committed' };
   }
 
   /** Reads the newest document; unsure unless a majority confirmed the leader after the call began. */
   public async readDocument(signal: AbortSignal): Promise<ReadOutcome> {
-    return runWithLimit(signal, COMMAND_LIMIT_MS, async (limited) => {
-      let reason = 'no leader is known';
-      while (!isAborted(limited)) {
-        const answer = await this._readOnce(limited);
-        if (typeof answer !== 'string' && answer.confirmed) {
-          return { kind: 'read', document: answer.document };
-        }
-        reason = typeof answer === 'string' ? answer : 'the leader is not confirmed';
-        await sleep(addJitter(50), limited);
-      }
-      return { kind: 'unsure', reason };
+    const answer = await this._repeatCommand(signal, async (limited) => {
+      const read = this._isLeading()
+        ? await this._readConfirmed(limited)
+        : await this._queryLeader(limited, async (client, callLimit) => {
+            const reply = await client.readDocument({}, { signal: callLimit });
+            return reply.confirmed ? reply : NOT_CONFIRMED;
+          });
+      return typeof read === 'string' || read.confirmed ? read : NOT_CONFIRMED;
     });
+    return typeof answer === 'string'
+      ? { kind: 'unsure', reason: answer }
+      : { kind: 'read', document: answer.document };
   }
 
   /** Exchanges with the leader until the signal is aborted. */
@@ -291,22 +293,41 @@
     response.epoch = hub.epoch;
     response.revision = BigInt(news.revision);
     response.targets = [...news.targets];
-    response.full = news.isFull;
     response.weights = [...state.weights];
     response.work = hub.sumWork(request.node);
     response.entries = hub.countEntries();
     response.grants = hub
       .grantQuotas(request.node, request.quotas, now)
       .map((grant) => create(QuotaGrantSchema, grant));
-    if (state.document !== undefined) {
-      response.documentVersion = state.document.version;
-      if (state.document.version > request.documentVersion) {
-        response.document = state.document;
-      }
+    if (state.document !== undefined && state.document.version > request.documentVersion) {
+      response.document = state.document;
     }
     return response;
   }
 
+  private _isLeading(): boolean {
+    return this.getHub(this._clock.now()) !== undefined;
+  }
+
+  /** Repeats a command until it has an answer other than a reason, or the limit is reached. */
+  private _repeatCommand<T>(
+    signal: AbortSignal,
+    attempt: (limited: AbortSignal) => Promise<T | string>,
+  ): Promise<T | string> {
+    return runWithLimit(signal, COMMAND_LIMIT_MS, async (limited) => {
+      let reason = 'no leader is known';
+      while (!isAborted(limited)) {
+        const answer = await attempt(limited);
+        if (typeof answer !== 'string') {
+          return answer;
+        }
+        reason = answer;
+        await sleep(addJitter(COMMAND_PAUSE_MS), limited);
+      }
+      return reason;
+    });
+  }
+
   private _startHub(term: number, now: number): void {
     const hub = new FleetHub(`${this._options.address}/${term}`, this._options.hub, now);
     this._hub = { hub, term };
@@ -323,12 +344,6 @@
     const limits = new Map<string, number>();
     for (const account of table.configuration.clientAccounts ?? []) {
       if (account.tokensPerSecond > 0) {
-        this._log.info('quota limit', {
-          clientAccount: account.name,
-          tokensPerSecond: account.tokensPerSecond,
-          burst: account.burstTokens,
-          version: table.version,
-        });
         limits.set(account.name, deriveWindowLimit(account, this._options.hub.quota));
       }
     }
@@ -340,7 +355,6 @@
     const announced = isKnownEpoch ? [...this._pending.values()] : this._view.listRecords();
     return create(ExchangeRequestSchema, {
       node: this._options.address,
-      dataCentre: this._options.dataCentre,
       epoch: this._view.epoch,
       revision: BigInt(this._view.revision),
       documentVersion: BigInt(this._view.documentVersion),
@@ -355,8 +369,10 @@
   }
 
   private _exchangeLocally(now: number): void {
-    this._applyAnswer(this.answerExchange(this._buildRequest(now), now), [], this._waiters, now);
+    const request = this._buildRequest(now);
+    const waiters = this._waiters;
     this._waiters = [];
+    this._applyAnswer(this.answerExchange(request, now), request.announced, waiters, now);
   }
 
   private async _exchangeOnce(signal: AbortSignal): Promise<void> {
@@ -475,20 +491,21 @@
     return own.length > 0 ? own : [...this._members];
   }
 
-  private async _submitOnce(command: FleetCommand, signal: AbortSignal): Promise<SubmitResponse> {
-    if (this.getHub(this._clock.now()) !== undefined) {
-      return this._commit(command, signal);
-    }
+  /** Asks one process after the other until one answers as leader; else the last reason. */
+  private async _queryLeader<T>(
+    signal: AbortSignal,
+    ask: (client: Client<typeof FleetService>, limited: AbortSignal) => Promise<T | string>,
+  ): Promise<T | string> {
     let reason = 'no leader is known';
     for (const address of this._listLeaderCandidates()) {
       try {
         const answer = await runWithLimit(signal, EXCHANGE_LIMIT_MS, (limited) =>
-          this._rpc.get(FleetService, address).submit({ command }, { signal: limited }),
+          ask(this._rpc.get(FleetService, address), limited),
         );
-        if (answer.committed) {
+        if (typeof answer !== 'string') {
           return answer;
         }
-        reason = answer.reason;
+        reason = answer;
       } catch (error) {
         reason = describeError(error);
       }
@@ -496,23 +513,20 @@
         break;
       }
     }
-    return create(SubmitResponseSchema, { reason });
+    return reason;
   }
 
   /** Commits a command on this leader, unless the state shows that it would change nothing. */
   private async _commit(command: FleetCommand, signal: AbortSignal): Promise<SubmitResponse> {
     const member = this._member;
     if (member === undefined || this.getHub(this._clock.now()) === undefined) {
-      return create(SubmitResponseSchema, {
-        leaderAddress: this._leader ?? '',
-        reason: 'this process does not lead',
-      });
+      return create(SubmitResponseSchema, { reason: 'this process does not lead' });
     }
     if (isSettled(command, member.state)) {
       const confirmed = await this._waitConfirmed(signal);
       return create(SubmitResponseSchema, {
         committed: confirmed,
-        reason: confirmed ? '' : 'the leader is not confirmed',
+        reason: confirmed ? '' : NOT_CONFIRMED,
       });
     }
     const done = await runWithLimit(signal, COMMAND_LIMIT_MS, (limited) =>
@@ -523,35 +537,9 @@
       : create(SubmitResponseSchema, { reason: done.val.message });
   }
 
-  private async _readOnce(signal: AbortSignal): Promise<ReadDocumentResponse | string> {
-    if (this.getHub(this._clock.now()) !== undefined) {
-      return this._readConfirmed(signal);
-    }
-    let reason = 'no leader is known';
-    for (const address of this._listLeaderCandidates()) {
-      try {
-        const answer = await runWithLimit(signal, EXCHANGE_LIMIT_MS, (limited) =>
-          this._rpc.get(FleetService, address).readDocument({}, { signal: limited }),
-        );
-        if (answer.confirmed) {
-          return answer;
-        }
-      } catch (error) {
-        reason = describeError(error);
-      }
-      if (isAborted(signal)) {
-        break;
-      }
-    }
-    return reason;
-  }
-
   private async _readConfirmed(signal: AbortSignal): Promise<ReadDocumentResponse> {
     const isConfirmed = await this._waitConfirmed(signal);
-    const response = create(ReadDocumentResponseSchema, {
-      confirmed: isConfirmed,
-      leaderAddress: this._leader ?? '',
-    });
+    const response = create(ReadDocumentResponseSchema, { confirmed: isConfirmed });
     const document = this._member?.state.document;
     if (document !== undefined) {
       response.document = document;
--- /dev/null
+++ b/src/fleet/HeldWeights.ts
@@ -0,0 +1,11 @@
+/** Weights that a target holds. */
+import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
+
+/** Version of a model's weights that the target announced; undefined if it does not run the model. */
+export function getHeldVersion(
+  record: TargetRecord,
+  model: string | undefined,
+): number | undefined {
+  const held = record.models.find(({ name }) => name === model);
+  return held === undefined ? undefined : Number(held.version);
+}
--- a/src/fleet/RetryBudget.test.ts
+++ b/src/fleet/SharedRetryBudget.test.ts
@@ -1,10 +1,10 @@
 /** Guards against retries that feed a collapse. */
 import { describe, expect, it } from 'vitest';
-import { RetryBudget } from './RetryBudget.js';
+import { SharedRetryBudget } from './SharedRetryBudget.js';
 
 const LIMITS = { ratio: 0.2, slack: 60, windowMs: 10_000 };
 
-function spendAll(budget: RetryBudget, entries: number, now: number): number {
+function spendAll(budget: SharedRetryBudget, entries: number, now: number): number {
   let spent = 0;
   while (budget.trySpend('lace', entries, now)) {
     spent += 1;
@@ -12,9 +12,9 @@
   return spent;
 }
 
-describe('RetryBudget', () => {
+describe('SharedRetryBudget', () => {
   it('keeps all entries together below ratio and slack', () => {
-    const budgets = Array.from({ length: 6 }, () => new RetryBudget(LIMITS));
+    const budgets = Array.from({ length: 6 }, () => new SharedRetryBudget(LIMITS));
     let spent = 0;
     for (const budget of budgets) {
       for (let i = 0; i < 100; i += 1) {
@@ -27,14 +27,14 @@
   });
 
   it('gives repeats back when the window has passed', () => {
-    const budget = new RetryBudget(LIMITS);
+    const budget = new SharedRetryBudget(LIMITS);
     expect(spendAll(budget, 6, 0)).toBe(7);
     expect(spendAll(budget, 6, 5_000)).toBe(0);
     expect(spendAll(budget, 6, 12_000)).toBe(7);
   });
 
   it('keeps services apart', () => {
-    const budget = new RetryBudget(LIMITS);
+    const budget = new SharedRetryBudget(LIMITS);
     spendAll(budget, 6, 0);
     expect(budget.trySpend('orders', 6, 0)).toBe(true);
   });
--- a/src/fleet/RetryBudget.ts
+++ b/src/fleet/SharedRetryBudget.ts
@@ -20,7 +20,7 @@
 }
 
 /** Counts requests and repeats of each service in a sliding window. */
-export class RetryBudget {
+export class SharedRetryBudget {
   private readonly _services = new Map<string, ISlice[]>();
 
   constructor(private readonly _limits: IRetryLimits) {}
--- a/src/fleet/WeightsRollout.ts
+++ b/src/fleet/WeightsRollout.ts
@@ -3,6 +3,7 @@
 import { describeError, type ILog } from '../common/Log.js';
 import { isAborted, runWithLimit, sleep } from '../common/Tasks.js';
 import { TargetPhase, type TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
+import { getHeldVersion } from './HeldWeights.js';
 import type { FleetHub } from './FleetHub.js';
 
 /** Between two looks at what is to be done. */
@@ -305,10 +306,10 @@
   return (
     target.phase === TargetPhase.READY &&
     !target.silent &&
-    target.models.some(({ name }) => name === model)
+    getHeldVersion(target, model) !== undefined
   );
 }
 
 function getVersion(target: TargetRecord, model: string): number {
-  return Number(target.models.find(({ name }) => name === model)?.version ?? 0);
+  return getHeldVersion(target, model) ?? 0;
 }
--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -1,7 +1,7 @@
 /** One request at one target, and the relay of its answer. */
 import type { IClock } from '../common/Clock.js';
 import type { Metrics } from '../common/Metrics.js';
-import type { IRoute, IService } from '../fleet/Types.js';
+import type { IRoute } from '../fleet/Types.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { EventFramer } from './EventFramer.js';
 import { isSilent } from './Silence.js';
@@ -26,8 +26,6 @@
       readonly reason: string;
       /** True if the target was not even reached. */
       readonly isUnreachable: boolean;
-      /** Pause before the next attempt. */
-      readonly pauseMs: number;
     }
   /** The target may have run the request. */
   | { readonly kind: 'failed'; readonly reason: string }
@@ -38,7 +36,6 @@
   readonly target: TargetRecord;
   readonly state: ITargetState;
   readonly route: IRoute;
-  readonly service: IService;
   /** Time at which the client's or the route's limit is reached. */
   readonly endsAt: number;
   readonly lastEventId: number | undefined;
@@ -264,7 +261,7 @@
     }
     this._sink.end();
     if (this._isSuccess()) {
-      noteGood(this._options.state, this._context.clock.now());
+      noteGood(this._options.state);
     }
     this._finish({ kind: 'answered' });
   }
@@ -279,21 +276,20 @@
     } else if (wasSent) {
       this._finish({ kind: 'failed', reason });
     } else {
-      this._finish({ kind: 'not_run', reason, isUnreachable: true, pauseMs: 0 });
+      this._finish({ kind: 'not_run', reason, isUnreachable: true });
     }
   }
 
   private _describeDropped(): AttemptOutcome {
     const head = this._head;
     if (head?.isOtherTarget === true) {
-      return { kind: 'not_run', reason: 'other target', isUnreachable: true, pauseMs: 0 };
+      return { kind: 'not_run', reason: 'other target', isUnreachable: true };
     }
     return head?.isNotRun === true
       ? {
           kind: 'not_run',
           reason: `status ${head.status}, not run`,
           isUnreachable: false,
-          pauseMs: 0,
         }
       : { kind: 'failed', reason: `status ${head?.status ?? 0}` };
   }
--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -8,7 +8,7 @@
 import { buildAccount, buildConfiguration, buildRoute, buildTarget } from '../fleet/Fixtures.js';
 import { FleetView } from '../fleet/FleetView.js';
 import { QuotaWallet } from '../fleet/QuotaWallet.js';
-import { RetryBudget } from '../fleet/RetryBudget.js';
+import { SharedRetryBudget } from '../fleet/SharedRetryBudget.js';
 import type { IRoute } from '../fleet/Types.js';
 import { FleetDocumentSchema, type TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { CallRunner } from './CallRunner.js';
@@ -136,7 +136,7 @@
     view,
     node: { awaitExchange: () => Promise.resolve(true) },
     wallet: new QuotaWallet(8_000),
-    budget: new RetryBudget({ ratio: 0.2, slack: 60, windowMs: 10_000 }),
+    budget: new SharedRetryBudget({ ratio: 0.2, slack: 60, windowMs: 10_000 }),
     states: new TargetStates(),
     placement: new Placement('zg-a'),
     store: new StoreIndex(view, () => Promise.reject(new Error('no store')), clock, SILENT_LOG),
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -2,12 +2,12 @@
 import type { IClock } from '../common/Clock.js';
 import type { ILog } from '../common/Log.js';
 import type { Metrics } from '../common/Metrics.js';
-import { sleep } from '../common/Tasks.js';
 import type { FleetNode } from '../fleet/FleetNode.js';
 import type { FleetView } from '../fleet/FleetView.js';
+import { getHeldVersion } from '../fleet/HeldWeights.js';
 import { deriveWindowLimit, type IQuotaTerms } from '../fleet/QuotaRule.js';
 import type { QuotaWallet } from '../fleet/QuotaWallet.js';
-import type { RetryBudget } from '../fleet/RetryBudget.js';
+import type { SharedRetryBudget } from '../fleet/SharedRetryBudget.js';
 import type { RouteTable } from '../fleet/RouteTable.js';
 import type { IClientAccount, IRoute, IService } from '../fleet/Types.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
@@ -72,7 +72,7 @@
   readonly view: FleetView;
   readonly node: Pick<FleetNode, 'awaitExchange'>;
   readonly wallet: QuotaWallet;
-  readonly budget: RetryBudget;
+  readonly budget: SharedRetryBudget;
   readonly states: TargetStates;
   readonly placement: Placement;
   readonly store: StoreIndex;
@@ -88,6 +88,7 @@
 interface IAdmitted {
   readonly table: RouteTable;
   readonly route: IRoute;
+  readonly service: IService;
   readonly account: IClientAccount | undefined;
   readonly tokens: number;
   readonly endsAt: number;
@@ -153,6 +154,7 @@
     const admitted: IAdmitted = {
       table,
       route,
+      service: pickService(table, route, call.id),
       account: payer,
       tokens,
       endsAt: call.arrivedAt + limitMs,
@@ -202,24 +204,21 @@
         this._context.log.info('client left', { request: call.id, attempts: progress.attempts });
         return progress.mayHaveRun;
       }
-      const service = pickService(admitted, call.id);
-      const placement = this._place(call, admitted, service, progress, now);
+      const request = this._describe(call, admitted);
+      const placement = this._place(call, admitted, request, progress, now);
       if (placement === undefined) {
         this._finishWithout(call, sink, progress, 'no_target');
         return progress.mayHaveRun;
       }
-      if (this._refuseOverload(call, sink, admitted, service, placement, progress)) {
+      if (this._refuseOverload(call, sink, admitted, placement, progress)) {
         return false;
       }
-      const outcome = await this._tryTarget(call, sink, admitted, service, placement, progress);
-      if (!this._shouldRetry(call, sink, admitted, outcome, progress, service)) {
+      const outcome = await this._tryTarget(call, sink, admitted, request, placement, progress);
+      if (!this._shouldRetry(call, sink, admitted, outcome, progress)) {
         this._finish(call, sink, outcome, progress);
         return progress.mayHaveRun;
       }
-      this._context.metrics.increment('gateway_repeats_total', { service: service.name });
-      if (outcome.kind === 'not_run' && outcome.pauseMs > 0) {
-        await sleep(outcome.pauseMs, call.signal);
-      }
+      this._context.metrics.increment('gateway_repeats_total', { service: admitted.service.name });
     }
   }
 
@@ -228,11 +227,10 @@
     call: T,
     sink: IAnswerSink,
     admitted: IAdmitted,
-    service: IService,
     placement: IPlacement,
     progress: IProgress,
   ): boolean {
-    if (service.engine === undefined || progress.attempts > 0 || sink.isStarted) {
+    if (admitted.service.engine === undefined || progress.attempts > 0 || sink.isStarted) {
       return false;
     }
     const { objectiveMs } = admitted.route;
@@ -249,12 +247,12 @@
   private _place(
     call: T,
     admitted: IAdmitted,
-    service: IService,
+    request: IPlacementRequest,
     progress: IProgress,
     now: number,
   ): IPlacement | undefined {
     const { view, states, placement } = this._context;
-    const all = view.listTargets(service.name);
+    const all = view.listTargets(admitted.service.name);
     const untried = all.filter((record) => !progress.tried.has(record.id));
     const fresh = this._filterByWeights(call, untried, now);
     const targets = fresh.map((record): IPlacementTarget => {
@@ -267,7 +265,6 @@
       };
     });
     const rested = targets.filter(({ state }) => now >= state.restUntil);
-    const request = this._describe(call, admitted, service);
     return placement.choose(
       request,
       rested.length > 0 ? rested : targets,
@@ -295,8 +292,7 @@
     return targets.filter((record) => hasVersion(record, model, hardDue));
   }
 
-  private _describe(call: T, admitted: IAdmitted, service: IService): IPlacementRequest {
-    const { account, route } = admitted;
+  private _describe(call: T, { account, route, service }: IAdmitted): IPlacementRequest {
     return {
       parts: service.engine === undefined ? [] : call.parts,
       promptTokens: call.promptTokens ?? 0,
@@ -314,7 +310,7 @@
     call: T,
     sink: IAnswerSink,
     admitted: IAdmitted,
-    service: IService,
+    request: IPlacementRequest,
     placement: IPlacement,
     progress: IProgress,
   ): Promise<AttemptOutcome> {
@@ -324,13 +320,11 @@
     progress.tried.add(target.id);
     progress.attempts += 1;
     const state = states.ensure(target, clock.now());
-    const request = this._describe(call, admitted, service);
     const startedAt = clock.now();
     const attempt = new Attempt(this._context, call, sink, {
       target,
       state,
       route,
-      service,
       endsAt: admitted.endsAt,
       lastEventId: progress.lastEventId,
       pendingTokens: Math.round(placement.missedTokens + (call.parts.at(-1)?.tokens ?? 0)),
@@ -397,9 +391,8 @@
     admitted: IAdmitted,
     outcome: AttemptOutcome,
     progress: IProgress,
-    service: IService,
   ): boolean {
-    const { route } = admitted;
+    const { route, service } = admitted;
     const { clock, budget, view } = this._context;
     const now = clock.now();
     if (call.signal.aborted || admitted.endsAt - now < MIN_ATTEMPT_MS) {
@@ -517,8 +510,8 @@
   store: StoreIndex,
   now: number,
 ): Pick<IDispatch, 'cacheScope' | 'weightsVersion' | 'cacheSource' | 'cacheStore'> {
-  const held = target.models.find(({ name }) => name === request.model);
-  if (held === undefined) {
+  const version = getHeldVersion(target, request.model);
+  if (version === undefined) {
     return {
       cacheScope: undefined,
       weightsVersion: undefined,
@@ -538,16 +531,16 @@
   }
   return {
     cacheScope: scope,
-    weightsVersion: Number(held.version),
+    weightsVersion: version,
     cacheSource: isShared ? (source?.address ?? (isStored ? store.address : undefined)) : undefined,
     // Also the own part of the prompt would go there, so only what is not held yet is sent.
     cacheStore: isShared && isMissing ? store.address : undefined,
   };
 }
 
-function hasVersion(record: TargetRecord, model: string | undefined, version: number): boolean {
-  const held = record.models.find(({ name }) => name === model);
-  return held === undefined || Number(held.version) >= version;
+/** True also for targets that do not run the model: weights do not concern them. */
+function hasVersion(record: TargetRecord, model: string, version: number): boolean {
+  return (getHeldVersion(record, model) ?? version) >= version;
 }
 
 function countTokens(call: ICall, account: IClientAccount | undefined): number {
@@ -561,8 +554,7 @@
 }
 
 /** Splits a route's requests by weight; the same request always gets the same service. */
-function pickService(admitted: IAdmitted, requestId: string): IService {
-  const { route, table } = admitted;
+function pickService(table: RouteTable, route: IRoute, requestId: string): IService {
   const total = route.shares.reduce((sum, share) => sum + share.weight, 0);
   let point = (hashText(requestId) / 2 ** 32) * total;
   let name = pickName(route);
--- a/src/gateway/Placement.ts
+++ b/src/gateway/Placement.ts
@@ -2,6 +2,7 @@
  * Chooses the target of a request. Cost is the part of the request's worth that is expected to be lost:
  * by answering late, by reading shared prompt parts again, or by running on old weights.
  */
+import { getHeldVersion } from '../fleet/HeldWeights.js';
 import { hashBits, hashText } from '../policy/TargetTable.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import {
@@ -111,7 +112,6 @@
   readonly missedTokens: number;
   /** Target from whose memory the shared parts are to be fetched. */
   readonly source: TargetRecord | undefined;
-  readonly candidates: number;
 }
 
 interface IHolder {
@@ -230,7 +230,6 @@
       workMs: ownMs * slowness,
       missedTokens,
       source: source?.target.record,
-      candidates: all.length,
     };
   }
 
@@ -294,7 +293,7 @@
 
 /** Version of the request's model that the target holds; 0 if it names none. */
 function getVersion({ model }: IPlacementRequest, record: TargetRecord): number {
-  return Number(record.models.find(({ name }) => name === model)?.version ?? 0);
+  return getHeldVersion(record, model) ?? 0;
 }
 
 /** The last part belongs to the request itself. */
--- a/src/gateway/TargetStates.ts
+++ b/src/gateway/TargetStates.ts
@@ -43,8 +43,6 @@
   slownessAt: number;
   failures: number;
   restUntil: number;
-  /** Time of the last answer that was no failure. */
-  goodAt: number;
   /** Time of the last sign of life: any byte of any answer. */
   aliveAt: number;
   load: (IToldLoad & { readonly at: number }) | undefined;
@@ -68,7 +66,6 @@
         slownessAt: Number.NEGATIVE_INFINITY,
         failures: 0,
         restUntil: 0,
-        goodAt: Number.NEGATIVE_INFINITY,
         aliveAt: Number.NEGATIVE_INFINITY,
         load: undefined,
       };
@@ -100,10 +97,9 @@
   }
 }
 
-export function noteGood(state: ITargetState, now: number): void {
+export function noteGood(state: ITargetState): void {
   state.failures = 0;
   state.restUntil = 0;
-  state.goodAt = now;
 }
 
 /** Counts a failure; several in a row take the target out for a while. */
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -8,7 +8,7 @@
 import { FleetView } from '../fleet/FleetView.js';
 import type { IQuotaTerms } from '../fleet/QuotaRule.js';
 import { QuotaWallet } from '../fleet/QuotaWallet.js';
-import { RetryBudget, type IRetryLimits } from '../fleet/RetryBudget.js';
+import { SharedRetryBudget, type IRetryLimits } from '../fleet/SharedRetryBudget.js';
 import type { DocumentDecoder } from '../fleet/Types.js';
 import { WeightsRollout, type IEngineOrders } from '../fleet/WeightsRollout.js';
 import { CallRunner } from '../gateway/CallRunner.js';
@@ -85,7 +85,6 @@
     this.node = new FleetNode(
       {
         address: internal,
-        dataCentre,
         takesRequests,
         hub: {
           announceMs: _options.announceMs,
@@ -111,7 +110,7 @@
       view: this.view,
       node: this.node,
       wallet,
-      budget: new RetryBudget(_options.retry),
+      budget: new SharedRetryBudget(_options.retry),
       states,
       placement,
       store: this._store,
--- a/src/run/MemberHost.ts
+++ b/src/run/MemberHost.ts
@@ -112,6 +112,7 @@
       random: Math.random,
     });
     if (opened.err) {
+      await directory.close();
       throw opened.val;
     }
     const log = opened.val;
@@ -130,6 +131,7 @@
     const ended = AbortSignal.any([signal, failed.signal]);
     await this._keepTargets(directory, ended);
     await log.stop();
+    await directory.close();
   }
 
   private async _restoreTargets(directory: DataDirectory): Promise<void> {
