Ask several processes at once who leads

Cause: after a common stop a process asked its seeds one after the other and waited up to 700 ms for each that was still down. Ruled out: the election (the leader is there), the start of the processes (all up at 1.6 s), the exchange itself. Change: one search asks up to four processes at once; the first that leads ends it.

--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -25,6 +25,7 @@
   type TargetWork,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { FleetHub, type IHubOptions } from './FleetHub.js';
+import { findLeader } from './LeaderSearch.js';
 import type { FleetState } from './FleetState.js';
 import type { FleetView } from './FleetView.js';
 import type { QuotaWallet } from './QuotaWallet.js';
@@ -59,9 +60,12 @@
 /** Between two times that a member tells the seeds of the group. */
 const HELLO_MS = 500;
 
-/** Limit of one hello. */
+/** Limit of one hello, and of a search for the leader. */
 const HELLO_LIMIT_MS = 300;
 
+/** Processes that are asked at once who leads; more would be a herd towards the members after a common stop. */
+const MAX_ASKED = 4;
+
 /** Between two looks at the confirmation that a read waits for. */
 const CONFIRM_POLL_MS = 15;
 
@@ -381,14 +385,47 @@
       this._exchangeLocally(now);
       return;
     }
-    for (const address of this._listLeaderCandidates()) {
-      if (isAborted(signal) || (await this._exchangeWith(address, signal))) {
-        return;
-      }
+    const known = this._member?.log.status.leaderAddress ?? this._leader;
+    const isOther = known !== undefined && known !== this._options.address;
+    if (isOther && (await this._exchangeWith(known, signal))) {
+      return;
+    }
+    const found = await this._findLeader(signal);
+    if (found !== undefined && (await this._exchangeWith(found, signal))) {
+      return;
     }
     this._noteTouch(false, 'no leader answered');
   }
 
+  /** Undefined if no process that was asked knows another one that leads. */
+  private async _findLeader(signal: AbortSignal): Promise<string | undefined> {
+    const request = create(ExchangeRequestSchema, { node: this._options.address, isHello: true });
+    const asked = this._listLeaderCandidates().slice(0, MAX_ASKED);
+    const leader = await runWithLimit(signal, HELLO_LIMIT_MS, (limited) =>
+      findLeader(
+        asked,
+        (address, callLimit) => this._queryLeadership(address, request, callLimit),
+        limited,
+      ),
+    );
+    return leader === this._options.address ? undefined : leader;
+  }
+
+  private async _queryLeadership(
+    address: string,
+    request: ExchangeRequest,
+    signal: AbortSignal,
+  ): Promise<ExchangeResponse | undefined> {
+    try {
+      const answer = await this._rpc.get(FleetService, address).exchange(request, { signal });
+      this._members = answer.members.length > 0 ? answer.members : this._members;
+      return answer;
+    } catch (error) {
+      this._log.debug('no answer about the leader', { address, reason: describeError(error) });
+      return undefined;
+    }
+  }
+
   private async _sendHello(
     seed: string,
     members: readonly string[],
