Ask clients to come back when a restarted process can serve them

Cause: after a common stop each process refused with a Retry-After of 300 ms. Change: 1 s, with a test of that load.

--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -105,6 +105,8 @@
   readonly route?: Partial<IRoute>;
   readonly call?: Partial<ICall>;
   readonly targets?: number;
+  /** True: the process has just started and knows no configuration. */
+  readonly isUnconfigured?: boolean;
   /** Version named for the model, and for how long it has been known. */
   readonly named?: { readonly version: number; readonly knownMs: number };
   /** Versions of the targets' weights; 1 where it names none. */
@@ -123,7 +125,9 @@
     clientAccounts: [buildAccount({ isIsolated: true })],
   });
   const view = new FleetView(() => Ok(configuration), SILENT_LOG);
-  view.applyDocument(create(FleetDocumentSchema, { version: 7n }));
+  if (setup.isUnconfigured !== true) {
+    view.applyDocument(create(FleetDocumentSchema, { version: 7n }));
+  }
   for (let i = 0; i < (setup.targets ?? 3); i += 1) {
     const models = [{ name: 'm', version: BigInt(setup.held?.[i] ?? 1) }];
     view.applyTarget(buildTarget({ id: `i-${i}`, address: `10.1.0.${i}:8000`, models }));
@@ -196,6 +200,16 @@
 const UNSAFE: Partial<IRoute> = { kind: 'unsafe', isResumable: false, maxAttempts: 3 };
 
 describe('CallRunner', () => {
+  it.each([
+    ['configuration', { isUnconfigured: true }],
+    ['target', { targets: 0 }],
+  ])('common stop: asks clients to come back when there is a %s again', async (_name, setup) => {
+    const { sink } = await play([], setup);
+    expect(sink.status).toBe(503);
+    // A process finds the leader and its targets announce themselves about 0.8 s after its start.
+    expect(sink.retryAfterMs).toBeGreaterThanOrEqual(800);
+  });
+
   it('passes on the answer of a target', async () => {
     const { sink } = await play([answerOk]);
     expect(sink).toMatchObject({ status: 200, ending: 'end' });
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -35,8 +35,11 @@
 /** A request waits this long for tokens that the hub may grant. */
 const QUOTA_WAIT_MS = 150;
 
-/** Retry-After while the configuration is not known or no target exists, in milliseconds. */
-const NOT_READY_RETRY_MS = 300;
+/**
+ * Retry-After while the configuration is not known or no target exists, in milliseconds. After a common
+ * stop both come about 0.8 s after the start of a process, and many clients come back only once.
+ */
+const NOT_READY_RETRY_MS = 1_000;
 
 /** Retry-After of a request that targets turned away. */
 const TURNED_AWAY_RETRY_MS = 250;
