Tell all entries who has read large prompt parts, and always name a source

Cause: on the grown sites an eighth to a sixth of all shared tokens was read again. An entry knew of a reading only from its own requests, one in 28; the home of a subject was ranked among all engines, also those on other weights, so during a rollout its requests went anywhere; an engine that should have held all got no source, although it drops parts within seconds. Change: homes are ranked among engines of the same weights; readings of parts of 500 tokens and more go through the hub to all entries, bounded for each exchange; a source is named also where none should be needed.

--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -14,6 +14,7 @@
 } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { QuotaPool } from './QuotaPool.js';
 import type { IQuotaTerms } from './QuotaRule.js';
+import { ReadingBoard, type IBoardNews } from './ReadingBoard.js';
 import { hasNews, isLater } from './TargetOrder.js';
 
 /** Reports of a process that has been silent for this long no longer count. */
@@ -60,6 +61,7 @@
   private readonly _records = new Map<string, IHubRecord>();
   private readonly _processes = new Map<string, IProcessReport>();
   private readonly _pools = new Map<string, QuotaPool>();
+  private readonly _readings = new ReadingBoard();
   private _limits: ReadonlyMap<string, number> = new Map();
   private _revision = 0;
 
@@ -120,9 +122,15 @@
       takesRequests: request.takesRequests,
       work: request.work,
     });
+    this._readings.take(request.node, request.readings);
     this._expire(now);
   }
 
+  /** Readings of other processes since a revision of this hub. */
+  public listReadings(node: string, epoch: string, revision: number): IBoardNews {
+    return this._readings.listNews(node, epoch === this.epoch ? revision : 0);
+  }
+
   /** Targets that changed since a revision of this hub, or all for a process of another epoch. */
   public listNews(epoch: string, revision: number): IHubNews {
     const isFull = epoch !== this.epoch;
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -19,6 +19,7 @@
   type ExchangeResponse,
   type FleetCommand,
   type FleetDocument,
+  type PromptReading,
   type ReadDocumentResponse,
   type SubmitResponse,
   type TargetRecord,
@@ -85,6 +86,10 @@
 /** What the data path of this process adds to an exchange. */
 export interface IWorkSource {
   listWork(): readonly TargetWork[];
+  /** Readings of prompt parts since the last call. */
+  takeReadings(): readonly PromptReading[];
+  /** Takes readings that other processes have reported. */
+  noteReadings(readings: readonly PromptReading[], now: number): void;
 }
 
 export type SubmitOutcome =
@@ -106,6 +111,8 @@
   private _woken = new AbortController();
   private _waiters: (() => void)[] = [];
   private _isInTouch = false;
+  /** Up to where readings of others are known, at the hub of the view's epoch. */
+  private _readingRevision = 0n;
 
   constructor(
     private readonly _options: IFleetNodeOptions,
@@ -297,6 +304,9 @@
     response.epoch = hub.epoch;
     response.revision = BigInt(news.revision);
     response.targets = [...news.targets];
+    const board = hub.listReadings(request.node, request.epoch, Number(request.readingRevision));
+    response.readings = [...board.readings];
+    response.readingRevision = BigInt(board.revision);
     response.weights = [...state.weights];
     response.work = hub.sumWork(request.node);
     response.entries = hub.countEntries();
@@ -369,6 +379,8 @@
       work: [...this._work.listWork()],
       quotas: this._wallet.report(now).map((line) => create(QuotaReportSchema, line)),
       takesRequests: this._options.takesRequests,
+      readings: [...this._work.takeReadings()],
+      readingRevision: this._readingRevision,
     });
   }
 
@@ -481,6 +493,8 @@
   ): void {
     const isNewEpoch = answer.epoch !== this._view.epoch;
     this._view.applyAnswer(answer, now);
+    this._readingRevision = answer.readingRevision;
+    this._work.noteReadings(answer.readings, now);
     for (const record of announced) {
       const pending = this._pending.get(record.id);
       if (pending?.sequence === record.sequence && pending.born === record.born) {
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -20,6 +20,7 @@
   type IPlacementTarget,
   type Placement,
 } from './Placement.js';
+import type { PromptSource } from './PromptSources.js';
 import {
   LONG_STREAM_TOKENS,
   noteBusy,
@@ -362,7 +363,7 @@
       expectedMs: Math.round(placement.expectedMs),
       modelMs: Math.round(placement.modelMs),
       missedTokens: Math.round(placement.missedTokens),
-      source: placement.source?.id,
+      source: formatSource(placement.source),
       open: state.open,
       load: attempt.load && `${attempt.load.running}+${attempt.load.waiting}`,
       firstMs: attempt.firstByteAt && Math.round(attempt.firstByteAt - startedAt),
@@ -526,7 +527,6 @@
   const shared = request.parts.slice(0, -1);
   const isShared = shared.reduce((sum, part) => sum + part.tokens, 0) >= MIN_STORED_TOKENS;
   const isMissing = shared.some((part) => !store.isExpected(scope, part.id, now));
-  const isStored = shared.some((part) => store.isHeld(scope, part.id));
   if (isShared && isMissing && store.address !== undefined) {
     shared.forEach((part) => {
       store.noteSent(scope, part.id, now);
@@ -535,12 +535,28 @@
   return {
     cacheScope: scope,
     weightsVersion: version,
-    cacheSource: isShared ? (source?.address ?? (isStored ? store.address : undefined)) : undefined,
+    cacheSource: getSourceAddress(source, store),
     // Also the own part of the prompt would go there, so only what is not held yet is sent.
     cacheStore: isShared && isMissing ? store.address : undefined,
   };
 }
 
+function getSourceAddress(source: PromptSource | undefined, store: StoreIndex): string | undefined {
+  switch (source?.kind) {
+    case undefined:
+      return undefined;
+    case 'target':
+      return source.record.address;
+    case 'store':
+      return store.address;
+  }
+}
+
+/** For the log. */
+function formatSource(source: PromptSource | undefined): string | undefined {
+  return source?.kind === 'target' ? source.record.id : source?.kind;
+}
+
 /** True also for targets that do not run the model: weights do not concern them. */
 function hasVersion(record: TargetRecord, model: string, version: number): boolean {
   return (getHeldVersion(record, model) ?? version) >= version;
--- a/src/gateway/Placement.ts
+++ b/src/gateway/Placement.ts
@@ -2,8 +2,6 @@
  * Chooses the target of a request. Cost is the part of the request's worth that is expected to be lost:
  * by answering late, by reading shared prompt parts again, or by running on old weights.
  */
-import { getHeldVersion } from '../fleet/HeldWeights.js';
-import { hashBits, hashText } from '../policy/TargetTable.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import {
   getFreshLoad,
@@ -11,6 +9,8 @@
   LONG_STREAM_TOKENS,
   type ITargetState,
 } from './TargetStates.js';
+import { getVersion, listSharedParts, PromptHolders, type IHolding } from './PromptHolders.js';
+import { chooseSource, listSources, type PromptSource } from './PromptSources.js';
 import type { IPromptPart } from './Types.js';
 
 /** Prompt tokens that an engine reads in a millisecond; the engines' data sheet says 56.6. */
@@ -28,11 +28,11 @@
 /** Worth lost with 1,000 shared tokens that are read again, as part of a request's worth. */
 const REREAD_COST_PER_1000 = 0.25;
 
-/** Evidence that a target holds a part is trusted for this long; engines drop parts within seconds. */
-const EVIDENCE_MS = 5_000;
-
-/** Prompt parts whose holders are kept. */
-const MAX_PARTS = 4_000;
+/**
+ * Cost of reading 1,000 tokens of a subject's last shared part away from its home, where the next request
+ * for the subject will not find them: some part of these requests comes before the part is dropped.
+ */
+const AWAY_COST_PER_1000 = 0.05;
 
 /** Expected time as a part of the objective at which lateness begins to count, and where it is certain. */
 const RISK_FROM = 0.3;
@@ -56,18 +56,9 @@
 /** The same from a store, whose link is slower (26 Gbit/s). */
 const STORE_MS_PER_1000 = 7;
 
-/** Parts below this size are not worth a move. */
-const MIN_MOVED_TOKENS = 50;
-
 /** Cost of a target that is silent or has just failed: used only when there is no other. */
 const DOUBTFUL_COST = 20;
 
-/** Time in which a target that has loaded weights or started has read the parts of its subjects again. */
-const WARM_UP_MS = 8_000;
-
-/** Chance that the n-th target in rendezvous order holds a shared part, once it is warm. */
-const HOME_CHANCES = [1, 0.3] as const;
-
 /** What the choice depends on. */
 export interface IPlacementRequest {
   /** Shared and own parts of the prompt, in order; empty for plain services. */
@@ -110,31 +101,15 @@
   readonly workMs: number;
   /** Shared tokens that are expected to be read again. */
   readonly missedTokens: number;
-  /** Target from whose memory the shared parts are to be fetched. */
-  readonly source: TargetRecord | undefined;
-}
-
-interface IHolder {
-  readonly born: number;
-  readonly version: number;
-  readonly at: number;
-}
-
-/** A target with the shared tokens that it is expected to hold. */
-interface IHolding {
-  readonly target: IPlacementTarget;
-  readonly version: number;
-  readonly heldTokens: number;
-  /** The part of them that this entry has seen the target read lately. */
-  readonly knownTokens: number;
-  readonly isDoubtful: boolean;
+  /** From where the shared parts that the target lacks are to be fetched. */
+  readonly source: PromptSource | undefined;
 }
 
 export class Placement {
-  /** Holders of each prompt part, by the key of the part and the id of the target. */
-  private readonly _holders = new Map<string, Map<string, IHolder>>();
-
-  constructor(private readonly _dataCentre: string) {}
+  constructor(
+    private readonly _dataCentre: string,
+    private readonly _holders = new PromptHolders(),
+  ) {}
 
   /** Undefined if there is no target. */
   public choose(
@@ -143,19 +118,12 @@
     store: IStoreContent,
     now: number,
   ): IPlacement | undefined {
-    const ranks = rankTargets(request, targets);
-    const holdings = targets.map((target): IHolding => {
-      const { record, state } = target;
-      return {
-        target,
-        version: getVersion(request, record),
-        ...this._estimateHeld(request, target, ranks.get(record.id) ?? 0, now),
-        isDoubtful: record.silent || record.loading || now < state.restUntil,
-      };
-    });
+    const holdings = this._holders.estimate(request, targets, now);
+    const sources = listSources(holdings, listSharedParts(request));
     let best: IPlacement | undefined;
     for (const holding of holdings) {
-      const placement = this._estimateCost(request, holding, holdings, store, now);
+      const candidates = sources.get(holding.version) ?? [];
+      const placement = this._estimateCost(request, holding, candidates, store, now);
       if (best === undefined || placement.cost < best.cost) {
         best = placement;
       }
@@ -165,47 +133,29 @@
 
   /** Records that a target has read the parts of a prompt. */
   public noteRead(request: IPlacementRequest, target: TargetRecord, now: number): void {
-    for (const part of listSharedParts(request)) {
-      const key = formatPartKey(request, part);
-      const holders = this._holders.get(key) ?? new Map<string, IHolder>();
-      holders.set(target.id, { born: target.born, version: getVersion(request, target), at: now });
-      // Moved to the end, so that the part used longest ago is dropped first.
-      this._holders.delete(key);
-      this._holders.set(key, holders);
-    }
-    while (this._holders.size > MAX_PARTS) {
-      const [oldest] = this._holders.keys();
-      this._holders.delete(oldest ?? '');
-    }
+    this._holders.noteRead(request, target, now);
   }
 
   /** A target that restarted or loaded weights holds nothing of before. */
   public forgetTarget(id: string): void {
-    for (const holders of this._holders.values()) {
-      holders.delete(id);
-    }
+    this._holders.forgetTarget(id);
   }
 
   private _estimateCost(
     request: IPlacementRequest,
     holding: IHolding,
-    all: readonly IHolding[],
+    sources: readonly IHolding[],
     store: IStoreContent,
     now: number,
   ): IPlacement {
-    const { target, heldTokens, isDoubtful } = holding;
+    const { target, isDoubtful } = holding;
     const { record } = target;
-    const storedTokens = sumStored(request, record, store);
-    const sibling = findSource(holding, all);
-    // What the store holds is certain; what a sibling should hold may have been dropped.
-    const source = (sibling?.knownTokens ?? 0) >= storedTokens ? sibling : undefined;
-    const sharedTokens = sumTokens(listSharedParts(request));
-    const siblingTokens = source === undefined ? 0 : source.heldTokens - heldTokens;
-    const storeTokens = source === undefined ? Math.max(0, storedTokens - heldTokens) : 0;
-    const movedTokens = siblingTokens + storeTokens;
-    const missedTokens = sharedTokens - heldTokens - movedTokens;
+    const parts = listSharedParts(request);
+    const storedParts = countStored(request, record, store);
+    const supply = chooseSource(holding, sources, parts, storedParts);
+    const { source, movedTokens, missedTokens } = supply;
     const moveMs =
-      (siblingTokens / 1_000) * MOVE_MS_PER_1000 + (storeTokens / 1_000) * STORE_MS_PER_1000;
+      (movedTokens / 1_000) * (source?.kind === 'store' ? STORE_MS_PER_1000 : MOVE_MS_PER_1000);
     const ownMs = request.isEngine ? estimateWorkMs(request, missedTokens) + moveMs : PLAIN_WORK_MS;
     const modelMs = request.isEngine
       ? ownMs + estimateWaitMs(target, now)
@@ -216,6 +166,7 @@
       measureLateness(expectedMs, request.objectiveMs) +
       (missedTokens / 1_000) * REREAD_COST_PER_1000 +
       (movedTokens / 1_000) * MOVE_COST_PER_1000 +
+      (holding.isHome ? 0 : ((parts.at(-1)?.tokens ?? 0) / 1_000) * AWAY_COST_PER_1000) +
       (isOld(request, record) ? OLD_WEIGHTS_COST : 0) +
       (record.preparing && request.outputTokens > LONG_STREAM_TOKENS ? DELAYED_LOAD_COST : 0) +
       (record.dataCentre === this._dataCentre ? 0 : FAR_COST) +
@@ -229,49 +180,9 @@
       modelMs,
       workMs: ownMs * slowness,
       missedTokens,
-      source: source?.target.record,
+      source,
     };
   }
-
-  /** Shared tokens that the target is expected to hold. */
-  private _estimateHeld(
-    request: IPlacementRequest,
-    { record, state }: IPlacementTarget,
-    rank: number,
-    now: number,
-  ): Pick<IHolding, 'heldTokens' | 'knownTokens'> {
-    const warmth = Math.min(1, (now - state.weightsAt) / WARM_UP_MS);
-    const homeChance = (HOME_CHANCES[rank] ?? 0) * warmth;
-    const version = getVersion(request, record);
-    let heldTokens = 0;
-    let knownTokens = 0;
-    let chance = 1;
-    for (const part of listSharedParts(request)) {
-      const holder = this._holders.get(formatPartKey(request, part))?.get(record.id);
-      const isHeld =
-        holder?.born === record.born &&
-        holder.version === version &&
-        now - holder.at <= EVIDENCE_MS;
-      // A part counts only if all parts before it are held too.
-      chance *= isHeld ? 1 : homeChance;
-      heldTokens += part.tokens * chance;
-      knownTokens += isHeld && chance === 1 ? part.tokens : 0;
-    }
-    return { heldTokens, knownTokens };
-  }
-}
-
-/** The target of the same weights from which most would be gained by a move. */
-function findSource(holding: IHolding, all: readonly IHolding[]): IHolding | undefined {
-  let best: IHolding | undefined;
-  for (const other of all) {
-    const isUsable = other !== holding && other.version === holding.version && !other.isDoubtful;
-    if (isUsable && other.heldTokens > (best ?? holding).heldTokens) {
-      best = other;
-    }
-  }
-  const gain = (best?.heldTokens ?? 0) - holding.heldTokens;
-  return gain >= MIN_MOVED_TOKENS ? best : undefined;
 }
 
 /** Parts of other weights or walls must never be found, wherever they are moved. */
@@ -279,48 +190,16 @@
   return `${getVersion(request, target)}/${request.cacheWall ?? ''}`;
 }
 
-/** Shared tokens in the store; a part counts only if all parts before it are there too. */
-function sumStored(request: IPlacementRequest, target: TargetRecord, store: IStoreContent): number {
+/** Leading shared parts that the store holds. */
+function countStored(
+  request: IPlacementRequest,
+  target: TargetRecord,
+  store: IStoreContent,
+): number {
   const scope = formatCacheScope(request, target);
   const parts = listSharedParts(request);
   const missing = parts.findIndex((part) => !store.isHeld(scope, part.id));
-  return sumTokens(missing < 0 ? parts : parts.slice(0, missing));
-}
-
-function sumTokens(parts: readonly IPromptPart[]): number {
-  return parts.reduce((sum, part) => sum + part.tokens, 0);
-}
-
-/** Version of the request's model that the target holds; 0 if it names none. */
-function getVersion({ model }: IPlacementRequest, record: TargetRecord): number {
-  return getHeldVersion(record, model) ?? 0;
-}
-
-/** The last part belongs to the request itself. */
-function listSharedParts(request: IPlacementRequest): readonly IPromptPart[] {
-  return request.parts.slice(0, -1);
-}
-
-function formatPartKey(request: IPlacementRequest, part: IPromptPart): string {
-  return `${request.model ?? ''}/${request.cacheWall ?? ''}/${part.id}`;
-}
-
-/** Rendezvous order by the last shared part, on which all entries agree. */
-function rankTargets(
-  request: IPlacementRequest,
-  targets: readonly IPlacementTarget[],
-): ReadonlyMap<string, number> {
-  const subject = request.parts.at(-2);
-  if (subject === undefined) {
-    return new Map();
-  }
-  const key = hashText(formatPartKey(request, subject));
-  const scored = targets.map(({ record }) => ({
-    id: record.id,
-    score: hashBits(hashText(record.address) ^ key),
-  }));
-  scored.sort((left, right) => right.score - left.score);
-  return new Map(scored.map(({ id }, rank) => [id, rank]));
+  return missing < 0 ? parts.length : missing;
 }
 
 function countOpen({ state, othersOpen }: IPlacementTarget): number {
--- a/src/gateway/TargetStates.ts
+++ b/src/gateway/TargetStates.ts
@@ -1,5 +1,6 @@
 /** What this entry knows of each target from its own requests. */
 import type { TargetRecord, TargetWork } from '../gen/redwingwharf/v1/fleet_pb.js';
+import { hashText } from '../policy/TargetTable.js';
 import type { IToldLoad } from './Types.js';
 
 /** Tokens beyond which a stream is expected to last for seconds on a busy engine (about 40 ms a token). */
@@ -29,6 +30,8 @@
 /** Own record of one start of a target. */
 export interface ITargetState {
   readonly born: number;
+  /** Hash of the address, for rendezvous hashing. */
+  readonly addressCode: number;
   /** Weights that the target holds, and since when this entry knows; its cache was empty then. */
   weights: string;
   weightsAt: number;
@@ -57,6 +60,7 @@
     if (state?.born !== target.born) {
       state = {
         born: target.born,
+        addressCode: hashText(target.address),
         weights,
         weightsAt: now,
         open: 0,
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -13,6 +13,7 @@
 import { WeightsRollout, type IEngineOrders } from '../fleet/WeightsRollout.js';
 import { CallRunner } from '../gateway/CallRunner.js';
 import { Placement } from '../gateway/Placement.js';
+import { PromptHolders } from '../gateway/PromptHolders.js';
 import { StoreIndex, type StoreQuestion } from '../gateway/StoreIndex.js';
 import { TargetStates } from '../gateway/TargetStates.js';
 import type { ICall, ITargetClient } from '../gateway/Types.js';
@@ -79,7 +80,8 @@
     const { clock, metrics } = this;
     const wallet = new QuotaWallet(_options.quota.windowMs);
     const states = new TargetStates();
-    const placement = new Placement(dataCentre);
+    const holders = new PromptHolders();
+    const placement = new Placement(dataCentre, holders);
     this._rpc = new RpcClients(clusterSecret);
     this.view = new FleetView(adapters.decode, _logger);
     this.node = new FleetNode(
@@ -95,7 +97,13 @@
       },
       this.view,
       wallet,
-      { listWork: () => states.listOpen().map((work) => create(TargetWorkSchema, work)) },
+      {
+        listWork: () => states.listOpen().map((work) => create(TargetWorkSchema, work)),
+        takeReadings: () => holders.takeUntold(),
+        noteReadings: (readings, now) => {
+          holders.noteTold(readings, now);
+        },
+      },
       this._rpc,
       clock,
       _logger,
