Count what a restarted entry spent before against the quota

The hub keeps each entry's report by its address; a restarted entry reports that it spent nothing, and so replaced what it had spent before. Ruled out: the wallets' slices and the shares while the hub is silent, which have tests. Change: a restarted process counts as another one; what its former life spent and held counts for one more window.

--- a/src/fleet/FleetHub.test.ts
+++ b/src/fleet/FleetHub.test.ts
@@ -93,4 +93,19 @@
     expect(hub.sumWork('n1')).toMatchObject([{ id: 'i-1', open: 4, pendingTokens: 200 }]);
     expect(hub.countLongStreams('i-1')).toBe(3);
   });
+
+  it('restart of an entry: what it spent before counts for a window', () => {
+    const hub = createHub();
+    hub.setLimits(new Map([['pag', 1_000]]));
+    // A new hub hands out only shares until it has heard of all entries.
+    const askAs = (incarnation: string, now: number): number => {
+      const quotas = [{ clientAccount: 'pag', held: 0, wanted: 1_000, spent: 0 }];
+      return hub.grantQuotas({ node: 'entry', incarnation, quotas }, now)[0]?.tokens ?? 0;
+    };
+    const granted = ['a', 'b', 'c', 'd'].map((incarnation, i) =>
+      askAs(incarnation, 100_000 + i * 1_000),
+    );
+    expect(granted[0]).toBeGreaterThan(0);
+    expect(granted.reduce((sum, tokens) => sum + tokens, 0)).toBeLessThanOrEqual(1_000);
+  });
 });
--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -47,6 +47,13 @@
 /** Progress of a target with new weights. */
 export type LoadState = 'none' | 'preparing' | 'loading';
 
+/** The part of a report that concerns quotas. */
+export interface IQuotaRequest {
+  readonly node: string;
+  readonly incarnation: string;
+  readonly quotas: readonly Pick<QuotaReport, 'clientAccount' | 'held' | 'wanted' | 'spent'>[];
+}
+
 export interface IHubOptions {
   /** Time between two announcements of a target in milliseconds. */
   readonly announceMs: number;
@@ -204,16 +211,17 @@
     return [...this._processes.values()].filter((report) => report.takesRequests).length;
   }
 
+  /** A restarted process counts as another one: what it spent before still counts for a window. */
   public grantQuotas(
-    node: string,
-    reports: readonly QuotaReport[],
+    { node, incarnation, quotas }: IQuotaRequest,
     now: number,
   ): Pick<QuotaGrant, 'clientAccount' | 'tokens' | 'waitMs'>[] {
-    return reports.flatMap(({ clientAccount, held, wanted, spent }) => {
+    return quotas.flatMap(({ clientAccount, held, wanted, spent }) => {
       const pool = this._ensurePool(clientAccount);
+      const use = { held, spent };
       return pool === undefined
         ? []
-        : [{ clientAccount, ...pool.exchange(node, { held, spent }, wanted, now) }];
+        : [{ clientAccount, ...pool.exchange(`${node}/${incarnation}`, use, wanted, now) }];
     });
   }
 
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -1,5 +1,6 @@
 /** Part of every process that exchanges knowledge with the leader, and serves as hub while it leads. */
 import { create, toBinary } from '@bufbuild/protobuf';
+import { randomUUID } from 'node:crypto';
 import type { Client, ConnectRouter } from '@connectrpc/connect';
 import type { IClock } from '../common/Clock.js';
 import { describeError, type ILog } from '../common/Log.js';
@@ -111,6 +112,7 @@
   private _woken = new AbortController();
   private _waiters: (() => void)[] = [];
   private _isInTouch = false;
+  private readonly _incarnation = randomUUID().slice(0, 8);
   /** Up to where readings of others are known, at the hub of the view's epoch. */
   private _readingRevision = 0n;
 
@@ -310,9 +312,7 @@
     response.weights = [...state.weights];
     response.work = hub.sumWork(request.node);
     response.entries = hub.countEntries();
-    response.grants = hub
-      .grantQuotas(request.node, request.quotas, now)
-      .map((grant) => create(QuotaGrantSchema, grant));
+    response.grants = hub.grantQuotas(request, now).map((grant) => create(QuotaGrantSchema, grant));
     if (state.document !== undefined && state.document.version > request.documentVersion) {
       response.document = state.document;
     }
@@ -381,6 +381,7 @@
       takesRequests: this._options.takesRequests,
       readings: [...this._work.takeReadings()],
       readingRevision: this._readingRevision,
+      incarnation: this._incarnation,
     });
   }
 
