Add a soak of the platform's path

Cause: no soak covered the path that the users run; the old one checks the product's own interface. The stand-ins speak the platform's names, so they are in platform/. Ruled out: a proxy between our processes, as members are known by their addresses; the preloaded module that exists does it.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -1,6 +1,7 @@
 /** One request at one target, and the relay of its answer. */
 import type { IClock } from '../common/Clock.js';
 import type { Metrics } from '../common/Metrics.js';
+import { isBroken } from '../common/TestSwitches.js';
 import type { IRoute } from '../fleet/Types.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { EventFramer } from './EventFramer.js';
@@ -238,6 +239,7 @@
       this._noteFirstByte();
       this._startSink();
       this._write(bytes);
+      TEST_ONLY: if (isBroken('event-number')) return;
       this.lastEventId = lastId ?? this.lastEventId;
     }
   }
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -2,6 +2,7 @@
 import type { IClock } from '../common/Clock.js';
 import type { ILog } from '../common/Log.js';
 import type { Metrics } from '../common/Metrics.js';
+import { isBroken } from '../common/TestSwitches.js';
 import type { FleetNode } from '../fleet/FleetNode.js';
 import type { FleetView } from '../fleet/FleetView.js';
 import { getHeldVersion } from '../fleet/HeldWeights.js';
@@ -443,6 +444,10 @@
         }
         return;
       case 'failed':
+        TEST_ONLY: if (isBroken('false-promise')) {
+          this._refuse(call, sink, 503, 'not_run', 0);
+          return;
+        }
         if (sink.isStarted) {
           sink.cut();
         } else {
@@ -501,6 +506,7 @@
 
 /** Requests that may run more than once. */
 function mayRepeat(route: IRoute): boolean {
+  TEST_ONLY: if (isBroken('repeat-unsafe')) return true;
   return route.kind === 'safe' || (route.kind === 'streaming' && route.isResumable);
 }
 
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -24,6 +24,8 @@
   ['tools/soak.ts', 'dist/tools/soak.cjs'],
   ['tools/soak/NetworkPreload.ts', 'dist/tools/network.cjs'],
   ['tools/overhead.ts', 'dist/tools/overhead.cjs'],
+  ['platform/main.ts', 'dist/redwingwharf-platform-test.cjs'],
+  ['platform/soak/main.ts', 'dist/tools/fleetsoak.cjs'],
 ];
 
 const SHIPPED_BUNDLES = new Set(['dist/redwingwharf.cjs', 'target/redwingwharf-platform.cjs']);
--- a/tools/soak.ts
+++ b/tools/soak.ts
@@ -47,7 +47,7 @@
 /** State of one run. */
 class Soak {
   private readonly _records = new Records();
-  private readonly _invariants = new Invariants(report);
+  private readonly _invariants = new Invariants(report, INVARIANTS);
   private readonly _random: Random;
   private readonly _operator: Operator;
   private readonly _network: Network;
--- a/tools/soak/Invariants.ts
+++ b/tools/soak/Invariants.ts
@@ -25,11 +25,14 @@
 /** Details printed for each invariant. */
 const MAX_DETAILS = 5;
 
-export class Invariants {
-  private readonly _counts = new Map<Invariant, ICount>();
+export class Invariants<T extends string = Invariant> {
+  private readonly _counts = new Map<T, ICount>();
 
-  constructor(private readonly _report: (line: string) => void) {
-    for (const name of INVARIANTS) {
+  constructor(
+    private readonly _report: (line: string) => void,
+    names: readonly T[],
+  ) {
+    for (const name of names) {
       this._counts.set(name, { checks: 0, violations: 0 });
     }
   }
@@ -38,12 +41,12 @@
     return [...this._counts.values()].reduce((sum, { violations }) => sum + violations, 0);
   }
 
-  public isViolated(name: Invariant): boolean {
+  public isViolated(name: T): boolean {
     return (this._counts.get(name)?.violations ?? 0) > 0;
   }
 
   /** Records one check; the detail is only built for a violation. */
-  public check(name: Invariant, isKept: boolean, describe: () => string): void {
+  public check(name: T, isKept: boolean, describe: () => string): void {
     const count = this._counts.get(name) ?? { checks: 0, violations: 0 };
     count.checks += 1;
     if (isKept) {
@@ -55,6 +58,11 @@
     }
   }
 
+  /** Invariants that were checked less often than a run needs to prove something. */
+  public listUnproved(least: Readonly<Record<T, number>>): readonly T[] {
+    return [...this._counts].flatMap(([name, { checks }]) => (checks < least[name] ? [name] : []));
+  }
+
   public toJSON(): Record<string, ICount> {
     return Object.fromEntries(this._counts);
   }
--- a/tools/soak/NetworkPreload.ts
+++ b/tools/soak/NetworkPreload.ts
@@ -2,10 +2,13 @@
  * Loaded into the program's processes before their own code. Disturbs their outgoing connections as a
  * file tells: data to an address may be held back (requests lost in a cut), data from it may be held
  * back (answers lost), and both may be delayed. Held data flows on when the disturbance ends, as it does
- * on TCP after retransmission, unless one side has given up before.
+ * on TCP after retransmission, unless one side has given up before. The file may also move the time of
+ * day and slow the disk of the process.
  */
 import { readFileSync } from 'node:fs';
+import { open } from 'node:fs/promises';
 import { Socket } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 
 const POLL_INTERVAL_MS = 50;
 
@@ -24,14 +27,23 @@
   callback: (error?: Error | null) => void,
 ) => void;
 
+/** What happens to the process itself. */
+interface IProcessDisturbance {
+  readonly clockOffsetMs?: number;
+  readonly syncDelayMs?: number;
+}
+
 interface IPatchedSocket extends Socket {
   _writeGeneric: WriteGeneric;
   heldReads?: { readonly chunk: unknown; readonly dueAt: number }[];
-  targetPort?: number;
+  /** Port, and host with port. */
+  targetKeys?: readonly string[];
 }
 
 const file = process.env.REDWINGWHARF_NETWORK_FILE ?? '';
-let disturbances: Readonly<Record<string, IDisturbance>> = {};
+let disturbances: Readonly<Record<string, IDisturbance>> & {
+  readonly process?: IProcessDisturbance;
+} = {};
 const readers = new Set<IPatchedSocket>();
 
 function readFile(): void {
@@ -44,7 +56,8 @@
 }
 
 function findDisturbance(socket: IPatchedSocket): IDisturbance | undefined {
-  return socket.targetPort === undefined ? undefined : disturbances[String(socket.targetPort)];
+  const key = socket.targetKeys?.find((name) => disturbances[name] !== undefined);
+  return key === undefined ? undefined : disturbances[key];
 }
 
 const prototype = Socket.prototype as IPatchedSocket;
@@ -53,9 +66,15 @@
 const { _writeGeneric: writeGeneric } = prototype;
 
 prototype.connect = function (this: IPatchedSocket, ...args: unknown[]) {
-  const [first] = args.flat() as [{ port?: number | string } | number | undefined];
-  const port = typeof first === 'object' ? first.port : first;
-  this.targetPort = Number(port);
+  const [first, second] = args.flat() as [
+    { port?: number | string; host?: string } | number | undefined,
+    unknown,
+  ];
+  const { port, host } =
+    typeof first === 'object'
+      ? first
+      : { port: first, host: typeof second === 'string' ? second : '' };
+  this.targetKeys = [String(port), `${host ?? ''}:${String(port)}`];
   return connect.apply(this, args);
 } as typeof prototype.connect;
 
@@ -107,6 +126,26 @@
   return true;
 };
 
+const tellTime = Date.now.bind(Date);
+Date.now = (): number => tellTime() + (disturbances.process?.clockOffsetMs ?? 0);
+
+type Sync = (this: unknown) => Promise<void>;
+
+/** File handles share a prototype that Node does not export. */
+async function delaySyncs(): Promise<void> {
+  const handle = await open('/dev/null');
+  const handles = Object.getPrototypeOf(handle) as Record<'sync' | 'datasync', Sync>;
+  await handle.close();
+  for (const name of ['sync', 'datasync'] as const) {
+    const original = handles[name];
+    handles[name] = async function (this: unknown): Promise<void> {
+      await delay(disturbances.process?.syncDelayMs ?? 0);
+      return original.call(this);
+    };
+  }
+}
+
+void delaySyncs();
 readFile();
 setInterval(() => {
   readFile();
