--- a/src/fleet/ReadingBoard.ts
+++ b/src/fleet/ReadingBoard.ts
@@ -4,7 +4,7 @@
 /** Readings that are kept; at 200 a second these are the last 10 s, in which engines drop most parts. */
 const MAX_KEPT = 2_000;
 
-/** Readings in one answer, about 30 bytes each; the newest go first. */
+/** Readings in one answer, about 30 bytes each; of more the newest are told. */
 const MAX_LISTED = 128;
 
 interface IBoardEntry {
--- a/src/gateway/Placement.ts
+++ b/src/gateway/Placement.ts
@@ -30,7 +30,8 @@
 
 /**
  * Cost of reading 1,000 tokens of a subject's last shared part away from its home, where the next request
- * for the subject will not find them: some part of these requests comes before the part is dropped.
+ * for the subject will not find them. On the grown sites three in ten follow another one on the same weights,
+ * and a move brings most of these parts.
  */
 const AWAY_COST_PER_1000 = 0.05;
 
--- a/src/gateway/PromptHolders.ts
+++ b/src/gateway/PromptHolders.ts
@@ -21,16 +21,16 @@
 /** Prompt parts whose holders are kept. */
 const MAX_PARTS = 4_000;
 
-/** Time in which a home is expected to have read the parts of its subjects. */
+/** Time in which a home is expected to have read the parts of its subjects: about that between two requests for one. */
 const WARM_UP_MS = 8_000;
 
-/** A former home has dropped the parts of a subject after this time without use. */
+/** A former home has dropped the parts of a subject after this time without use; its memory holds 9 s of prompts. */
 const KEPT_MS = 8_000;
 
-/** Smaller parts are not worth the bytes of telling other entries. */
+/** Parts that an engine reads in 9 ms or more; its news costs each entry 30 bytes. */
 const MIN_TOLD_TOKENS = 500;
 
-/** A reading that all entries know is told again only after this time. */
+/** A reading that all entries know is told again after this time, well before they stop trusting it. */
 const TOLD_AGAIN_MS = 2_000;
 
 /** Readings that wait for the next exchange; the oldest are dropped while no hub answers. */
