Hash a prompt's parts once for each request

Cause: found in the read-through. Placement hashed each shared part, and asked the store about each, once for each target; that work grows with the fleet. PromptHolders imported types from Placement, which imports PromptHolders. Change: codes, readings and what the store offers are found once for each request and version; the request's types have a file of their own; a pass-through of Placement is gone.

--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -14,13 +14,8 @@
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { hashText } from '../policy/TargetTable.js';
 import { Attempt, type AttemptOutcome } from './Attempt.js';
-import {
-  formatCacheScope,
-  type IPlacement,
-  type IPlacementRequest,
-  type IPlacementTarget,
-  type Placement,
-} from './Placement.js';
+import { formatCacheScope, type IPlacement, type Placement } from './Placement.js';
+import type { IPlacementRequest, IPlacementTarget } from './PlacementRequest.js';
 import type { PromptSource } from './PromptSources.js';
 import {
   LONG_STREAM_TOKENS,
--- a/src/gateway/Placement.test.ts
+++ b/src/gateway/Placement.test.ts
@@ -7,12 +7,8 @@
   type TargetRecord,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { buildTarget } from '../fleet/Fixtures.js';
-import {
-  Placement,
-  type IPlacement,
-  type IPlacementRequest,
-  type IPlacementTarget,
-} from './Placement.js';
+import { Placement, type IPlacement } from './Placement.js';
+import type { IPlacementRequest, IPlacementTarget } from './PlacementRequest.js';
 import { PromptHolders } from './PromptHolders.js';
 import { TargetStates } from './TargetStates.js';
 
--- a/src/gateway/Placement.ts
+++ b/src/gateway/Placement.ts
@@ -3,14 +3,10 @@
  * by answering late, by reading shared prompt parts again, or by running on old weights.
  */
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
-import {
-  getFreshLoad,
-  getSlowness,
-  LONG_STREAM_TOKENS,
-  type ITargetState,
-} from './TargetStates.js';
+import type { IPlacementRequest, IPlacementTarget } from './PlacementRequest.js';
 import { getVersion, listSharedParts, PromptHolders, type IHolding } from './PromptHolders.js';
 import { chooseSource, listSources, type PromptSource } from './PromptSources.js';
+import { getFreshLoad, getSlowness, LONG_STREAM_TOKENS } from './TargetStates.js';
 import type { IPromptPart } from './Types.js';
 
 /** Prompt tokens that an engine reads in a millisecond; the engines' data sheet says 56.6. */
@@ -60,31 +56,6 @@
 /** Cost of a target that is silent or has just failed: used only when there is no other. */
 const DOUBTFUL_COST = 20;
 
-/** What the choice depends on. */
-export interface IPlacementRequest {
-  /** Shared and own parts of the prompt, in order; empty for plain services. */
-  readonly parts: readonly IPromptPart[];
-  readonly promptTokens: number;
-  /** Tokens that are expected to be generated. */
-  readonly outputTokens: number;
-  readonly objectiveMs: number;
-  /** Requests with different walls share no part. */
-  readonly cacheWall: string | undefined;
-  readonly isEngine: boolean;
-  readonly model: string | undefined;
-  /** Version that answers should be made on; undefined if any will do. */
-  readonly wantedVersion: number | undefined;
-}
-
-/** One target as the entry sees it. */
-export interface IPlacementTarget {
-  readonly record: TargetRecord;
-  readonly state: ITargetState;
-  /** Requests of other entries, as of the last exchange. */
-  readonly othersOpen: number;
-  readonly othersTokens: number;
-}
-
 /** What a store of KV cache holds. */
 export interface IStoreContent {
   isHeld(scope: string, part: string): boolean;
@@ -106,6 +77,15 @@
   readonly source: PromptSource | undefined;
 }
 
+/** From where targets of one version may fetch shared parts. */
+interface IOffer {
+  readonly sources: readonly IHolding[];
+  /** Leading shared parts that the store holds. */
+  readonly storedParts: number;
+}
+
+const NO_OFFER: IOffer = { sources: [], storedParts: 0 };
+
 export class Placement {
   constructor(
     private readonly _dataCentre: string,
@@ -119,12 +99,13 @@
     store: IStoreContent,
     now: number,
   ): IPlacement | undefined {
+    const parts = listSharedParts(request);
     const holdings = this._holders.estimate(request, targets, now);
-    const sources = listSources(holdings, listSharedParts(request));
+    const offers = listOffers(request, holdings, parts, store);
     let best: IPlacement | undefined;
     for (const holding of holdings) {
-      const candidates = sources.get(holding.version) ?? [];
-      const placement = this._estimateCost(request, holding, candidates, store, now);
+      const offer = offers.get(holding.version) ?? NO_OFFER;
+      const placement = this._estimateCost(request, holding, parts, offer, now);
       if (best === undefined || placement.cost < best.cost) {
         best = placement;
       }
@@ -137,22 +118,15 @@
     this._holders.noteRead(request, target, now);
   }
 
-  /** A target that restarted or loaded weights holds nothing of before. */
-  public forgetTarget(id: string): void {
-    this._holders.forgetTarget(id);
-  }
-
   private _estimateCost(
     request: IPlacementRequest,
     holding: IHolding,
-    sources: readonly IHolding[],
-    store: IStoreContent,
+    parts: readonly IPromptPart[],
+    { sources, storedParts }: IOffer,
     now: number,
   ): IPlacement {
     const { target, isDoubtful } = holding;
     const { record } = target;
-    const parts = listSharedParts(request);
-    const storedParts = countStored(request, record, store);
     const supply = chooseSource(holding, sources, parts, storedParts);
     const { source, movedTokens, missedTokens } = supply;
     const moveMs =
@@ -191,16 +165,24 @@
   return `${getVersion(request, target)}/${request.cacheWall ?? ''}`;
 }
 
-/** Leading shared parts that the store holds. */
-function countStored(
+/** What is offered to the targets of each version; the same for all of them. */
+function listOffers(
   request: IPlacementRequest,
-  target: TargetRecord,
+  holdings: readonly IHolding[],
+  parts: readonly IPromptPart[],
   store: IStoreContent,
-): number {
-  const scope = formatCacheScope(request, target);
-  const parts = listSharedParts(request);
-  const missing = parts.findIndex((part) => !store.isHeld(scope, part.id));
-  return missing < 0 ? parts.length : missing;
+): ReadonlyMap<number, IOffer> {
+  const sources = listSources(holdings, parts);
+  const offers = new Map<number, IOffer>();
+  for (const { version, target } of holdings) {
+    if (!offers.has(version)) {
+      const scope = formatCacheScope(request, target.record);
+      const missing = parts.findIndex((part) => !store.isHeld(scope, part.id));
+      const storedParts = missing < 0 ? parts.length : missing;
+      offers.set(version, { sources: sources.get(version) ?? [], storedParts });
+    }
+  }
+  return offers;
 }
 
 function countOpen({ state, othersOpen }: IPlacementTarget): number {
--- a/src/gateway/PromptHolders.ts
+++ b/src/gateway/PromptHolders.ts
@@ -12,7 +12,7 @@
   type PromptReading,
   type TargetRecord,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
-import type { IPlacementRequest, IPlacementTarget } from './Placement.js';
+import type { IPlacementRequest, IPlacementTarget } from './PlacementRequest.js';
 import type { IPromptPart } from './Types.js';
 
 /** Evidence that a target holds a part is trusted for this long; engines drop parts within seconds. */
@@ -68,14 +68,16 @@
     targets: readonly IPlacementTarget[],
     now: number,
   ): readonly IHolding[] {
-    const homeTimes = findHomeTimes(request, targets, now);
-    const parts = listSharedParts(request);
+    const codes = listSharedParts(request).map((part) => hashPart(request, part));
+    const homeTimes = findHomeTimes(request, codes.at(-1), targets, now);
+    const readings = codes.map((code) => this._readings.get(code));
     return targets.map((target): IHolding => {
       const homeTime = homeTimes.get(target.record.id);
+      const version = getVersion(request, target.record);
       return {
         target,
-        version: getVersion(request, target.record),
-        ...this._estimateChances(request, parts, target.record, homeTime?.chance ?? 0, now),
+        version,
+        ...estimateChances(readings, target.record, version, homeTime?.chance ?? 0, now),
         isHome: homeTime?.isHome === true,
         isDoubtful: isDoubtful(target, now),
       };
@@ -132,30 +134,30 @@
       this._readings.delete(oldest ?? code);
     }
   }
+}
 
-  private _estimateChances(
-    request: IPlacementRequest,
-    parts: readonly IPromptPart[],
-    record: TargetRecord,
-    homeChance: number,
-    now: number,
-  ): Pick<IHolding, 'chances' | 'seenParts'> {
-    const version = getVersion(request, record);
-    let chance = 1;
-    let seenParts = 0;
-    const chances = parts.map((part, i) => {
-      const reading = this._readings.get(hashPart(request, part))?.get(record.id);
-      const isSeen =
-        reading?.born === record.born &&
-        reading.version === version &&
-        now - reading.at <= EVIDENCE_MS;
-      // A home holds all parts of a subject or none, so the chance counts once.
-      chance = Math.min(chance, isSeen ? 1 : homeChance);
-      seenParts += isSeen && seenParts === i ? 1 : 0;
-      return chance;
-    });
-    return { chances, seenParts };
-  }
+/** `readings` are those of each shared part. */
+function estimateChances(
+  readings: readonly (ReadonlyMap<string, IReading> | undefined)[],
+  record: TargetRecord,
+  version: number,
+  homeChance: number,
+  now: number,
+): Pick<IHolding, 'chances' | 'seenParts'> {
+  let chance = 1;
+  let seenParts = 0;
+  const chances = readings.map((byTarget, i) => {
+    const reading = byTarget?.get(record.id);
+    const isSeen =
+      reading?.born === record.born &&
+      reading.version === version &&
+      now - reading.at <= EVIDENCE_MS;
+    // A home holds all parts of a subject or none, so the chance counts once.
+    chance = Math.min(chance, isSeen ? 1 : homeChance);
+    seenParts += isSeen && seenParts === i ? 1 : 0;
+    return chance;
+  });
+  return { chances, seenParts };
 }
 
 /** The last part belongs to the request itself. */
@@ -181,18 +183,17 @@
 /** Targets that are or were the home of the request's subject since they loaded their weights. */
 function findHomeTimes(
   request: IPlacementRequest,
+  subject: number | undefined,
   targets: readonly IPlacementTarget[],
   now: number,
 ): ReadonlyMap<string, IHomeTime> {
   const homeTimes = new Map<string, IHomeTime>();
-  const subject = request.parts.at(-2);
   if (subject === undefined) {
     return homeTimes;
   }
-  const key = hashPart(request, subject);
   const ranked = targets
     .filter((target) => !target.record.silent && !target.record.loading)
-    .map((target) => ({ target, score: hashBits(target.state.addressCode ^ key) }))
+    .map((target) => ({ target, score: hashBits(target.state.addressCode ^ subject) }))
     .sort((left, right) => right.score - left.score);
   /** For each version the time since which a target of a higher rank has been there. */
   const takenSince = new Map<number, number>();
--- a/src/gateway/PromptSources.ts
+++ b/src/gateway/PromptSources.ts
@@ -76,10 +76,10 @@
 }
 
 function pickSpare(others: readonly IHolding[], storedParts: number): PromptSource | undefined {
-  const seen = others.find(({ seenParts }) => seenParts > 0);
   if (storedParts > 0) {
     return { kind: 'store' };
   }
+  const seen = others.find(({ seenParts }) => seenParts > 0);
   return seen && { kind: 'target', record: seen.target.record };
 }
 
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -111,7 +111,7 @@
     );
     this.view.onTargetLoss(({ id }) => {
       states.forget(id);
-      placement.forgetTarget(id);
+      holders.forgetTarget(id);
     });
     this._store = new StoreIndex(this.view, adapters.askStore, clock, _logger);
     this.calls = new CallRunner<T>({
