Join the two hellos and the parameters of a load

Cause: found in the read-through. The hello of members and the question for the leader were the same call twice; the leader as known was picked in two places; four functions of the rollout took the same four values in a row. Change: one function each, one type for a load. Behaviour stays as it is.

--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -27,7 +27,7 @@
   type TargetWork,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { FleetHub, type IHubOptions } from './FleetHub.js';
-import { findLeader } from './LeaderSearch.js';
+import { findLeader, type ILeaderHint } from './LeaderSearch.js';
 import type { FleetState } from './FleetState.js';
 import type { FleetView } from './FleetView.js';
 import type { QuotaWallet } from './QuotaWallet.js';
@@ -275,7 +275,9 @@
       const members = this._listMembers();
       const isMember = members.includes(this._options.address);
       const others = isMember ? this._seeds.filter((seed) => !members.includes(seed)) : [];
-      await Promise.all(others.map((seed) => this._sendHello(seed, members, signal)));
+      await runWithLimit(signal, HELLO_LIMIT_MS, (limited) =>
+        Promise.all(others.map((seed) => this._sendHello(seed, members, limited))),
+      );
       await sleep(addJitter(HELLO_MS), signal);
     }
   }
@@ -398,7 +400,7 @@
       this._exchangeLocally(now);
       return;
     }
-    const known = this._member?.log.status.leaderAddress ?? this._leader;
+    const known = this._getKnownLeader();
     const isOther = known !== undefined && known !== this._options.address;
     if (isOther && (await this._exchangeWith(known, signal))) {
       return;
@@ -412,49 +414,34 @@
 
   /** Undefined if no process that was asked knows another one that leads. */
   private async _findLeader(signal: AbortSignal): Promise<string | undefined> {
-    const request = create(ExchangeRequestSchema, { node: this._options.address, isHello: true });
     const asked = this._listLeaderCandidates().slice(0, MAX_ASKED);
+    const ask = async (address: string, limited: AbortSignal): Promise<ILeaderHint | undefined> => {
+      const answer = await this._sendHello(address, [], limited);
+      this._members = answer?.members.length ? answer.members : this._members;
+      return answer;
+    };
     const leader = await runWithLimit(signal, HELLO_LIMIT_MS, (limited) =>
-      findLeader(
-        asked,
-        (address, callLimit) => this._queryLeadership(address, request, callLimit),
-        limited,
-      ),
+      findLeader(asked, ask, limited),
     );
     return leader === this._options.address ? undefined : leader;
   }
 
-  private async _queryLeadership(
-    address: string,
-    request: ExchangeRequest,
-    signal: AbortSignal,
-  ): Promise<ExchangeResponse | undefined> {
-    try {
-      const answer = await this._rpc.get(FleetService, address).exchange(request, { signal });
-      this._members = answer.members.length > 0 ? answer.members : this._members;
-      return answer;
-    } catch (error) {
-      this._log.debug('no answer about the leader', { address, reason: describeError(error) });
-      return undefined;
-    }
-  }
-
+  /** Tells a process which members there are, and hears what it knows; undefined if it does not answer. */
   private async _sendHello(
-    seed: string,
+    address: string,
     members: readonly string[],
     signal: AbortSignal,
-  ): Promise<void> {
+  ): Promise<ExchangeResponse | undefined> {
     const request = create(ExchangeRequestSchema, {
       node: this._options.address,
       members: [...members],
       isHello: true,
     });
     try {
-      await runWithLimit(signal, HELLO_LIMIT_MS, (limited) =>
-        this._rpc.get(FleetService, seed).exchange(request, { signal: limited }),
-      );
+      return await this._rpc.get(FleetService, address).exchange(request, { signal });
     } catch (error) {
-      this._log.debug('hello failed', { seed, reason: describeError(error) });
+      this._log.debug('hello failed', { address, reason: describeError(error) });
+      return undefined;
     }
   }
 
@@ -529,9 +516,12 @@
     }
   }
 
+  private _getKnownLeader(): string | undefined {
+    return this._member?.log.status.leaderAddress ?? this._leader;
+  }
+
   private _listLeaderCandidates(): string[] {
-    const status = this._member?.log.status;
-    const first = status?.leaderAddress ?? this._leader;
+    const first = this._getKnownLeader();
     const others = [...this._members, ...this._seeds].sort(() => Math.random() - 0.5);
     const all = first === undefined ? others : [first, ...others];
     return [...new Set(all)].filter((address) => address !== this._options.address);
--- a/src/fleet/WeightsRollout.ts
+++ b/src/fleet/WeightsRollout.ts
@@ -83,6 +83,14 @@
   readonly weights: readonly { readonly model: string; readonly version: bigint }[];
 }
 
+/** One engine that is to load weights, and the hub that is told of it. */
+interface ILoad {
+  readonly target: TargetRecord;
+  readonly model: string;
+  readonly version: number;
+  readonly hub: FleetHub;
+}
+
 export class WeightsRollout {
   /** Engines that load, and those that get ready with the time since when. */
   private readonly _loading = new Map<string, Promise<void>>();
@@ -164,20 +172,14 @@
         !this._loading.has(target.id) &&
         now >= (this._restUntil.get(target.id) ?? 0);
       if (isDue) {
-        this._advance(target, model, version, hub, places, signal);
+        this._advance({ target, model, version, hub }, places, signal);
       }
     }
   }
 
   /** Begins to prepare an engine, or its load once it is prepared, as far as there are places. */
-  private _advance(
-    target: TargetRecord,
-    model: string,
-    version: number,
-    hub: FleetHub,
-    places: number,
-    signal: AbortSignal,
-  ): void {
+  private _advance(load: ILoad, places: number, signal: AbortSignal): void {
+    const { target, hub } = load;
     const now = this._clock.now();
     const preparedSince = this._preparing.get(target.id);
     if (preparedSince === undefined) {
@@ -187,7 +189,7 @@
       }
     } else if (this._isPrepared(target, hub, now - preparedSince) && this._loading.size < places) {
       this._preparing.delete(target.id);
-      this._loading.set(target.id, this._runLoad(target, model, version, hub, signal));
+      this._loading.set(target.id, this._runLoad(load, signal));
     }
   }
 
@@ -198,15 +200,10 @@
     return preparedMs >= PREPARE_MIN_MS && hub.countLongStreams(target.id) === 0;
   }
 
-  private async _runLoad(
-    target: TargetRecord,
-    model: string,
-    version: number,
-    hub: FleetHub,
-    signal: AbortSignal,
-  ): Promise<void> {
+  private async _runLoad(load: ILoad, signal: AbortSignal): Promise<void> {
+    const { target, model, version, hub } = load;
     try {
-      await this._load(target, model, version, hub, signal);
+      await this._load(load, signal);
     } catch (error) {
       this._restUntil.set(target.id, this._clock.now() + FAILED_REST_MS);
       this._log.warn('weights order failed', {
@@ -221,13 +218,8 @@
     }
   }
 
-  private async _load(
-    target: TargetRecord,
-    model: string,
-    version: number,
-    hub: FleetHub,
-    signal: AbortSignal,
-  ): Promise<void> {
+  private async _load(load: ILoad, signal: AbortSignal): Promise<void> {
+    const { target, model, version, hub } = load;
     hub.setLoadState(target.id, 'loading');
     const [before] = await Promise.all([
       this._report(target, signal),
@@ -263,7 +255,7 @@
     if (outcome === 'done') {
       hub.setWeights(target.id, target.born, model, version);
     } else if (outcome === 'accepted') {
-      await this._waitLoaded(target, model, version, hub, signal);
+      await this._waitLoaded(load, signal);
     } else {
       throw new Error(`the engine answered ${outcome}`);
     }
@@ -276,10 +268,7 @@
   }
 
   private async _waitLoaded(
-    target: TargetRecord,
-    model: string,
-    version: number,
-    hub: FleetHub,
+    { target, model, version, hub }: ILoad,
     signal: AbortSignal,
   ): Promise<void> {
     const giveUpAt = this._clock.now() + LOAD_LIMIT_MS;
