--- a/tools/soak.ts
+++ b/tools/soak.ts
@@ -13,6 +13,7 @@
 import { ACCOUNTS, buildPlan } from './soak/Plan.js';
 import { Random } from './soak/Random.js';
 import { Records, type ISoakKey } from './soak/Records.js';
+import { report } from './soak/Report.js';
 import { StatusWatch } from './soak/StatusWatch.js';
 
 const { values } = parseArgs({
@@ -37,13 +38,6 @@
 
 const STALL_INTERVAL_MS = 50;
 
-const startedAt = performance.now();
-
-function report(line: string): void {
-  const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
-  process.stdout.write(`${seconds.padStart(6)} s ${line}\n`);
-}
-
 /** State of one run. */
 class Soak {
   private readonly _records = new Records();
--- a/tools/soak/HttpCall.ts
+++ b/tools/soak/HttpCall.ts
@@ -1,11 +1,13 @@
-/** One HTTP request on a connection of its own, with the times that the checks need. */
-import { request as sendRequest, type IncomingHttpHeaders } from 'node:http';
+/** One HTTP request, with the times that the checks need. */
+import { request as sendRequest, type Agent, type IncomingHttpHeaders } from 'node:http';
 
 export interface ICallOptions {
   readonly method: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly body?: string;
   readonly timeoutMs: number;
+  /** Keeps connections for further requests; without it each request has a connection of its own. */
+  readonly agent?: Agent;
 }
 
 /** What a call got. Times are milliseconds of `performance.now()`. */
@@ -35,9 +37,9 @@
       const endAt = performance.now();
       resolve({ end, status, headers, text, sentAt, firstByteAt, lastTokenAt, endAt });
     };
-    // A new connection for each request: an idle one may close just when it is used.
     const call = sendRequest(url, {
-      agent: false,
+      // Without an agent a new connection: an idle one may close just when it is used.
+      agent: options.agent ?? false,
       method: options.method,
       headers: options.headers,
     });
--- a/tools/soak/Network.ts
+++ b/tools/soak/Network.ts
@@ -40,9 +40,12 @@
 
   private _writeFile(from: string): void {
     const file = this._deployment.getNetworkFile(from);
-    const ports = Object.fromEntries(this._disturbances.get(from) ?? []);
-    // Renamed into place, so that the process never reads half a file.
-    writeFileSync(`${file}.new`, JSON.stringify(ports));
-    renameSync(`${file}.new`, file);
+    writeNetworkFile(file, Object.fromEntries(this._disturbances.get(from) ?? []));
   }
 }
+
+/** Renames the file into place, so that the process never reads half of it. */
+export function writeNetworkFile(file: string, content: object): void {
+  writeFileSync(`${file}.new`, JSON.stringify(content));
+  renameSync(`${file}.new`, file);
+}
