Replace a leader that died for good by a learner

Cause: a voter that never answered the present leader had no time of last contact, and MembershipChanges took 'now' for it. The former leader is such a voter, so it stayed in the group for ever, and the next frozen or lost voter left no majority. Change: contact counts from the beginning of the leadership, as the watch over the quorum does already. Ruled out: a shorter time limit, which would also count voters that restart as lost.

--- a/src/consensus/Leadership.ts
+++ b/src/consensus/Leadership.ts
@@ -122,6 +122,14 @@
     return this._peers.get(formatMemberIdentity(identity))?.confirmedAt;
   }
 
+  /**
+   * Like `getMemberConfirmedAt`, but for a member that has not acknowledged any call yet the time when this
+   * leader began to replicate to it; undefined for identities that it does not replicate to.
+   */
+  public getMemberContactAt(identity: IMemberIdentity): number | undefined {
+    return this._peers.get(formatMemberIdentity(identity))?.contactAt;
+  }
+
   /** Last log index known to be durable on a member. */
   public getMatchIndex(identity: IMemberIdentity): number {
     return this._peers.get(formatMemberIdentity(identity))?.matchIndex ?? 0;
--- a/src/consensus/MembershipChanges.ts
+++ b/src/consensus/MembershipChanges.ts
@@ -277,7 +277,10 @@
     return listVoters(this._state.membership).length >= maxVoters;
   }
 
-  /** A voter that has not answered for `lostVoterTimeoutMs`; undefined without a policy. */
+  /**
+   * A voter that has not answered for `lostVoterTimeoutMs`; undefined without a policy. A voter that never
+   * answered this leader, such as the leader before it, counts from the beginning of the leadership.
+   */
   private _findLostVoter(leadership: Leadership): Member | undefined {
     const policy = this._policy;
     if (policy === undefined) {
@@ -286,10 +289,9 @@
     const now = this._state.clock.now();
     return listVoters(this._state.membership).find((voter) => {
       const identity = getMemberIdentity(voter);
-      const confirmedAt = leadership.getMemberConfirmedAt(identity) ?? now;
+      const contactAt = leadership.getMemberContactAt(identity) ?? now;
       return (
-        !isSameMember(identity, this._state.identity) &&
-        now - confirmedAt > policy.lostVoterTimeoutMs
+        !isSameMember(identity, this._state.identity) && now - contactAt > policy.lostVoterTimeoutMs
       );
     });
   }
--- a/src/consensus/ReplicatedLog.test.ts
+++ b/src/consensus/ReplicatedLog.test.ts
@@ -10,7 +10,7 @@
   type Sender,
   type VoteRequest,
 } from '../gen/redwingwharf/v1/consensus_pb.js';
-import { TEST_TIMINGS, TestCluster, waitUntil } from './TestCluster.js';
+import { createRandom, TEST_TIMINGS, TestCluster, waitUntil } from './TestCluster.js';
 
 let cluster: TestCluster | undefined;
 
@@ -52,6 +52,11 @@
   return [...group.members.keys()].filter((id) => id !== leaderId);
 }
 
+function listVoterIds(group: TestCluster): string[] {
+  const members = group.findLeader()?.log.status.membership.members ?? [];
+  return members.filter((member) => member.voter).map((member) => member.id);
+}
+
 describe('ReplicatedLog', () => {
   it('applies commands in the same order on all members and returns the state machine result', async () => {
     cluster = await TestCluster.create(3);
@@ -161,8 +166,10 @@
     const oldDisk = cluster.get(lost).log.status.diskId;
     await cluster.kill(lost);
     await cluster.deleteDisk(lost);
-    // The empty disk can send its join request but receives no entries, so it stays a learner.
-    cluster.network.cutLink(leader.address, 'node-' + lost.slice(1));
+    // The empty disk can send its join request but receives no entries, whoever leads, so it stays a learner.
+    for (const { address } of [leader, cluster.get(survivor)]) {
+      cluster.network.cutLink(address, 'node-' + lost.slice(1));
+    }
     await cluster.startMember(lost);
     await waitUntil('the old disk is replaced', () => {
       const { members } = leader.log.status.membership;
@@ -204,6 +211,54 @@
     expect(await cluster.waitForAgreement()).toEqual(expect.arrayContaining(names));
   });
 
+  it('replaces a leader that was lost for good and never answered its successor', async () => {
+    const policy = { lostVoterTimeoutMs: 1_000, minVoters: 3, maxVoters: 3 };
+    const group = await TestCluster.create(3, 1, TEST_TIMINGS, undefined, policy);
+    cluster = group;
+    const name = await group.commit('before');
+    const { id: lost } = await group.waitForLeader();
+    await group.kill(lost);
+    await group.startMember('m4');
+    await waitUntil('the new member votes in place of the lost leader', () => {
+      const voters = listVoterIds(group);
+      return voters.length === 3 && voters.includes('m4') && !voters.includes(lost);
+    });
+    // With the lost leader among the voters, the next loss would leave no majority.
+    await group.kill((await group.waitForLeader()).id);
+    const after = await group.commit('after the next loss');
+    expect(await group.waitForAgreement()).toEqual(expect.arrayContaining([name, after]));
+  });
+
+  it.each([1, 2, 3])(
+    'keeps a majority while two of five voters at once, the leader among them, are replaced (seed %i)',
+    async (seed) => {
+      const policy = { lostVoterTimeoutMs: 1_000, minVoters: 5, maxVoters: 5 };
+      const group = await TestCluster.create(5, seed, TEST_TIMINGS, undefined, policy);
+      cluster = group;
+      const random = createRandom(seed);
+      const names = await commitMany(group, 'before', 10);
+      for (const replacements of [
+        ['m6', 'm7'],
+        ['m8', 'm9'],
+      ]) {
+        const leader = await group.waitForLeader();
+        const followers = listFollowers(group, leader.id);
+        const follower = followers[Math.floor(random() * followers.length)] ?? '';
+        const lost = random() < 0.5 ? [leader.id, follower] : [follower, leader.id];
+        for (const id of lost) {
+          await group.kill(id);
+        }
+        for (const id of replacements) {
+          await group.startMember(id);
+          names.push(await group.commit(`with ${id}`));
+        }
+        await group.waitForVoters(5);
+      }
+      expectCommitted(await group.waitForAgreement(), names);
+    },
+    20_000,
+  );
+
   it('removes a lost voter while three others remain, so that the group tolerates the next loss', async () => {
     const policy = { lostVoterTimeoutMs: 1_000, minVoters: 3, maxVoters: 7 };
     const group = await TestCluster.create(4, 1, TEST_TIMINGS, undefined, policy);
--- a/src/consensus/TestCluster.ts
+++ b/src/consensus/TestCluster.ts
@@ -28,6 +28,9 @@
 
 const POLL_INTERVAL_MS = 5;
 
+/** Addresses at which members look for a group that admits them. */
+const PEER_ADDRESSES = Array.from({ length: 9 }, (_, n) => `node-${n + 1}`);
+
 /** For tests that need a stable leader, also on a busy machine. */
 export const TEST_TIMINGS: IConsensusTimings = {
   heartbeatIntervalMs: 20,
@@ -267,7 +270,7 @@
     const opened = await ReplicatedLog.open(directory, {
       memberId: id,
       address,
-      listPeers: () => ['node-1', 'node-2', 'node-3', 'node-4', 'node-5'],
+      listPeers: () => PEER_ADDRESSES,
       ...(this._policy === undefined ? {} : { policy: this._policy }),
       machine,
       transport: this.network.createTransport(address),
