Let a sync of the feed begin after the call that waits for it

Cause: FeedClient.syncOnce joined a request in flight, which may have been answered from before a change that the caller knows of. Change: a call waits for the next request, which all concurrent callers share. Test: the new one in FeedClient.test.ts times out without the change. Ruled out: a wait in the harness only, as the dispatcher joins old requests in the same way.

--- a/src/feed/FeedClient.test.ts
+++ b/src/feed/FeedClient.test.ts
@@ -55,6 +55,35 @@
     expect(copy.getConfirmedAt()).toBe(10_000);
   });
 
+  it('does not answer a caller with a request that was sent before the call', async () => {
+    // A withdrawal between the two calls would not be in force when the second one resolves.
+    const copy = new FeedCopy();
+    const answers: ((response: SyncResponse) => void)[] = [];
+    const sync = (): Promise<SyncResponse> =>
+      new Promise((resolve) => {
+        answers.push(resolve);
+      });
+    const clients = { get: () => ({ sync }) } as unknown as RpcClients;
+    const log = createLog('test', 'error', () => undefined);
+    const client = new FeedClient(copy, ['leader'], 'entry', [], clients, { now: () => 0 }, log);
+    const { signal } = new AbortController();
+    const respond = (revision: bigint): void => {
+      const clusterId = new Uint8Array([1]);
+      answers.shift()?.(create(SyncResponseSchema, { clusterId, revision, ageMs: 0 }));
+    };
+    const early = client.syncOnce(signal);
+    await vi.waitUntil(() => answers.length === 1);
+    const late = [client.syncOnce(signal), client.syncOnce(signal)];
+    respond(5n);
+    await early;
+    expect(copy.revision).toBe(5);
+    await vi.waitUntil(() => answers.length === 1);
+    respond(6n);
+    await Promise.all(late);
+    expect(copy.revision).toBe(6);
+    expect(answers).toHaveLength(0);
+  });
+
   it('switches from a follower to the leader that the follower reports', async () => {
     const copy = new FeedCopy();
     const follower = vi.fn(answerWith({ revision: 6n, ageMs: 400, leaderAddress: 'leader' }));
--- a/src/feed/FeedClient.ts
+++ b/src/feed/FeedClient.ts
@@ -21,7 +21,9 @@
  */
 export class FeedClient {
   private _server: string;
-  private _pendingSync: Promise<void> | undefined;
+  private _runningSync: Promise<void> | undefined;
+  /** The sync that starts when the running one has ended. */
+  private _queuedSync: Promise<void> | undefined;
 
   constructor(
     private readonly _copy: FeedCopy,
@@ -50,12 +52,21 @@
     );
   }
 
-  /** Sends one sync request; concurrent callers share it. Rejects if it fails. */
-  public async syncOnce(signal: AbortSignal): Promise<void> {
-    this._pendingSync ??= this._sync(signal).finally(() => {
-      this._pendingSync = undefined;
-    });
-    await this._pendingSync;
+  /**
+   * Sends one sync request and resolves with its end; rejects if it fails. A request that was in flight before
+   * the call may be answered from before a change that the caller has learned of, so the call waits for the
+   * next one, which all concurrent callers share.
+   */
+  public syncOnce(signal: AbortSignal): Promise<void> {
+    this._queuedSync ??= this._syncAfterRunning(signal);
+    return this._queuedSync;
+  }
+
+  private async _syncAfterRunning(signal: AbortSignal): Promise<void> {
+    await this._runningSync?.catch(() => undefined);
+    this._queuedSync = undefined;
+    this._runningSync = this._sync(signal);
+    await this._runningSync;
   }
 
   private async _sync(signal: AbortSignal): Promise<void> {
