Weigh old weights as a cost of a placement; only the time limit excludes a target

Cause: after a soft limit only engines with the new weights got requests, however few they were. Change: the filter is gone. Old weights cost a fifth of a request, as before; a target is excluded when its time is over, and avoided if the request might begin only after it. The roll-out loads all remaining engines at once only after that limit too, as they serve until then. Ruled out: a filter only when more than half of the engines pass (trial in the issue), which still excludes idle engines.

--- a/src/fleet/WeightsHistory.ts
+++ b/src/fleet/WeightsHistory.ts
@@ -28,6 +28,16 @@
     return this._versionsByModel.get(model)?.at(-1)?.version;
   }
 
+  /**
+   * Time for which requests may still begin on a held version, if they may for `limitMs` after this process
+   * learned of the first newer one: infinite while there is none, zero or less once the time is over.
+   */
+  public getUsableMs(model: string, held: number, limitMs: number, now: number): number {
+    const versions = this._versionsByModel.get(model) ?? [];
+    const next = versions.find(({ version }) => version > held);
+    return next === undefined ? Number.POSITIVE_INFINITY : next.learnedAt + limitMs - now;
+  }
+
   /**
    * Newest version that has been known for at least `graceMs`; a request may no longer begin on an older one.
    * 0 if there is none.
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -59,14 +59,6 @@
 /** Priority of the least urgent requests; 0 is the most urgent. */
 const LOWEST_PRIORITY = 9;
 
-/** How long a target with old weights still gets requests after newer weights were named. */
-export interface IWeightsLimits {
-  /** After this time such a target is used only if no other one is left. */
-  readonly softMs: number;
-  /** After this time it gets no requests. */
-  readonly hardMs: number;
-}
-
 /** Dependencies of the calls, shared by all of them. */
 export interface ICallContext<T extends ICall> {
   readonly view: FleetView;
@@ -81,7 +73,8 @@
   readonly metrics: Metrics;
   readonly log: ILog;
   readonly quota: IQuotaTerms;
-  readonly weights: IWeightsLimits;
+  /** Time after newer weights were named from which a target with older ones gets no requests. */
+  readonly weightsLimitMs: number;
 }
 
 /** Routing and quota of a call that passed admission. */
@@ -263,15 +256,21 @@
     const { view, states, placement } = this._context;
     const all = view.listTargets(admitted.service.name);
     const untried = all.filter((record) => !progress.tried.has(record.id));
-    const eligible = this._filterByWeights(call, untried, now);
-    const targets = eligible.map((record): IPlacementTarget => {
+    const targets = untried.flatMap((record): IPlacementTarget[] => {
+      const weightsUsableMs = this._getWeightsUsableMs(call.model, record, now);
+      if (weightsUsableMs <= 0) {
+        return [];
+      }
       const others = view.getRemoteWork(record.id);
-      return {
-        record,
-        state: states.ensure(record, now),
-        othersOpen: others.open,
-        othersPendingTokens: others.pendingTokens,
-      };
+      return [
+        {
+          record,
+          state: states.ensure(record, now),
+          othersOpen: others.open,
+          othersPendingTokens: others.pendingTokens,
+          weightsUsableMs,
+        },
+      ];
     });
     const available = targets.filter(({ state }) => now >= state.cooldownUntil);
     return placement.choose(
@@ -282,26 +281,17 @@
     );
   }
 
-  /** Keeps the targets whose weights are within the soft limit or, without one, within the hard limit. */
-  private _filterByWeights(
-    call: T,
-    targets: readonly TargetRecord[],
+  /** Time for which a request of the model may still begin on the weights that a target holds. */
+  private _getWeightsUsableMs(
+    model: string | undefined,
+    record: TargetRecord,
     now: number,
-  ): readonly TargetRecord[] {
-    const { view, weights } = this._context;
-    const { model } = call;
-    if (model === undefined) {
-      return targets;
-    }
-    const softRequiredVersion = view.weights.getRequiredVersion(model, weights.softMs, now);
-    const preferred = targets.filter((record) =>
-      hasRequiredVersion(record, model, softRequiredVersion),
-    );
-    if (preferred.length > 0) {
-      return preferred;
-    }
-    const hardRequiredVersion = view.weights.getRequiredVersion(model, weights.hardMs, now);
-    return targets.filter((record) => hasRequiredVersion(record, model, hardRequiredVersion));
+  ): number {
+    const { view, weightsLimitMs } = this._context;
+    const held = getHeldVersion(record, model);
+    return model === undefined || held === undefined
+      ? Number.POSITIVE_INFINITY
+      : view.weights.getUsableMs(model, held, weightsLimitMs, now);
   }
 
   private _describeRequest(call: T, { account, route, service }: IAdmittedCall): IPlacementRequest {
@@ -572,11 +562,6 @@
   return source?.kind === 'target' ? source.record.id : source?.kind;
 }
 
-/** True also for targets without the model, to which weights do not apply. */
-function hasRequiredVersion(record: TargetRecord, model: string, requiredVersion: number): boolean {
-  return (getHeldVersion(record, model) ?? requiredVersion) >= requiredVersion;
-}
-
 /** Quota tokens of a call; the account's default if the request states no token counts. */
 function countTokens(call: ICall, account: IClientAccount | undefined): number {
   return call.promptTokens === undefined && call.outputTokens === undefined
--- a/src/gateway/Placement.ts
+++ b/src/gateway/Placement.ts
@@ -49,6 +49,9 @@
 /** Cost of a response on old weights. */
 const OLD_WEIGHTS_COST = 0.2;
 
+/** A request may wait for several times the expected time before it begins, as other entries send at once. */
+const MAX_START_DELAY_FACTOR = 4;
+
 /** Cost of a target in another data centre, so that of equal targets a local one is chosen. */
 const REMOTE_DATA_CENTRE_COST = 0.004;
 
@@ -161,7 +164,9 @@
         ? DELAYED_WEIGHTS_LOAD_COST
         : 0) +
       (record.dataCentre === this._dataCentre ? 0 : REMOTE_DATA_CENTRE_COST) +
-      (isUnavailable ? UNAVAILABLE_TARGET_COST : 0) +
+      (isUnavailable || expectedMs * MAX_START_DELAY_FACTOR > target.weightsUsableMs
+        ? UNAVAILABLE_TARGET_COST
+        : 0) +
       // Breaks ties between idle targets.
       expectedMs / 1_000_000;
     return {
--- a/src/gateway/PlacementRequest.ts
+++ b/src/gateway/PlacementRequest.ts
@@ -28,4 +28,6 @@
   readonly othersOpen: number;
   /** Prompt tokens of other entries' requests that have not received a first byte, as of that exchange. */
   readonly othersPendingTokens: number;
+  /** Time for which requests may still begin on the weights of the target; infinite if they are current. */
+  readonly weightsUsableMs: number;
 }
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -22,11 +22,8 @@
 import { InternalServer } from './InternalServer.js';
 import { MemberHost, type IMemberOptions } from './MemberHost.js';
 
-/** Covers the time that a request waits in an engine's queue. */
-const WEIGHTS_SOFT_MARGIN_MS = 3_500;
-
 /** Covers the time until a named version reaches this process and a request reaches an idle engine. */
-const WEIGHTS_HARD_MARGIN_MS = 1_200;
+const WEIGHTS_LIMIT_MARGIN_MS = 1_200;
 
 export interface IFleetProcessOptions {
   readonly dataCentre: string;
@@ -132,10 +129,7 @@
       metrics,
       log: _log,
       quota: _options.quota,
-      weights: {
-        softMs: _options.weightsRolloutLimitMs - WEIGHTS_SOFT_MARGIN_MS,
-        hardMs: _options.weightsRolloutLimitMs - WEIGHTS_HARD_MARGIN_MS,
-      },
+      weightsLimitMs: _options.weightsRolloutLimitMs - WEIGHTS_LIMIT_MARGIN_MS,
     });
     this._memberHost =
       member &&
@@ -200,7 +194,7 @@
         getRequiredVersion: (model, now) =>
           view.weights.getRequiredVersion(
             model,
-            this._options.weightsRolloutLimitMs - WEIGHTS_SOFT_MARGIN_MS,
+            this._options.weightsRolloutLimitMs - WEIGHTS_LIMIT_MARGIN_MS,
             now,
           ),
         get term() {
