--- a/src/fleet/FleetHub.test.ts
+++ b/src/fleet/FleetHub.test.ts
@@ -24,6 +24,7 @@
       log: SILENT_LOG,
     },
     0,
+    { isConfigured: false, records: [] },
   );
 }
 
@@ -104,11 +105,11 @@
 
   it('counts what an entry spent before its restart for one more window', () => {
     const hub = createHub();
-    hub.setLimits(new Map([['pag', 1_000]]));
-    // A new hub grants only a share of the limit until all entries have reported.
+    hub.setLimits(new Map([['pag', 1_000]]), 0);
     const requestAs = (incarnation: string, now: number): number => {
-      const quotas = [{ clientAccount: 'pag', held: 0, wanted: 1_000, spent: 0 }];
-      return hub.grantQuotas({ node: 'entry', incarnation, quotas }, now)[0]?.tokens ?? 0;
+      const quotas = [{ clientAccount: 'pag', held: 0, wanted: 1_000, spent: 0, total: 0 }];
+      const report = { node: 'entry', incarnation, reportSequence: 1n, quotas };
+      return hub.grantLeases(report, now)[0]?.lease ?? 0;
     };
     const granted = ['a', 'b', 'c', 'd'].map((incarnation, i) =>
       requestAs(incarnation, 100_000 + i * 1_000),
@@ -116,4 +117,49 @@
     expect(granted[0]).toBeGreaterThan(0);
     expect(granted.reduce((sum, tokens) => sum + tokens, 0)).toBeLessThanOrEqual(1_000);
   });
+
+  it('ignores a report of quotas that arrives after a later one', () => {
+    const hub = createHub();
+    hub.setLimits(new Map([['pag', 1_000]]), 0);
+    const report = (sequence: bigint, held: number): number | undefined => {
+      const quotas = [{ clientAccount: 'pag', held, wanted: 500, spent: 0, total: 0 }];
+      const fields = { node: 'entry', incarnation: 'a', reportSequence: sequence, quotas };
+      return hub.grantLeases(fields, 100)[0]?.lease;
+    };
+    const lease = report(2n, 0) ?? 0;
+    expect(lease).toBeGreaterThan(0);
+    // It states a lease of before the answer to the later one, and would free what that one granted.
+    expect(report(1n, 0)).toBeUndefined();
+  });
+
+  it('holds back the tokens of a client account that may be leased by a former hub', () => {
+    const startedAt = 20_000;
+    const hub = new FleetHub(
+      'e2',
+      {
+        announceIntervalMs: ANNOUNCE_INTERVAL_MS,
+        quota: QUOTA,
+        processStartedAt: 0,
+        log: SILENT_LOG,
+      },
+      startedAt,
+      { isConfigured: true, records: [] },
+    );
+    hub.setLimits(new Map([['pag', 1_000]]), startedAt);
+    hub.setLimits(
+      new Map([
+        ['pag', 1_000],
+        ['lepoglava', 1_000],
+      ]),
+      startedAt,
+    );
+    const quotas = ['pag', 'lepoglava'].map((clientAccount) => ({
+      ...{ clientAccount, held: 0, wanted: 500, spent: 0, total: 0 },
+    }));
+    const report = { node: 'entry', incarnation: 'a', reportSequence: 1n, quotas };
+    const leases = hub.grantLeases(report, startedAt + 1_000).map(({ lease }) => lease);
+    // An account that was added since cannot have leases of the former hub.
+    expect(leases[0]).toBe(0);
+    expect(leases[1]).toBeGreaterThanOrEqual(500);
+  });
 });
--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -6,13 +6,16 @@
   TargetPhase,
   TargetRecordSchema,
   TargetWorkSchema,
+  type AccountSpending,
   type ExchangeRequest,
   type QuotaGrant,
   type QuotaReport,
+  type SpendingRecord,
   type TargetRecord,
   type TargetWork,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
-import { QuotaPool } from './QuotaPool.js';
+import { formatRun, QuotaPool } from './QuotaPool.js';
+import { recoverFromHistory, type ISpendingSlice, type QuotaRecovery } from './QuotaRecovery.js';
 import type { IQuotaTerms } from './QuotaRule.js';
 import { RecentReadings, type IReadingDelta } from './RecentReadings.js';
 import { needsPropagation, isLater } from './TargetOrder.js';
@@ -54,9 +57,24 @@
 export interface IQuotaRequest {
   readonly node: string;
   readonly incarnation: string;
-  readonly quotas: readonly Pick<QuotaReport, 'clientAccount' | 'held' | 'wanted' | 'spent'>[];
+  readonly reportSequence: bigint;
+  readonly quotas: readonly Pick<
+    QuotaReport,
+    'clientAccount' | 'held' | 'wanted' | 'spent' | 'total'
+  >[];
 }
 
+/** What the replicated state says of the time before this hub. */
+export interface IEarlierSpending {
+  /** False: there was no configuration, so nothing was spent. */
+  readonly isConfigured: boolean;
+  /** The newest records of spending, oldest first. */
+  readonly records: readonly SpendingRecord[];
+}
+
+/** Interval between two records of spending. */
+export const SPENDING_RECORD_INTERVAL_MS = 500;
+
 export interface IHubOptions {
   /** Interval in milliseconds at which a target announces itself. */
   readonly announceIntervalMs: number;
@@ -76,16 +94,22 @@
   private readonly _pools = new Map<string, QuotaPool>();
   private readonly _recentReadings = new RecentReadings();
   private _windowLimits: ReadonlyMap<string, number> = new Map();
+  /** Sequence of the last report of quotas of each run of a process, and when it arrived. */
+  private readonly _lastReports = new Map<string, { sequence: bigint; at: number }>();
+  /** Client accounts of the configuration that was in force when this hub started. */
+  private _initialAccounts: ReadonlySet<string> | undefined;
   private _revision = 0;
 
   constructor(
     public readonly epoch: string,
     private readonly _options: IHubOptions,
     private readonly _startedAt: number,
+    private readonly _earlier: IEarlierSpending,
   ) {}
 
   /** Sets the most tokens of each client account within the window; accounts without a limit are absent. */
-  public setLimits(limits: ReadonlyMap<string, number>): void {
+  public setLimits(limits: ReadonlyMap<string, number>, now: number): void {
+    this._initialAccounts ??= new Set(limits.keys());
     for (const [clientAccount, limit] of limits) {
       if (this._windowLimits.get(clientAccount) !== limit) {
         this._options.log.info('quota limit', { clientAccount, limit: Math.round(limit) });
@@ -94,10 +118,10 @@
     this._windowLimits = limits;
     for (const [account, pool] of this._pools) {
       const limit = limits.get(account);
-      if (limit === undefined) {
-        this._pools.delete(account);
-      } else {
+      if (limit !== undefined) {
         pool.setLimit(limit);
+      } else if (pool.isUnused(now)) {
+        this._pools.delete(account);
       }
     }
   }
@@ -224,19 +248,34 @@
   }
 
   /**
-   * Grants tokens for the demand that a process reports. A restarted process counts as another one, so that
-   * what it spent before the restart still counts for a window.
+   * Grants leases for the quotas that a process reports; none for a report that arrives after a later one. A
+   * restarted process counts as another one, so that what it spent before still counts for a window.
    */
-  public grantQuotas(
-    { node, incarnation, quotas }: IQuotaRequest,
+  public grantLeases(
+    { node, incarnation, reportSequence, quotas }: IQuotaRequest,
     now: number,
-  ): Pick<QuotaGrant, 'clientAccount' | 'tokens' | 'waitMs'>[] {
-    return quotas.flatMap(({ clientAccount, held, wanted, spent }) => {
+  ): Pick<QuotaGrant, 'clientAccount' | 'lease' | 'waitMs'>[] {
+    const run = { node, incarnation };
+    const last = this._lastReports.get(formatRun(run));
+    if (last !== undefined && reportSequence <= last.sequence) {
+      return [];
+    }
+    this._lastReports.set(formatRun(run), { sequence: reportSequence, at: now });
+    const entryCount = this.countEntries();
+    return quotas.flatMap(({ clientAccount, held, wanted, spent, total }) => {
       const pool = this._ensurePool(clientAccount);
-      const usage = { held, spent };
+      const usage = { lease: held + spent, spent, wanted, total };
       return pool === undefined
         ? []
-        : [{ clientAccount, ...pool.exchange(`${node}/${incarnation}`, usage, wanted, now) }];
+        : [{ clientAccount, ...pool.exchange(run, usage, entryCount, now) }];
+    });
+  }
+
+  /** Returns what the processes have reported as spent since the last call, to be recorded durably. */
+  public takeSpending(): Pick<AccountSpending, 'clientAccount' | 'tokens'>[] {
+    return [...this._pools].flatMap(([clientAccount, pool]) => {
+      const tokens = pool.takeSpending();
+      return tokens > 0 ? [{ clientAccount, tokens }] : [];
     });
   }
 
@@ -244,17 +283,24 @@
     const limit = this._windowLimits.get(account);
     let pool = this._pools.get(account);
     if (pool === undefined && limit !== undefined) {
-      pool = new QuotaPool(
-        limit,
-        this._options.quota.windowMs,
-        this._startedAt,
-        this._startedAt - this._options.processStartedAt < this._options.quota.windowMs,
-      );
+      pool = new QuotaPool(limit, this._options.quota.windowMs, this._planRecovery(account));
       this._pools.set(account, pool);
     }
     return pool;
   }
 
+  private _planRecovery(account: string): QuotaRecovery {
+    const { isConfigured, records } = this._earlier;
+    const { windowMs } = this._options.quota;
+    if (!isConfigured || this._initialAccounts?.has(account) !== true) {
+      return { kind: 'nothing_spent' };
+    }
+    if (this._startedAt - this._options.processStartedAt >= windowMs) {
+      return { kind: 'earlier_leases', startedAt: this._startedAt };
+    }
+    return recoverFromHistory(this._startedAt, listSlices(records, account), windowMs);
+  }
+
   private _store(record: TargetRecord, seenAt: number): void {
     this._revision += 1;
     this._targets.set(record.id, { record, seenAt, revision: this._revision });
@@ -291,6 +337,11 @@
         this._processes.delete(node);
       }
     }
+    for (const [run, { at }] of this._lastReports) {
+      if (now - at > 2 * this._options.quota.windowMs) {
+        this._lastReports.delete(run);
+      }
+    }
     const silentMs = this._options.announceIntervalMs * MAX_MISSED_ANNOUNCEMENTS;
     for (const [id, { record, seenAt }] of this._targets) {
       if (now - seenAt > TARGET_RECORD_TTL_MS) {
@@ -302,6 +353,21 @@
   }
 }
 
+/** The recorded spending of a client account, newest first, up to a record of which the age is unknown. */
+function listSlices(records: readonly SpendingRecord[], account: string): ISpendingSlice[] {
+  const slices: ISpendingSlice[] = [];
+  let ageMs = 0;
+  for (const { accounts, intervalMs } of [...records].reverse()) {
+    const tokens = accounts.find(({ clientAccount }) => clientAccount === account)?.tokens ?? 0;
+    slices.push({ tokens, ageMs });
+    if (intervalMs === 0) {
+      break;
+    }
+    ageMs += intervalMs;
+  }
+  return slices;
+}
+
 function copyWith(
   record: TargetRecord,
   changes: Partial<Pick<TargetRecord, 'phase' | 'silent' | 'loading' | 'preparing' | 'models'>>,
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -1,5 +1,5 @@
 /** Connects a process to the leader: exchanges, changes and confirmed reads. Runs the hub while it leads. */
-import { create, toBinary } from '@bufbuild/protobuf';
+import { create, toBinary, type MessageInitShape } from '@bufbuild/protobuf';
 import { randomUUID } from 'node:crypto';
 import type { Client, ConnectRouter } from '@connectrpc/connect';
 import type { IClock } from '../common/Clock.js';
@@ -7,11 +7,13 @@
 import type { RpcClients } from '../common/Rpc.js';
 import { addJitter, isAborted, runWithTimeout, sleep } from '../common/Tasks.js';
 import type { IConsensusStatus, IReplicatedLog } from '../consensus/Types.js';
+import type { SpendingRecordSchema } from '../gen/redwingwharf/v1/fleet_pb.js';
 import {
   ExchangeRequestSchema,
   ExchangeResponseSchema,
   FleetCommandSchema,
   FleetService,
+  LeaseResponseSchema,
   QuotaGrantSchema,
   QuotaReportSchema,
   ReadDocumentResponseSchema,
@@ -20,16 +22,19 @@
   type ExchangeResponse,
   type FleetCommand,
   type FleetDocument,
+  type LeaseRequest,
+  type LeaseResponse,
   type PromptReading,
   type ReadDocumentResponse,
   type SubmitResponse,
   type TargetRecord,
   type TargetWork,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
-import { FleetHub, type IHubOptions } from './FleetHub.js';
+import { FleetHub, SPENDING_RECORD_INTERVAL_MS, type IHubOptions } from './FleetHub.js';
 import { findLeader, type ILeaderHint } from './LeaderSearch.js';
 import type { FleetState } from './FleetState.js';
 import type { FleetView } from './FleetView.js';
+import { LeaseReporter, type IQuotaReportInFlight } from './LeaseReporter.js';
 import type { QuotaWallet } from './QuotaWallet.js';
 import { needsPropagation } from './TargetOrder.js';
 import type { RouteTable } from './RouteTable.js';
@@ -125,6 +130,7 @@
   private _exchangeWaiters: (() => void)[] = [];
   private _isLeaderReachable = false;
   private readonly _incarnation = randomUUID().slice(0, 8);
+  private readonly _leases: LeaseReporter;
   /** Revision up to which this process has the others' readings, at the hub of the view's epoch. */
   private _readingRevision = 0n;
 
@@ -138,8 +144,17 @@
     private readonly _log: ILog,
     private _seeds: readonly string[],
   ) {
+    this._leases = new LeaseReporter(
+      _wallet,
+      { node: _options.address, incarnation: this._incarnation },
+      (request) => this._callHubForLeases(request),
+      _clock,
+      _log,
+    );
     _view.onTableChange((table) => {
-      this._hub?.hub.setLimits(this._deriveLimits(table));
+      const limits = this._deriveLimits(table);
+      this._hub?.hub.setLimits(limits, this._clock.now());
+      this._wallet.pruneAccounts(new Set(limits.keys()), this._clock.now());
     });
   }
 
@@ -188,6 +203,7 @@
   public registerRpc(router: ConnectRouter): void {
     router.service(FleetService, {
       exchange: (request) => this.handleExchange(request, this._clock.now()),
+      requestLeases: (request) => this.handleLeaseRequest(request, this._clock.now()),
       submit: (request, context) =>
         request.command === undefined
           ? create(SubmitResponseSchema, { reason: 'the command is missing' })
@@ -231,6 +247,14 @@
     return hasEnded;
   }
 
+  /**
+   * Asks the hub for larger leases for the requests that lack tokens, and waits for its answer. Returns at the
+   * timeout or if aborted.
+   */
+  public async requestLeases(timeoutMs: number, signal: AbortSignal): Promise<void> {
+    await this._leases.requestLeases(timeoutMs, signal);
+  }
+
   /** Sends a change to the leader. If the outcome is `unknown`, the change may have been committed or not. */
   public async submit(command: FleetCommand, signal: AbortSignal): Promise<SubmitOutcome> {
     const answer = await this._retryCommand(signal, async (limited) => {
@@ -299,6 +323,22 @@
     }
   }
 
+  /** While this process is the hub, records durably what all processes spend, until the signal is aborted. */
+  public async runSpendingRecords(signal: AbortSignal): Promise<void> {
+    let last: { readonly hub: FleetHub; readonly at: number } | undefined;
+    while (!isAborted(signal)) {
+      await sleep(SPENDING_RECORD_INTERVAL_MS, signal);
+      const now = this._clock.now();
+      const hub = this.getHub(now);
+      const accounts = hub?.takeSpending() ?? [];
+      if (hub !== undefined && accounts.length > 0) {
+        const intervalMs = last?.hub === hub ? Math.round(now - last.at) : 0;
+        last = { hub, at: now };
+        await this._recordSpending({ accounts, intervalMs }, signal);
+      }
+    }
+  }
+
   /** Addresses of all processes that may know the consensus group. */
   public listKnownAddresses(): readonly string[] {
     const leader = this._leader === undefined ? [] : [this._leader];
@@ -338,13 +378,35 @@
     response.weights = [...state.weights];
     response.work = hub.sumWorkOfOthers(request.node);
     response.entries = hub.countEntries();
-    response.grants = hub.grantQuotas(request, now).map((grant) => create(QuotaGrantSchema, grant));
+    response.grants = hub.grantLeases(request, now).map((grant) => create(QuotaGrantSchema, grant));
     if (state.document !== undefined && state.document.version > request.documentVersion) {
       response.document = state.document;
     }
     return response;
   }
 
+  /** Grants leases if this process is the hub. */
+  public handleLeaseRequest(request: LeaseRequest, now: number): LeaseResponse {
+    const hub = this.getHub(now);
+    const grants = hub?.grantLeases(request, now) ?? [];
+    return create(LeaseResponseSchema, {
+      leads: hub !== undefined,
+      grants: grants.map((grant) => create(QuotaGrantSchema, grant)),
+    });
+  }
+
+  /** A record that is lost makes the next hub after a simultaneous stop grant less, never more. */
+  private async _recordSpending(
+    value: MessageInitShape<typeof SpendingRecordSchema>,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const body = { case: 'recordSpending', value } as const;
+    const command = toBinary(FleetCommandSchema, create(FleetCommandSchema, { body }));
+    await runWithTimeout(signal, COMMAND_TIMEOUT_MS, async (limited) =>
+      this._member?.log.propose(command, limited),
+    );
+  }
+
   private _isLeading(): boolean {
     return this.getHub(this._clock.now()) !== undefined;
   }
@@ -369,13 +431,17 @@
   }
 
   private _startHub(term: number, now: number): void {
-    const hub = new FleetHub(`${this._options.address}/${term}`, this._options.hub, now);
+    const state = this._member?.state;
+    const hub = new FleetHub(`${this._options.address}/${term}`, this._options.hub, now, {
+      isConfigured: state?.document !== undefined,
+      records: state?.spending ?? [],
+    });
     this._hub = { hub, term };
     for (const record of this._view.listRecords()) {
       hub.announce(record, now);
     }
     if (this._view.table !== undefined) {
-      hub.setLimits(this._deriveLimits(this._view.table));
+      hub.setLimits(this._deriveLimits(this._view.table), now);
     }
     this._log.info('hub started', { term, targets: this._view.listRecords().length });
   }
@@ -390,7 +456,26 @@
     return limits;
   }
 
-  private _buildRequest(now: number): ExchangeRequest {
+  /** Accounts with a limit in the configuration in force. */
+  private _listLimitedAccounts(): readonly string[] {
+    const accounts = this._view.table?.configuration.clientAccounts ?? [];
+    return accounts.filter((account) => account.tokensPerSecond > 0).map(({ name }) => name);
+  }
+
+  /** Sends a lease request to the hub, which may be this process; undefined if none is known. */
+  private async _callHubForLeases(request: LeaseRequest): Promise<LeaseResponse | undefined> {
+    if (this._isLeading()) {
+      return this.handleLeaseRequest(request, this._clock.now());
+    }
+    const leader = this._getKnownLeader();
+    return leader === undefined || leader === this._options.address
+      ? undefined
+      : runWithTimeout(new AbortController().signal, EXCHANGE_TIMEOUT_MS, (signal) =>
+          this._rpc.get(FleetService, leader).requestLeases(request, { signal }),
+        );
+  }
+
+  private _buildRequest(now: number, quotas: IQuotaReportInFlight): ExchangeRequest {
     const hasExchanged = this._view.epoch !== '';
     const announced = hasExchanged
       ? [...this._pendingAnnouncements.values()]
@@ -405,7 +490,8 @@
         ageMs: Math.round(now - (this._pendingSince.get(record.id) ?? now)),
       })),
       work: [...this._workSource.listWork()],
-      quotas: this._wallet.report(now).map((line) => create(QuotaReportSchema, line)),
+      quotas: quotas.lines.map((line) => create(QuotaReportSchema, line)),
+      reportSequence: quotas.sequence,
       takesRequests: this._options.takesRequests,
       readings: [...this._workSource.takeReadings()],
       readingRevision: this._readingRevision,
@@ -414,10 +500,12 @@
   }
 
   private _exchangeLocally(now: number): void {
-    const request = this._buildRequest(now);
+    const quotas = this._leases.beginReport(this._listLimitedAccounts(), now);
+    const request = this._buildRequest(now, quotas);
     const waiters = this._exchangeWaiters;
     this._exchangeWaiters = [];
-    this._applyResponse(this.handleExchange(request, now), request.announced, waiters, now);
+    this._applyResponse(this.handleExchange(request, now), request.announced, waiters, now, now);
+    quotas.end();
   }
 
   private async _exchangeOnce(signal: AbortSignal): Promise<void> {
@@ -482,7 +570,9 @@
   private async _exchangeWith(address: string, signal: AbortSignal): Promise<boolean> {
     const waiters = this._exchangeWaiters;
     this._exchangeWaiters = [];
-    const request = this._buildRequest(this._clock.now());
+    const sentAt = this._clock.now();
+    const quotas = this._leases.beginReport(this._listLimitedAccounts(), sentAt);
+    const request = this._buildRequest(sentAt, quotas);
     try {
       const answer = await runWithTimeout(signal, EXCHANGE_TIMEOUT_MS, (limited) =>
         this._rpc.get(FleetService, address).exchange(request, { signal: limited }),
@@ -490,13 +580,15 @@
       this._members = answer.members.length > 0 ? answer.members : this._members;
       if (answer.leads) {
         this._leader = address;
-        this._applyResponse(answer, request.announced, waiters, this._clock.now());
+        this._applyResponse(answer, request.announced, waiters, sentAt, this._clock.now());
         return true;
       }
       this._leader = answer.leaderAddress === '' ? undefined : answer.leaderAddress;
     } catch (error) {
       this._log.debug('exchange failed', { address, reason: describeError(error) });
       this._leader = this._leader === address ? undefined : this._leader;
+    } finally {
+      quotas.end();
     }
     this._exchangeWaiters.push(...waiters);
     return false;
@@ -506,6 +598,7 @@
     answer: ExchangeResponse,
     announced: readonly TargetRecord[],
     waiters: readonly (() => void)[],
+    sentAt: number,
     now: number,
   ): void {
     const isNewEpoch = answer.epoch !== this._view.epoch;
@@ -528,10 +621,7 @@
         );
       }
     }
-    this._wallet.recordHubAnswer(now);
-    for (const { clientAccount, tokens, waitMs } of answer.grants) {
-      this._wallet.addGrant(clientAccount, tokens, waitMs, now);
-    }
+    this._leases.applyGrants(answer.grants, sentAt, now);
     for (const finish of waiters) {
       finish();
     }
@@ -539,6 +629,7 @@
   }
 
   private _updateLeaderReachability(isReachable: boolean, detail: string): void {
+    this._wallet.setHubReachable(isReachable);
     if (isReachable !== this._isLeaderReachable) {
       this._isLeaderReachable = isReachable;
       this._log.info(isReachable ? 'leader regained' : 'leader lost', {
@@ -651,6 +742,8 @@
       const { model, version } = command.body.value;
       return state.weights.some((named) => named.model === model && version <= named.version);
     }
+    case 'recordSpending':
+      return false;
     case undefined:
       return true;
   }
--- a/src/fleet/FleetState.ts
+++ b/src/fleet/FleetState.ts
@@ -9,10 +9,14 @@
   type FleetCommand,
   type FleetDocument,
   type NamedWeights,
+  type SpendingRecord,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
 
 const EMPTY_RESULT = new Uint8Array();
 
+/** Records that are kept, which cover more than the window of a quota. */
+const MAX_SPENDING_RECORDS = 24;
+
 /** Undefined for bytes that don't decode; every member ignores them, so that the states stay equal. */
 function decodeCommand(bytes: Uint8Array): FleetCommand | undefined {
   try {
@@ -30,6 +34,7 @@
   private readonly _changes = new Emitter<undefined>();
   private readonly _weights = new Map<string, NamedWeights>();
   private _document: FleetDocument | undefined;
+  private _spending: readonly SpendingRecord[] = [];
 
   /** Fires after a command that changed the state, and after a restore. */
   public readonly onChange = this._changes.onFire;
@@ -43,6 +48,11 @@
     return [...this._weights.values()];
   }
 
+  /** The newest records of what all client accounts spent, oldest first. */
+  public get spending(): readonly SpendingRecord[] {
+    return this._spending;
+  }
+
   public apply(command: Uint8Array): Uint8Array {
     // Decoded byte fields share the buffer; without the copy a stored document would retain a whole batch.
     const body = decodeCommand(new Uint8Array(command))?.body;
@@ -53,6 +63,9 @@
       case 'nameWeights':
         this._nameWeights(body.value);
         break;
+      case 'recordSpending':
+        this._spending = [...this._spending, body.value].slice(-MAX_SPENDING_RECORDS);
+        break;
       case undefined:
         break;
     }
@@ -60,7 +73,10 @@
   }
 
   public snapshot(): Uint8Array {
-    const snapshot = create(FleetSnapshotSchema, { weights: [...this._weights.values()] });
+    const snapshot = create(FleetSnapshotSchema, {
+      weights: [...this._weights.values()],
+      spending: [...this._spending],
+    });
     if (this._document !== undefined) {
       snapshot.document = this._document;
     }
@@ -70,6 +86,7 @@
   public restore(bytes: Uint8Array): void {
     const snapshot = fromBinary(FleetSnapshotSchema, new Uint8Array(bytes));
     this._document = snapshot.document;
+    this._spending = snapshot.spending;
     this._weights.clear();
     for (const weights of snapshot.weights) {
       this._weights.set(weights.model, weights);
--- a/src/fleet/Quota.test.ts
+++ b/src/fleet/Quota.test.ts
@@ -3,142 +3,323 @@
 import { describe, expect, it } from 'vitest';
 import { buildAccount } from './Fixtures.js';
 import { QuotaPool } from './QuotaPool.js';
+import { recoverFromHistory, type ISpendingSlice, type QuotaRecovery } from './QuotaRecovery.js';
 import { computeWindowLimit } from './QuotaRule.js';
 import { QuotaWallet } from './QuotaWallet.js';
 
 const WINDOW_MS = 8_000;
 const LIMIT = 100_000;
-const LIMITS = { windowLimit: LIMIT, entries: 3 };
 const STARTED_AT_MS = 1_000;
+const RECORD_INTERVAL_MS = 500;
+
+/** A record that the loss of the hub precedes by less may miss some of what was spent. */
+const MAX_UNRECORDED_MS = 3_000;
+const NOTHING_SPENT: QuotaRecovery = { kind: 'nothing_spent' };
 
 interface ISpent {
   readonly at: number;
   readonly tokens: number;
 }
 
-/** Entries that call a hub in memory; a request that lacks tokens exchanges at once, as in production. */
+interface ITestEntry {
+  wallet: QuotaWallet;
+  incarnation: number;
+}
+
+/** Entries that call a hub in memory; a request that lacks tokens asks at once, as in production. */
 class Fleet {
   public readonly spent: ISpent[] = [];
   public readonly refused: ISpent[] = [];
-  public pool: QuotaPool;
-  private readonly _wallets: QuotaWallet[];
+  private _isHubReachable = true;
+  private _hubChangedAt = Number.NEGATIVE_INFINITY;
+  private readonly _entries: ITestEntry[];
+  private _pool = new QuotaPool(LIMIT, WINDOW_MS, NOTHING_SPENT);
+  private _records: number[] = [];
+
+  constructor(private readonly _size: number) {
+    this._entries = Array.from({ length: _size }, () => this._createEntry(0));
+  }
+
+  public setHubReachable(isReachable: boolean, now: number): void {
+    this._isHubReachable = isReachable;
+    this._hubChangedAt = now;
+  }
 
-  constructor(entries: number) {
-    this.pool = new QuotaPool(LIMIT, WINDOW_MS, 0, false);
-    this._wallets = Array.from({ length: entries }, () => new QuotaWallet(WINDOW_MS));
+  /** Exchanges with each entry in turn; the answers to some of them are lost. */
+  public exchangeAll(now: number, lost: (entry: number) => boolean = () => false): void {
+    for (let entry = 0; entry < this._size; entry += 1) {
+      this.exchange(entry, now, !lost(entry));
+    }
   }
 
-  public exchange(entry: number, now: number): void {
-    const wallet = this._wallets[entry];
-    for (const { clientAccount, held, wanted, spent } of wallet?.report(now) ?? []) {
-      const { tokens, waitMs } = this.pool.exchange(`n${entry}`, { held, spent }, wanted, now);
-      wallet?.recordHubAnswer(now);
-      wallet?.addGrant(clientAccount, tokens, waitMs, now);
+  public exchange(entry: number, now: number, isAnswered = true): void {
+    const { wallet, incarnation } = this._get(entry);
+    wallet.setHubReachable(this._isHubReachable && isAnswered);
+    if (!this._isHubReachable) {
+      return;
+    }
+    const run = { node: `n${entry}`, incarnation: String(incarnation) };
+    for (const { clientAccount, held, wanted, spent, total } of wallet.report(['pag'], now)) {
+      const usage = { lease: held + spent, wanted, spent, total };
+      const { lease, waitMs } = this._pool.exchange(run, usage, this._size, now);
+      if (isAnswered) {
+        wallet.applyLease(clientAccount, lease, waitMs, now, now);
+      }
     }
   }
 
   public send(entry: number, tokens: number, now: number): void {
-    const wallet = this._wallets[entry];
-    wallet?.recordHubAnswer(now);
-    let outcome = wallet?.trySpend('pag', tokens, LIMITS, now);
-    if (outcome?.kind === 'ask') {
+    const { wallet } = this._get(entry);
+    let outcome = wallet.trySpend('pag', tokens, now);
+    if (outcome.kind === 'ask') {
       this.exchange(entry, now);
-      outcome = wallet?.retrySpend('pag', tokens, LIMITS, now);
+      outcome = wallet.retrySpend('pag', tokens, now);
     }
-    (outcome?.kind === 'spent' ? this.spent : this.refused).push({ at: now, tokens });
+    (outcome.kind === 'spent' ? this.spent : this.refused).push({ at: now, tokens });
+  }
+
+  /** Records durably what was spent, as the leader does at intervals. */
+  public record(): void {
+    this._records = [...this._records, this._pool.takeSpending()].slice(-24);
+  }
+
+  public restartEntry(entry: number): void {
+    this._entries[entry] = this._createEntry(this._get(entry).incarnation + 1);
+  }
+
+  public replaceHub(now: number): void {
+    this._pool = new QuotaPool(LIMIT, WINDOW_MS, { kind: 'earlier_leases', startedAt: now });
+    // The time between the records of two hubs is unknown, so earlier ones are not used.
+    this._records = [];
+  }
+
+  /** False while recent spending may be missing in the records because there was no hub. */
+  public isRecorded(now: number): boolean {
+    return this._isHubReachable && now - this._hubChangedAt > MAX_UNRECORDED_MS;
+  }
+
+  public restartAll(now: number): void {
+    this._entries.forEach((_, entry) => {
+      this.restartEntry(entry);
+    });
+    const slices = this._records.map((tokens, i): ISpendingSlice => ({
+      tokens,
+      ageMs: (this._records.length - 1 - i) * RECORD_INTERVAL_MS,
+    }));
+    this._pool = new QuotaPool(LIMIT, WINDOW_MS, recoverFromHistory(now, slices, WINDOW_MS));
   }
 
   public sumWorstWindow(): number {
-    return Math.max(
-      0,
-      ...this.spent.map(({ at }) =>
-        this.spent
-          .filter((item) => item.at >= at && item.at < at + WINDOW_MS)
-          .reduce((sum, item) => sum + item.tokens, 0),
-      ),
-    );
+    return Math.max(0, ...this.spent.map(({ at }) => this.sumSpent(at, at + WINDOW_MS)));
+  }
+
+  public sumSpent(from: number, to: number): number {
+    return this.spent
+      .filter(({ at }) => at >= from && at < to)
+      .reduce((sum, { tokens }) => sum + tokens, 0);
+  }
+
+  private _get(entry: number): ITestEntry {
+    const found = this._entries[entry];
+    if (found === undefined) {
+      throw new Error(`there is no entry ${entry}`);
+    }
+    return found;
+  }
+
+  private _createEntry(incarnation: number): ITestEntry {
+    return { wallet: new QuotaWallet(WINDOW_MS), incarnation };
+  }
+}
+
+/** What happens in one step of 100 ms. */
+interface IStep {
+  /** Requests, each with the fraction of the entries that selects its entry. */
+  readonly requests: readonly { readonly position: number; readonly tokens: number }[];
+  readonly event:
+    'none' | 'hub_lost' | 'hub_back' | 'hub_replaced' | 'entry_restarted' | 'all_stopped';
+  readonly lostAnswers: number;
+}
+
+const STEP = fc.record<IStep>({
+  requests: fc.array(
+    fc.record({
+      position: fc.double({ min: 0, max: 0.999, noNaN: true }),
+      tokens: fc.integer({ min: 100, max: 16_000 }),
+    }),
+    { maxLength: 6 },
+  ),
+  event: fc.oneof(
+    { weight: 30, arbitrary: fc.constant('none' as const) },
+    {
+      weight: 4,
+      arbitrary: fc.constantFrom('hub_lost', 'hub_back', 'hub_replaced', 'entry_restarted'),
+    },
+    { weight: 1, arbitrary: fc.constant('all_stopped' as const) },
+  ),
+  lostAnswers: fc.double({ min: 0, max: 0.5, noNaN: true }),
+});
+
+function runStep(fleet: Fleet, size: number, step: IStep, index: number): void {
+  const now = STARTED_AT_MS + index * 100;
+  switch (step.event) {
+    case 'none':
+      break;
+    case 'hub_lost':
+      fleet.setHubReachable(false, now);
+      break;
+    case 'hub_back':
+      fleet.setHubReachable(true, now);
+      break;
+    case 'hub_replaced':
+      fleet.replaceHub(now);
+      break;
+    case 'entry_restarted':
+      fleet.restartEntry(index % size);
+      break;
+    case 'all_stopped':
+      if (fleet.isRecorded(now)) {
+        fleet.restartAll(now);
+      }
+      break;
+  }
+  if (index % 5 === 0) {
+    fleet.exchangeAll(now, (entry) => ((entry * 7 + index) % 10) / 10 < step.lostAnswers);
+  }
+  for (const { position, tokens } of step.requests) {
+    fleet.send(Math.floor(position * size), tokens, now);
+  }
+  if (index % 5 === 0) {
+    fleet.record();
   }
 }
 
 describe('quota across all entries', () => {
-  it('never exceeds the limit in any window', () => {
-    fc.assert(
-      fc.property(
-        fc.array(
-          fc.record({
-            entry: fc.nat({ max: 2 }),
-            tokens: fc.integer({ min: 100, max: 20_000 }),
-            pauseMs: fc.nat({ max: 400 }),
-          }),
-          { minLength: 50, maxLength: 200 },
-        ),
-        (requests) => {
-          const fleet = new Fleet(3);
-          let now = STARTED_AT_MS;
-          for (const { entry, tokens, pauseMs } of requests) {
-            now += pauseMs;
-            [0, 1, 2].forEach((other) => {
-              fleet.exchange(other, now);
-            });
-            fleet.send(entry, tokens, now);
-          }
+  it.each([1, 8, 70, 660])(
+    'never exceeds the limit in any window with %i entries, also while hubs and entries are lost',
+    (size) => {
+      fc.assert(
+        fc.property(fc.array(STEP, { minLength: 100, maxLength: 250 }), (steps) => {
+          const fleet = new Fleet(size);
+          steps.forEach((step, index) => {
+            runStep(fleet, size, step, index);
+          });
           expect(fleet.sumWorstWindow()).toBeLessThanOrEqual(LIMIT);
-        },
-      ),
-      { numRuns: 60 },
-    );
+        }),
+        { numRuns: size > 100 ? 6 : 40 },
+      );
+    },
+    30_000,
+  );
+
+  it.each([3, 8, 70])(
+    'refuses no request of a client account that stays at half of its limit with %i entries',
+    (size) => {
+      // Each of 70 entries sees a request of the account only once in 54 s.
+      const fleet = new Fleet(size);
+      for (let now = 0; now < 60_000; now += 100) {
+        if (now % 700 === 0) {
+          fleet.exchangeAll(now);
+        }
+        if (now % 800 === 0) {
+          fleet.send(Math.floor((now / 800) * 31) % size, 5_000, now);
+        }
+      }
+      expect(fleet.refused).toEqual([]);
+    },
+  );
+
+  it('serves a client account whose requests all arrive at one of 70 entries', () => {
+    const fleet = new Fleet(70);
+    for (let now = 0; now < 30_000; now += 100) {
+      if (now % 700 === 0) {
+        fleet.exchangeAll(now);
+      }
+      fleet.send(5, 900, now);
+    }
+    // The account uses 72 percent of its limit.
+    const refused = fleet.refused.reduce((sum, { tokens }) => sum + tokens, 0);
+    expect(refused).toBeLessThan(0.02 * 300 * 900);
   });
 
-  it('refuses no request of a client account that stays at half of its limit', () => {
-    const fleet = new Fleet(3);
-    for (let now = STARTED_AT_MS; now < STARTED_AT_MS + 30_000; now += 800) {
-      [0, 1, 2].forEach((entry) => {
-        fleet.exchange(entry, now);
-      });
-      fleet.send(Math.floor(now / 800) % 3, 5_000, now);
+  it('goes on within its leases while the hub is away for the time of an election', () => {
+    const fleet = new Fleet(8);
+    for (let now = 0; now < 20_000; now += 100) {
+      if (now === 10_000) {
+        fleet.setHubReachable(false, now);
+      }
+      if (now === 12_000) {
+        fleet.setHubReachable(true, now);
+        fleet.replaceHub(now);
+      }
+      fleet.exchangeAll(now);
+      fleet.send((now / 100) % 8, 600, now);
     }
     expect(fleet.refused).toEqual([]);
   });
 
-  it('does not grant the limit a second time when a new hub replaces the old one', () => {
-    const fleet = new Fleet(3);
-    for (let now = STARTED_AT_MS; now < STARTED_AT_MS + 4_000; now += 100) {
-      fleet.send(0, 9_000, now);
-    }
-    fleet.pool = new QuotaPool(LIMIT, WINDOW_MS, STARTED_AT_MS + 4_000, false);
-    for (let now = STARTED_AT_MS + 4_000; now < STARTED_AT_MS + 7_000; now += 100) {
-      [0, 1, 2].forEach((entry) => {
-        fleet.exchange(entry, now);
-      });
-      fleet.send(1, 9_000, now);
+  it('goes on at the earlier pace after a simultaneous stop, and never above the limit', () => {
+    const fleet = new Fleet(8);
+    for (let now = 0; now < 30_000; now += 100) {
+      if (now === 15_000) {
+        fleet.restartAll(now);
+      }
+      if (now % 500 === 0) {
+        fleet.exchangeAll(now);
+      }
+      if (now % 500 === 0) {
+        fleet.record();
+      }
+      fleet.send((now / 100) % 8, 600, now);
     }
+    const before = fleet.sumSpent(7_000, 15_000);
+    // Nothing is known of the spending of the last three seconds before the stop.
+    expect(fleet.sumSpent(18_000, 23_000)).toBeGreaterThan(before / 3);
     expect(fleet.sumWorstWindow()).toBeLessThanOrEqual(LIMIT);
   });
 
-  it('grants at once after a simultaneous stop, but only a fraction of the limit in the first window', () => {
-    const pool = new QuotaPool(LIMIT, WINDOW_MS, 0, true);
-    expect(pool.exchange('n1', { held: 0, spent: 0 }, 2_000, 10).tokens).toBe(2_000);
-    const { tokens } = pool.exchange('n2', { held: 0, spent: 0 }, LIMIT, 1_000);
-    expect(tokens).toBeLessThanOrEqual(LIMIT * 0.6);
+  it('spends the whole limit, but no more, when a client account sends twice as much', () => {
+    const fleet = new Fleet(8);
+    for (let now = 0; now < 24_000; now += 100) {
+      fleet.exchangeAll(now);
+      fleet.send((now / 100) % 8, 2_500, now);
+    }
+    expect(fleet.sumWorstWindow()).toBeLessThanOrEqual(LIMIT);
+    expect(fleet.sumSpent(8_000, 16_000)).toBeGreaterThan(0.85 * LIMIT);
   });
 
   it('returns the time after which a refused client may retry', () => {
-    const pool = new QuotaPool(LIMIT, WINDOW_MS, 0, false);
-    pool.exchange('n1', { held: 0, spent: LIMIT }, 0, STARTED_AT_MS);
-    const { tokens, waitMs } = pool.exchange('n2', { held: 0, spent: 0 }, 10_000, STARTED_AT_MS);
-    expect(tokens).toBe(0);
+    const pool = new QuotaPool(LIMIT, WINDOW_MS, NOTHING_SPENT);
+    const usage = { lease: 0, spent: 0, wanted: 0, total: 0 };
+    const full = { lease: LIMIT, spent: LIMIT, wanted: 0, total: LIMIT };
+    pool.exchange({ node: 'n1', incarnation: 'a' }, full, 2, STARTED_AT_MS);
+    const asking = { ...usage, wanted: 10_000 };
+    const run = { node: 'n2', incarnation: 'a' };
+    const { lease, waitMs } = pool.exchange(run, asking, 2, STARTED_AT_MS);
+    expect(lease).toBe(0);
     expect(waitMs).toBe(800);
   });
 
-  it('spends an equal share of the limit while the hub is unreachable', () => {
-    // Occurs after a planned stop of the leader, until another one is elected.
+  it('spends nothing under a lease that has expired', () => {
+    // The hub may grant the tokens of a process that it has not heard of for two windows to others.
+    const wallet = new QuotaWallet(WINDOW_MS);
+    wallet.setHubReachable(true);
+    wallet.applyLease('pag', 5_000, 0, STARTED_AT_MS, STARTED_AT_MS);
+    expect(wallet.trySpend('pag', 1_000, STARTED_AT_MS + 100).kind).toBe('spent');
+    wallet.setHubReachable(false);
+    expect(wallet.trySpend('pag', 1_000, STARTED_AT_MS + WINDOW_MS).kind).toBe('over');
+  });
+
+  it('lowers no later window by the refund of a request that did not run', () => {
     const wallet = new QuotaWallet(WINDOW_MS);
-    const outcomes = Array.from({ length: 60 }, (_, i) =>
-      wallet.trySpend('pag', 1_000, LIMITS, STARTED_AT_MS + i * 50),
-    );
-    // A third of 100,000 tokens.
-    expect(outcomes.filter(({ kind }) => kind === 'spent')).toHaveLength(33);
-    expect(outcomes.at(-1)?.kind).toBe('over');
+    wallet.setHubReachable(true);
+    wallet.applyLease('pag', 1_000, 0, 0, 0);
+    wallet.trySpend('pag', 1_000, 0);
+    wallet.refund('pag', 1_000, 0);
+    wallet.applyLease('pag', 1_000, 0, 7_000, 7_000);
+    wallet.trySpend('pag', 1_000, 8_000);
+    wallet.applyLease('pag', 1_000, 0, 8_500, 8_500);
+    expect(wallet.trySpend('pag', 1_000, 8_600).kind).not.toBe('spent');
   });
 
   it('uses most of the excess and tolerance that the terms allow, but not all', () => {
--- a/src/fleet/QuotaPool.ts
+++ b/src/fleet/QuotaPool.ts
@@ -1,102 +1,209 @@
-/** Grants the tokens of one client account to the entries on demand; part of the hub. */
-
-/** Fraction of the scarce tokens left that one exchange may take, so that other entries get some too. */
-const MAX_GRANT_FRACTION = 0.5;
-
 /**
- * Time for which a new hub grants only a share of the limit, since the entries may not have reported yet what
- * they spent.
+ * Divides the limit of one client account among the entries; part of the hub. An entry spends within a lease:
+ * what it has spent within the sliding window never exceeds it. The sum of all leases never exceeds the limit,
+ * so neither does what all entries spend within any window, also while they cannot reach the hub.
  */
-const WARM_UP_MS = 500;
+import type { QuotaRecovery } from './QuotaRecovery.js';
 
-/** Entries among which a new hub divides the limit, since it does not know their number yet. */
-const WARM_UP_ENTRIES = 8;
+/** Fraction of the unspent tokens that the hub keeps for entries that need more than their share. */
+const RESERVE_FRACTION = 0.4;
 
-/**
- * Fraction of the limit that is granted at the start of the first window after a simultaneous stop of all
- * processes, as what was spent before it is lost. It rises to the full limit within the window.
- */
-const COLD_START_FRACTION = 0.5;
+/** An entry holds this multiple of what it wants, so that it can go on while a leader is elected. */
+const DEMAND_FACTOR = 2;
+
+/** Smaller shares serve hardly any request, so they stay at the hub for the entries that ask. */
+const MIN_USEFUL_TOKENS = 1_000;
+
+/** Fraction of the free tokens that an entry gets if they do not suffice for all it wants. */
+const SCARCE_FRACTION = 0.5;
+
+/** A lease is valid for this many windows after the entry sent the request for it. */
+export const LEASE_WINDOWS = 1;
+
+/** What one entry reports about one client account. */
+export interface IQuotaUsage {
+  /** Lease that the entry holds; never less than `spent`. */
+  readonly lease: number;
+  /** Tokens that the entry spent within the window. */
+  readonly spent: number;
+  /** Tokens that the entry wants to be able to spend beyond those. */
+  readonly wanted: number;
+  /** Tokens that the entry spent since its start. */
+  readonly total: number;
+}
+
+/** Identity of one run of an entry. */
+export interface IEntryRun {
+  readonly node: string;
+  readonly incarnation: string;
+}
 
 /** Result of one exchange. */
 export interface IQuotaDecision {
-  readonly tokens: number;
-  /** Milliseconds until the tokens that were not granted are expected; 0 if all were, or while warming up. */
+  /** The entry's new lease. If the entry has spent more meanwhile, its lease is what it has spent. */
+  readonly lease: number;
+  /** Milliseconds until the tokens that were not granted are expected; 0 if all were. */
   readonly waitMs: number;
 }
 
-/** What one entry reports. */
-export interface IQuotaUsage {
-  /** Tokens that the entry holds and has not spent. */
-  readonly held: number;
-  /** Tokens that the entry spent within the window. */
-  readonly spent: number;
+interface IShare extends IQuotaUsage, IEntryRun {
+  readonly expiresAt: number;
 }
 
-/**
- * Enforces a sliding-window limit across all entries: what they hold plus what they spent within the window
- * never exceeds the limit. Its state comes from the entries' reports only, so a new hub recovers it with one
- * report of each entry.
- */
+/** Grants leases of a sliding-window limit. Its state comes from the entries' reports. */
 export class QuotaPool {
-  private readonly _usageByEntry = new Map<string, IQuotaUsage & { readonly at: number }>();
+  private readonly _shares = new Map<string, IShare>();
+  private _leased = 0;
+  private _spent = 0;
+  /** Sum of the leases of an earlier hub that entries have reported to this one. */
+  private _brought = 0;
+  private _nextExpiryAt = Number.NEGATIVE_INFINITY;
+  private _spentSinceRecord = 0;
 
   constructor(
     /** Most tokens within the window. */
     private _limit: number,
     private readonly _windowMs: number,
-    private readonly _startedAt: number,
-    /** True: all processes may have just started, so that none knows what was spent before. */
-    private readonly _isColdStart: boolean,
+    private readonly _recovery: QuotaRecovery,
   ) {}
 
   public setLimit(limit: number): void {
     this._limit = limit;
   }
 
-  /** Records an entry's report and grants what it lacks up to `wanted`, as far as the window allows. */
-  public exchange(entry: string, usage: IQuotaUsage, wanted: number, now: number): IQuotaDecision {
-    this._usageByEntry.set(entry, { ...usage, at: now });
-    const requested = Math.max(0, wanted - usage.held);
-    const isWarmingUp = now - this._startedAt < WARM_UP_MS;
-    const limit = this._computeLimit(now);
-    const available = Math.max(
-      0,
-      isWarmingUp
-        ? limit / WARM_UP_ENTRIES - usage.held - usage.spent
-        : limit - this._sumUsage(now),
-    );
-    const tokens = Math.min(
-      requested,
-      requested <= available * MAX_GRANT_FRACTION ? available : available * MAX_GRANT_FRACTION,
+  /**
+   * Records an entry's report and decides on its new lease.
+   *
+   * @param entryCount number of entries among which the unspent tokens are divided
+   */
+  public exchange(
+    run: IEntryRun,
+    usage: IQuotaUsage,
+    entryCount: number,
+    now: number,
+  ): IQuotaDecision {
+    this._expire(now);
+    const key = formatRun(run);
+    const previous = this._shares.get(key);
+    if (previous === undefined) {
+      this._brought += usage.lease;
+      this._endEarlierRuns(run, now);
+    } else {
+      this._spentSinceRecord += Math.max(0, usage.total - previous.total);
+    }
+    this._store(key, { ...run, ...usage, expiresAt: this._computeExpiry(now) });
+    const limit = this._limit - this._computeWithheld(now);
+    const room = Math.max(0, limit - this._leased);
+    const target = this._computeTarget(usage, limit, entryCount);
+    const growth = Math.max(0, target - usage.lease);
+    const needed = Math.max(0, usage.spent + usage.wanted - usage.lease);
+    const granted =
+      growth <= room ? growth : Math.max(room * SCARCE_FRACTION, Math.min(needed, room));
+    const lease = growth > 0 ? usage.lease + granted : Math.max(usage.spent, target);
+    // A lower lease counts only once the entry has reported it, as it may have spent more meanwhile.
+    this._store(key, {
+      ...run,
+      ...usage,
+      lease: Math.max(usage.lease, lease),
+      expiresAt: this._computeExpiry(now),
+    });
+    const shortfall = usage.spent + usage.wanted - lease;
+    const waitMs =
+      shortfall >= 1 ? Math.ceil((shortfall / Math.max(1, this._limit)) * this._windowMs) : 0;
+    return { lease, waitMs };
+  }
+
+  /** True if no entry has reported for so long that all leases and spending have expired. */
+  public isUnused(now: number): boolean {
+    this._expire(now);
+    return this._shares.size === 0;
+  }
+
+  /** Returns the tokens that entries reported as spent since the last call. */
+  public takeSpending(): number {
+    const spent = this._spentSinceRecord;
+    this._spentSinceRecord = 0;
+    return spent;
+  }
+
+  /** An equal share of the unspent tokens, less the reserve, or a multiple of what the entry wants. */
+  private _computeTarget(usage: IQuotaUsage, limit: number, entryCount: number): number {
+    const unspent = Math.max(0, limit - this._spent);
+    const entries = Math.max(1, entryCount, this._shares.size);
+    const equalShare = (unspent * (1 - RESERVE_FRACTION)) / entries;
+    return (
+      usage.spent +
+      Math.max(equalShare < MIN_USEFUL_TOKENS ? 0 : equalShare, usage.wanted * DEMAND_FACTOR)
     );
-    this._usageByEntry.set(entry, { held: usage.held + tokens, spent: usage.spent, at: now });
-    const shortfall = requested - tokens;
-    return {
-      tokens,
-      waitMs:
-        shortfall > 0 && !isWarmingUp
-          ? Math.ceil((shortfall / Math.max(1, this._limit)) * this._windowMs)
-          : 0,
-    };
   }
 
-  private _computeLimit(now: number): number {
-    const elapsedWindows = (now - this._startedAt) / this._windowMs;
-    return this._isColdStart && elapsedWindows < 1
-      ? this._limit * (COLD_START_FRACTION + (1 - COLD_START_FRACTION) * elapsedWindows)
-      : this._limit;
+  /** Tokens that processes unknown to this hub may have spent or may still spend under earlier leases. */
+  private _computeWithheld(now: number): number {
+    const recovery = this._recovery;
+    switch (recovery.kind) {
+      case 'nothing_spent':
+        return 0;
+      case 'earlier_leases': {
+        const endsAt = recovery.startedAt + (LEASE_WINDOWS + 1) * this._windowMs;
+        return now >= endsAt ? 0 : Math.max(0, this._limit - this._brought);
+      }
+      case 'spending_history': {
+        if (now - recovery.startedAt >= this._windowMs) {
+          return 0;
+        }
+        // Entries that have survived go on with their leases, as after a change of the leader.
+        return Math.max(0, this._limit - Math.max(recovery.sumExpired(now), this._brought));
+      }
+    }
+  }
+
+  private _computeExpiry(now: number): number {
+    return now + (LEASE_WINDOWS + 1) * this._windowMs;
+  }
+
+  /** An earlier run at the same node has ended: what it spent counts for one more window. */
+  private _endEarlierRuns({ node }: IEntryRun, now: number): void {
+    for (const [key, share] of [...this._shares]) {
+      if (share.node === node) {
+        const expiresAt = Math.min(share.expiresAt, now + this._windowMs);
+        this._store(key, { ...share, wanted: 0, spent: share.lease, expiresAt });
+        this._nextExpiryAt = Math.min(this._nextExpiryAt, expiresAt);
+      }
+    }
+  }
+
+  private _store(key: string, share: IShare): void {
+    this._remove(key);
+    this._shares.set(key, share);
+    this._leased += share.lease;
+    this._spent += share.spent;
   }
 
-  private _sumUsage(now: number): number {
-    let sum = 0;
-    for (const [entry, { held, spent, at }] of this._usageByEntry) {
-      if (now - at > this._windowMs) {
-        this._usageByEntry.delete(entry);
+  private _remove(key: string): void {
+    const share = this._shares.get(key);
+    if (share !== undefined) {
+      this._shares.delete(key);
+      this._leased -= share.lease;
+      this._spent -= share.spent;
+    }
+  }
+
+  private _expire(now: number): void {
+    if (now < this._nextExpiryAt) {
+      return;
+    }
+    this._nextExpiryAt = Number.POSITIVE_INFINITY;
+    for (const [key, { expiresAt }] of this._shares) {
+      if (now >= expiresAt) {
+        this._remove(key);
       } else {
-        sum += held + spent;
+        this._nextExpiryAt = Math.min(this._nextExpiryAt, expiresAt);
       }
     }
-    return sum;
   }
 }
+
+/** Formats the identity of a run for use as a map key. */
+export function formatRun({ node, incarnation }: IEntryRun): string {
+  return `${node}/${incarnation}`;
+}
--- a/src/fleet/QuotaWallet.ts
+++ b/src/fleet/QuotaWallet.ts
@@ -1,17 +1,21 @@
-/** Holds the tokens of each client account that this entry may spend without asking the hub. */
+/** Spends the tokens of each client account within the leases of the hub, without a call for each request. */
+import { LEASE_WINDOWS } from './QuotaPool.js';
 
 /** Time constant of the exponential average of demand. */
 const DEMAND_TIME_CONSTANT_MS = 2_000;
 
-/** Tokens are held in advance for the demand of this time, which spans a few exchanges. */
-const PREFETCH_HORIZON_MS = 400;
+/** Tokens are wanted in advance for the demand of this time, which spans a few exchanges. */
+const PREFETCH_HORIZON_MS = 1_000;
 
-/** The hub counts as unreachable when it has not answered for this long. */
-const HUB_TIMEOUT_MS = 350;
+/** Retry-After of a request whose lease does not suffice while the hub is out of reach. */
+const HUB_LOST_RETRY_AFTER_MS = 350;
 
 /** Length of the slices of the sliding window in which spending is counted. */
 const SLICE_LENGTH_MS = 250;
 
+/** A lease that does not change is reported again after this fraction of its lifetime. */
+const RENEWAL_FRACTION = 0.12;
+
 /** Spending in one slice of the sliding window. */
 interface ISlice {
   readonly startsAt: number;
@@ -19,7 +23,9 @@
 }
 
 interface IAccountBalance {
-  held: number;
+  /** Most tokens that this entry may spend within the window. */
+  lease: number;
+  leaseExpiresAt: number;
   /** Exponential average of the demand, in tokens per millisecond. */
   demandPerMs: number;
   demandUpdatedAt: number;
@@ -27,21 +33,17 @@
   shortfall: number;
   /** Time at which the hub expects to have more tokens, by its last answer. */
   nextGrantAt: number;
+  /** Time of the last report that the hub answered. */
+  reportedAt: number;
+  /** Tokens spent since the start of this process. */
+  total: number;
   /** Slices of the window, oldest first. */
   slices: ISlice[];
 }
 
-/** Limit of a client account, as this entry knows it. */
-export interface IWalletLimits {
-  /** Most tokens that all entries together may spend within the window. */
-  readonly windowLimit: number;
-  /** Number of entries that share the limit. */
-  readonly entries: number;
-}
-
 export type SpendOutcome =
   | { readonly kind: 'spent' }
-  /** The entry holds too few tokens: exchange with the hub, then call `retrySpend`. */
+  /** The lease does not suffice: ask the hub for a larger one, then call `retrySpend`. */
   | { readonly kind: 'ask' }
   /** The client account is over its limit; more tokens are expected after this time. */
   | { readonly kind: 'over'; readonly retryAfterMs: number };
@@ -49,55 +51,42 @@
 /** Part of a report to the hub that concerns one client account. */
 export interface IWalletReport {
   readonly clientAccount: string;
+  /** The unspent part of the lease. */
   readonly held: number;
   readonly wanted: number;
   readonly spent: number;
+  readonly total: number;
 }
 
 /**
- * Spends tokens that the hub granted, and estimates the demand for which to hold tokens. While the hub is
- * unreachable, each entry may spend an equal share of the limit.
+ * Spends within leases: what this entry spent within the sliding window never exceeds the lease, and nothing
+ * is spent under a lease that has expired because the hub was out of reach.
  */
 export class QuotaWallet {
   private readonly _balances = new Map<string, IAccountBalance>();
-  private _hubAnsweredAt = Number.NEGATIVE_INFINITY;
+  private _isHubReachable = false;
 
   constructor(private readonly _windowMs: number) {}
 
   /** Spends tokens for a new request and counts them as demand. */
-  public trySpend(
-    account: string,
-    tokens: number,
-    limits: IWalletLimits,
-    now: number,
-  ): SpendOutcome {
+  public trySpend(account: string, tokens: number, now: number): SpendOutcome {
     const balance = this._ensureBalance(account, now);
     updateDemand(balance, now);
     balance.demandPerMs += tokens / DEMAND_TIME_CONSTANT_MS;
-    return this.retrySpend(account, tokens, limits, now);
+    return this.retrySpend(account, tokens, now);
   }
 
   /** As `trySpend`, for a request whose demand has been counted. */
-  public retrySpend(
-    account: string,
-    tokens: number,
-    limits: IWalletLimits,
-    now: number,
-  ): SpendOutcome {
+  public retrySpend(account: string, tokens: number, now: number): SpendOutcome {
     const balance = this._ensureBalance(account, now);
-    if (balance.held >= tokens) {
-      balance.held -= tokens;
+    const isValid = now < balance.leaseExpiresAt;
+    if (isValid && this._sumSpent(balance, now) + tokens <= balance.lease) {
       recordSpending(balance, tokens, now);
       return { kind: 'spent' };
     }
-    if (now - this._hubAnsweredAt > HUB_TIMEOUT_MS) {
-      // With an equal share each, all entries together stay within the limit.
-      const share = limits.windowLimit / Math.max(1, limits.entries);
-      if (this._sumSpent(balance, now) + tokens > share) {
-        return { kind: 'over', retryAfterMs: HUB_TIMEOUT_MS };
-      }
-      recordSpending(balance, tokens, now);
-      return { kind: 'spent' };
+    if (!this._isHubReachable) {
+      balance.shortfall += tokens;
+      return { kind: 'over', retryAfterMs: HUB_LOST_RETRY_AFTER_MS };
     }
     if (now < balance.nextGrantAt) {
       return { kind: 'over', retryAfterMs: balance.nextGrantAt - now };
@@ -106,46 +95,102 @@
     return { kind: 'ask' };
   }
 
-  /** Refunds the tokens of a request that did not run. */
-  public refund(account: string, tokens: number, now: number): void {
-    const balance = this._ensureBalance(account, now);
-    recordSpending(balance, -tokens, now);
-    balance.held += tokens;
+  /** Refunds the tokens of a request that did not run; `spentAt` is when they were spent. */
+  public refund(account: string, tokens: number, spentAt: number): void {
+    const balance = this._balances.get(account);
+    // A refund in another slice would lower the sum of the window after the spending has left it.
+    const slice = balance?.slices.findLast(({ startsAt }) => startsAt <= spentAt);
+    if (balance !== undefined && slice !== undefined) {
+      slice.spent -= tokens;
+      balance.total -= tokens;
+    }
   }
 
-  /** Builds the report to the hub. Drops held tokens beyond the demand, and accounts without use. */
-  public report(now: number): IWalletReport[] {
+  /**
+   * Builds the report to the hub: of the client accounts named, and of those with a balance. Leases that have
+   * not changed are left out until they are due for renewal.
+   */
+  public report(clientAccounts: readonly string[], now: number): IWalletReport[] {
+    for (const clientAccount of clientAccounts) {
+      this._ensureBalance(clientAccount, now);
+    }
     const lines: IWalletReport[] = [];
     for (const [clientAccount, balance] of this._balances) {
-      updateDemand(balance, now);
-      const wanted = balance.demandPerMs * PREFETCH_HORIZON_MS + balance.shortfall;
-      balance.shortfall = 0;
-      balance.held = Math.min(balance.held, Math.max(wanted, 1));
-      const spent = this._sumSpent(balance, now);
-      if (wanted < 1 && spent < 1) {
-        this._balances.delete(clientAccount);
+      const line = this._reportBalance(clientAccount, balance, now);
+      const isIdle = line.spent < 1 && line.wanted < 1;
+      const isDue = now - balance.reportedAt >= this._windowMs * LEASE_WINDOWS * RENEWAL_FRACTION;
+      if (!isIdle || isDue) {
+        lines.push(line);
       }
-      lines.push({ clientAccount, held: balance.held, wanted, spent });
     }
     return lines;
   }
 
-  /** Records that the hub has answered, so that it counts as reachable. */
-  public recordHubAnswer(now: number): void {
-    this._hubAnsweredAt = now;
+  /** Builds the report of the client accounts whose requests wait for a larger lease. */
+  public reportShortfalls(now: number): IWalletReport[] {
+    return [...this._balances]
+      .filter(([, balance]) => balance.shortfall > 0)
+      .map(([clientAccount, balance]) => this._reportBalance(clientAccount, balance, now));
   }
 
-  /** Adds tokens that the hub granted; `waitMs` is the time until it expects more, 0 if it granted all. */
-  public addGrant(account: string, tokens: number, waitMs: number, now: number): void {
+  /** Records whether the hub answered the last call; while it does not, nobody is asked for tokens. */
+  public setHubReachable(isReachable: boolean): void {
+    this._isHubReachable = isReachable;
+  }
+
+  /**
+   * Applies a lease that the hub granted in answer to a report.
+   *
+   * @param waitMs time until the hub expects more tokens; 0 if it granted all that was wanted
+   * @param reportedAt when the report was sent, from which on the lease is valid
+   */
+  public applyLease(
+    account: string,
+    lease: number,
+    waitMs: number,
+    reportedAt: number,
+    now: number,
+  ): void {
     const balance = this._ensureBalance(account, now);
-    balance.held += tokens;
+    const isSmaller = lease < balance.lease;
+    balance.lease = Math.max(lease, this._sumSpent(balance, now));
+    balance.leaseExpiresAt = reportedAt + this._windowMs * LEASE_WINDOWS;
+    // The hub can give the difference to others only once it is reported.
+    balance.reportedAt = isSmaller ? Number.NEGATIVE_INFINITY : reportedAt;
     balance.nextGrantAt = waitMs > 0 ? now + waitMs : now;
   }
 
+  /** Drops the balances of client accounts that no longer exist, once their spending has left the window. */
+  public pruneAccounts(clientAccounts: ReadonlySet<string>, now: number): void {
+    for (const [account, balance] of this._balances) {
+      if (!clientAccounts.has(account) && this._sumSpent(balance, now) <= 0) {
+        this._balances.delete(account);
+      }
+    }
+  }
+
+  private _reportBalance(
+    clientAccount: string,
+    balance: IAccountBalance,
+    now: number,
+  ): IWalletReport {
+    updateDemand(balance, now);
+    const wanted = balance.demandPerMs * PREFETCH_HORIZON_MS + balance.shortfall;
+    balance.shortfall = 0;
+    const spent = Math.max(0, this._sumSpent(balance, now));
+    // An expired lease is given back.
+    const lease = now < balance.leaseExpiresAt ? balance.lease : spent;
+    balance.lease = Math.max(lease, spent);
+    return { clientAccount, held: balance.lease - spent, wanted, spent, total: balance.total };
+  }
+
   private _sumSpent(balance: IAccountBalance, now: number): number {
-    balance.slices = balance.slices.filter(
-      ({ startsAt }) => now - startsAt <= this._windowMs + SLICE_LENGTH_MS,
-    );
+    const oldest = balance.slices[0];
+    const isOutdated = ({ startsAt }: ISlice): boolean =>
+      now - startsAt > this._windowMs + SLICE_LENGTH_MS;
+    if (oldest !== undefined && isOutdated(oldest)) {
+      balance.slices = balance.slices.filter((slice) => !isOutdated(slice));
+    }
     return balance.slices.reduce((sum, slice) => sum + slice.spent, 0);
   }
 
@@ -153,11 +198,14 @@
     let balance = this._balances.get(account);
     if (balance === undefined) {
       balance = {
-        held: 0,
+        lease: 0,
+        leaseExpiresAt: Number.NEGATIVE_INFINITY,
         demandPerMs: 0,
         demandUpdatedAt: now,
         shortfall: 0,
         nextGrantAt: 0,
+        reportedAt: Number.NEGATIVE_INFINITY,
+        total: 0,
         slices: [],
       };
       this._balances.set(account, balance);
@@ -172,6 +220,7 @@
 }
 
 function recordSpending(balance: IAccountBalance, tokens: number, now: number): void {
+  balance.total += tokens;
   let slice = balance.slices.at(-1);
   if (slice === undefined || now - slice.startsAt >= SLICE_LENGTH_MS) {
     slice = { startsAt: now, spent: 0 };
--- a/src/fleet/WeightsRollout.test.ts
+++ b/src/fleet/WeightsRollout.test.ts
@@ -49,6 +49,7 @@
     'e1',
     { announceIntervalMs: 1_200, quota: QUOTA, processStartedAt: 0, log: SILENT_LOG },
     Date.now(),
+    { isConfigured: false, records: [] },
   );
   for (let i = 0; i < count; i += 1) {
     hub.announce(buildTarget({ id: `i-${i}`, address: `10.1.0.${i}:8000` }), Date.now());
--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -152,7 +152,7 @@
   const targets = new ScriptedTargetClient(scripts);
   const runner = new CallRunner<ICall>({
     view,
-    node: { awaitExchange: () => Promise.resolve(true) },
+    node: { requestLeases: () => Promise.resolve() },
     wallet: new QuotaWallet(8_000),
     budget: new SharedRetryBudget({ ratio: 0.2, slack: 60, windowMs: 10_000 }),
     states: new TargetStates(),
@@ -162,7 +162,6 @@
     clock,
     metrics: new Metrics(),
     log: SILENT_LOG,
-    quota: { windowMs: 8_000, excessRatio: 0, toleranceTokens: 0 },
     weightsLimitMs: 8_800,
   });
   const sink = new RecordingSink();
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -6,7 +6,6 @@
 import type { FleetNode } from '../fleet/FleetNode.js';
 import type { FleetView } from '../fleet/FleetView.js';
 import { getHeldVersion } from '../fleet/HeldWeights.js';
-import { computeWindowLimit, type IQuotaTerms } from '../fleet/QuotaRule.js';
 import type { QuotaWallet } from '../fleet/QuotaWallet.js';
 import type { SharedRetryBudget } from '../fleet/SharedRetryBudget.js';
 import type { RouteTable } from '../fleet/RouteTable.js';
@@ -62,7 +61,7 @@
 /** Dependencies of the calls, shared by all of them. */
 export interface ICallContext<T extends ICall> {
   readonly view: FleetView;
-  readonly node: Pick<FleetNode, 'awaitExchange'>;
+  readonly node: Pick<FleetNode, 'requestLeases'>;
   readonly wallet: QuotaWallet;
   readonly budget: SharedRetryBudget;
   readonly states: TargetStates;
@@ -72,7 +71,6 @@
   readonly clock: IClock;
   readonly metrics: Metrics;
   readonly log: ILog;
-  readonly quota: IQuotaTerms;
   /** Time after newer weights were named from which a target with older ones gets no requests. */
   readonly weightsLimitMs: number;
 }
@@ -86,6 +84,8 @@
   readonly account: IClientAccount | undefined;
   /** Quota tokens charged for the call. */
   readonly tokens: number;
+  /** When the tokens were charged. */
+  readonly chargedAt: number;
   readonly deadlineAt: number;
 }
 
@@ -123,11 +123,8 @@
     };
     const isQuotaSpent = await this._runAttempts(call, sink, admitted, progress);
     if (!isQuotaSpent && admitted.account !== undefined) {
-      this._context.wallet.refund(
-        admitted.account.name,
-        admitted.tokens,
-        this._context.clock.now(),
-      );
+      const { account, tokens, chargedAt } = admitted;
+      this._context.wallet.refund(account.name, tokens, chargedAt);
     }
   }
 
@@ -151,7 +148,7 @@
     const payer = route.isPublic ? undefined : account;
     const tokens = countTokens(call, payer);
     const limitMs = Math.min(call.deadlineMs ?? DEFAULT_DEADLINE_MS, route.timeoutMs);
-    const admitted: IAdmittedCall = {
+    const admitted = {
       table,
       route,
       service: pickService(table, route, call.id),
@@ -159,21 +156,23 @@
       tokens,
       deadlineAt: call.arrivedAt + limitMs,
     };
-    return (await this._spendQuota(call, sink, admitted)) ? admitted : undefined;
+    return (await this._spendQuota(call, sink, admitted))
+      ? { ...admitted, chargedAt: this._context.clock.now() }
+      : undefined;
   }
 
   /** Charges the client account, waiting for a grant if needed; false if the call was refused. */
-  private async _spendQuota(call: T, sink: IAnswerSink, admitted: IAdmittedCall): Promise<boolean> {
+  private async _spendQuota(
+    call: T,
+    sink: IAnswerSink,
+    admitted: Pick<IAdmittedCall, 'account' | 'tokens'>,
+  ): Promise<boolean> {
     const { account, tokens } = admitted;
     if (account === undefined || account.tokensPerSecond <= 0) {
       return true;
     }
-    const { wallet, view, clock, node } = this._context;
-    const limits = {
-      windowLimit: computeWindowLimit(account, this._context.quota),
-      entries: view.entryCount,
-    };
-    let outcome = wallet.trySpend(account.name, tokens, limits, clock.now());
+    const { wallet, clock, node } = this._context;
+    let outcome = wallet.trySpend(account.name, tokens, clock.now());
     const giveUpAt = clock.now() + QUOTA_WAIT_MS;
     while (outcome.kind === 'ask') {
       const remainingMs = giveUpAt - clock.now();
@@ -181,8 +180,8 @@
         outcome = { kind: 'over', retryAfterMs: QUOTA_WAIT_MS };
         break;
       }
-      await node.awaitExchange(remainingMs, call.signal);
-      outcome = wallet.retrySpend(account.name, tokens, limits, clock.now());
+      await node.requestLeases(remainingMs, call.signal);
+      outcome = wallet.retrySpend(account.name, tokens, clock.now());
     }
     if (outcome.kind === 'over') {
       const detail = { clientAccount: account.name, tokens };
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -128,7 +128,6 @@
       clock,
       metrics,
       log: _log,
-      quota: _options.quota,
       weightsLimitMs: _options.weightsRolloutLimitMs - WEIGHTS_LIMIT_MARGIN_MS,
     });
     this._memberHost =
@@ -160,6 +159,7 @@
     const tasks = [
       this.node.run(signal),
       this.node.runMembershipNotices(signal),
+      this.node.runSpendingRecords(signal),
       this._rollout.run(signal),
     ];
     if (this._memberHost !== undefined) {
