Keep running totals of the work at the hub

Cause: each answer to an exchange added up the reports of all processes, entries x targets, a hundred times a second at 70 entries, on the leader that also elects, records and orders. Change: a report adjusts totals by what it changed; an answer costs the targets with work once. Test: expiry and replacement of reports in FleetHub.test.ts; the existing sums are unchanged.

--- a/src/fleet/FleetHub.test.ts
+++ b/src/fleet/FleetHub.test.ts
@@ -103,6 +103,19 @@
     expect(hub.countLongStreams('i-1')).toBe(3);
   });
 
+  it('no longer counts the work of a process that has stopped reporting', () => {
+    const hub = createHub();
+    const work = [{ id: 'i-1', open: 2, pendingTokens: 100, longStreams: 1 }];
+    hub.applyReport(buildReport({ node: 'n1', work }), 0);
+    hub.applyReport(buildReport({ node: 'n2', work }), 0);
+    hub.applyReport(buildReport({ node: 'n2', work }), 1_500);
+    hub.applyReport(buildReport({ node: 'n2', work }), 3_000);
+    expect(hub.countLongStreams('i-1')).toBe(1);
+    expect(hub.sumWorkOfOthers('n2')).toEqual([]);
+    hub.applyReport(buildReport({ node: 'n2', work: [] }), 3_100);
+    expect(hub.countLongStreams('i-1')).toBe(0);
+  });
+
   it('counts what an entry spent before its restart for one more window', () => {
     const hub = createHub();
     hub.setLimits(new Map([['pag', 1_000]]), 0);
--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -5,7 +5,6 @@
   TargetModelSchema,
   TargetPhase,
   TargetRecordSchema,
-  TargetWorkSchema,
   type AccountSpending,
   type ExchangeRequest,
   type QuotaGrant,
@@ -19,6 +18,7 @@
 import type { IQuotaTerms } from './QuotaRule.js';
 import { RecentReadings, type IReadingDelta } from './RecentReadings.js';
 import { needsPropagation, isLater } from './TargetOrder.js';
+import { WorkTotals } from './WorkTotals.js';
 
 /** A process's report expires if no other one follows within this time. */
 const PROCESS_REPORT_TTL_MS = 2_000;
@@ -91,6 +91,8 @@
 export class FleetHub {
   private readonly _targets = new Map<string, IHubTarget>();
   private readonly _processes = new Map<string, IProcessReport>();
+  /** Sums over the reports of all processes, so that no answer has to add them up. */
+  private readonly _work = new WorkTotals();
   private readonly _pools = new Map<string, QuotaPool>();
   private readonly _recentReadings = new RecentReadings();
   private _windowLimits: ReadonlyMap<string, number> = new Map();
@@ -154,6 +156,7 @@
     for (const record of request.announced) {
       this.announce(record, now);
     }
+    this._work.replace(this._processes.get(request.node)?.work ?? [], request.work);
     this._processes.set(request.node, {
       receivedAt: now,
       takesRequests: request.takesRequests,
@@ -215,32 +218,12 @@
 
   /** Sum of the work at each target over all processes except one. */
   public sumWorkOfOthers(excludedNode: string): TargetWork[] {
-    const sums = new Map<string, TargetWork>();
-    for (const [node, report] of this._processes) {
-      if (node === excludedNode) {
-        continue;
-      }
-      for (const { id, open, pendingTokens, longStreams } of report.work) {
-        const sum = sums.get(id);
-        if (sum === undefined) {
-          sums.set(id, create(TargetWorkSchema, { id, open, pendingTokens, longStreams }));
-        } else {
-          sum.open += open;
-          sum.pendingTokens += pendingTokens;
-          sum.longStreams += longStreams;
-        }
-      }
-    }
-    return [...sums.values()];
+    return this._work.sumOfOthers(this._processes.get(excludedNode)?.work ?? []);
   }
 
   /** Number of streams at a target that are expected to last long, as last reported by all processes. */
   public countLongStreams(id: string): number {
-    let count = 0;
-    for (const { work } of this._processes.values()) {
-      count += work.find((item) => item.id === id)?.longStreams ?? 0;
-    }
-    return count;
+    return this._work.get(id).longStreams;
   }
 
   public countEntries(): number {
@@ -334,6 +317,7 @@
   private _expire(now: number): void {
     for (const [node, report] of this._processes) {
       if (now - report.receivedAt > PROCESS_REPORT_TTL_MS) {
+        this._work.replace(report.work, []);
         this._processes.delete(node);
       }
     }
