Let a new leader go on with a roll-out of weights within a second or two

Cause: a new leader waited the whole lease of orders (3 s) for every engine, after an election, and engines that the former leader had marked as loading stayed marked for ever if they had got their weights meanwhile. Change: a leader sends orders only within 400 ms of a majority's confirmation, which is shorter than any election timeout, so its orders end before the next leader is elected. In its first second a new hub learns from all processes which engines the former one had marked; only those wait for the lease. A process that has just started itself still waits for all. Marks of a former leader are reset. Control members exchange ten times a second at any size, as one of them is the next hub. Tests: four in WeightsRollout.test.ts. Ruled out: a shorter lease, which the engines would count as alternating holders.

--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -32,6 +32,12 @@
 /** Announcement intervals without an announcement after which a target counts as silent. */
 const MAX_MISSED_ANNOUNCEMENTS = 3.5;
 
+/**
+ * Time in which every process reports to a new hub which loads of weights it knew of. What the former leader
+ * did is then known, as it announces each load to all processes before it sends an order.
+ */
+export const HANDOVER_MS = 1_000;
+
 interface IHubTarget {
   record: TargetRecord;
   seenAt: number;
@@ -94,6 +100,8 @@
   /** Sums over the reports of all processes, so that no answer has to add them up. */
   private readonly _work = new WorkTotals();
   private readonly _pools = new Map<string, QuotaPool>();
+  /** Targets that the former leader prepared or let load when it was last heard of. */
+  private readonly _inheritedLoads = new Set<string>();
   private readonly _recentReadings = new RecentReadings();
   private _windowLimits: ReadonlyMap<string, number> = new Map();
   /** Sequence of the last report of quotas of each run of a process, and when it arrived. */
@@ -132,6 +140,9 @@
   public announce(record: TargetRecord, now: number): boolean {
     const existing = this._targets.get(record.id);
     const seenAt = now - record.ageMs;
+    if (now - this._startedAt < HANDOVER_MS && (record.loading || record.preparing)) {
+      this._inheritedLoads.add(record.id);
+    }
     if (existing === undefined) {
       this._store(record, seenAt);
     } else if (isLater(record, existing.record)) {
@@ -185,6 +196,16 @@
     return [...this._targets.values()].map((entry) => entry.record);
   }
 
+  /** True if the former leader may have sent an order to a target shortly before this hub started. */
+  public hasInheritedLoad(id: string): boolean {
+    return this._inheritedLoads.has(id);
+  }
+
+  /** True if this process started so shortly before that it cannot know what the former leader did. */
+  public get isColdStart(): boolean {
+    return this._startedAt - this._options.processStartedAt < this._options.quota.windowMs;
+  }
+
   /** Sets a target's load state, which is propagated to all processes like an announcement. */
   public setLoadState(id: string, state: LoadState): void {
     const existing = this._targets.get(id);
@@ -278,7 +299,7 @@
     if (!isConfigured || this._initialAccounts?.has(account) !== true) {
       return { kind: 'nothing_spent' };
     }
-    if (this._startedAt - this._options.processStartedAt >= windowMs) {
+    if (!this.isColdStart) {
       return { kind: 'earlier_leases', startedAt: this._startedAt };
     }
     return recoverFromHistory(this._startedAt, listSlices(records, account), windowMs);
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -182,15 +182,15 @@
     return this._leader;
   }
 
+  /** Time since a majority last confirmed this process as the leader; infinite if none has. */
+  public getConfirmationAgeMs(now: number): number {
+    return now - (this._member?.log.getConfirmedAt() ?? Number.NEGATIVE_INFINITY);
+  }
+
   /** The hub; undefined unless this process leads and a majority confirmed it lately. */
   public getHub(now: number): FleetHub | undefined {
     const log = this._member?.log;
-    const confirmedAt = log?.getConfirmedAt();
-    if (
-      log === undefined ||
-      confirmedAt === undefined ||
-      now - confirmedAt > MAX_CONFIRMATION_AGE_MS
-    ) {
+    if (log === undefined || this.getConfirmationAgeMs(now) > MAX_CONFIRMATION_AGE_MS) {
       return undefined;
     }
     const { term } = log.status;
@@ -563,7 +563,10 @@
   }
 
   private _computeExchangeInterval(): number {
-    return Math.max(EXCHANGE_INTERVAL_MS, this._view.entryCount * EXCHANGE_INTERVAL_PER_ENTRY_MS);
+    // A control member may become the next hub, so it keeps up with this one however many entries there are.
+    return this._member !== undefined
+      ? EXCHANGE_INTERVAL_MS
+      : Math.max(EXCHANGE_INTERVAL_MS, this._view.entryCount * EXCHANGE_INTERVAL_PER_ENTRY_MS);
   }
 
   /** Exchanges with the process at an address; true if it answered as the leader. */
--- a/src/fleet/WeightsRollout.test.ts
+++ b/src/fleet/WeightsRollout.test.ts
@@ -13,6 +13,8 @@
 /** Engines that hold the ordered weights `LOAD_DURATION_MS` after an order. */
 class FakeEngines implements IEngineClient {
   public readonly versions = new Map<string, number>();
+  /** Targets that were ordered, and when. */
+  public readonly orders = new Map<string, number>();
   public maxConcurrentLoads = 0;
   private readonly _busy = new Set<string>();
 
@@ -29,6 +31,7 @@
     { version }: { version: number },
   ): ReturnType<IEngineClient['sendOrder']> {
     this._busy.add(id);
+    this.orders.set(id, Date.now());
     this.maxConcurrentLoads = Math.max(this.maxConcurrentLoads, this._busy.size);
     setTimeout(() => {
       this._busy.delete(id);
@@ -44,22 +47,43 @@
   readonly stop: AbortController;
 }
 
-function startRollout(count: number): IStartedRollout {
+interface IRolloutSetup {
+  readonly term?: number;
+  /** Time from the start of the process to its election. */
+  readonly processAgeMs?: number;
+  /** Targets that the former leader had prepared, as this process knows. */
+  readonly inherited?: readonly string[];
+  /** Weights that the targets have; the default is 1. */
+  readonly held?: number;
+  getConfirmationAgeMs?(): number;
+}
+
+function startRollout(count: number, setup: IRolloutSetup = {}): IStartedRollout {
   const hub = new FleetHub(
     'e1',
-    { announceIntervalMs: 1_200, quota: QUOTA, processStartedAt: 0, log: SILENT_LOG },
+    {
+      announceIntervalMs: 1_200,
+      quota: QUOTA,
+      processStartedAt: Date.now() - (setup.processAgeMs ?? 60_000),
+      log: SILENT_LOG,
+    },
     Date.now(),
     { isConfigured: false, records: [] },
   );
   for (let i = 0; i < count; i += 1) {
-    hub.announce(buildTarget({ id: `i-${i}`, address: `10.1.0.${i}:8000` }), Date.now());
+    const id = `i-${i}`;
+    const preparing = setup.inherited?.includes(id) === true;
+    const models = [{ name: 'm', version: BigInt(setup.held ?? 1) }];
+    const record = buildTarget({ id, address: `10.1.0.${i}:8000`, preparing, models });
+    hub.announce(record, Date.now());
   }
   const engines = new FakeEngines();
   const stop = new AbortController();
   const rollout = new WeightsRollout(
     {
       getHub: () => hub,
-      term: 1,
+      getConfirmationAgeMs: () => setup.getConfirmationAgeMs?.() ?? 0,
+      term: setup.term ?? 1,
       getRequiredVersion: () => 0,
       weights: [{ model: 'm', version: 2n }],
     },
@@ -96,6 +120,43 @@
     expect(engines.maxConcurrentLoads).toBe(2);
   });
 
+  it('goes on within two seconds after a change of the leader, except with engines that the former one may have ordered', async () => {
+    const startedAt = Date.now();
+    const { engines, stop } = startRollout(8, { term: 2, inherited: ['i-0', 'i-1'] });
+    await vi.advanceTimersByTimeAsync(20_000);
+    stop.abort();
+    const delays = new Map([...engines.orders].map(([id, at]) => [id, at - startedAt]));
+    expect(Math.min(...delays.values())).toBeLessThan(2_000);
+    expect(delays.get('i-0')).toBeGreaterThanOrEqual(3_000);
+    expect(delays.get('i-1')).toBeGreaterThanOrEqual(3_000);
+    expect(delays.size).toBe(8);
+  });
+
+  it('waits for the whole lease after a restart, as it may not know what the former leader ordered', async () => {
+    const startedAt = Date.now();
+    const { engines, stop } = startRollout(8, { term: 2, processAgeMs: 500 });
+    await vi.advanceTimersByTimeAsync(20_000);
+    stop.abort();
+    expect(Math.min(...engines.orders.values()) - startedAt).toBeGreaterThanOrEqual(3_000);
+  });
+
+  it('sends no order once no majority has confirmed it for a time in which another leader may be elected', async () => {
+    const startedAt = Date.now();
+    const { engines, stop } = startRollout(8, {
+      getConfirmationAgeMs: () => Math.max(0, Date.now() - startedAt - 500),
+    });
+    await vi.advanceTimersByTimeAsync(20_000);
+    stop.abort();
+    expect(Math.max(0, ...engines.orders.values()) - startedAt).toBeLessThan(1_000);
+  });
+
+  it('frees engines that have their weights but that a former leader left as loading', async () => {
+    const { hub, stop } = startRollout(3, { term: 2, held: 2, inherited: ['i-0'] });
+    await vi.advanceTimersByTimeAsync(5_000);
+    stop.abort();
+    expect(hub.listTargets().filter(({ preparing }) => preparing)).toEqual([]);
+  });
+
   it('continues when engines crash while they are being prepared', async () => {
     const { hub, stop } = startRollout(20);
     for (let round = 0; round < 4; round += 1) {
--- a/src/fleet/WeightsRollout.ts
+++ b/src/fleet/WeightsRollout.ts
@@ -4,7 +4,7 @@
 import { isAborted, runWithTimeout, sleep } from '../common/Tasks.js';
 import { TargetPhase, type TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { getHeldVersion } from './HeldWeights.js';
-import type { FleetHub } from './FleetHub.js';
+import { HANDOVER_MS, type FleetHub } from './FleetHub.js';
 
 /** Interval at which the engines' weights are compared with the named ones. */
 const RECONCILE_INTERVAL_MS = 100;
@@ -42,6 +42,12 @@
 const MIN_PREPARE_MS = 400;
 const MAX_PREPARE_MS = 4_000;
 
+/**
+ * Orders are sent only if a majority has confirmed the leader within this time. It is shorter than any election
+ * timeout, so the next leader is elected after the last order of this one.
+ */
+const MAX_ORDER_CONFIRMATION_AGE_MS = 400;
+
 /** An engine's report of its own state. */
 export interface IEngineReport {
   readonly isBusy: boolean;
@@ -73,8 +79,8 @@
   /** Name of this process, sent with its orders. */
   readonly holder: string;
   /**
-   * Orders of two holders within this time count as alternating, so a new leader waits this long before its
-   * first order. In milliseconds.
+   * Orders of two holders to one engine within this time count as alternating, so a new leader waits this long
+   * before it orders engines that the former one may have ordered. In milliseconds.
    */
   readonly leaseMs: number;
 }
@@ -83,6 +89,8 @@
 export interface IRolloutLeader {
   /** Undefined while this process does not lead. */
   getHub(now: number): FleetHub | undefined;
+  /** Time since a majority last confirmed this process as the leader; infinite if none has. */
+  getConfirmationAgeMs(now: number): number;
   /** Term of the replicated log. A term has at most one leader, so it serves as fencing token. */
   readonly term: number;
   /** Oldest version that a new request may still begin on. */
@@ -138,12 +146,18 @@
     if (this._leadership?.term !== term) {
       this._leadership = { term, since: now };
     }
-    // The former leader may have sent an order just before it lost its leadership.
-    if (term > 1 && now - this._leadership.since < this._options.leaseMs) {
+    const leadingMs = term > 1 ? now - this._leadership.since : Number.POSITIVE_INFINITY;
+    if (leadingMs < (hub.isColdStart ? this._options.leaseMs : HANDOVER_MS)) {
       return;
     }
-    const targets = hub.listTargets();
+    // The former leader may have sent an order just before it lost its leadership.
+    const targets = hub
+      .listTargets()
+      .filter(({ id }) => leadingMs >= this._options.leaseMs || !hub.hasInheritedLoad(id));
     this._cancelPreparations(hub, targets);
+    if (!this._mayOrder(now)) {
+      return;
+    }
     for (const { model, version } of this._leader.weights) {
       this._startModelLoads(model, Number(version), hub, targets, signal);
     }
@@ -161,6 +175,16 @@
       this._preparing.delete(id);
       hub.setLoadState(id, 'none');
     }
+    // A former leader may have set a state that it did not live to reset.
+    for (const { id, preparing, loading } of targets) {
+      if ((preparing || loading) && !needingLoad.has(id) && !this._loading.has(id)) {
+        hub.setLoadState(id, 'none');
+      }
+    }
+  }
+
+  private _mayOrder(now: number): boolean {
+    return this._leader.getConfirmationAgeMs(now) <= MAX_ORDER_CONFIRMATION_AGE_MS;
   }
 
   private _startModelLoads(
@@ -252,7 +276,8 @@
       return;
     }
     const fence = this._leader.term;
-    if (this._leader.getHub(this._clock.now()) !== hub) {
+    const decidedAt = this._clock.now();
+    if (this._leader.getHub(decidedAt) !== hub || !this._mayOrder(decidedAt)) {
       return;
     }
     const startedAt = this._clock.now();
