Record a ceiling of the leases, so that a stop of all processes costs only what was leased

Cause: after a stop of all processes the whole limit counted as spent for three seconds. Change: a record states up to which sum the hub grants leases until the next one, and is durable before it does. A later hub holds back only up to that ceiling, and knows the downtime from its own start. Smaller shares ahead of demand (0.4 of the unspent tokens) keep the ceiling low; an entry asks when it needs more.

--- a/src/fleet/Fixtures.ts
+++ b/src/fleet/Fixtures.ts
@@ -5,6 +5,7 @@
   TargetRecordSchema,
   type TargetRecord,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
+import type { IEarlierSpending } from './FleetHub.js';
 import type { IClientAccount, IFleetConfiguration, IRoute } from './Types.js';
 
 export function buildRoute(changes: Partial<IRoute> = {}): IRoute {
@@ -80,3 +81,10 @@
     ...changes,
   });
 }
+
+/** What a hub knows of the time before it if there was none. */
+export const NO_SPENDING: IEarlierSpending = {
+  isConfigured: false,
+  records: [],
+  getCeiling: () => 0,
+};
--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -14,7 +14,7 @@
   type TargetWork,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { formatRun, QuotaPool } from './QuotaPool.js';
-import { recoverFromHistory, type ISpendingSlice, type QuotaRecovery } from './QuotaRecovery.js';
+import type { ISpendingHistory, ISpendingSlice, QuotaRecovery } from './QuotaRecovery.js';
 import type { IQuotaTerms } from './QuotaRule.js';
 import { RecentReadings, type IReadingDelta } from './RecentReadings.js';
 import { needsPropagation, isLater } from './TargetOrder.js';
@@ -76,10 +76,12 @@
   readonly isConfigured: boolean;
   /** The newest records of spending, oldest first. */
   readonly records: readonly SpendingRecord[];
+  /** Most tokens of a client account that may be leased, by the records. */
+  getCeiling(clientAccount: string): number;
 }
 
 /** Interval between two records of spending. */
-export const SPENDING_RECORD_INTERVAL_MS = 500;
+export const SPENDING_RECORD_INTERVAL_MS = 300;
 
 export interface IHubOptions {
   /** Interval in milliseconds at which a target announces itself. */
@@ -275,14 +277,23 @@
     });
   }
 
-  /** Returns what the processes have reported as spent since the last call, to be recorded durably. */
-  public takeSpending(): Pick<AccountSpending, 'clientAccount' | 'tokens'>[] {
+  /** Returns what is to be recorded durably since the last call; empty if nothing has changed. */
+  public takeRecords(now: number): Pick<AccountSpending, 'clientAccount' | 'tokens' | 'ceiling'>[] {
     return [...this._pools].flatMap(([clientAccount, pool]) => {
-      const tokens = pool.takeSpending();
-      return tokens > 0 ? [{ clientAccount, tokens }] : [];
+      const record = pool.takeRecord(now);
+      return record === undefined ? [] : [{ clientAccount, ...record }];
     });
   }
 
+  /** Called when records are durable: leases may then reach the ceilings in them. */
+  public raiseCeilings(
+    records: readonly Pick<AccountSpending, 'clientAccount' | 'ceiling'>[],
+  ): void {
+    for (const { clientAccount, ceiling } of records) {
+      this._pools.get(clientAccount)?.raiseCeiling(ceiling);
+    }
+  }
+
   private _ensurePool(account: string): QuotaPool | undefined {
     const limit = this._windowLimits.get(account);
     let pool = this._pools.get(account);
@@ -295,14 +306,17 @@
 
   private _planRecovery(account: string): QuotaRecovery {
     const { isConfigured, records } = this._earlier;
-    const { windowMs } = this._options.quota;
+    const ceiling = this._earlier.getCeiling(account);
     if (!isConfigured || this._initialAccounts?.has(account) !== true) {
       return { kind: 'nothing_spent' };
     }
+    const startedAt = this._startedAt;
     if (!this.isColdStart) {
-      return { kind: 'earlier_leases', startedAt: this._startedAt };
+      return { kind: 'earlier_leases', startedAt, ceiling };
     }
-    return recoverFromHistory(this._startedAt, listSlices(records, account), windowMs);
+    const stoppedAt = this._options.processStartedAt;
+    const history = { ceiling, ...readHistory(records, account) };
+    return { kind: 'all_stopped', startedAt, stoppedAt, history };
   }
 
   private _store(record: TargetRecord, seenAt: number): void {
@@ -359,7 +373,10 @@
 }
 
 /** The recorded spending of a client account, newest first, up to a record of which the age is unknown. */
-function listSlices(records: readonly SpendingRecord[], account: string): ISpendingSlice[] {
+function readHistory(
+  records: readonly SpendingRecord[],
+  account: string,
+): Pick<ISpendingHistory, 'slices' | 'maxLagMs'> {
   const slices: ISpendingSlice[] = [];
   let ageMs = 0;
   for (const { accounts, intervalMs } of [...records].reverse()) {
@@ -370,7 +387,7 @@
     }
     ageMs += intervalMs;
   }
-  return slices;
+  return { slices, maxLagMs: records.at(-1)?.maxLagMs ?? 0 };
 }
 
 function copyWith(
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -47,6 +47,13 @@
 const EXCHANGE_INTERVAL_MS = 100;
 const EXCHANGE_INTERVAL_PER_ENTRY_MS = 10;
 
+/** Bounds of the random factor of the interval. */
+const MIN_JITTER = 0.75;
+const MAX_JITTER = 1.25;
+
+/** Interval at which a new hub looks for the first reports, to record what it may lease. */
+const FIRST_RECORD_POLL_MS = 30;
+
 /**
  * Timeout of one exchange, after which the leader is searched for again. Also of one call that forwards a
  * command, and of the wait for a majority's confirmation.
@@ -294,7 +301,8 @@
         this._exchangeRequested = new AbortController();
       } else {
         await sleep(
-          addJitter(this._computeExchangeInterval(), () => 0.25 + Math.random() / 2),
+          this._computeExchangeInterval() *
+            (MIN_JITTER + Math.random() * (MAX_JITTER - MIN_JITTER)),
           this._exchangeRequested.signal,
           signal,
         );
@@ -323,19 +331,29 @@
     }
   }
 
-  /** While this process is the hub, records durably what all processes spend, until the signal is aborted. */
+  /**
+   * While this process is the hub, records durably what all processes spend and may be leased, until the signal
+   * is aborted.
+   */
   public async runSpendingRecords(signal: AbortSignal): Promise<void> {
     let last: { readonly hub: FleetHub; readonly at: number } | undefined;
     while (!isAborted(signal)) {
-      await sleep(SPENDING_RECORD_INTERVAL_MS, signal);
       const now = this._clock.now();
       const hub = this.getHub(now);
-      const accounts = hub?.takeSpending() ?? [];
+      const accounts = hub?.takeRecords(now) ?? [];
       if (hub !== undefined && accounts.length > 0) {
         const intervalMs = last?.hub === hub ? Math.round(now - last.at) : 0;
         last = { hub, at: now };
-        await this._recordSpending({ accounts, intervalMs }, signal);
+        const maxLagMs = Math.ceil(
+          MAX_JITTER * this._computeEntryInterval() + 2 * SPENDING_RECORD_INTERVAL_MS,
+        );
+        if (await this._recordSpending({ accounts, intervalMs, maxLagMs }, signal)) {
+          hub.raiseCeilings(accounts);
+        }
       }
+      // The first grants of a new hub wait for its first record.
+      const isNewHub = hub !== undefined && last?.hub !== hub;
+      await sleep(isNewHub ? FIRST_RECORD_POLL_MS : SPENDING_RECORD_INTERVAL_MS, signal);
     }
   }
 
@@ -395,16 +413,17 @@
     });
   }
 
-  /** A record that is lost makes the next hub after a simultaneous stop grant less, never more. */
+  /** True if the record is durable. One with an unknown outcome makes a later hub grant less, never more. */
   private async _recordSpending(
     value: MessageInitShape<typeof SpendingRecordSchema>,
     signal: AbortSignal,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const body = { case: 'recordSpending', value } as const;
     const command = toBinary(FleetCommandSchema, create(FleetCommandSchema, { body }));
-    await runWithTimeout(signal, COMMAND_TIMEOUT_MS, async (limited) =>
+    const result = await runWithTimeout(signal, COMMAND_TIMEOUT_MS, async (limited) =>
       this._member?.log.propose(command, limited),
     );
+    return result?.ok === true;
   }
 
   private _isLeading(): boolean {
@@ -435,6 +454,7 @@
     const hub = new FleetHub(`${this._options.address}/${term}`, this._options.hub, now, {
       isConfigured: state?.document !== undefined,
       records: state?.spending ?? [],
+      getCeiling: (clientAccount) => state?.getCeiling(clientAccount) ?? 0,
     });
     this._hub = { hub, term };
     for (const record of this._view.listRecords()) {
@@ -564,9 +584,12 @@
 
   private _computeExchangeInterval(): number {
     // A control member may become the next hub, so it keeps up with this one however many entries there are.
-    return this._member !== undefined
-      ? EXCHANGE_INTERVAL_MS
-      : Math.max(EXCHANGE_INTERVAL_MS, this._view.entryCount * EXCHANGE_INTERVAL_PER_ENTRY_MS);
+    return this._member !== undefined ? EXCHANGE_INTERVAL_MS : this._computeEntryInterval();
+  }
+
+  /** Interval of the exchanges of processes that are not control members. */
+  private _computeEntryInterval(): number {
+    return Math.max(EXCHANGE_INTERVAL_MS, this._view.entryCount * EXCHANGE_INTERVAL_PER_ENTRY_MS);
   }
 
   /** Exchanges with the process at an address; true if it answered as the leader. */
--- a/src/fleet/FleetState.ts
+++ b/src/fleet/FleetState.ts
@@ -15,7 +15,7 @@
 const EMPTY_RESULT = new Uint8Array();
 
 /** Records that are kept, which cover more than the window of a quota. */
-const MAX_SPENDING_RECORDS = 24;
+const MAX_SPENDING_RECORDS = 40;
 
 /** Undefined for bytes that don't decode; every member ignores them, so that the states stay equal. */
 function decodeCommand(bytes: Uint8Array): FleetCommand | undefined {
@@ -35,6 +35,8 @@
   private readonly _weights = new Map<string, NamedWeights>();
   private _document: FleetDocument | undefined;
   private _spending: readonly SpendingRecord[] = [];
+  /** Last recorded ceiling of the leases of each client account. */
+  private _ceilings: Record<string, number> = {};
 
   /** Fires after a command that changed the state, and after a restore. */
   public readonly onChange = this._changes.onFire;
@@ -53,6 +55,11 @@
     return this._spending;
   }
 
+  /** Most tokens of a client account that may be leased; 0 if none ever were. */
+  public getCeiling(clientAccount: string): number {
+    return this._ceilings[clientAccount] ?? 0;
+  }
+
   public apply(command: Uint8Array): Uint8Array {
     // Decoded byte fields share the buffer; without the copy a stored document would retain a whole batch.
     const body = decodeCommand(new Uint8Array(command))?.body;
@@ -64,7 +71,7 @@
         this._nameWeights(body.value);
         break;
       case 'recordSpending':
-        this._spending = [...this._spending, body.value].slice(-MAX_SPENDING_RECORDS);
+        this._recordSpending(body.value);
         break;
       case undefined:
         break;
@@ -76,6 +83,7 @@
     const snapshot = create(FleetSnapshotSchema, {
       weights: [...this._weights.values()],
       spending: [...this._spending],
+      ceilings: this._ceilings,
     });
     if (this._document !== undefined) {
       snapshot.document = this._document;
@@ -87,6 +95,7 @@
     const snapshot = fromBinary(FleetSnapshotSchema, new Uint8Array(bytes));
     this._document = snapshot.document;
     this._spending = snapshot.spending;
+    this._ceilings = snapshot.ceilings;
     this._weights.clear();
     for (const weights of snapshot.weights) {
       this._weights.set(weights.model, weights);
@@ -94,6 +103,13 @@
     this._changes.fire(undefined);
   }
 
+  private _recordSpending(record: SpendingRecord): void {
+    this._spending = [...this._spending, record].slice(-MAX_SPENDING_RECORDS);
+    for (const { clientAccount, ceiling } of record.accounts) {
+      this._ceilings[clientAccount] = ceiling;
+    }
+  }
+
   private _putDocument(document: FleetDocument): void {
     if (this._document === undefined || document.version > this._document.version) {
       this._document = document;
--- a/src/fleet/QuotaPool.ts
+++ b/src/fleet/QuotaPool.ts
@@ -3,10 +3,13 @@
  * what it has spent within the sliding window never exceeds it. The sum of all leases never exceeds the limit,
  * so neither does what all entries spend within any window, also while they cannot reach the hub.
  */
-import type { QuotaRecovery } from './QuotaRecovery.js';
+import { computeWithheld, type QuotaRecovery } from './QuotaRecovery.js';
 
 /** Fraction of the unspent tokens that the hub keeps for entries that need more than their share. */
-const RESERVE_FRACTION = 0.4;
+const RESERVE_FRACTION = 0.6;
+
+/** Fraction of the limit by which the recorded ceiling exceeds the leases, so that few grants wait for a record. */
+const HEADROOM_FRACTION = 0.1;
 
 /** An entry holds this multiple of what it wants, so that it can go on while a leader is elected. */
 const DEMAND_FACTOR = 2;
@@ -38,6 +41,14 @@
   readonly incarnation: string;
 }
 
+/** What is recorded durably of one client account. */
+export interface IQuotaRecord {
+  /** Tokens that were spent since the record before. */
+  readonly tokens: number;
+  /** Most tokens that are leased until the next record. */
+  readonly ceiling: number;
+}
+
 /** Result of one exchange. */
 export interface IQuotaDecision {
   /** The entry's new lease. If the entry has spent more meanwhile, its lease is what it has spent. */
@@ -59,13 +70,17 @@
   private _brought = 0;
   private _nextExpiryAt = Number.NEGATIVE_INFINITY;
   private _spentSinceRecord = 0;
+  /** Most tokens that may be leased, by the durable records. */
+  private _ceiling: number;
 
   constructor(
     /** Most tokens within the window. */
     private _limit: number,
     private readonly _windowMs: number,
     private readonly _recovery: QuotaRecovery,
-  ) {}
+  ) {
+    this._ceiling = this._computeWithheld(Number.NEGATIVE_INFINITY);
+  }
 
   public setLimit(limit: number): void {
     this._limit = limit;
@@ -92,8 +107,9 @@
       this._spentSinceRecord += Math.max(0, usage.total - previous.total);
     }
     this._store(key, { ...run, ...usage, expiresAt: this._computeExpiry(now) });
-    const limit = this._limit - this._computeWithheld(now);
-    const room = Math.max(0, limit - this._leased);
+    const withheld = this._computeWithheld(now);
+    const limit = this._limit - withheld;
+    const room = Math.max(0, Math.min(limit, this._ceiling - withheld) - this._leased);
     const target = this._computeTarget(usage, limit, entryCount);
     const growth = Math.max(0, target - usage.lease);
     const needed = Math.max(0, usage.spent + usage.wanted - usage.lease);
@@ -119,11 +135,31 @@
     return this._shares.size === 0;
   }
 
-  /** Returns the tokens that entries reported as spent since the last call. */
-  public takeSpending(): number {
-    const spent = this._spentSinceRecord;
+  /**
+   * Returns what entries spent since the last call, and the ceiling that the leases keep from now on; undefined
+   * if nothing changes. The record must be durable before `raiseCeiling` is called.
+   */
+  public takeRecord(now: number): IQuotaRecord | undefined {
+    const committed = this._leased + this._computeWithheld(now);
+    const ceiling = Math.min(this._limit, committed + this._limit * HEADROOM_FRACTION);
+    const isRaised = ceiling > this._ceiling;
+    const isLowered = ceiling < this._ceiling - this._limit * HEADROOM_FRACTION;
+    const tokens = this._spentSinceRecord;
+    if (tokens < 1 && !isRaised && !isLowered) {
+      return undefined;
+    }
     this._spentSinceRecord = 0;
-    return spent;
+    this._ceiling = Math.min(this._ceiling, ceiling);
+    return { tokens, ceiling };
+  }
+
+  /** Called when the record of a ceiling is durable. */
+  public raiseCeiling(ceiling: number): void {
+    this._ceiling = ceiling;
+  }
+
+  private _computeWithheld(now: number): number {
+    return computeWithheld(this._recovery, this._brought, this._windowMs, now);
   }
 
   /** An equal share of the unspent tokens, less the reserve, or a multiple of what the entry wants. */
@@ -137,26 +173,6 @@
     );
   }
 
-  /** Tokens that processes unknown to this hub may have spent or may still spend under earlier leases. */
-  private _computeWithheld(now: number): number {
-    const recovery = this._recovery;
-    switch (recovery.kind) {
-      case 'nothing_spent':
-        return 0;
-      case 'earlier_leases': {
-        const endsAt = recovery.startedAt + (LEASE_WINDOWS + 1) * this._windowMs;
-        return now >= endsAt ? 0 : Math.max(0, this._limit - this._brought);
-      }
-      case 'spending_history': {
-        if (now - recovery.startedAt >= this._windowMs) {
-          return 0;
-        }
-        // Entries that have survived go on with their leases, as after a change of the leader.
-        return Math.max(0, this._limit - Math.max(recovery.sumExpired(now), this._brought));
-      }
-    }
-  }
-
   private _computeExpiry(now: number): number {
     return now + (LEASE_WINDOWS + 1) * this._windowMs;
   }
