Bound bytes of a target that end nothing

Tests: three in CallRunner.test.ts run into the deadline of 5 s without the change. Ruled out: heads without end, which the client's parser bounds at 16 KB.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -4,7 +4,7 @@
 import { isMechanismDisabled } from '../common/TestSwitches.js';
 import type { IRoute } from '../fleet/Types.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
-import { EventFramer } from './EventFramer.js';
+import { EventFramer, MAX_EVENT_BYTES } from './EventFramer.js';
 import { isSilent } from './Silence.js';
 import { recordSuccess, recordLoad, recordUnreachable, type ITargetState } from './TargetStates.js';
 import type {
@@ -68,6 +68,13 @@
 /** Responses to safe requests are buffered up to this size, and streamed beyond it. */
 const MAX_BUFFERED_BYTES = 64 * 1024;
 
+/**
+ * Bounds of a body that is discarded. Its end lets the connection be used again, but a faulty target may send
+ * it without end, and the request can go on elsewhere.
+ */
+const MAX_DISCARDED_BYTES = 64 * 1024;
+const MAX_DISCARD_MS = 100;
+
 /**
  * One attempt of a call at one target. Counts the request in the state of the target while it runs, ends
  * it at the deadline, when the client disconnects or when the target falls silent, and relays the
@@ -94,6 +101,8 @@
   private _hasEnded = false;
   /** True if the body is discarded: the request was not run, or another target will be tried. */
   private _isDiscarded = false;
+  private _discardedBytes = 0;
+  private _discardTimer: NodeJS.Timeout | undefined;
   private _isPaused = false;
 
   constructor(
@@ -172,6 +181,7 @@
       return await this._finished;
     } finally {
       clearTimeout(deadlineTimer);
+      clearTimeout(this._discardTimer);
       clearInterval(silenceTimer);
       signal.removeEventListener('abort', handleAbort);
       state.open -= 1;
@@ -232,6 +242,11 @@
       head.isNotRun ||
       head.isOtherTarget ||
       (mayReplaceError && head.status >= MIN_SERVER_ERROR_STATUS && !this._sink.isStarted);
+    if (this._isDiscarded) {
+      this._discardTimer = setTimeout(() => {
+        this._end(this._describeDiscarded());
+      }, MAX_DISCARD_MS);
+    }
     // The client has already received a status of 200, so only such a response can resume the stream.
     if (this._sink.isStarted && !this._isDiscarded && head.status !== 200) {
       this._end({ kind: 'failed', reason: `status ${head.status} when resuming a stream` });
@@ -240,7 +255,11 @@
 
   private _handleData(chunk: Buffer): void {
     this._options.state.lastActivityAt = this._context.clock.now();
-    if (this._hasEnded || this._isDiscarded || chunk.length === 0) {
+    if (this._hasEnded || chunk.length === 0) {
+      return;
+    }
+    if (this._isDiscarded) {
+      this._discard(chunk);
       return;
     }
     if (this._framer === undefined || !this._isSuccess()) {
@@ -256,6 +275,16 @@
       TEST_ONLY: if (isMechanismDisabled('event-number')) return;
       this.lastEventId = lastId ?? this.lastEventId;
     }
+    if (this._framer.isOverlong) {
+      this._end({ kind: 'failed', reason: `an event exceeds ${MAX_EVENT_BYTES} bytes` });
+    }
+  }
+
+  private _discard(chunk: Buffer): void {
+    this._discardedBytes += chunk.length;
+    if (this._discardedBytes > MAX_DISCARDED_BYTES) {
+      this._end(this._describeDiscarded());
+    }
   }
 
   private _handleEnd(): void {
--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -33,7 +33,7 @@
 } from './Types.js';
 
 /** Behaviour of a target for one request. */
-type TargetScript = (listener: ITargetListener, dispatch: IDispatch) => void;
+type TargetScript = (listener: ITargetListener, dispatch: IDispatch, signal: AbortSignal) => void;
 
 const OK_HEAD: ITargetHead = {
   status: 200,
@@ -60,12 +60,14 @@
   ): ITargetExchange {
     this.sent.push({ target: target.id, dispatch });
     const script = this._scripts.shift();
-    setImmediate(() => script?.(listener, dispatch));
+    const exchange = new AbortController();
+    setImmediate(() => script?.(listener, dispatch, exchange.signal));
     return {
       wasSent: true,
       pause: () => undefined,
       resume: () => undefined,
       abort: () => {
+        exchange.abort();
         this.aborted += 1;
       },
     };
@@ -205,6 +207,18 @@
 const resetAfterSend: TargetScript = (listener) => {
   listener.onError('reset', true);
 };
+/** Sends the head, and bytes that end nothing until the exchange is aborted. */
+function sendWithoutEnd(head: ITargetHead, chunk: Buffer, intervalMs: number): TargetScript {
+  return (listener, _dispatch, signal) => {
+    listener.onHead(head);
+    const timer = setInterval(() => {
+      listener.onData(chunk);
+    }, intervalMs);
+    signal.addEventListener('abort', () => {
+      clearInterval(timer);
+    });
+  };
+}
 const refuseConnection: TargetScript = (listener) => {
   listener.onError('connection refused', false);
 };
@@ -375,6 +389,34 @@
     expect(late.targets.sent).toEqual([]);
   });
 
+  it.each([
+    ['fast', 16_384, 1],
+    ['slow', 1, 20],
+  ])(
+    'goes on elsewhere when the body of a refusal never ends (%s)',
+    async (_name, size, intervalMs) => {
+      const endless = sendWithoutEnd(BUSY_HEAD, Buffer.alloc(size, 'x'), intervalMs);
+      const startedAt = performance.now();
+      const { sink, targets } = await runCall([endless, answerOk], {
+        route: { maxAttempts: 2 },
+        call: { deadlineMs: 5_000 },
+      });
+      expect(sink).toMatchObject({ status: 200, ending: 'end' });
+      expect(targets.aborted).toBe(1);
+      expect(performance.now() - startedAt).toBeLessThan(1_000);
+    },
+  );
+
+  it('gives up a stream in which an event never ends, instead of buffering it until the deadline', async () => {
+    const endless = sendWithoutEnd(OK_HEAD, Buffer.alloc(65_536, 'x'), 1);
+    const { sink, targets } = await runCall([endless], {
+      route: { kind: 'streaming', maxAttempts: 1 },
+      call: { deadlineMs: 5_000 },
+    });
+    expect(sink).toMatchObject({ status: 502, ending: 'refuse' });
+    expect(targets.aborted).toBe(1);
+  });
+
   it('sends no burst to the only engine with new weights while idle ones may still be used', async () => {
     const { sink, targets } = await runCall([answerOk], {
       named: { version: 2, knownMs: 7_000 },
--- a/src/gateway/EventFramer.ts
+++ b/src/gateway/EventFramer.ts
@@ -3,6 +3,10 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const EMPTY = Buffer.alloc(0);
+
+/** An event with more bytes is none: a faulty target may send bytes without end. */
+export const MAX_EVENT_BYTES = 256 * 1024;
+
 const ID_FIELD = /(?:^|\n)id:[ ]?(\d+)/g;
 
 /** Complete events, as raw bytes. */
@@ -28,6 +32,11 @@
     return this._incomplete;
   }
 
+  /** True if more bytes than any event has arrived without the end of one. */
+  public get isOverlong(): boolean {
+    return this._incomplete.length > MAX_EVENT_BYTES;
+  }
+
   /** Returns the events that this chunk completes. */
   public push(chunk: Buffer): IFramedEvents {
     const all = this._incomplete.length === 0 ? chunk : Buffer.concat([this._incomplete, chunk]);
