Count the age of spending records as unknown after one whose outcome is unknown

Cause, read in the change itself: a record that failed still moved the start of the next interval, so the ages of the records before it came out too low, and spending that had left the window could be granted again. Change: the next record states an unknown interval, which ends the history that a later hub uses. Ruled out: counting on the failed record, which may or may not be in the log.

--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -351,10 +351,13 @@
       const accounts = hub?.takeRecords(now) ?? [];
       if (hub !== undefined && accounts.length > 0) {
         const intervalMs = last?.hub === hub ? Math.round(now - last.at) : 0;
-        last = { hub, at: now };
         const maxLagMs = this.getPropagationMs() + 2 * SPENDING_RECORD_INTERVAL_MS;
         if (await this._recordSpending({ accounts, intervalMs, maxLagMs }, signal)) {
           hub.raiseCeilings(accounts);
+          last = { hub, at: now };
+        } else {
+          // Whether the record counts is unknown, and with it the time between the ones around it.
+          last = undefined;
         }
       }
       // The first grants of a new hub wait for its first record.
