Begin no request on old weights after their limit at any fleet size

An entry counted the time from the exchange that told it of the version, up to 0.5 s late at 70 entries, and a request may wait at the engine longer than expected. Tests: FleetNode.test.ts (age), Placement.test.ts (no target rather than a late one).

--- a/src/fleet/FleetNode.test.ts
+++ b/src/fleet/FleetNode.test.ts
@@ -126,6 +126,20 @@
     });
   });
 
+  it('counts the age of named weights from the leader, not from the exchange that tells of them', async () => {
+    // With 70 entries an exchange may come 0.5 s later; requests would begin on old weights after the limit.
+    const leader = fleet.start('leader', ['leader'], true);
+    const body = { case: 'nameWeights', value: { model: 'm', version: 2n } } as const;
+    await leader.node.submit(create(FleetCommandSchema, { body }), fleet.stop.signal);
+    await waitUntil('the leader knows of it', () => leader.view.weights.getNewest('m') === 2);
+    const learnedAt = leader.view.weights.getNewestLearnedAt('m') ?? 0;
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    const entry = fleet.start('entry', ['leader']);
+    await waitUntil('the entry knows of it', () => entry.view.weights.getNewest('m') === 2);
+    const entryLearnedAt = entry.view.weights.getNewestLearnedAt('m') ?? 0;
+    expect(Math.abs(entryLearnedAt - learnedAt)).toBeLessThan(100);
+  });
+
   it('does not confirm an exchange without a leader', async () => {
     const entry = fleet.start('entry', ['nobody']);
     entry.node.announce(buildTarget(), CLOCK.now());
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -14,6 +14,7 @@
   FleetCommandSchema,
   FleetService,
   LeaseResponseSchema,
+  NamedWeightsSchema,
   QuotaGrantSchema,
   QuotaReportSchema,
   ReadDocumentResponseSchema,
@@ -402,7 +403,12 @@
     );
     response.readings = [...readingDelta.readings];
     response.readingRevision = BigInt(readingDelta.revision);
-    response.weights = [...state.weights];
+    response.weights = state.weights.map(({ model, version }) => {
+      const learnedAt = this._view.weights.getNewestLearnedAt(model) ?? now;
+      const isKnown = this._view.weights.getNewest(model) === Number(version);
+      const ageMs = isKnown ? Math.round(now - learnedAt) : 0;
+      return create(NamedWeightsSchema, { model, version, ageMs });
+    });
     response.work = hub.sumWorkOfOthers(request.node);
     response.entries = hub.countEntries();
     response.grants = hub.grantLeases(request, now).map((grant) => create(QuotaGrantSchema, grant));
--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -106,8 +106,8 @@
   }
 
   public applyWeights(weights: readonly NamedWeights[], now: number): void {
-    for (const { model, version } of weights) {
-      if (this._weights.record(model, Number(version), now)) {
+    for (const { model, version, ageMs } of weights) {
+      if (this._weights.record(model, Number(version), now - ageMs)) {
         this._log.info('weights named', { model, version: Number(version) });
       }
     }
--- a/src/fleet/WeightsHistory.ts
+++ b/src/fleet/WeightsHistory.ts
@@ -23,6 +23,11 @@
     return true;
   }
 
+  /** When this process learned of the newest named version; undefined if none was named. */
+  public getNewestLearnedAt(model: string): number | undefined {
+    return this._versionsByModel.get(model)?.at(-1)?.learnedAt;
+  }
+
   /** Newest named version; undefined if none was named. */
   public getNewest(model: string): number | undefined {
     return this._versionsByModel.get(model)?.at(-1)?.version;
--- a/src/gateway/Placement.test.ts
+++ b/src/gateway/Placement.test.ts
@@ -278,6 +278,8 @@
     const request = buildRequest({ wantedVersion: 2, parts: [] });
     const chosen = new Placement('zg-a').choose(request, targets, EMPTY_STORE, 0);
     expect(chosen?.target.id).toBe(record.id);
+    // Without another target the request is refused at once: it may not run on the old weights.
+    expect(new Placement('zg-a').choose(request, targets.slice(1), EMPTY_STORE, 0)).toBeUndefined();
   });
 
   it.each([
--- a/src/gateway/Placement.ts
+++ b/src/gateway/Placement.ts
@@ -50,7 +50,7 @@
 const OLD_WEIGHTS_COST = 0.2;
 
 /** A request may wait for several times the expected time before it begins, as other entries send at once. */
-const MAX_START_DELAY_FACTOR = 4;
+const MAX_START_DELAY_FACTOR = 6;
 
 /** Cost of a target in another data centre, so that of equal targets a local one is chosen. */
 const REMOTE_DATA_CENTRE_COST = 0.004;
@@ -104,7 +104,7 @@
     private readonly _holders = new PromptHolders(),
   ) {}
 
-  /** Returns undefined if `targets` is empty. */
+  /** Returns undefined if there is no target on which the request can begin in time. */
   public choose(
     request: IPlacementRequest,
     targets: readonly IPlacementTarget[],
@@ -118,7 +118,10 @@
     for (const holding of holdings) {
       const options = optionsByVersion.get(holding.version) ?? NO_SOURCES;
       const placement = this._estimateCost(request, holding, parts, options, now);
-      if (best === undefined || placement.cost < best.cost) {
+      // A request must begin while the weights of its target may still be used.
+      const canBegin =
+        placement.expectedMs * MAX_START_DELAY_FACTOR <= holding.target.weightsUsableMs;
+      if (canBegin && (best === undefined || placement.cost < best.cost)) {
         best = placement;
       }
     }
@@ -164,9 +167,7 @@
         ? DELAYED_WEIGHTS_LOAD_COST
         : 0) +
       (record.dataCentre === this._dataCentre ? 0 : REMOTE_DATA_CENTRE_COST) +
-      (isUnavailable || expectedMs * MAX_START_DELAY_FACTOR > target.weightsUsableMs
-        ? UNAVAILABLE_TARGET_COST
-        : 0) +
+      (isUnavailable ? UNAVAILABLE_TARGET_COST : 0) +
       // Breaks ties between idle targets.
       expectedMs / 1_000_000;
     return {
