Prepare engines for a load only as long as the old weights last

Three engines at a time were prepared, most for the full four seconds, as each had a long stream. From 18 to 22 s the three with new weights got all requests and refused 73 as overloaded. Change: the longest preparation is an equal part of the time that is left for the old weights, by groups. Test: WeightsRollout.test.ts, eight engines with a long stream each; fails with four seconds for each. Ruled out: more loads at once, which makes each slower and leaves fewer engines.

--- a/src/fleet/WeightsHistory.ts
+++ b/src/fleet/WeightsHistory.ts
@@ -42,13 +42,4 @@
     const next = versions.find(({ version }) => version > held);
     return next === undefined ? Number.POSITIVE_INFINITY : next.learnedAt + limitMs - now;
   }
-
-  /**
-   * Newest version that has been known for at least `graceMs`; a request may no longer begin on an older one.
-   * 0 if there is none.
-   */
-  public getRequiredVersion(model: string, graceMs: number, now: number): number {
-    const versions = this._versionsByModel.get(model) ?? [];
-    return versions.findLast(({ learnedAt }) => now - learnedAt >= graceMs)?.version ?? 0;
-  }
 }
--- a/src/fleet/WeightsRollout.test.ts
+++ b/src/fleet/WeightsRollout.test.ts
@@ -1,7 +1,8 @@
 /** Guards against engines that never get the named weights, and against too many loads at once. */
+import { create } from '@bufbuild/protobuf';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { SILENT_LOG } from '../common/Log.js';
-import { TargetPhase } from '../gen/redwingwharf/v1/fleet_pb.js';
+import { ExchangeRequestSchema, TargetPhase } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { buildTarget, NO_SPENDING } from './Fixtures.js';
 import { FleetHub } from './FleetHub.js';
 import { WeightsRollout, type IEngineClient } from './WeightsRollout.js';
@@ -57,6 +58,8 @@
   readonly held?: number;
   getConfirmationAgeMs?(): number;
   readonly propagationMs?: number;
+  /** Time for which the old weights may be used. */
+  readonly usableMs?: number;
 }
 
 function startRollout(count: number, setup: IRolloutSetup = {}): IStartedRollout {
@@ -79,6 +82,7 @@
     hub.announce(record, Date.now());
   }
   const engines = new FakeEngines();
+  const startedAt = Date.now();
   const stop = new AbortController();
   const rollout = new WeightsRollout(
     {
@@ -86,7 +90,7 @@
       getPropagationMs: () => setup.propagationMs ?? 190,
       getConfirmationAgeMs: () => setup.getConfirmationAgeMs?.() ?? 0,
       term: setup.term ?? 1,
-      getRequiredVersion: () => 0,
+      getUsableMs: () => (setup.usableMs ?? 60_000) - (Date.now() - startedAt),
       weights: [{ model: 'm', version: 2n }],
     },
     engines,
@@ -166,6 +170,24 @@
     expect(markedAt - startedAt).toBeGreaterThanOrEqual(800);
   });
 
+  it('loads all engines before the old weights expire, though each has a long stream', async () => {
+    // Eight engines, two at a time: waiting four seconds for the streams of each group takes far too long.
+    const { hub, stop } = startRollout(8, { usableMs: 6_500 });
+    const work = hub
+      .listTargets()
+      .map(({ id }) => ({ id, open: 1, pendingTokens: 0, longStreams: 1 }));
+    for (let step = 0; step < 75; step += 1) {
+      const report = create(ExchangeRequestSchema, { node: 'n1', takesRequests: true, work });
+      hub.applyReport(report, Date.now());
+      for (const record of hub.listTargets()) {
+        hub.announce(buildTarget({ ...record, sequence: record.sequence + 1n }), Date.now());
+      }
+      await vi.advanceTimersByTimeAsync(100);
+    }
+    stop.abort();
+    expect(listOutdated(hub)).toEqual([]);
+  });
+
   it('frees engines that have their weights but that a former leader left as loading', async () => {
     const { hub, stop } = startRollout(3, { term: 2, held: 2, inherited: ['i-0'] });
     await vi.advanceTimersByTimeAsync(5_000);
--- a/src/fleet/WeightsRollout.ts
+++ b/src/fleet/WeightsRollout.ts
@@ -91,11 +91,16 @@
   getConfirmationAgeMs(now: number): number;
   /** Term of the replicated log. A term has at most one leader, so it serves as fencing token. */
   readonly term: number;
-  /** Oldest version that a new request may still begin on. */
-  getRequiredVersion(model: string, now: number): number;
+  /** Time for which requests may still begin on a version; zero or less once it is over. */
+  getUsableMs(model: string, version: number, now: number): number;
   readonly weights: readonly { readonly model: string; readonly version: bigint }[];
 }
 
+interface ILoadLimits {
+  readonly maxParallelLoads: number;
+  readonly maxPrepareMs: number;
+}
+
 /** A load of weights on one engine, and the hub that propagates its state. */
 interface ILoadTask {
   readonly target: TargetRecord;
@@ -198,28 +203,36 @@
       .filter((target) => isLoadable(target, model))
       .sort((left, right) => getVersion(left, model) - getVersion(right, model));
     // Engines with weights that no request may begin on get no requests anyway, so they may all load at once.
-    const requiredVersion = this._leader.getRequiredVersion(model, now);
-    const unusable = candidates.filter(
-      (target) => getVersion(target, model) < requiredVersion,
-    ).length;
+    const outdated = candidates.filter((target) => getVersion(target, model) < version);
+    const usableMs = outdated.map((target) =>
+      this._leader.getUsableMs(model, getVersion(target, model), now),
+    );
+    const unusable = usableMs.filter((ms) => ms <= 0).length;
     const maxParallelLoads = Math.max(
       MIN_PARALLEL_LOADS,
       Math.floor(candidates.length * PARALLEL_LOADS_FRACTION),
       unusable,
     );
-    for (const target of candidates) {
+    const maxPrepareMs = computeMaxPrepareMs(
+      Math.min(...usableMs),
+      Math.ceil(outdated.length / maxParallelLoads),
+    );
+    for (const target of outdated) {
       const mayLoad =
-        getVersion(target, model) < version &&
-        !this._loading.has(target.id) &&
-        now >= (this._cooldownUntil.get(target.id) ?? 0);
+        !this._loading.has(target.id) && now >= (this._cooldownUntil.get(target.id) ?? 0);
       if (mayLoad) {
-        this._advanceLoad({ target, model, version, hub }, maxParallelLoads, signal);
+        const load = { target, model, version, hub };
+        this._advanceLoad(load, { maxParallelLoads, maxPrepareMs }, signal);
       }
     }
   }
 
   /** Starts an engine's preparation, or its load once it is prepared, if the limits allow one more. */
-  private _advanceLoad(load: ILoadTask, maxParallelLoads: number, signal: AbortSignal): void {
+  private _advanceLoad(
+    load: ILoadTask,
+    { maxParallelLoads, maxPrepareMs }: ILoadLimits,
+    signal: AbortSignal,
+  ): void {
     const { target, hub } = load;
     const now = this._clock.now();
     const preparingSince = this._preparing.get(target.id);
@@ -229,7 +242,7 @@
         hub.setLoadState(target.id, 'preparing');
       }
     } else if (
-      this._isPrepared(target, hub, now - preparingSince) &&
+      this._isPrepared(target, hub, now - preparingSince, maxPrepareMs) &&
       this._loading.size < maxParallelLoads
     ) {
       this._preparing.delete(target.id);
@@ -237,8 +250,13 @@
     }
   }
 
-  private _isPrepared(target: TargetRecord, hub: FleetHub, preparingMs: number): boolean {
-    if (preparingMs >= MAX_PREPARE_MS) {
+  private _isPrepared(
+    target: TargetRecord,
+    hub: FleetHub,
+    preparingMs: number,
+    maxPrepareMs: number,
+  ): boolean {
+    if (preparingMs >= maxPrepareMs) {
       return true;
     }
     const isKnown = preparingMs >= Math.max(MIN_PREPARE_MS, this._leader.getPropagationMs());
@@ -338,6 +356,15 @@
   }
 }
 
+/**
+ * Longest preparation of an engine. Each group of engines gets an equal part of the time for which requests
+ * may still begin on the oldest weights: waiting longer for streams would leave later groups without requests.
+ */
+function computeMaxPrepareMs(usableMs: number, remainingGroups: number): number {
+  const shareMs = usableMs / Math.max(1, remainingGroups);
+  return Math.min(MAX_PREPARE_MS, Math.max(MIN_PREPARE_MS, shareMs));
+}
+
 function isLoadable(target: TargetRecord, model: string): boolean {
   return (
     target.phase === TargetPhase.READY &&
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -193,9 +193,10 @@
         getHub: (now) => node.getHub(now),
         getPropagationMs: () => node.getPropagationMs(),
         getConfirmationAgeMs: (now) => node.getConfirmationAgeMs(now),
-        getRequiredVersion: (model, now) =>
-          view.weights.getRequiredVersion(
+        getUsableMs: (model, version, now) =>
+          view.weights.getUsableMs(
             model,
+            version,
             this._options.weightsRolloutLimitMs - WEIGHTS_LIMIT_MARGIN_MS,
             now,
           ),
