Cancel a request that has not begun when the weights of its target expire

Cause: a margin that covers the wait at an engine keeps engines out long before their weights expire. Change: the exact time is kept by the entry that sent the request: without a first byte it closes the exchange when the weights expire, which takes the request out of the engine's queue. The margin is 0.6 s. Test: CallRunner.test.ts. Ruled out: a shorter deadline for the engine, which would also stop streams that began in time.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -38,6 +38,8 @@
   readonly state: ITargetState;
   readonly route: IRoute;
   /** Deadline of the call: the earlier of the client's and the route's, on the monotonic clock. */
+  /** Time by which the target must have begun, as its weights expire then; may be infinite. */
+  readonly beginBy: number;
   readonly deadlineAt: number;
   readonly lastEventId: number | undefined;
   /** Prompt tokens that the target is expected to compute, that is, that are not in its cache. */
@@ -143,6 +145,7 @@
       },
       Math.max(0, remainingMs),
     );
+    const beginTimer = this._startBeginTimer();
     this._sentAt = clock.now();
     const silenceTimer = setInterval(() => {
       this._checkSilence();
@@ -181,6 +184,7 @@
       return await this._finished;
     } finally {
       clearTimeout(deadlineTimer);
+      clearTimeout(beginTimer);
       clearTimeout(this._discardTimer);
       clearInterval(silenceTimer);
       signal.removeEventListener('abort', handleAbort);
@@ -192,6 +196,19 @@
     }
   }
 
+  /** Cancels the request when the weights of the target expire before its first byte. */
+  private _startBeginTimer(): NodeJS.Timeout | undefined {
+    const remainingMs = this._options.beginBy - this._context.clock.now();
+    if (!Number.isFinite(remainingMs)) {
+      return undefined;
+    }
+    return setTimeout(() => {
+      if (!this.hasFirstByte) {
+        this._end({ kind: 'failed', reason: 'the weights expired before the first byte' });
+      }
+    }, remainingMs);
+  }
+
   /** Ends the attempt and aborts the exchange with the target. */
   private _end(outcome: AttemptOutcome): void {
     if (this._hasEnded) {
--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -427,6 +427,17 @@
     expect(targets.sent.map(({ target }) => target)).not.toContain('i-2');
   });
 
+  it('cancels a request that has not begun when the weights of its target expire', async () => {
+    // It would begin on weights that may no longer be used, in the queue of an engine that is slower than expected.
+    const { sink, targets } = await runCall([() => undefined], {
+      named: { version: 2, knownMs: 8_600 },
+      route: { maxAttempts: 1 },
+      call: { deadlineMs: 5_000 },
+    });
+    expect(targets.aborted).toBe(1);
+    expect(sink).toMatchObject({ status: 502, ending: 'refuse' });
+  });
+
   it('prefers a target with newer weights while old ones may still be used', async () => {
     const { targets } = await runCall([answerOk], {
       named: { version: 2, knownMs: 7_000 },
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -327,6 +327,7 @@
       state,
       route,
       deadlineAt: admitted.deadlineAt,
+      beginBy: startedAt + placement.weightsUsableMs,
       lastEventId: progress.lastEventId,
       pendingTokens: Math.round(placement.missedTokens + (call.parts.at(-1)?.tokens ?? 0)),
       expectedMs: placement.expectedMs,
--- a/src/gateway/Placement.ts
+++ b/src/gateway/Placement.ts
@@ -50,7 +50,7 @@
 const OLD_WEIGHTS_COST = 0.2;
 
 /** A request may wait for several times the expected time before it begins, as other entries send at once. */
-const MAX_START_DELAY_FACTOR = 6;
+const MAX_START_DELAY_FACTOR = 2;
 
 /** Cost of a target in another data centre, so that of equal targets a local one is chosen. */
 const REMOTE_DATA_CENTRE_COST = 0.004;
@@ -75,6 +75,8 @@
 /** The chosen target and the estimates behind the choice. */
 export interface IPlacement {
   readonly target: TargetRecord;
+  /** Time within which the request must begin there, as the weights of the target expire; may be infinite. */
+  readonly weightsUsableMs: number;
   readonly cost: number;
   /** Expected time to the first byte in milliseconds. */
   readonly expectedMs: number;
@@ -172,6 +174,7 @@
       expectedMs / 1_000_000;
     return {
       target: record,
+      weightsUsableMs: target.weightsUsableMs,
       cost,
       expectedMs,
       modelMs,
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -22,8 +22,8 @@
 import { InternalServer } from './InternalServer.js';
 import { MemberHost, type IMemberOptions } from './MemberHost.js';
 
-/** Covers the time until a named version reaches the leader and a request reaches an engine and begins. */
-const WEIGHTS_LIMIT_MARGIN_MS = 1_500;
+/** Covers the time until a named version reaches the leader, and the cancellation of a request the engine. */
+const WEIGHTS_LIMIT_MARGIN_MS = 600;
 
 export interface IFleetProcessOptions {
   readonly dataCentre: string;
