Split the records of spending from the node

FleetNode held the loop that records spending and ceilings, with its interval in FleetHub. SpendingRecorder holds both; nothing else changes.

--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -80,9 +80,6 @@
   getCeiling(clientAccount: string): number;
 }
 
-/** Interval between two records of spending. */
-export const SPENDING_RECORD_INTERVAL_MS = 300;
-
 export interface IHubOptions {
   /** Interval in milliseconds at which a target announces itself. */
   readonly announceIntervalMs: number;
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -1,5 +1,5 @@
 /** Connects a process to the leader: exchanges, changes and confirmed reads. Runs the hub while it leads. */
-import { create, toBinary, type MessageInitShape } from '@bufbuild/protobuf';
+import { create, toBinary } from '@bufbuild/protobuf';
 import { randomUUID } from 'node:crypto';
 import type { Client, ConnectRouter } from '@connectrpc/connect';
 import type { IClock } from '../common/Clock.js';
@@ -7,7 +7,6 @@
 import type { RpcClients } from '../common/Rpc.js';
 import { addJitter, isAborted, runWithTimeout, sleep } from '../common/Tasks.js';
 import type { IConsensusStatus, IReplicatedLog } from '../consensus/Types.js';
-import type { SpendingRecordSchema } from '../gen/redwingwharf/v1/fleet_pb.js';
 import {
   ExchangeRequestSchema,
   ExchangeResponseSchema,
@@ -31,7 +30,7 @@
   type TargetRecord,
   type TargetWork,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
-import { FleetHub, SPENDING_RECORD_INTERVAL_MS, type IHubOptions } from './FleetHub.js';
+import { FleetHub, type IHubOptions } from './FleetHub.js';
 import { findLeader, type ILeaderHint } from './LeaderSearch.js';
 import type { FleetState } from './FleetState.js';
 import type { FleetView } from './FleetView.js';
@@ -55,9 +54,6 @@
 /** Usual time of one exchange, with the wait for processor time at both ends. */
 const EXCHANGE_ROUND_TRIP_MS = 60;
 
-/** Interval at which a new hub looks for the first reports, to record what it may lease. */
-const FIRST_RECORD_POLL_MS = 30;
-
 /**
  * Timeout of one exchange, after which the leader is searched for again. Also of one call that forwards a
  * command, and of the wait for a majority's confirmation.
@@ -340,33 +336,6 @@
     }
   }
 
-  /**
-   * While this process is the hub, records durably what all processes spend and may be leased, until the signal
-   * is aborted.
-   */
-  public async runSpendingRecords(signal: AbortSignal): Promise<void> {
-    let last: { readonly hub: FleetHub; readonly at: number } | undefined;
-    while (!isAborted(signal)) {
-      const now = this._clock.now();
-      const hub = this.getHub(now);
-      const accounts = hub?.takeRecords(now) ?? [];
-      if (hub !== undefined && accounts.length > 0) {
-        const intervalMs = last?.hub === hub ? Math.round(now - last.at) : 0;
-        const maxLagMs = this.getPropagationMs() + 2 * SPENDING_RECORD_INTERVAL_MS;
-        if (await this._recordSpending({ accounts, intervalMs, maxLagMs }, signal)) {
-          hub.raiseCeilings(accounts);
-          last = { hub, at: now };
-        } else {
-          // Whether the record counts is unknown, and with it the time between the ones around it.
-          last = undefined;
-        }
-      }
-      // The first grants of a new hub wait for its first record.
-      const isNewHub = hub !== undefined && last?.hub !== hub;
-      await sleep(isNewHub ? FIRST_RECORD_POLL_MS : SPENDING_RECORD_INTERVAL_MS, signal);
-    }
-  }
-
   /** Addresses of all processes that may know the consensus group. */
   public listKnownAddresses(): readonly string[] {
     const leader = this._leader === undefined ? [] : [this._leader];
@@ -428,19 +397,6 @@
     });
   }
 
-  /** True if the record is durable. One with an unknown outcome makes a later hub grant less, never more. */
-  private async _recordSpending(
-    value: MessageInitShape<typeof SpendingRecordSchema>,
-    signal: AbortSignal,
-  ): Promise<boolean> {
-    const body = { case: 'recordSpending', value } as const;
-    const command = toBinary(FleetCommandSchema, create(FleetCommandSchema, { body }));
-    const result = await runWithTimeout(signal, COMMAND_TIMEOUT_MS, async (limited) =>
-      this._member?.log.propose(command, limited),
-    );
-    return result?.ok === true;
-  }
-
   private _isLeading(): boolean {
     return this.getHub(this._clock.now()) !== undefined;
   }
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -9,6 +9,7 @@
 import type { IQuotaTerms } from '../fleet/QuotaRule.js';
 import { QuotaWallet } from '../fleet/QuotaWallet.js';
 import { SharedRetryBudget, type IRetryLimits } from '../fleet/SharedRetryBudget.js';
+import { SpendingRecorder } from '../fleet/SpendingRecorder.js';
 import type { DocumentDecoder } from '../fleet/Types.js';
 import { WeightsRollout, type IEngineClient } from '../fleet/WeightsRollout.js';
 import { CallRunner } from '../gateway/CallRunner.js';
@@ -66,6 +67,7 @@
   private readonly _rpc: RpcClients;
   private readonly _memberHost: MemberHost | undefined;
   private readonly _rollout: WeightsRollout;
+  private readonly _spendingRecorder: SpendingRecorder;
   private readonly _storeIndex: StoreIndex;
   private readonly _server: InternalServer;
   private readonly _tasks: Promise<void>[] = [];
@@ -149,6 +151,7 @@
         },
       );
     this._rollout = this._createRollout(adapters.engineClient);
+    this._spendingRecorder = new SpendingRecorder(this.node, () => this._member?.log, clock);
     this._server = this._createServer();
   }
 
@@ -159,7 +162,7 @@
     const tasks = [
       this.node.run(signal),
       this.node.runMembershipNotices(signal),
-      this.node.runSpendingRecords(signal),
+      this._spendingRecorder.run(signal),
       this._rollout.run(signal),
     ];
     if (this._memberHost !== undefined) {
