Refuse at once when no hub answers a request for a lease

Cause, found by reading the change: a lease request that ends at once, as no leader is known, the one asked does not lead or the connection is refused, left the wallet saying 'ask', so a waiting request asked again in a loop for its 150 ms. Change: an unanswered request counts as a hub out of reach until an exchange succeeds; requests are refused with Retry-After. The report within a local exchange ends also if the exchange fails. Test: three cases in LeaseReporter.test.ts, all of which fail without the change.

Ruled out: a pause between two requests, which would keep callers waiting for what cannot be granted.

--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -15,7 +15,7 @@
 } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { formatRun, QuotaPool } from './QuotaPool.js';
 import type { ISpendingHistory, ISpendingSlice, QuotaRecovery } from './QuotaRecovery.js';
-import type { IQuotaTerms } from './QuotaRule.js';
+import { FORGET_WINDOWS, type IQuotaTerms } from './QuotaRule.js';
 import { RecentReadings, type IReadingDelta } from './RecentReadings.js';
 import { needsPropagation, isLater } from './TargetOrder.js';
 import { WorkTotals } from './WorkTotals.js';
@@ -354,7 +354,7 @@
       }
     }
     for (const [run, { at }] of this._lastReports) {
-      if (now - at > 2 * this._options.quota.windowMs) {
+      if (now - at > FORGET_WINDOWS * this._options.quota.windowMs) {
         this._lastReports.delete(run);
       }
     }
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -495,8 +495,11 @@
     const request = this._buildRequest(now, quotas);
     const waiters = this._exchangeWaiters;
     this._exchangeWaiters = [];
-    this._applyResponse(this.handleExchange(request, now), request.announced, waiters, now, now);
-    quotas.end();
+    try {
+      this._applyResponse(this.handleExchange(request, now), request.announced, waiters, now, now);
+    } finally {
+      quotas.end();
+    }
   }
 
   private async _exchangeOnce(signal: AbortSignal): Promise<void> {
--- a/src/fleet/LeaseReporter.test.ts
+++ b/src/fleet/LeaseReporter.test.ts
@@ -73,6 +73,20 @@
     await wait;
   });
 
+  it.each([
+    ['no leader is known', () => Promise.resolve(undefined)],
+    ['the process asked does not lead', () => Promise.resolve(create(LeaseResponseSchema, {}))],
+    ['the call fails', () => Promise.reject(new Error('connection refused'))],
+  ])('lets no request ask again and again while %s', async (_name, callHub) => {
+    // A request that may ask at once would block the process for as long as it waits for tokens.
+    const wallet = new QuotaWallet(8_000);
+    wallet.setHubReachable(true);
+    const reporter = new LeaseReporter(wallet, RUN, callHub, CLOCK, SILENT_LOG);
+    expect(wallet.trySpend('pag', 600, CLOCK.now()).kind).toBe('ask');
+    await reporter.requestLeases(1_000, signal);
+    expect(wallet.retrySpend('pag', 600, CLOCK.now())).toMatchObject({ kind: 'over' });
+  });
+
   it('returns at the timeout while the hub does not answer', async () => {
     const { wallet, reporter } = createReporter();
     wallet.trySpend('pag', 600, CLOCK.now());
--- a/src/fleet/LeaseReporter.ts
+++ b/src/fleet/LeaseReporter.ts
@@ -89,14 +89,22 @@
       const answer = await this._callHub(request);
       if (answer?.leads === true) {
         this.applyGrants(answer.grants, sentAt, this._clock.now());
+      } else {
+        this._handleNoAnswer('no leader answered');
       }
     } catch (error) {
-      this._log.debug('lease request failed', { reason: describeError(error) });
+      this._handleNoAnswer(describeError(error));
     } finally {
       end();
     }
   }
 
+  /** Requests are refused until an exchange succeeds; else each would ask again at once while it may wait. */
+  private _handleNoAnswer(reason: string): void {
+    this._log.debug('lease request failed', { reason });
+    this._wallet.setHubReachable(false);
+  }
+
   private _beginFlight(): () => void {
     let resolveFlight = (): void => undefined;
     this._inFlight = new Promise<void>((resolve) => {
--- a/src/fleet/QuotaPool.ts
+++ b/src/fleet/QuotaPool.ts
@@ -4,6 +4,7 @@
  * so neither does what all entries spend within any window, also while they cannot reach the hub.
  */
 import { computeWithheld, type QuotaRecovery } from './QuotaRecovery.js';
+import { FORGET_WINDOWS } from './QuotaRule.js';
 
 /** Fraction of the unspent tokens that the hub keeps for entries that need more than their share. */
 const RESERVE_FRACTION = 0.6;
@@ -20,9 +21,6 @@
 /** Fraction of the free tokens that an entry gets if they do not suffice for all it wants. */
 const SCARCE_FRACTION = 0.5;
 
-/** A lease is valid for this many windows after the entry sent the request for it. */
-export const LEASE_WINDOWS = 1;
-
 /** What one entry reports about one client account. */
 export interface IQuotaUsage {
   /** Lease that the entry holds; never less than `spent`. */
@@ -174,7 +172,7 @@
   }
 
   private _computeExpiry(now: number): number {
-    return now + (LEASE_WINDOWS + 1) * this._windowMs;
+    return now + FORGET_WINDOWS * this._windowMs;
   }
 
   /** An earlier run at the same node has ended: what it spent counts for one more window. */
--- a/src/fleet/QuotaRecovery.ts
+++ b/src/fleet/QuotaRecovery.ts
@@ -1,5 +1,7 @@
 /** What a new hub assumes about the tokens that were spent and leased before it started. */
 
+import { FORGET_WINDOWS } from './QuotaRule.js';
+
 /** Time in which the entries that survived report to a new hub. */
 const SURVIVOR_REPORT_MS = 500;
 
@@ -56,8 +58,9 @@
     case 'nothing_spent':
       return 0;
     case 'earlier_leases':
-      // A lease lasts one window, and what is spent under it counts for another.
-      return now - recovery.startedAt >= 2 * windowMs ? 0 : Math.max(0, recovery.ceiling - brought);
+      return now - recovery.startedAt >= FORGET_WINDOWS * windowMs
+        ? 0
+        : Math.max(0, recovery.ceiling - brought);
     case 'all_stopped': {
       const { startedAt, stoppedAt, history } = recovery;
       if (now - stoppedAt >= windowMs) {
--- a/src/fleet/QuotaRule.ts
+++ b/src/fleet/QuotaRule.ts
@@ -1,6 +1,12 @@
 /** Computes the fleet-wide token limit of a client account. */
 import type { IClientAccount } from './Types.js';
 
+/** A lease is valid for this many windows after the entry sent the report that it answers. */
+export const LEASE_WINDOWS = 1;
+
+/** After this many windows a process that is not heard of no longer counts: its spending has left the window. */
+export const FORGET_WINDOWS = LEASE_WINDOWS + 1;
+
 /** Fraction of the limit that is used; the remainder covers reports in transit. */
 const SAFETY_FACTOR = 0.94;
 
--- a/src/fleet/QuotaWallet.ts
+++ b/src/fleet/QuotaWallet.ts
@@ -1,5 +1,5 @@
 /** Spends the tokens of each client account within the leases of the hub, without a call for each request. */
-import { LEASE_WINDOWS } from './QuotaPool.js';
+import { LEASE_WINDOWS } from './QuotaRule.js';
 
 /** Time constant of the exponential average of demand. */
 const DEMAND_TIME_CONSTANT_MS = 2_000;
--- a/src/fleet/WeightsRollout.ts
+++ b/src/fleet/WeightsRollout.ts
@@ -39,8 +39,9 @@
 const MAX_PREPARE_MS = 4_000;
 
 /**
- * Orders are sent only if a majority has confirmed the leader within this time. It is shorter than any election
- * timeout, so the next leader is elected after the last order of this one.
+ * Orders are sent only if a majority has confirmed the leader within this time. It is shorter than the election
+ * timeout of members that have heard of a leader, so the next leader is elected after the last order of this
+ * one. A member that has just started may be elected sooner; as a leader it waits for the whole lease.
  */
 const MAX_ORDER_CONFIRMATION_AGE_MS = 400;
 
