--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -8,6 +8,7 @@
 import { isSilent } from './Silence.js';
 import { recordSuccess, recordLoad, recordUnreachable, type ITargetState } from './TargetStates.js';
 import type {
+  BodyFraming,
   IAnswerSink,
   ICall,
   IDispatch,
@@ -125,6 +126,15 @@
     return this._head?.load;
   }
 
+  public get framing(): BodyFraming | undefined {
+    return this._head?.framing;
+  }
+
+  /** Bytes that were received of an event whose end has not arrived. */
+  public get incompleteBytes(): number {
+    return this._framer?.incomplete.length ?? 0;
+  }
+
   /** True once part of the response body has been received. */
   public get hasFirstByte(): boolean {
     return this.firstByteAt !== undefined;
--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -22,14 +22,15 @@
 import { Placement } from './Placement.js';
 import { StoreIndex } from './StoreIndex.js';
 import { TargetStates } from './TargetStates.js';
-import type {
-  IAnswerSink,
-  ICall,
-  IDispatch,
-  ITargetClient,
-  ITargetExchange,
-  ITargetHead,
-  ITargetListener,
+import {
+  BodyFraming,
+  type IAnswerSink,
+  type ICall,
+  type IDispatch,
+  type ITargetClient,
+  type ITargetExchange,
+  type ITargetHead,
+  type ITargetListener,
 } from './Types.js';
 
 /** Behaviour of a target for one request. */
@@ -38,6 +39,7 @@
 const OK_HEAD: ITargetHead = {
   status: 200,
   headers: ['Seal', 's1'],
+  framing: BodyFraming.Chunked,
   isForThisRequest: true,
   isNotRun: false,
   isOtherTarget: false,
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -86,10 +86,20 @@
   readonly slots: number;
 }
 
+/** How the end of a response body is marked. */
+export const BodyFraming = {
+  Length: 'length',
+  Chunked: 'chunked',
+  /** By the close of the connection, which also ends a response that was broken off. */
+  Close: 'close',
+} as const;
+export type BodyFraming = (typeof BodyFraming)[keyof typeof BodyFraming];
+
 /** Status, headers and routing metadata of a target's response. */
 export interface ITargetHead {
   readonly status: number;
   readonly headers: RawHeaders;
+  readonly framing: BodyFraming;
   /** False if the response belongs to another request. */
   readonly isForThisRequest: boolean;
   /** True if the target states that it did not run the request. */
