--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -314,6 +314,59 @@
     expect(sink).toMatchObject({ ending: 'cut' });
   });
 
+  // Guards against a stream that was broken off and reaches its caller as a complete one.
+  describe.each(Object.values(BodyFraming))(
+    'a stream that ends inside an event (%s)',
+    (framing) => {
+      const endInsideEvent: TargetScript = (listener) => {
+        listener.onHead({ ...OK_HEAD, framing });
+        listener.onData(streamEvents(1, 2));
+        listener.onData(Buffer.from('id: 3\nda'));
+        listener.onEnd();
+      };
+
+      it('is cut after its last complete event if it cannot be resumed', async () => {
+        const { sink } = await runCall([endInsideEvent], { route: { isResumable: false } });
+        expect(sink).toMatchObject({ body: streamEvents(1, 2).toString(), ending: 'cut' });
+      });
+
+      it('is resumed at another target after its last complete event', async () => {
+        const resumeStream: TargetScript = (listener, dispatch) => {
+          listener.onHead(OK_HEAD);
+          listener.onData(streamEvents((dispatch.resumeAfter ?? 0) + 1, 5));
+          listener.onEnd();
+        };
+        const { sink, targets } = await runCall([endInsideEvent, resumeStream]);
+        expect(targets.sent.map(({ dispatch }) => dispatch.resumeAfter)).toEqual([undefined, 2]);
+        expect(sink).toMatchObject({ body: streamEvents(1, 5).toString(), ending: 'end' });
+      });
+    },
+  );
+
+  it('does not take the close of a connection for the end of a stream that has not begun', async () => {
+    const closeAtOnce: TargetScript = (listener) => {
+      listener.onHead({ ...OK_HEAD, framing: BodyFraming.Close });
+      listener.onEnd();
+    };
+    const { sink } = await runCall([closeAtOnce], { route: { isResumable: false } });
+    expect(sink).toMatchObject({ status: 502, ending: 'refuse' });
+  });
+
+  it('relays a complete body that is no event stream on a streaming route', async () => {
+    const answerJson: TargetScript = (listener) => {
+      listener.onHead({
+        ...OK_HEAD,
+        headers: ['Content-Type', 'application/json; charset=utf-8'],
+        framing: BodyFraming.Length,
+      });
+      listener.onData(Buffer.from('{"id":'));
+      listener.onData(Buffer.from('"c1"}'));
+      listener.onEnd();
+    };
+    const { sink } = await runCall([answerJson]);
+    expect(sink).toMatchObject({ body: '{"id":"c1"}', ending: 'end' });
+  });
+
   it('does not concatenate parts of two responses to a safe request', async () => {
     const failMidway: TargetScript = (listener) => {
       listener.onHead(OK_HEAD);
