Take a stream that ends inside an event as broken off

Cause: the end of the bytes counted as the end of the stream. An answer without length and chunks ends with its connection, whether the engine was done or not; the gateway relayed the bytes of the incomplete event and ended its own answer as complete. Class of fault: absence of further bytes taken for completion. Change: a stream whose last event is incomplete fails the attempt, so it is resumed after the last complete event where its route allows that and cut otherwise; the rest of the event is dropped. So does a stream without any event that only the close of its connection ends. Comments and blank lines are no event; a body that is framed as complete and is of another media type is relayed as before. Ruled out: mirroring the framing to the caller, which would leave the doubt to each caller; relaying the rest of the event before the cut, which breaks resumption. A close between two events cannot be told from the end of a stream.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -7,15 +7,16 @@
 import { EventFramer, MAX_EVENT_BYTES } from './EventFramer.js';
 import { isSilent } from './Silence.js';
 import { recordSuccess, recordLoad, recordUnreachable, type ITargetState } from './TargetStates.js';
-import type {
+import {
   BodyFraming,
-  IAnswerSink,
-  ICall,
-  IDispatch,
-  ITargetClient,
-  ITargetExchange,
-  ITargetHead,
-  IReportedLoad,
+  type IAnswerSink,
+  type ICall,
+  type IDispatch,
+  type ITargetClient,
+  type ITargetExchange,
+  type ITargetHead,
+  type IReportedLoad,
+  type RawHeaders,
 } from './Types.js';
 
 /** Result of one attempt. */
@@ -323,6 +324,10 @@
       this._finish(this._describeDiscarded());
       return;
     }
+    if (this._isBrokenOff()) {
+      this._finish({ kind: 'failed', reason: 'the stream ended inside an event' });
+      return;
+    }
     this._startSink();
     for (const chunk of this._buffered) {
       this._sink.write(chunk);
@@ -370,6 +375,22 @@
     return this._head !== undefined && this._head.status < 300;
   }
 
+  /**
+   * True if the response ended as an engine that crashed ends it. A stream that ends inside an event is broken off
+   * however its body is framed: a proxy in front of the engine may have completed the framing.
+   */
+  private _isBrokenOff(): boolean {
+    const head = this._head;
+    if (head === undefined || this._framer === undefined || !this._isSuccess()) {
+      return false;
+    }
+    TEST_ONLY: if (isMechanismDisabled('stream-end')) return false;
+    const isCloseDelimited = head.framing === BodyFraming.Close;
+    return this._framer.isInsideEvent
+      ? isCloseDelimited || isEventStream(head.headers)
+      : isCloseDelimited && !this.hasFirstByte;
+  }
+
   private _recordFirstByte(): void {
     if (this.hasFirstByte) {
       return;
@@ -433,3 +454,11 @@
     });
   }
 }
+
+/** False if the headers name another media type. */
+function isEventStream(headers: RawHeaders): boolean {
+  const nameAt = headers.findIndex(
+    (item, index) => index % 2 === 0 && item.toLowerCase() === 'content-type',
+  );
+  return nameAt < 0 || /^\s*text\/event-stream\b/i.test(headers[nameAt + 1] ?? '');
+}
--- a/src/gateway/EventFramer.test.ts
+++ b/src/gateway/EventFramer.test.ts
@@ -30,6 +30,19 @@
     );
   });
 
+  it.each([
+    ['nothing', '', false],
+    ['a blank line', '\r\n', false],
+    ['comments', ': ping\n:\r\n', false],
+    ['part of a comment', ': pi', true],
+    ['a field', 'data: a\n', true],
+    ['a field after a comment', ': ping\nid: 2\n', true],
+  ])('tells whether a stream ends inside an event: %s', (_name, rest, isInside) => {
+    const framer = new EventFramer();
+    framer.push(Buffer.from(`id: 1\ndata: a\n\n${rest}`));
+    expect(framer.isInsideEvent).toBe(isInside);
+  });
+
   it('buffers the bytes of an incomplete event', () => {
     const framer = new EventFramer();
     const { bytes, lastId } = framer.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'));
--- a/src/gateway/EventFramer.ts
+++ b/src/gateway/EventFramer.ts
@@ -7,6 +7,9 @@
 /** An event with more bytes is none: a faulty target may send bytes without end. */
 export const MAX_EVENT_BYTES = 256 * 1024;
 
+/** Blank lines and comments, which belong to no event. */
+const NO_EVENT = /^(?:(?::[^\n]*)?\r?\n)*$/;
+
 const ID_FIELD = /(?:^|\n)id:[ ]?(\d+)/g;
 
 /** Complete events, as raw bytes. */
@@ -32,6 +35,11 @@
     return this._incomplete;
   }
 
+  /** True if a stream that ended here would have been broken off. */
+  public get isInsideEvent(): boolean {
+    return !NO_EVENT.test(this._incomplete.toString('latin1'));
+  }
+
   /** True if more bytes than any event has arrived without the end of one. */
   public get isOverlong(): boolean {
     return this._incomplete.length > MAX_EVENT_BYTES;
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -88,6 +88,8 @@
 
 /** How the end of a response body is marked. */
 export const BodyFraming = {
+  /** The response has no body. */
+  None: 'none',
   Length: 'length',
   Chunked: 'chunked',
   /** By the close of the connection, which also ends a response that was broken off. */
