--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -55,6 +55,9 @@
 /** Unreachable targets do not count as attempts; with more than this many the call ends. */
 const MAX_UNREACHABLE_TARGETS = 3;
 
+/** Prompt parts that a log line names at most. */
+const MAX_LOGGED_PARTS = 8;
+
 /** Priority of the least urgent requests; 0 is the most urgent. */
 const LOWEST_PRIORITY = 9;
 
@@ -358,6 +361,8 @@
       outcome: outcome.kind,
       reason: outcome.kind === 'answered' ? undefined : outcome.reason,
       status: attempt.status,
+      // What requests that broke with their target have in common.
+      sharedParts: outcome.kind === 'failed' ? formatSharedParts(call) : undefined,
       framing: attempt.framing,
       lastEvent: attempt.lastEventId,
       incompleteBytes: attempt.incompleteBytes,
@@ -560,6 +565,12 @@
   }
 }
 
+/** Ids of the prompt parts that other requests may have too, for the log. */
+function formatSharedParts({ parts }: ICall): string | undefined {
+  const shared = parts.slice(0, -1).slice(0, MAX_LOGGED_PARTS);
+  return shared.length === 0 ? undefined : shared.map(({ id }) => id).join();
+}
+
 /** Formats a source for the log: the id of the target, or `store`. */
 function formatSource(source: PromptSource | undefined): string | undefined {
   return source?.kind === 'target' ? source.record.id : source?.kind;
