--- /dev/null
+++ b/src/fleet/CrashEvidence.test.ts
@@ -0,0 +1,144 @@
+/**
+ * Guards against a prompt part that crashes one target after the other, and against sound parts that are refused because
+ * they were at the same targets.
+ */
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { CrashEvidence } from './CrashEvidence.js';
+
+const DEADLY = 666;
+const SUBJECT = 5;
+
+/** Adds one crash of a target of its own with the parts of each request that broke, the last one its own. */
+function addCrash(evidence: CrashEvidence, number: number, requests: readonly number[][]): void {
+  requests.forEach((parts, i) => {
+    evidence.add(
+      {
+        attempt: number * 100 + i,
+        target: `i-${number}`,
+        born: number,
+        parts: parts.slice(0, -1),
+        prompt: parts.at(-1) ?? 0,
+      },
+      number * 1_000,
+    );
+  });
+}
+
+function listQuarantined(evidence: CrashEvidence, now = 10_000): (readonly number[])[] {
+  return evidence
+    .list(now)
+    .filter(({ quarantined }) => quarantined)
+    .map(({ parts }) => parts);
+}
+
+describe('CrashEvidence', () => {
+  it('refuses nothing but a repetition of the same prompt after two crashes by one request', () => {
+    const evidence = new CrashEvidence();
+    addCrash(evidence, 1, [[SUBJECT, DEADLY, 1]]);
+    expect(listQuarantined(evidence)).toEqual([]);
+    addCrash(evidence, 2, [[SUBJECT, DEADLY, 1]]);
+    expect(listQuarantined(evidence)).toEqual([[SUBJECT, DEADLY, 1]]);
+  });
+
+  it('finds the part that different requests have in common', () => {
+    const evidence = new CrashEvidence();
+    addCrash(evidence, 1, [[SUBJECT, DEADLY, 1]]);
+    addCrash(evidence, 2, [[SUBJECT, DEADLY, 1]]);
+    addCrash(evidence, 3, [[7, DEADLY, 2]]);
+    expect(listQuarantined(evidence)).toEqual([[DEADLY]]);
+  });
+
+  it('does not blame a part of which a response has settled since', () => {
+    const evidence = new CrashEvidence();
+    for (let crash = 1; crash <= 3; crash += 1) {
+      addCrash(evidence, crash, [[SUBJECT, crash]]);
+      evidence.clear([SUBJECT]);
+    }
+    expect(listQuarantined(evidence)).toEqual([]);
+    expect(evidence.list(10_000).flatMap(({ parts }) => parts)).not.toContain(SUBJECT);
+  });
+
+  it('divides the blame for a crash only among requests of which no part is cleared', () => {
+    const evidence = new CrashEvidence();
+    for (const crash of [1, 2]) {
+      addCrash(evidence, crash, [
+        [DEADLY, crash],
+        [20, 30 + crash],
+        [21, 40 + crash],
+      ]);
+    }
+    expect(listQuarantined(evidence)).toEqual([]);
+    evidence.clear([20, 21]);
+    expect(listQuarantined(evidence)).toEqual([[DEADLY]]);
+  });
+
+  it('counts several requests that break with one target as one crash', () => {
+    const evidence = new CrashEvidence();
+    addCrash(evidence, 1, [
+      [SUBJECT, 1],
+      [SUBJECT, 2],
+      [SUBJECT, 3],
+    ]);
+    expect(listQuarantined(evidence)).toEqual([]);
+  });
+
+  it('counts a report that is sent twice once', () => {
+    const evidence = new CrashEvidence();
+    addCrash(evidence, 1, [[SUBJECT, 1]]);
+    const { revision } = evidence;
+    addCrash(evidence, 1, [[SUBJECT, 1]]);
+    expect(evidence.revision).toBe(revision);
+  });
+
+  it('keeps a quarantine when unrelated targets crash in large numbers', () => {
+    const evidence = new CrashEvidence();
+    addCrash(evidence, 1, [[DEADLY, 1]]);
+    addCrash(evidence, 2, [[DEADLY, 2]]);
+    for (let crash = 3; crash < 300; crash += 1) {
+      addCrash(evidence, crash, [[crash, 1_000 + crash]]);
+    }
+    expect(listQuarantined(evidence, 300_000)).toEqual([[DEADLY]]);
+    expect(evidence.crashCount).toBeLessThanOrEqual(64);
+  });
+
+  it('ends a quarantine ten minutes after the last crash', () => {
+    const evidence = new CrashEvidence();
+    addCrash(evidence, 1, [[DEADLY, 1]]);
+    addCrash(evidence, 2, [[DEADLY, 2]]);
+    expect(listQuarantined(evidence, 599_000)).toEqual([[DEADLY]]);
+    expect(listQuarantined(evidence, 603_000)).toEqual([]);
+  });
+
+  it('restores a quarantine at a new hub until one of its parts is cleared', () => {
+    const evidence = new CrashEvidence();
+    evidence.restore([{ parts: [DEADLY], quarantined: true }], 0);
+    expect(listQuarantined(evidence)).toEqual([[DEADLY]]);
+    evidence.clear([DEADLY]);
+    expect(listQuarantined(evidence)).toEqual([]);
+  });
+
+  // The users' bound is five crashes; sound requests that break with the deadly one share all but its deadly part.
+  it('finds the part within five crashes and never refuses sound requests', () => {
+    const neighbours = fc.array(fc.integer({ min: 10, max: 40 }), { maxLength: 4 });
+    fc.assert(
+      fc.property(fc.array(neighbours, { minLength: 5, maxLength: 5 }), (crashes) => {
+        const evidence = new CrashEvidence();
+        crashes.forEach((subjects, i) => {
+          const deadlySubject = subjects[0] ?? 10;
+          addCrash(evidence, i + 1, [
+            [deadlySubject, DEADLY, 1_000 + i],
+            ...subjects.map((subject, j) => [subject, 2_000 + i * 10 + j]),
+          ]);
+          // The neighbours come back and settle.
+          evidence.clear(subjects);
+        });
+        const quarantined = listQuarantined(evidence);
+        expect(quarantined).toContainEqual([DEADLY]);
+        for (const parts of quarantined) {
+          expect(parts.every((part) => part === DEADLY || part >= 1_000)).toBe(true);
+        }
+      }),
+    );
+  });
+});
--- /dev/null
+++ b/src/fleet/CrashEvidence.ts
@@ -0,0 +1,241 @@
+/**
+ * Finds the prompt parts that crash targets. A target that crashes breaks all of its requests, so each crash puts
+ * blame on the parts of every request that had not settled there; a settled response takes it off its parts.
+ */
+
+/** Time for which a crash counts as evidence, and so the time for which a part stays in quarantine. */
+const EVIDENCE_LIFETIME_MS = 600_000;
+
+/** Blame and crashes from which parts are quarantined. A crash divides one unit of blame among its requests. */
+const MIN_BLAME = 1.5;
+const MIN_BLAMED_CRASHES = 2;
+
+/** Crashes from which parts are quarantined however many other requests broke with them. */
+const SUFFICIENT_CRASHES = 4;
+
+/** Bounds of the memory. */
+const MAX_CRASHES = 64;
+const MAX_REQUESTS_PER_CRASH = 64;
+const MAX_PARTS_PER_REQUEST = 16;
+const MAX_RESTORED = 64;
+
+/** A request that broke when its target crashed. Parts are hashes. */
+export interface IBrokenRequest {
+  /** Identifies the attempt; a repeated report counts once. */
+  readonly attempt: number;
+  readonly target: string;
+  /** Start time of the target; each start can end in one crash only. */
+  readonly born: number;
+  /** The parts that other requests may have too and that are not known to be sound. */
+  readonly parts: readonly number[];
+  /** The last part, which only repetitions of the request have too. */
+  readonly prompt: number;
+}
+
+/** Parts under suspicion. If they are quarantined, requests that have all of them are refused. */
+export interface ISuspectParts {
+  readonly parts: readonly number[];
+  readonly quarantined: boolean;
+}
+
+interface ISuspectRequest {
+  readonly parts: Set<number>;
+  readonly prompt: number;
+}
+
+interface ICrash {
+  readonly at: number;
+  /** Requests with suspect parts by attempt. */
+  readonly requests: Map<number, ISuspectRequest>;
+}
+
+/** Parts that occurred in exactly the same crashes. */
+interface IBlamed {
+  readonly parts: readonly number[];
+  readonly crashes: readonly ICrash[];
+}
+
+/**
+ * Collects reports of broken requests and decides which parts to quarantine. Of parts that occurred in exactly the
+ * same crashes any one may be to blame, so only a request that has all of them is refused; if one request caused all
+ * of them, only its repetitions are.
+ *
+ * @example
+ * evidence.add({ attempt: 1, target: 'i-1', born: 100, parts: [7], prompt: 9 }, now);
+ * const suspects = evidence.list(now);
+ */
+export class CrashEvidence {
+  /** By target and its start time, oldest first. */
+  private readonly _crashes = new Map<string, ICrash>();
+  private _blamed: readonly IBlamed[] = [];
+  /** Quarantined by an earlier hub. */
+  private _restored: { readonly parts: Set<number>; readonly at: number }[] = [];
+  private _revision = 0;
+
+  /** Increases with each change of the list. */
+  public get revision(): number {
+    return this._revision;
+  }
+
+  /** Number of crashes of which the cause is not ruled out. */
+  public get crashCount(): number {
+    return this._crashes.size;
+  }
+
+  public add({ attempt, target, born, parts, prompt }: IBrokenRequest, now: number): void {
+    const key = `${target}/${born}`;
+    const crash = this._crashes.get(key) ?? {
+      at: now,
+      requests: new Map<number, ISuspectRequest>(),
+    };
+    const isFull = crash.requests.size >= MAX_REQUESTS_PER_CRASH;
+    if (parts.length === 0 || isFull || crash.requests.has(attempt)) {
+      return;
+    }
+    crash.requests.set(attempt, { parts: new Set(parts.slice(0, MAX_PARTS_PER_REQUEST)), prompt });
+    this._crashes.set(key, crash);
+    this._dropSurplus();
+    this._update();
+  }
+
+  /** Takes the blame off parts of a response that has settled; true if any of them was under suspicion. */
+  public clear(parts: readonly number[]): boolean {
+    let hasChanged = false;
+    for (const part of parts) {
+      for (const [key, { requests }] of this._crashes) {
+        for (const [attempt, request] of requests) {
+          hasChanged = request.parts.delete(part) || hasChanged;
+          if (request.parts.size === 0) {
+            requests.delete(attempt);
+          }
+        }
+        if (requests.size === 0) {
+          this._crashes.delete(key);
+        }
+      }
+      for (const restored of this._restored) {
+        hasChanged = restored.parts.delete(part) || hasChanged;
+      }
+    }
+    if (hasChanged) {
+      this._restored = this._restored.filter((restored) => restored.parts.size > 0);
+      this._update();
+    }
+    return hasChanged;
+  }
+
+  /** The quarantined parts, and all other suspects in one entry. */
+  public list(now: number): readonly ISuspectParts[] {
+    this._expire(now);
+    const quarantined = [
+      ...this._blamed.map(({ parts }) => ({ parts, quarantined: true })),
+      ...this._restored.map(({ parts }) => ({ parts: [...parts], quarantined: true })),
+    ];
+    const suspects = new Set(
+      [...this._crashes.values()].flatMap(({ requests }) =>
+        [...requests.values()].flatMap(({ parts }) => [...parts]),
+      ),
+    );
+    return suspects.size === 0
+      ? quarantined
+      : [...quarantined, { parts: [...suspects], quarantined: false }];
+  }
+
+  /** Restores what an earlier hub quarantined; its reasons are not known any more. */
+  public restore(suspects: readonly ISuspectParts[], now: number): void {
+    for (const { parts, quarantined } of suspects) {
+      if (quarantined && parts.length > 0) {
+        this._restored.push({ parts: new Set(parts), at: now });
+      }
+    }
+    this._restored = this._restored.slice(-MAX_RESTORED);
+    this._update();
+  }
+
+  private _expire(now: number): void {
+    const oldest = now - EVIDENCE_LIFETIME_MS;
+    const expired = [...this._crashes].filter(([, { at }]) => at < oldest);
+    const restored = this._restored.filter(({ at }) => at >= oldest);
+    if (expired.length > 0 || restored.length < this._restored.length) {
+      for (const [key] of expired) {
+        this._crashes.delete(key);
+      }
+      this._restored = restored;
+      this._update();
+    }
+  }
+
+  /** Drops the oldest crashes beyond the bound, first those that are no reason for a quarantine. */
+  private _dropSurplus(): void {
+    const reasons = new Set(this._blamed.flatMap(({ crashes }) => crashes));
+    const isReason = ([, crash]: readonly [string, ICrash]): boolean => reasons.has(crash);
+    const all = [...this._crashes];
+    const ranked = [...all.filter((entry) => !isReason(entry)), ...all.filter(isReason)];
+    for (const [key] of ranked.slice(0, Math.max(0, all.length - MAX_CRASHES))) {
+      this._crashes.delete(key);
+    }
+  }
+
+  /** Decides anew which parts to quarantine. A crash that these explain puts no blame on other parts. */
+  private _update(): void {
+    const blamed: IBlamed[] = [];
+    let unexplained = [...this._crashes.values()];
+    for (let worst = findWorst(unexplained); worst !== undefined; worst = findWorst(unexplained)) {
+      const { parts } = worst;
+      blamed.push(worst);
+      unexplained = unexplained.filter((crash) => listRequestsWith(crash, parts).length === 0);
+    }
+    this._blamed = blamed;
+    this._revision += 1;
+  }
+}
+
+/**
+ * The parts with the most crashes among those with enough blame; undefined if there are none. Parts that occurred in the
+ * same crashes but never in one request are left out: the next crash tells them apart.
+ */
+function findWorst(crashes: readonly ICrash[]): IBlamed | undefined {
+  const guilty = [...sumBlame(crashes)].filter(
+    ([, { blame, crashes: own }]) =>
+      own.length >= SUFFICIENT_CRASHES || (own.length >= MIN_BLAMED_CRASHES && blame >= MIN_BLAME),
+  );
+  guilty.sort(([, left], [, right]) => right.crashes.length - left.crashes.length);
+  for (const [, { crashes: worst }] of guilty) {
+    const tied = guilty
+      .filter(([, { crashes: own }]) => hasSameItems(own, worst))
+      .map(([part]) => part);
+    const requests = worst.flatMap((crash) => listRequestsWith(crash, tied));
+    const prompts = new Set(requests.map(({ prompt }) => prompt));
+    if (requests.length > 0) {
+      return { parts: prompts.size > 1 ? tied : [...tied, ...prompts], crashes: worst };
+    }
+  }
+  return undefined;
+}
+
+function sumBlame(
+  crashes: readonly ICrash[],
+): ReadonlyMap<number, { readonly blame: number; readonly crashes: readonly ICrash[] }> {
+  const byPart = new Map<number, { blame: number; readonly crashes: ICrash[] }>();
+  for (const crash of crashes) {
+    const parts = new Set([...crash.requests.values()].flatMap((request) => [...request.parts]));
+    for (const part of parts) {
+      const entry = byPart.get(part) ?? { blame: 0, crashes: [] };
+      entry.blame += 1 / crash.requests.size;
+      entry.crashes.push(crash);
+      byPart.set(part, entry);
+    }
+  }
+  return byPart;
+}
+
+/** The requests of a crash that had all of some parts; these may include a prompt. */
+function listRequestsWith(crash: ICrash, parts: readonly number[]): readonly ISuspectRequest[] {
+  return [...crash.requests.values()].filter((request) =>
+    parts.every((part) => request.parts.has(part) || request.prompt === part),
+  );
+}
+
+function hasSameItems(left: readonly ICrash[], right: readonly ICrash[]): boolean {
+  return left.length === right.length && left.every((crash, i) => crash === right[i]);
+}
--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -13,6 +13,7 @@
   type TargetRecord,
   type TargetWork,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
+import { CrashEvidence, type ISuspectParts } from './CrashEvidence.js';
 import { formatRun, QuotaPool } from './QuotaPool.js';
 import type { ISpendingHistory, ISpendingSlice, QuotaRecovery } from './QuotaRecovery.js';
 import { FORGET_WINDOWS, type IQuotaTerms } from './QuotaRule.js';
@@ -56,6 +57,12 @@
   readonly targets: readonly TargetRecord[];
 }
 
+/** Suspect prompt parts, empty if the requester has them. */
+export interface ISuspectDelta {
+  readonly revision: number;
+  readonly suspects: readonly ISuspectParts[];
+}
+
 /** Stage of a target's load of new weights: getting ready for it, loading, or neither. */
 export type LoadState = 'none' | 'preparing' | 'loading';
 
@@ -102,6 +109,7 @@
   /** Targets that the former leader prepared or let load when it was last heard of. */
   private readonly _inheritedLoads = new Set<string>();
   private readonly _recentReadings = new RecentReadings();
+  private readonly _crashEvidence = new CrashEvidence();
   private _windowLimits: ReadonlyMap<string, number> = new Map();
   /** Sequence of the last report of quotas of each run of a process, and when it arrived. */
   private readonly _lastReports = new Map<string, { sequence: bigint; at: number }>();
@@ -173,9 +181,23 @@
       work: request.work,
     });
     this._recentReadings.add(request.node, request.readings);
+    this._applyCrashes(request, now);
     this._expire(now);
   }
 
+  /** Takes over what an earlier hub quarantined. */
+  public restoreSuspects(suspects: readonly ISuspectParts[], now: number): void {
+    this._crashEvidence.restore(suspects, now);
+  }
+
+  /** All suspects if they have changed since a revision or `epoch` is not this hub's, else none. */
+  public listSuspects(epoch: string, revision: number, now: number): ISuspectDelta {
+    const suspects = this._crashEvidence.list(now);
+    const { revision: current } = this._crashEvidence;
+    const isKnown = epoch === this.epoch && revision === current;
+    return { revision: current, suspects: isKnown ? [] : suspects };
+  }
+
   /** Readings that other processes reported after a revision; all if `epoch` is not this hub's. */
   public listReadings(node: string, epoch: string, revision: number): IReadingDelta {
     return this._recentReadings.listSince(node, epoch === this.epoch ? revision : 0);
@@ -291,6 +313,24 @@
     }
   }
 
+  private _applyCrashes({ node, crashes, clearedParts }: ExchangeRequest, now: number): void {
+    if (crashes.length === 0 && clearedParts.length === 0) {
+      return;
+    }
+    for (const crash of crashes) {
+      this._crashEvidence.add(crash, now);
+    }
+    this._crashEvidence.clear(clearedParts);
+    const quarantined = this._crashEvidence.list(now).filter((entry) => entry.quarantined);
+    this._options.log.info('crashes reported', {
+      process: node,
+      targets: crashes.map(({ target }) => target),
+      clearedParts: clearedParts.length,
+      crashes: this._crashEvidence.crashCount,
+      quarantined: quarantined.map(({ parts }) => parts.map((part) => part.toString(16)).join('+')),
+    });
+  }
+
   private _ensurePool(account: string): QuotaPool | undefined {
     const limit = this._windowLimits.get(account);
     let pool = this._pools.get(account);
--- a/src/fleet/FleetNode.test.ts
+++ b/src/fleet/FleetNode.test.ts
@@ -16,6 +16,7 @@
 import { FleetNode } from './FleetNode.js';
 import { FleetState } from './FleetState.js';
 import { FleetView } from './FleetView.js';
+import { PromptQuarantine } from '../gateway/PromptQuarantine.js';
 import { QuotaWallet } from './QuotaWallet.js';
 
 const CLOCK = new MonotonicClock();
@@ -47,6 +48,7 @@
   /** Starts a process; a leader gets a replicated log of which it is the only member. */
   public start(address: string, seeds: readonly string[], isLeader = false): IStartedProcess {
     const view = new FleetView(() => Ok(buildConfiguration()), SILENT_LOG);
+    const quarantine = new PromptQuarantine();
     const node = new FleetNode(
       {
         address,
@@ -56,6 +58,7 @@
       view,
       new QuotaWallet(QUOTA.windowMs),
       { listWork: () => [], takeReadings: () => [], applyReadings: () => undefined },
+      quarantine,
       this,
       CLOCK,
       SILENT_LOG,
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -18,6 +18,8 @@
   QuotaReportSchema,
   ReadDocumentResponseSchema,
   SubmitResponseSchema,
+  SuspectPartsSchema,
+  type CrashReport,
   type ExchangeRequest,
   type ExchangeResponse,
   type FleetCommand,
@@ -30,6 +32,7 @@
   type TargetRecord,
   type TargetWork,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
+import type { ISuspectParts } from './CrashEvidence.js';
 import { FleetHub, type IHubOptions } from './FleetHub.js';
 import { findLeader, type ILeaderHint } from './LeaderSearch.js';
 import type { FleetState } from './FleetState.js';
@@ -111,6 +114,25 @@
   applyReadings(readings: readonly PromptReading[], now: number): void;
 }
 
+/** Reports about prompt parts that crash targets, for the hub. */
+export interface IQuarantineReport {
+  readonly crashes: readonly CrashReport[];
+  readonly clearedParts: readonly number[];
+}
+
+/** Supplies what this process's data path knows of crashes, and receives what the hub made of all reports. */
+export interface IQuarantineSource {
+  /** Suspects as a hub listed them last. */
+  readonly suspects: readonly ISuspectParts[];
+  /** What no hub has received yet. */
+  listUnreported(): IQuarantineReport;
+  removeReported(report: IQuarantineReport): void;
+  /** Queues all reports again, for a hub of a new epoch. */
+  repeatReports(): void;
+  recordHubAnswer(now: number): void;
+  applySuspects(suspects: readonly ISuspectParts[], now: number): void;
+}
+
 export type SubmitOutcome =
   { readonly kind: 'committed' } | { readonly kind: 'unknown'; readonly reason: string };
 
@@ -140,12 +162,15 @@
   private readonly _leases: LeaseReporter;
   /** Revision up to which this process has the others' readings, at the hub of the view's epoch. */
   private _readingRevision = 0n;
+  /** Revision of the suspects that this process has, at the same hub. */
+  private _suspectRevision = 0n;
 
   constructor(
     private readonly _options: IFleetNodeOptions,
     private readonly _view: FleetView,
     private readonly _wallet: QuotaWallet,
     private readonly _workSource: IWorkSource,
+    private readonly _quarantine: IQuarantineSource,
     private readonly _rpc: Pick<RpcClients, 'get'>,
     private readonly _clock: IClock,
     private readonly _log: ILog,
@@ -242,6 +267,11 @@
     }
   }
 
+  /** Starts the next exchange without waiting for the interval. */
+  public requestExchange(): void {
+    this._exchangeRequested.abort();
+  }
+
   /** Requests an exchange with the hub at once and waits for its end; false at the timeout or if aborted. */
   public async awaitExchange(timeoutMs: number, signal: AbortSignal): Promise<boolean> {
     if (this.getHub(this._clock.now()) !== undefined) {
@@ -372,6 +402,11 @@
     );
     response.readings = [...readingDelta.readings];
     response.readingRevision = BigInt(readingDelta.revision);
+    const suspectDelta = hub.listSuspects(request.epoch, Number(request.suspectRevision), now);
+    response.suspects = suspectDelta.suspects.map(({ parts, quarantined }) =>
+      create(SuspectPartsSchema, { parts: [...parts], quarantined }),
+    );
+    response.suspectRevision = BigInt(suspectDelta.revision);
     response.weights = state.weights.map(({ model, version }) => {
       const learnedAt = this._view.weights.getNewestLearnedAt(model) ?? now;
       const isKnown = this._view.weights.getNewest(model) === Number(version);
@@ -428,6 +463,7 @@
       getCeiling: (clientAccount) => state?.getCeiling(clientAccount) ?? 0,
     });
     this._hub = { hub, term };
+    hub.restoreSuspects(this._quarantine.suspects, now);
     for (const record of this._view.listRecords()) {
       hub.announce(record, now);
     }
@@ -468,6 +504,7 @@
 
   private _buildRequest(now: number, quotas: IQuotaReportInFlight): ExchangeRequest {
     const hasExchanged = this._view.epoch !== '';
+    const { crashes, clearedParts } = this._quarantine.listUnreported();
     const announced = hasExchanged
       ? [...this._pendingAnnouncements.values()]
       : this._view.listRecords();
@@ -487,6 +524,9 @@
       readings: [...this._workSource.takeReadings()],
       readingRevision: this._readingRevision,
       incarnation: this._incarnation,
+      suspectRevision: this._suspectRevision,
+      crashes: [...crashes],
+      clearedParts: [...clearedParts],
     });
   }
 
@@ -496,7 +536,7 @@
     const waiters = this._exchangeWaiters;
     this._exchangeWaiters = [];
     try {
-      this._applyResponse(this.handleExchange(request, now), request.announced, waiters, now, now);
+      this._applyResponse(this.handleExchange(request, now), request, waiters, now, now);
     } finally {
       quotas.end();
     }
@@ -580,7 +620,7 @@
       this._members = answer.members.length > 0 ? answer.members : this._members;
       if (answer.leads) {
         this._leader = address;
-        this._applyResponse(answer, request.announced, waiters, sentAt, this._clock.now());
+        this._applyResponse(answer, request, waiters, sentAt, this._clock.now());
         return true;
       }
       this._leader = answer.leaderAddress === '' ? undefined : answer.leaderAddress;
@@ -596,7 +636,7 @@
 
   private _applyResponse(
     answer: ExchangeResponse,
-    announced: readonly TargetRecord[],
+    request: ExchangeRequest,
     waiters: readonly (() => void)[],
     sentAt: number,
     now: number,
@@ -605,7 +645,7 @@
     this._view.applyResponse(answer, now);
     this._readingRevision = answer.readingRevision;
     this._workSource.applyReadings(answer.readings, now);
-    for (const record of announced) {
+    for (const record of request.announced) {
       const pending = this._pendingAnnouncements.get(record.id);
       if (pending?.sequence === record.sequence && pending.born === record.born) {
         this._pendingAnnouncements.delete(record.id);
@@ -621,6 +661,7 @@
         );
       }
     }
+    this._applySuspects(answer, request, isNewEpoch, now);
     this._leases.applyGrants(answer.grants, sentAt, now);
     for (const finish of waiters) {
       finish();
@@ -628,6 +669,23 @@
     this._updateLeaderReachability(true, answer.epoch);
   }
 
+  private _applySuspects(
+    answer: ExchangeResponse,
+    request: ExchangeRequest,
+    isNewEpoch: boolean,
+    now: number,
+  ): void {
+    this._quarantine.recordHubAnswer(now);
+    this._quarantine.removeReported(request);
+    if (isNewEpoch) {
+      this._quarantine.repeatReports();
+    }
+    if (isNewEpoch || answer.suspectRevision !== this._suspectRevision) {
+      this._suspectRevision = answer.suspectRevision;
+      this._quarantine.applySuspects(answer.suspects, now);
+    }
+  }
+
   private _updateLeaderReachability(isReachable: boolean, detail: string): void {
     this._wallet.setHubReachable(isReachable);
     if (isReachable !== this._isLeaderReachable) {
--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -31,7 +31,12 @@
       readonly isUnreachable: boolean;
     }
   /** The target may have run the request. */
-  | { readonly kind: 'failed'; readonly reason: string }
+  | {
+      readonly kind: 'failed';
+      readonly reason: string;
+      /** True if the target ended the connection before the end of the response, as one that crashes does. */
+      readonly isBroken?: boolean;
+    }
   /** The deadline passed, or the client disconnected. */
   | { readonly kind: 'ended'; readonly reason: string };
 
@@ -54,6 +59,8 @@
   readonly isLongStream: boolean;
   /** Whether a 5xx response may be discarded so that another target can be tried. */
   readonly mayReplaceError: boolean;
+  /** Called once the response has lasted long enough that its prompt cannot have crashed the target. */
+  readonly onSettled: (at: number) => void;
   /** Called with the time at which the first byte of the response body arrived. */
   readonly onFirstByte: (at: number) => void;
   readonly dispatch: Omit<IDispatch, 'deadlineMs' | 'resumeAfter'>;
@@ -65,6 +72,9 @@
   readonly metrics: Metrics;
 }
 
+/** A target that crashes by a prompt does so when it begins to answer. */
+const SETTLE_TIME_MS = 250;
+
 const SILENCE_CHECK_INTERVAL_MS = 250;
 
 const MIN_SERVER_ERROR_STATUS = 500;
@@ -108,6 +118,8 @@
   private _discardedBytes = 0;
   private _discardTimer: NodeJS.Timeout | undefined;
   private _isPaused = false;
+  private _settleTimer: NodeJS.Timeout | undefined;
+  private _isSettled = false;
 
   constructor(
     private readonly _context: IAttemptContext<T>,
@@ -136,6 +148,11 @@
     return this._framer?.incomplete.length ?? 0;
   }
 
+  /** True once the response shows that its prompt does not crash the target. */
+  public get isSettled(): boolean {
+    return this._isSettled;
+  }
+
   /** True once part of the response body has been received. */
   public get hasFirstByte(): boolean {
     return this.firstByteAt !== undefined;
@@ -197,6 +214,7 @@
       clearTimeout(deadlineTimer);
       clearTimeout(beginTimer);
       clearTimeout(this._discardTimer);
+      clearTimeout(this._settleTimer);
       clearInterval(silenceTimer);
       signal.removeEventListener('abort', handleAbort);
       state.open -= 1;
@@ -325,7 +343,8 @@
       return;
     }
     if (this._isBrokenOff()) {
-      this._finish({ kind: 'failed', reason: 'the stream ended inside an event' });
+      const reason = 'the stream ended inside an event';
+      this._finish({ kind: 'failed', reason, isBroken: true });
       return;
     }
     this._startSink();
@@ -340,6 +359,7 @@
     if (this._isSuccess()) {
       recordSuccess(this._options.state);
     }
+    this._settle();
     this._finish({ kind: 'answered' });
   }
 
@@ -351,7 +371,7 @@
     if (this._isDiscarded) {
       this._finish(this._describeDiscarded());
     } else if (wasSent) {
-      this._finish({ kind: 'failed', reason });
+      this._finish({ kind: 'failed', reason, isBroken: true });
     } else {
       this._finish({ kind: 'not_run', reason, isUnreachable: true });
     }
@@ -398,6 +418,9 @@
     const { state, pendingTokens, route } = this._options;
     this.firstByteAt = this._context.clock.now();
     this._options.onFirstByte(this.firstByteAt);
+    this._settleTimer = setTimeout(() => {
+      this._settle();
+    }, SETTLE_TIME_MS);
     state.pendingTokens -= pendingTokens;
     this._context.metrics.observe(
       'gateway_first_byte_ms',
@@ -408,6 +431,13 @@
     );
   }
 
+  private _settle(): void {
+    if (!this._isSettled && this._isSuccess()) {
+      this._isSettled = true;
+      this._options.onSettled(this._context.clock.now());
+    }
+  }
+
   private _startSink(): void {
     if (!this._sink.isStarted && this._head !== undefined) {
       this._sink.start(this._head.status, this._head.headers);
--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -20,6 +20,7 @@
 } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { CallRunner } from './CallRunner.js';
 import { Placement } from './Placement.js';
+import { PromptQuarantine } from './PromptQuarantine.js';
 import { StoreIndex } from './StoreIndex.js';
 import { TargetStates } from './TargetStates.js';
 import {
@@ -52,7 +53,15 @@
   public readonly sent: { readonly target: string; readonly dispatch: IDispatch }[] = [];
   public aborted = 0;
 
-  constructor(private readonly _scripts: TargetScript[]) {}
+  constructor(
+    private readonly _scripts: TargetScript[],
+    /** Whether targets accept connections after a request has broken. */
+    private readonly _isListening: boolean,
+  ) {}
+
+  public probe(): Promise<boolean> {
+    return Promise.resolve(this._isListening);
+  }
 
   public send(
     target: TargetRecord,
@@ -123,6 +132,9 @@
   /** Weights versions of the targets in order; the default is 1. */
   readonly held?: readonly number[];
   /** Prompt tokens of other entries' requests that wait at a target. */
+  readonly quarantine?: PromptQuarantine;
+  /** True if targets refuse connections after a request has broken. */
+  readonly hasCrashed?: boolean;
   readonly queued?: { readonly target: string; readonly pendingTokens: number };
 }
 
@@ -153,14 +165,15 @@
     const work = [{ id, open: 20, pendingTokens }];
     view.applyResponse(create(ExchangeResponseSchema, { work }), clock.now());
   }
-  const targets = new ScriptedTargetClient(scripts);
+  const targets = new ScriptedTargetClient(scripts, setup.hasCrashed !== true);
   const runner = new CallRunner<ICall>({
     view,
-    node: { requestLeases: () => Promise.resolve() },
+    node: { requestLeases: () => Promise.resolve(), requestExchange: () => undefined },
     wallet: new QuotaWallet(8_000),
     budget: new SharedRetryBudget({ ratio: 0.2, slack: 60, windowMs: 10_000 }),
     states: new TargetStates(),
     placement: new Placement('zg-a'),
+    quarantine: setup.quarantine ?? new PromptQuarantine(),
     store: new StoreIndex(view, () => Promise.reject(new Error('no store')), clock, SILENT_LOG),
     client: targets,
     clock,
@@ -367,6 +380,64 @@
     expect(sink).toMatchObject({ body: '{"id":"c1"}', ending: 'end' });
   });
 
+  // Guards against requests that crash one target after the other.
+  describe('a target that crashes when it begins to answer', () => {
+    const crash: TargetScript = (listener) => {
+      listener.onHead(OK_HEAD);
+      listener.onError('other side closed', true);
+    };
+    const parts = ['f0', 'd0', 'own'].map((id) => ({ id, tokens: 10 }));
+
+    it('gets its request repeated once, and not when one of its parts is under suspicion', async () => {
+      const quarantine = new PromptQuarantine();
+      const setup = { call: { parts, deadlineMs: 2_000 }, route: { maxAttempts: 3 }, quarantine };
+      const first = await runCall([crash, crash, answerOk], { ...setup, hasCrashed: true });
+      expect(first.targets.sent).toHaveLength(2);
+      expect(first.sink).toMatchObject({ status: 502, ending: 'refuse' });
+    });
+
+    it('gets no further request with the part that crashed it', async () => {
+      const quarantine = new PromptQuarantine();
+      for (const own of ['o1', 'o2']) {
+        const call = { id: own, parts: [...parts.slice(0, 2), { id: own, tokens: 10 }] };
+        await runCall([crash, crash], { call, quarantine, hasCrashed: true });
+      }
+      const { sink, targets } = await runCall([answerOk], { call: { parts }, quarantine });
+      expect(targets.sent).toEqual([]);
+      expect(sink).toMatchObject({ status: 503, ending: 'refuse' });
+      expect(sink.retryAfterMs).toBeGreaterThanOrEqual(10_000);
+    });
+
+    it('is told apart from one that has only lost an answer', async () => {
+      const quarantine = new PromptQuarantine();
+      const { sink, targets } = await runCall([crash, crash, answerOk], {
+        call: { parts },
+        route: { maxAttempts: 3 },
+        quarantine,
+      });
+      expect(targets.sent).toHaveLength(3);
+      expect(sink.ending).toBe('end');
+      expect(quarantine.listUnreported().crashes).toEqual([]);
+    });
+
+    it('is not blamed on a response that had settled', async () => {
+      const quarantine = new PromptQuarantine();
+      const breakLate: TargetScript = (listener) => {
+        listener.onHead(OK_HEAD);
+        listener.onData(streamEvents(1, 2));
+        setTimeout(() => {
+          listener.onError('other side closed', true);
+        }, 300);
+      };
+      await runCall([breakLate, answerOk], {
+        call: { parts, deadlineMs: 2_000 },
+        quarantine,
+        hasCrashed: true,
+      });
+      expect(quarantine.listUnreported().crashes).toEqual([]);
+    });
+  });
+
   it('does not concatenate parts of two responses to a safe request', async () => {
     const failMidway: TargetScript = (listener) => {
       listener.onHead(OK_HEAD);
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -15,6 +15,7 @@
 import { Attempt, type AttemptOutcome } from './Attempt.js';
 import { formatCacheScope, type IPlacement, type Placement } from './Placement.js';
 import type { IPlacementRequest, IPlacementTarget } from './PlacementRequest.js';
+import type { PromptQuarantine, PromptStanding } from './PromptQuarantine.js';
 import type { PromptSource } from './PromptSources.js';
 import {
   LONG_STREAM_TOKENS,
@@ -40,6 +41,9 @@
 /** Retry-After of a request that all tried targets refused. */
 const TARGETS_BUSY_RETRY_AFTER_MS = 250;
 
+/** Retry-After of a request that would crash its target: a quarantine lasts for minutes. */
+const QUARANTINE_RETRY_AFTER_MS = 60_000;
+
 /** Lower bound of every Retry-After, so that clients do not retry in a tight loop. */
 const MIN_RETRY_AFTER_MS = 50;
 
@@ -64,11 +68,12 @@
 /** Dependencies of the calls, shared by all of them. */
 export interface ICallContext<T extends ICall> {
   readonly view: FleetView;
-  readonly node: Pick<FleetNode, 'requestLeases'>;
+  readonly node: Pick<FleetNode, 'requestLeases' | 'requestExchange'>;
   readonly wallet: QuotaWallet;
   readonly budget: SharedRetryBudget;
   readonly states: TargetStates;
   readonly placement: Placement;
+  readonly quarantine: PromptQuarantine;
   readonly store: StoreIndex;
   readonly client: ITargetClient<T>;
   readonly clock: IClock;
@@ -101,6 +106,15 @@
   lastEventId: number | undefined;
   /** True once a target may have run the request. */
   mayHaveRun: boolean;
+  /** False once the request has probably crashed a target. */
+  mayRepeat: boolean;
+}
+
+/** What was decided before an attempt. */
+interface IPlannedAttempt {
+  readonly request: IPlacementRequest;
+  readonly standing: PromptStanding;
+  readonly placement: IPlacement;
 }
 
 /**
@@ -123,6 +137,7 @@
       unreachable: 0,
       lastEventId: call.resumeAfter,
       mayHaveRun: false,
+      mayRepeat: true,
     };
     const isQuotaSpent = await this._runAttempts(call, sink, admitted, progress);
     if (!isQuotaSpent && admitted.account !== undefined) {
@@ -207,8 +222,13 @@
         this._context.log.info('client left', { request: call.id, attempts: progress.attempts });
         return progress.mayHaveRun;
       }
+      const standing = this._context.quarantine.getStanding(call, now);
+      if (standing.kind === 'quarantined') {
+        this._finishQuarantined(call, sink, progress, standing.partIds);
+        return progress.mayHaveRun;
+      }
       const request = this._describeRequest(call, admitted);
-      const placement = this._place(call, admitted, request, progress, now);
+      const placement = this._place(call, admitted, request, standing, progress, now);
       if (placement === undefined) {
         this._finishUnanswered(call, sink, progress, 'no_target');
         return progress.mayHaveRun;
@@ -216,7 +236,13 @@
       if (this._refuseOverload(call, sink, admitted, placement, progress)) {
         return false;
       }
-      const outcome = await this._tryTarget(call, sink, admitted, request, placement, progress);
+      const outcome = await this._tryTarget(
+        call,
+        sink,
+        admitted,
+        { request, standing, placement },
+        progress,
+      );
       if (!this._shouldRetry(call, sink, admitted, outcome, progress)) {
         this._finish(call, sink, outcome, progress);
         return progress.mayHaveRun;
@@ -252,6 +278,7 @@
     call: T,
     admitted: IAdmittedCall,
     request: IPlacementRequest,
+    standing: PromptStanding,
     progress: IProgress,
     now: number,
   ): IPlacement | undefined {
@@ -274,13 +301,13 @@
         },
       ];
     });
-    const available = targets.filter(({ state }) => now >= state.cooldownUntil);
-    return placement.choose(
-      request,
-      available.length > 0 ? available : targets,
-      this._context.store,
-      now,
-    );
+    const available = filterPreferred(targets, ({ state }) => now >= state.cooldownUntil);
+    // A crash then tells which of the suspects is to blame, and breaks no other one.
+    const apart =
+      standing.kind === 'suspect'
+        ? filterPreferred(available, ({ state }) => state.suspects === 0)
+        : available;
+    return placement.choose(request, apart, this._context.store, now);
   }
 
   /** Time for which a request of the model may still begin on the weights that a target holds. */
@@ -314,8 +341,7 @@
     call: T,
     sink: IAnswerSink,
     admitted: IAdmittedCall,
-    request: IPlacementRequest,
-    placement: IPlacement,
+    { request, standing, placement }: IPlannedAttempt,
     progress: IProgress,
   ): Promise<AttemptOutcome> {
     const { clock, states, log, placement: placements } = this._context;
@@ -337,6 +363,9 @@
       mayFailOver: isRepeatable(route) && progress.attempts < route.maxAttempts,
       isLongStream: request.isEngine && request.outputTokens > LONG_STREAM_TOKENS,
       mayReplaceError: route.kind === 'safe' && progress.attempts < route.maxAttempts,
+      onSettled: (at) => {
+        this._context.quarantine.recordSettled(call, at);
+      },
       onFirstByte: (at) => {
         placements.recordReading(request, target, at);
         recordFirstByte(state, placement.modelMs, at - startedAt, at);
@@ -347,7 +376,10 @@
         ...describeCacheUse(request, placement, this._context.store, clock.now()),
       },
     });
+    const suspects = standing.kind === 'suspect' ? 1 : 0;
+    state.suspects += suspects;
     const outcome = await attempt.run();
+    state.suspects -= suspects;
     progress.lastEventId = attempt.lastEventId;
     if (outcome.kind !== 'not_run') {
       progress.mayHaveRun = true;
@@ -379,9 +411,35 @@
       viewAgeMs: Math.round(now - this._context.view.hubAnsweredAt),
     });
     this._recordOutcome(target, outcome, now);
+    if (outcome.kind === 'failed' && outcome.isBroken === true && !attempt.isSettled) {
+      await this._checkCrash(call, target, progress);
+    }
     return outcome;
   }
 
+  /** Reports a prompt with parts that are not known to be sound if its target has ended. */
+  private async _checkCrash(call: T, target: TargetRecord, progress: IProgress): Promise<void> {
+    const { quarantine, client, clock, states, node, log, metrics } = this._context;
+    TEST_ONLY: if (isMechanismDisabled('prompt-quarantine')) return;
+    if (!quarantine.hasUnprovenPart(call, clock.now()) || (await client.probe(target))) {
+      return;
+    }
+    const now = clock.now();
+    const standing = quarantine.getStanding(call, now);
+    // A further crash by the same part must not come from a repetition.
+    progress.mayRepeat = standing.kind === 'clear';
+    recordUnreachable(states.ensure(target, now), now);
+    quarantine.recordCrash(call, progress.attempts, target, now);
+    node.requestExchange();
+    log.info('target crashed', {
+      request: call.id,
+      target: target.id,
+      sharedParts: formatSharedParts(call),
+      standing: standing.kind,
+    });
+    metrics.increment('gateway_target_crashes_total', {});
+  }
+
   private _recordOutcome(target: TargetRecord, outcome: AttemptOutcome, now: number): void {
     const state = this._context.states.ensure(target, now);
     if (outcome.kind === 'not_run') {
@@ -424,7 +482,7 @@
         }
         break;
       case 'failed':
-        if (!isRepeatable(route)) {
+        if (!isRepeatable(route) || !progress.mayRepeat) {
           return false;
         }
         break;
@@ -464,6 +522,21 @@
     }
   }
 
+  /** Ends a call whose prompt has quarantined parts. */
+  private _finishQuarantined(
+    call: T,
+    sink: IAnswerSink,
+    progress: IProgress,
+    partIds: readonly string[],
+  ): void {
+    if (progress.mayHaveRun) {
+      this._finishUnanswered(call, sink, progress, 'quarantined');
+    } else {
+      const parts = partIds.slice(0, MAX_LOGGED_PARTS).join();
+      this._refuse(call, sink, 503, 'quarantined', QUARANTINE_RETRY_AFTER_MS, { parts });
+    }
+  }
+
   /** Ends a call that has no complete response and for which no further target is tried. */
   private _finishUnanswered(
     call: T,
@@ -511,6 +584,15 @@
   }
 }
 
+/** The targets that fulfil a condition, or all if none does. */
+function filterPreferred(
+  targets: readonly IPlacementTarget[],
+  isPreferred: (target: IPlacementTarget) => boolean,
+): readonly IPlacementTarget[] {
+  const preferred = targets.filter(isPreferred);
+  return preferred.length > 0 ? preferred : targets;
+}
+
 /** True if requests of the route may run more than once. */
 function isRepeatable(route: IRoute): boolean {
   TEST_ONLY: if (isMechanismDisabled('repeat-unsafe')) return true;
--- /dev/null
+++ b/src/gateway/PromptQuarantine.ts
@@ -0,0 +1,185 @@
+/**
+ * What this entry knows of prompt parts that crash targets: which parts are sound, which are suspect and which are
+ * quarantined. The hub decides over the reports of all entries; without it, an entry goes by its own.
+ */
+import { create } from '@bufbuild/protobuf';
+import { CrashEvidence, type ISuspectParts } from '../fleet/CrashEvidence.js';
+import type { IQuarantineReport, IQuarantineSource } from '../fleet/FleetNode.js';
+import {
+  CrashReportSchema,
+  type CrashReport,
+  type TargetRecord,
+} from '../gen/redwingwharf/v1/fleet_pb.js';
+import { hashText } from '../policy/TargetTable.js';
+import type { ICall, IPromptPart } from './Types.js';
+
+/** A part counts as sound for this long after a response with it has settled. */
+const SOUND_MS = 5_000;
+
+/** Parts of which the last settled response is remembered; the least recently used one is dropped. */
+const MAX_SOUND_PARTS = 10_000;
+
+/** Own reports that are kept for a new hub. */
+const MAX_REPORTS = 256;
+
+/** Without an answer of the hub for this long, the entry goes by its own reports. */
+const HUB_TIMEOUT_MS = 2_000;
+
+/** Where a request stands because of the parts of its prompt. */
+export type PromptStanding =
+  | { readonly kind: 'clear' }
+  /** A target crashed with one of its parts; no response with it has settled since. */
+  | { readonly kind: 'suspect' }
+  /** A target would probably crash. */
+  | { readonly kind: 'quarantined'; readonly partIds: readonly string[] };
+
+/** Holds the suspects of the hub, and the reports of this entry until a hub has received them. */
+export class PromptQuarantine implements IQuarantineSource {
+  private readonly _settledAt = new Map<number, number>();
+  private readonly _ownEvidence = new CrashEvidence();
+  private _reports: CrashReport[] = [];
+  /** By attempt. */
+  private readonly _unreported = new Map<number, CrashReport>();
+  private readonly _clearedParts = new Set<number>();
+  private _suspects: readonly ISuspectParts[] = [];
+  private _hubAnsweredAt = Number.NEGATIVE_INFINITY;
+
+  /** Suspects as the hub listed them last. */
+  public get suspects(): readonly ISuspectParts[] {
+    return this._suspects;
+  }
+
+  public getStanding(call: ICall, now: number): PromptStanding {
+    const own = this._ownEvidence.list(now);
+    const isHubSilent = now - this._hubAnsweredAt > HUB_TIMEOUT_MS;
+    const entries = [...this._suspects, ...own];
+    if (entries.length === 0) {
+      return { kind: 'clear' };
+    }
+    const hashes = new Set(hashParts(call));
+    const quarantined = [...this._suspects, ...(isHubSilent ? own : [])].find(
+      (entry) => entry.quarantined && entry.parts.every((part) => hashes.has(part)),
+    );
+    if (quarantined !== undefined) {
+      const partIds = call.parts.filter((part) => quarantined.parts.includes(hashPart(call, part)));
+      return { kind: 'quarantined', partIds: partIds.map(({ id }) => id) };
+    }
+    const isSuspect = entries.some(({ parts }) => parts.some((part) => hashes.has(part)));
+    return { kind: isSuspect ? 'suspect' : 'clear' };
+  }
+
+  /** True if the prompt has a part other than the last that is not known to be sound. */
+  public hasUnprovenPart(call: ICall, now: number): boolean {
+    return hashParts(call)
+      .slice(0, -1)
+      .some((part) => !this._isSound(part, now));
+  }
+
+  /** Records that a response has settled: none of the parts crashes a target. */
+  public recordSettled(call: ICall, now: number): void {
+    const parts = hashParts(call);
+    for (const part of parts) {
+      this._settledAt.delete(part);
+      this._settledAt.set(part, now);
+    }
+    for (const part of this._settledAt.keys()) {
+      if (this._settledAt.size <= MAX_SOUND_PARTS) {
+        break;
+      }
+      this._settledAt.delete(part);
+    }
+    this._clear(parts);
+  }
+
+  /** Records that a target crashed before the response had settled. */
+  public recordCrash(call: ICall, attempt: number, target: TargetRecord, now: number): void {
+    const hashes = hashParts(call);
+    const report = create(CrashReportSchema, {
+      attempt: hashText(`${call.id}/${attempt}`),
+      target: target.id,
+      born: target.born,
+      parts: hashes.slice(0, -1).filter((part) => !this._isSound(part, now)),
+      prompt: hashes.at(-1) ?? 0,
+    });
+    this._ownEvidence.add(report, now);
+    this._reports = [...this._reports, report].slice(-MAX_REPORTS);
+    this._unreported.set(report.attempt, report);
+  }
+
+  /** What the hub has not received yet. */
+  public listUnreported(): IQuarantineReport {
+    return { crashes: [...this._unreported.values()], clearedParts: [...this._clearedParts] };
+  }
+
+  /** Called when a hub has received a report. */
+  public removeReported({ crashes, clearedParts }: IQuarantineReport): void {
+    for (const crash of crashes) {
+      this._unreported.delete(crash.attempt);
+    }
+    for (const part of clearedParts) {
+      this._clearedParts.delete(part);
+    }
+  }
+
+  /** Sends all own reports again: a new hub has none of them. */
+  public repeatReports(): void {
+    for (const report of this._reports) {
+      this._unreported.set(report.attempt, report);
+    }
+  }
+
+  public recordHubAnswer(now: number): void {
+    this._hubAnsweredAt = now;
+  }
+
+  /** Replaces the list of suspects, and clears those with which a response has settled here lately. */
+  public applySuspects(suspects: readonly ISuspectParts[], now: number): void {
+    this._suspects = suspects.map(({ parts, quarantined }) => ({ parts: [...parts], quarantined }));
+    const listed = new Set(suspects.flatMap(({ parts }) => parts));
+    for (const { parts } of this._unreported.values()) {
+      parts.forEach((part) => listed.add(part));
+    }
+    const own = this._ownEvidence.list(now).flatMap(({ parts }) => parts);
+    this._dropEvidence(own.filter((part) => !listed.has(part)));
+    this._clear([...listed].filter((part) => this._isSound(part, now)));
+  }
+
+  /** Clears parts here, and at the hub if it lists them. */
+  private _clear(parts: readonly number[]): void {
+    this._dropEvidence(parts);
+    const cleared = new Set(
+      parts.filter((part) => this._suspects.some((entry) => entry.parts.includes(part))),
+    );
+    if (cleared.size === 0) {
+      return;
+    }
+    cleared.forEach((part) => this._clearedParts.add(part));
+    this._suspects = this._suspects
+      .map((entry) => ({ ...entry, parts: entry.parts.filter((part) => !cleared.has(part)) }))
+      .filter((entry) => entry.parts.length > 0);
+  }
+
+  /** Takes parts out of the own reports, so that a new hub does not get them. */
+  private _dropEvidence(parts: readonly number[]): void {
+    if (parts.length === 0 || !this._ownEvidence.clear(parts)) {
+      return;
+    }
+    for (const report of this._reports) {
+      report.parts = report.parts.filter((part) => !parts.includes(part));
+    }
+    this._reports = this._reports.filter((report) => report.parts.length > 0);
+  }
+
+  private _isSound(part: number, now: number): boolean {
+    return now - (this._settledAt.get(part) ?? Number.NEGATIVE_INFINITY) <= SOUND_MS;
+  }
+}
+
+/** Hashes of all parts. Unlike cached parts, a part that crashes targets does so for each isolation key. */
+function hashParts(call: ICall): number[] {
+  return call.parts.map((part) => hashPart(call, part));
+}
+
+function hashPart({ model }: ICall, { id }: IPromptPart): number {
+  return hashText(`${model ?? ''}/${id}`);
+}
--- a/src/gateway/TargetStates.ts
+++ b/src/gateway/TargetStates.ts
@@ -41,6 +41,8 @@
   pendingTokens: number;
   /** Streams of this entry in progress that were expected to exceed `LONG_STREAM_TOKENS`. */
   longStreams: number;
+  /** Requests of this entry in progress with suspect prompt parts. */
+  suspects: number;
   /** Moving average of the ratio of actual to expected time to the first byte. */
   slowness: number;
   slownessUpdatedAt: number;
@@ -69,6 +71,7 @@
         open: 0,
         pendingTokens: 0,
         longStreams: 0,
+        suspects: 0,
         slowness: 1,
         slownessUpdatedAt: Number.NEGATIVE_INFINITY,
         failures: 0,
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -43,6 +43,7 @@
   | 'quota'
   | 'no_target'
   | 'overloaded'
+  | 'quarantined'
   | 'not_run'
   | 'failed'
   | 'time_limit'
@@ -137,4 +138,6 @@
     dispatch: IDispatch,
     listener: ITargetListener,
   ): ITargetExchange;
+  /** False if the target accepts no connection any more; true also if that is not known. */
+  probe(target: TargetRecord): Promise<boolean>;
 }
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -15,6 +15,7 @@
 import { CallRunner } from '../gateway/CallRunner.js';
 import { Placement } from '../gateway/Placement.js';
 import { PromptHolders } from '../gateway/PromptHolders.js';
+import { PromptQuarantine } from '../gateway/PromptQuarantine.js';
 import { StoreIndex, type PollStore } from '../gateway/StoreIndex.js';
 import { TargetStates } from '../gateway/TargetStates.js';
 import type { ICall, ITargetClient } from '../gateway/Types.js';
@@ -86,6 +87,7 @@
     const states = new TargetStates();
     const holders = new PromptHolders();
     const placement = new Placement(dataCentre, holders);
+    const quarantine = new PromptQuarantine();
     this._rpc = new RpcClients(clusterSecret);
     this.view = new FleetView(adapters.decodeDocument, _log);
     this.node = new FleetNode(
@@ -108,6 +110,7 @@
           holders.addReported(readings, now);
         },
       },
+      quarantine,
       this._rpc,
       clock,
       _log,
@@ -125,6 +128,7 @@
       budget: new SharedRetryBudget(_options.retryBudget),
       states,
       placement,
+      quarantine,
       store: this._storeIndex,
       client: adapters.targetClient,
       clock,
@@ -148,6 +152,10 @@
           restore: (records) => {
             this.node.restoreTargets(records);
           },
+          listSuspects: () => quarantine.suspects,
+          restoreSuspects: (suspects) => {
+            quarantine.applySuspects(suspects, clock.now());
+          },
         },
       );
     this._rollout = this._createRollout(adapters.engineClient);
--- a/src/run/MemberHost.ts
+++ b/src/run/MemberHost.ts
@@ -13,6 +13,7 @@
 } from '../consensus/ReplicatedLog.js';
 import { DEFAULT_TIMINGS } from '../consensus/Timings.js';
 import { RpcConsensusTransport } from '../consensus/Transport.js';
+import type { ISuspectParts } from '../fleet/CrashEvidence.js';
 import type { IFleetMember } from '../fleet/FleetNode.js';
 import { FleetState } from '../fleet/FleetState.js';
 import { ConsensusService } from '../gen/redwingwharf/v1/consensus_pb.js';
@@ -39,12 +40,14 @@
 const MAX_VOTERS = 7;
 
 /**
- * The targets of this process, which are saved and restored so that requests are served sooner after a restart
- * of all processes. This is soft state: targets announce themselves again anyway.
+ * What this process saves and restores for a restart of all processes: the targets, so that requests are served
+ * sooner, and the quarantined prompt parts, so that they crash no further target. All of it is soft state.
  */
 export interface ITargetCache {
   list(): readonly TargetRecord[];
   restore(records: readonly TargetRecord[]): void;
+  listSuspects(): readonly ISuspectParts[];
+  restoreSuspects(suspects: readonly ISuspectParts[]): void;
 }
 
 export interface IMemberOptions {
@@ -145,9 +148,10 @@
     try {
       const content = await directory.read(TARGETS_FILE);
       if (content !== undefined) {
-        const { targets } = fromBinary(TargetListSchema, content);
+        const { targets, suspects } = fromBinary(TargetListSchema, content);
         this._targetCache.restore(targets);
-        this._log.info('targets restored', { targets: targets.length });
+        this._targetCache.restoreSuspects(suspects);
+        this._log.info('targets restored', { targets: targets.length, suspects: suspects.length });
       }
     } catch (error) {
       // Not fatal: targets announce themselves again within one or two seconds.
@@ -161,12 +165,14 @@
     while (!isAborted(signal)) {
       await sleep(TARGETS_SAVE_INTERVAL_MS, signal);
       const targets = this._targetCache.list();
-      const fingerprint = buildFingerprint(targets);
+      const suspects = this._targetCache.listSuspects().filter((entry) => entry.quarantined);
+      const fingerprint = buildFingerprint(targets, suspects);
       if (fingerprint !== savedFingerprint && !isAborted(signal)) {
-        await directory.replace(
-          TARGETS_FILE,
-          toBinary(TargetListSchema, create(TargetListSchema, { targets: [...targets] })),
-        );
+        const list = create(TargetListSchema, {
+          targets: [...targets],
+          suspects: suspects.map(({ parts }) => ({ parts: [...parts], quarantined: true })),
+        });
+        await directory.replace(TARGETS_FILE, toBinary(TargetListSchema, list));
         savedFingerprint = fingerprint;
       }
     }
@@ -194,8 +200,14 @@
 }
 
 /** Covers the fields that matter after a restart; the sequence number of announcements is not one of them. */
-function buildFingerprint(targets: readonly TargetRecord[]): string {
-  return targets
-    .map(({ id, born, phase, models }) => `${id} ${born} ${phase} ${models[0]?.version ?? ''}`)
-    .join();
+function buildFingerprint(
+  targets: readonly TargetRecord[],
+  suspects: readonly ISuspectParts[],
+): string {
+  return [
+    ...targets.map(
+      ({ id, born, phase, models }) => `${id} ${born} ${phase} ${models[0]?.version ?? ''}`,
+    ),
+    ...suspects.map(({ parts }) => parts.join('+')),
+  ].join();
 }
