Cancel requests at engines when their prompt is quarantined

Cause: when the hub quarantines a part, requests with it may still wait or be read at engines, and each of them crashes one more. Change: a change of the suspects cancels them unless their response has settled; an engine drops a request whose connection closes. The client gets 502, as the engine may have begun. Test: CallRunner.test.ts, has the request cancelled that would crash it; fails without the change (the request runs on). Ruled out: answering 503, which would promise that the request has not run.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -225,6 +225,13 @@
     }
   }
 
+  /** Cancels the request at the target unless its response has settled; the attempt then counts as failed. */
+  public cancel(reason: string): void {
+    if (!this._isSettled) {
+      this._end({ kind: 'failed', reason });
+    }
+  }
+
   /** Cancels the request when the weights of the target expire before its first byte. */
   private _startBeginTimer(): NodeJS.Timeout | undefined {
     const remainingMs = this._options.beginBy - this._context.clock.now();
--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -408,6 +408,20 @@
       expect(sink.retryAfterMs).toBeGreaterThanOrEqual(10_000);
     });
 
+    it('has the request cancelled that would crash it, once the part is quarantined', async () => {
+      const reporter = new PromptQuarantine();
+      const quarantine = new PromptQuarantine();
+      const call = { parts, deadlineMs: 2_000 };
+      await runCall([crash], { call, quarantine: reporter, hasCrashed: true });
+      const suspect = reporter.listUnreported().crashes[0]?.parts ?? [];
+      setTimeout(() => {
+        quarantine.applySuspects([{ parts: suspect, quarantined: true }], performance.now());
+      }, 20);
+      const { sink, targets } = await runCall([sendNothing, answerOk], { call, quarantine });
+      expect(targets).toMatchObject({ aborted: 1, sent: [{}] });
+      expect(sink).toMatchObject({ status: 502, ending: 'refuse' });
+    });
+
     it('is told apart from one that has only lost an answer', async () => {
       const quarantine = new PromptQuarantine();
       const { sink, targets } = await runCall([crash, crash, answerOk], {
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -122,7 +122,13 @@
  * second one only if its route allows that, and "not run" is reported only if no target can have run it.
  */
 export class CallRunner<T extends ICall> {
-  constructor(private readonly _context: ICallContext<T>) {}
+  private readonly _running = new Map<Attempt<T>, T>();
+
+  constructor(private readonly _context: ICallContext<T>) {
+    _context.quarantine.onChange((now) => {
+      this._cancelQuarantined(now);
+    });
+  }
 
   /** Writes exactly one final response to the sink, or none if the client disconnects. */
   public async run(call: T, sink: IAnswerSink): Promise<void> {
@@ -378,7 +384,9 @@
     });
     const suspects = standing.kind === 'suspect' ? 1 : 0;
     state.suspects += suspects;
+    this._running.set(attempt, call);
     const outcome = await attempt.run();
+    this._running.delete(attempt);
     state.suspects -= suspects;
     progress.lastEventId = attempt.lastEventId;
     if (outcome.kind !== 'not_run') {
@@ -417,6 +425,15 @@
     return outcome;
   }
 
+  /** Cancels requests at targets that would crash when they begin to answer. */
+  private _cancelQuarantined(now: number): void {
+    for (const [attempt, call] of this._running) {
+      if (this._context.quarantine.getStanding(call, now).kind === 'quarantined') {
+        attempt.cancel('the prompt is quarantined');
+      }
+    }
+  }
+
   /** Reports a prompt with parts that are not known to be sound if its target has ended. */
   private async _checkCrash(call: T, target: TargetRecord, progress: IProgress): Promise<void> {
     const { quarantine, client, clock, states, node, log, metrics } = this._context;
--- a/src/gateway/PromptQuarantine.ts
+++ b/src/gateway/PromptQuarantine.ts
@@ -3,6 +3,7 @@
  * quarantined. The hub decides over the reports of all entries; without it, an entry goes by its own.
  */
 import { create } from '@bufbuild/protobuf';
+import { Emitter } from '../common/Lifecycle.js';
 import { CrashEvidence, type ISuspectParts } from '../fleet/CrashEvidence.js';
 import type { IQuarantineReport, IQuarantineSource } from '../fleet/FleetNode.js';
 import {
@@ -43,6 +44,10 @@
   private readonly _clearedParts = new Set<number>();
   private _suspects: readonly ISuspectParts[] = [];
   private _hubAnsweredAt = Number.NEGATIVE_INFINITY;
+  private readonly _changes = new Emitter<number>();
+
+  /** Fires with the present time when the hub has listed other suspects. */
+  public readonly onChange = this._changes.onFire;
 
   /** Suspects as the hub listed them last. */
   public get suspects(): readonly ISuspectParts[] {
@@ -142,6 +147,7 @@
     const own = this._ownEvidence.list(now).flatMap(({ parts }) => parts);
     this._dropEvidence(own.filter((part) => !listed.has(part)));
     this._clear([...listed].filter((part) => this._isSound(part, now)));
+    this._changes.fire(now);
   }
 
   /** Clears parts here, and at the hub if it lists them. */
