Let an entry go by its own crash reports only while no hub is reachable

Cause, read in the change before: the quarantine counted the hub as silent 2 s after its last answer, but in fleets of more than 400 entries exchanges are further apart, so that entries would have overruled the hub between two of them. Change: the node tells the quarantine whether a hub is reachable, as it tells the wallet.

--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -129,7 +129,7 @@
   removeReported(report: IQuarantineReport): void;
   /** Queues all reports again, for a hub of a new epoch. */
   repeatReports(): void;
-  recordHubAnswer(now: number): void;
+  setHubReachable(isReachable: boolean): void;
   applySuspects(suspects: readonly ISuspectParts[], now: number): void;
 }
 
@@ -675,7 +675,6 @@
     isNewEpoch: boolean,
     now: number,
   ): void {
-    this._quarantine.recordHubAnswer(now);
     this._quarantine.removeReported(request);
     if (isNewEpoch) {
       this._quarantine.repeatReports();
@@ -688,6 +687,7 @@
 
   private _updateLeaderReachability(isReachable: boolean, detail: string): void {
     this._wallet.setHubReachable(isReachable);
+    this._quarantine.setHubReachable(isReachable);
     if (isReachable !== this._isLeaderReachable) {
       this._isLeaderReachable = isReachable;
       this._log.info(isReachable ? 'leader regained' : 'leader lost', {
--- a/src/gateway/PromptQuarantine.ts
+++ b/src/gateway/PromptQuarantine.ts
@@ -23,9 +23,6 @@
 /** Own reports that are kept for a new hub. */
 const MAX_REPORTS = 256;
 
-/** Without an answer of the hub for this long, the entry goes by its own reports. */
-const HUB_TIMEOUT_MS = 2_000;
-
 /** Where a request stands because of the parts of its prompt. */
 export type PromptStanding =
   | { readonly kind: 'clear' }
@@ -43,7 +40,7 @@
   private readonly _unreported = new Map<number, CrashReport>();
   private readonly _clearedParts = new Set<number>();
   private _suspects: readonly ISuspectParts[] = [];
-  private _hubAnsweredAt = Number.NEGATIVE_INFINITY;
+  private _isHubReachable = false;
   private readonly _changes = new Emitter<number>();
 
   /** Fires with the present time when the hub has listed other suspects. */
@@ -56,13 +53,12 @@
 
   public getStanding(call: ICall, now: number): PromptStanding {
     const own = this._ownEvidence.list(now);
-    const isHubSilent = now - this._hubAnsweredAt > HUB_TIMEOUT_MS;
     const entries = [...this._suspects, ...own];
     if (entries.length === 0) {
       return { kind: 'clear' };
     }
     const hashes = new Set(hashParts(call));
-    const quarantined = [...this._suspects, ...(isHubSilent ? own : [])].find(
+    const quarantined = [...this._suspects, ...(this._isHubReachable ? [] : own)].find(
       (entry) => entry.quarantined && entry.parts.every((part) => hashes.has(part)),
     );
     if (quarantined !== undefined) {
@@ -133,8 +129,8 @@
     }
   }
 
-  public recordHubAnswer(now: number): void {
-    this._hubAnsweredAt = now;
+  public setHubReachable(isReachable: boolean): void {
+    this._isHubReachable = isReachable;
   }
 
   /** Replaces the list of suspects, and clears those with which a response has settled here lately. */
