Count a reused connection of the soak as established

It is the test client, no product process. Such a request that broke also counted as never connected, though a server may have got it. Change: a socket that is connected already counts as such.

--- a/tools/soak/HttpCall.ts
+++ b/tools/soak/HttpCall.ts
@@ -15,8 +15,7 @@
 /** Answer to a request, as far as it arrived. Times are milliseconds of `performance.now()`. */
 export interface ICallResult {
   /**
-   * `not_connected`: the request failed before a new connection was established. Without an agent, no server
-   * got the request in that case.
+   * `not_connected`: the request failed before its connection was established, so no server got it.
    */
   readonly end: 'complete' | 'broken' | 'timeout' | 'not_connected';
   /** HTTP status; 0 if no response arrived. */
@@ -60,9 +59,13 @@
       call.destroy();
     }, options.timeoutMs);
     call.on('socket', (socket) => {
-      socket.once('connect', () => {
+      if (socket.connecting) {
+        socket.once('connect', () => {
+          isConnected = true;
+        });
+      } else {
         isConnected = true;
-      });
+      }
     });
     call.on('error', () => {
       finish(isConnected ? 'broken' : 'not_connected');
