--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -44,9 +44,9 @@
   readonly target: TargetRecord;
   readonly state: ITargetState;
   readonly route: IRoute;
-  /** Deadline of the call: the earlier of the client's and the route's, on the monotonic clock. */
   /** Time by which the target must have begun, as its weights expire then; may be infinite. */
   readonly beginBy: number;
+  /** Deadline of the call: the earlier of the client's and the route's, on the monotonic clock. */
   readonly deadlineAt: number;
   readonly lastEventId: number | undefined;
   /** Prompt tokens that the target is expected to compute, that is, that are not in its cache. */
