Decode and log the limit that an engine names

Change: Server-Limit is part of the decoded head of an answer, and rateLimit of the line 'attempt ended'. Nothing acts on it yet.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -16,6 +16,7 @@
   type ITargetExchange,
   type ITargetHead,
   type IReportedLoad,
+  type RateLimitNotice,
   type RawHeaders,
 } from './Types.js';
 
@@ -139,6 +140,11 @@
     return this._head?.load;
   }
 
+  /** What the head of the response says about the target's limit. */
+  public get rateLimit(): RateLimitNotice | undefined {
+    return this._head?.rateLimit;
+  }
+
   public get framing(): BodyFraming | undefined {
     return this._head?.framing;
   }
--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -45,6 +45,7 @@
   isNotRun: false,
   isOtherTarget: false,
   load: undefined,
+  rateLimit: { kind: 'unlimited' },
 };
 const BUSY_HEAD: ITargetHead = { ...OK_HEAD, status: 503, isNotRun: true };
 
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -27,7 +27,14 @@
 } from './TargetStates.js';
 import { decideOverload } from './Overload.js';
 import type { StoreIndex } from './StoreIndex.js';
-import type { IAnswerSink, ICall, IDispatch, ITargetClient, RefusalReason } from './Types.js';
+import type {
+  IAnswerSink,
+  ICall,
+  IDispatch,
+  ITargetClient,
+  RateLimitNotice,
+  RefusalReason,
+} from './Types.js';
 
 /** Longest time that a request waits for the hub to grant quota tokens. */
 const QUOTA_WAIT_MS = 150;
@@ -403,6 +410,7 @@
       status: attempt.status,
       // What requests that broke with their target have in common.
       sharedParts: outcome.kind === 'failed' ? formatSharedParts(call) : undefined,
+      rateLimit: formatRateLimit(attempt.rateLimit),
       framing: attempt.framing,
       lastEvent: attempt.lastEventId,
       incompleteBytes: attempt.incompleteBytes,
@@ -670,6 +678,19 @@
   return shared.length === 0 ? undefined : shared.map(({ id }) => id).join();
 }
 
+/** Formats what a response said about its target's limit, for the log; undefined if nothing. */
+function formatRateLimit(notice: RateLimitNotice | undefined): number | string | undefined {
+  switch (notice?.kind) {
+    case undefined:
+    case 'unlimited':
+      return undefined;
+    case 'limited':
+      return notice.perSecond;
+    case 'unreadable':
+      return notice.kind;
+  }
+}
+
 /** Formats a source for the log: the id of the target, or `store`. */
 function formatSource(source: PromptSource | undefined): string | undefined {
   return source?.kind === 'target' ? source.record.id : source?.kind;
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -87,6 +87,13 @@
   readonly slots: number;
 }
 
+/** What a response says about the requests a second that its target takes from all processes together. */
+export type RateLimitNotice =
+  | { readonly kind: 'unlimited' }
+  | { readonly kind: 'limited'; readonly perSecond: number }
+  /** The response has a value that cannot be read, which says nothing. */
+  | { readonly kind: 'unreadable' };
+
 /** How the end of a response body is marked. */
 export const BodyFraming = {
   /** The response has no body. */
@@ -110,6 +117,7 @@
   /** True if another target has this address now. */
   readonly isOtherTarget: boolean;
   readonly load: IReportedLoad | undefined;
+  readonly rateLimit: RateLimitNotice;
 }
 
 /** Receives the response of a target. `onEnd` or `onError` is the last call. */
