Keep all entries together to the limit that a target names

What callers saw: an engine in need that had named 2 requests a second got 20 in 4 s. Cause: nothing read Server-Limit; each entry placed requests there by cost alone. The class: a limit over all entries that is known to none, or to each by itself. Change: what a response says of a limit goes to the hub with the next exchange and becomes part of the target's record, so that all entries, new hubs and restarted members know it. The hub issues permits at the named rate; a permit is void 0.8 s after it was asked for. Each request to a target takes one, whatever sends it. An entry without a hub uses half of its equal share in turns. A limit ends by a success to a request that was sent after the limit was known. If no other target can take a request, it waits for a permit within its objective, urgent ones first, or is refused at once with a Retry-After by the demand of all entries. Ruled out: an equal share for each entry without a hub in all cases: with 70 entries and 2 a second either each has one permit in store, which is a burst of 70, or the shares lapse.

--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -7,8 +7,11 @@
   TargetRecordSchema,
   type AccountSpending,
   type ExchangeRequest,
+  type PermitDemand,
+  type PermitGrant,
   type QuotaGrant,
   type QuotaReport,
+  type RateLimitReport,
   type SpendingRecord,
   type TargetRecord,
   type TargetWork,
@@ -18,6 +21,7 @@
 import type { ISpendingHistory, ISpendingSlice, QuotaRecovery } from './QuotaRecovery.js';
 import { FORGET_WINDOWS, type IQuotaTerms } from './QuotaRule.js';
 import { RecentReadings, type IReadingDelta } from './RecentReadings.js';
+import { setRateLimit, TargetRateLimits } from './TargetRateLimits.js';
 import { needsPropagation, isLater } from './TargetOrder.js';
 import { WorkTotals } from './WorkTotals.js';
 
@@ -110,6 +114,7 @@
   private readonly _inheritedLoads = new Set<string>();
   private readonly _recentReadings = new RecentReadings();
   private readonly _crashEvidence = new CrashEvidence();
+  private readonly _rateLimits: TargetRateLimits;
   private _windowLimits: ReadonlyMap<string, number> = new Map();
   /** Sequence of the last report of quotas of each run of a process, and when it arrived. */
   private readonly _lastReports = new Map<string, { sequence: bigint; at: number }>();
@@ -122,7 +127,9 @@
     private readonly _options: IHubOptions,
     private readonly _startedAt: number,
     private readonly _earlier: IEarlierSpending,
-  ) {}
+  ) {
+    this._rateLimits = new TargetRateLimits(_startedAt);
+  }
 
   /** Sets the most tokens of each client account within the window; accounts without a limit are absent. */
   public setLimits(limits: ReadonlyMap<string, number>, now: number): void {
@@ -156,6 +163,7 @@
       const isSameIncarnation = record.born === existing.record.born;
       record.loading = isSameIncarnation && existing.record.loading;
       record.preparing = isSameIncarnation && existing.record.preparing;
+      setRateLimit(record, isSameIncarnation ? existing.record.rateLimit : undefined);
       if (existing.record.silent || needsPropagation(record, existing.record)) {
         this._store(record, seenAt);
       } else {
@@ -182,9 +190,27 @@
     });
     this._recentReadings.add(request.node, request.readings);
     this._applyCrashes(request, now);
+    this._applyRateLimits(request.rateLimits, now);
     this._expire(now);
   }
 
+  /** Issues permits of a process for targets with a limit; targets that have none by now are left out. */
+  public grantPermits(
+    node: string,
+    demands: readonly Pick<PermitDemand, 'target' | 'requests'>[],
+    now: number,
+  ): Pick<PermitGrant, 'target' | 'born' | 'permits' | 'waitMs'>[] {
+    this._rateLimits.keepDemands(node, new Set(demands.map(({ target }) => target)));
+    return demands.flatMap((demand) => {
+      const record = this._targets.get(demand.target)?.record;
+      if (record?.rateLimit === undefined) {
+        return [];
+      }
+      const { id, born, rateLimit: perSecond } = record;
+      return [this._rateLimits.grant(node, { id, born, perSecond }, demand, now)];
+    });
+  }
+
   /** Takes over what an earlier hub quarantined. */
   public restoreSuspects(suspects: readonly ISuspectParts[], now: number): void {
     this._crashEvidence.restore(suspects, now);
@@ -331,6 +357,21 @@
     });
   }
 
+  private _applyRateLimits(reports: readonly RateLimitReport[], now: number): void {
+    for (const report of reports) {
+      const existing = this._targets.get(report.target);
+      if (
+        existing?.record.born === report.born &&
+        this._rateLimits.applyReport(report, now) &&
+        existing.record.rateLimit !== report.perSecond
+      ) {
+        const record = copyWith(existing.record, {});
+        setRateLimit(record, report.perSecond);
+        this._store(record, existing.seenAt);
+      }
+    }
+  }
+
   private _ensurePool(account: string): QuotaPool | undefined {
     const limit = this._windowLimits.get(account);
     let pool = this._pools.get(account);
@@ -370,6 +411,7 @@
       silent,
       loading: record.loading,
       preparing: record.preparing,
+      rateLimit: record.rateLimit,
       weights: models.map(({ name, version }) => `${name}@${version}`),
     });
   }
@@ -391,6 +433,7 @@
       if (now - report.receivedAt > PROCESS_REPORT_TTL_MS) {
         this._work.replace(report.work, []);
         this._processes.delete(node);
+        this._rateLimits.keepDemands(node, new Set());
       }
     }
     for (const [run, { at }] of this._lastReports) {
@@ -402,6 +445,7 @@
     for (const [id, { record, seenAt }] of this._targets) {
       if (now - seenAt > TARGET_RECORD_TTL_MS) {
         this._targets.delete(id);
+        this._rateLimits.remove(id);
       } else if (!record.silent && now - seenAt > silentMs && record.phase !== TargetPhase.GONE) {
         this._store(copyWith(record, { silent: true }), seenAt);
       }
--- a/src/fleet/FleetNode.test.ts
+++ b/src/fleet/FleetNode.test.ts
@@ -14,12 +14,23 @@
 import {
   CrashReportSchema,
   FleetCommandSchema,
+  PermitDemandSchema,
+  RateLimitReportSchema,
   type CrashReport,
   type FleetCommand,
+  type PermitDemand,
+  type PermitGrant,
+  type RateLimitReport,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
 import type { ISuspectParts } from './CrashEvidence.js';
 import { buildConfiguration, buildTarget } from './Fixtures.js';
-import { FleetNode, type IQuarantineReport, type IQuarantineSource } from './FleetNode.js';
+import {
+  FleetNode,
+  type IQuarantineReport,
+  type IQuarantineSource,
+  type IRateLimitReports,
+  type IRateLimitSource,
+} from './FleetNode.js';
 import { FleetState } from './FleetState.js';
 import { FleetView } from './FleetView.js';
 import { QuotaWallet } from './QuotaWallet.js';
@@ -31,6 +42,7 @@
   readonly node: FleetNode;
   readonly view: FleetView;
   readonly quarantine: RecordingQuarantine;
+  readonly rateLimits: RecordingRateLimits;
 }
 
 /** Processes that call each other in memory; a call to a process that was not started is refused. */
@@ -55,6 +67,7 @@
   public start(address: string, seeds: readonly string[], isLeader = false): IStartedProcess {
     const view = new FleetView(() => Ok(buildConfiguration()), SILENT_LOG);
     const quarantine = new RecordingQuarantine();
+    const rateLimits = new RecordingRateLimits();
     const node = new FleetNode(
       {
         address,
@@ -65,6 +78,7 @@
       new QuotaWallet(QUOTA.windowMs),
       { listWork: () => [], takeReadings: () => [], applyReadings: () => undefined },
       quarantine,
+      rateLimits,
       this,
       CLOCK,
       SILENT_LOG,
@@ -77,7 +91,7 @@
     this._nodes.set(address, node);
     void node.run(this.stop.signal);
     void node.runMembershipNotices(this.stop.signal);
-    return { node, view, quarantine };
+    return { node, view, quarantine, rateLimits };
   }
 }
 
@@ -113,6 +127,36 @@
   }
 }
 
+/** Reports what a test saw of limits until a hub has received it, and records the permits. */
+class RecordingRateLimits implements IRateLimitSource {
+  public observations: RateLimitReport[] = [];
+  public demands: PermitDemand[] = [];
+  public permits = 0;
+  public repeatCount = 0;
+
+  public listReports(): IRateLimitReports {
+    return { observations: this.observations, demands: this.demands };
+  }
+
+  public removeReported({ observations }: Pick<IRateLimitReports, 'observations'>): void {
+    this.observations = this.observations.filter(
+      ({ target }) => !observations.some((report) => report.target === target),
+    );
+  }
+
+  public repeatReports(): void {
+    this.repeatCount += 1;
+  }
+
+  public applyGrants(grants: readonly PermitGrant[]): void {
+    this.permits += grants.reduce((sum, { permits }) => sum + permits, 0);
+  }
+
+  public setHubReachable(): void {
+    // Not needed here.
+  }
+}
+
 let fleet = new Fleet();
 
 afterEach(() => {
@@ -198,6 +242,34 @@
     }
   });
 
+  it('makes a limit known to all processes that a target named to one, and lifts it again', async () => {
+    const leader = fleet.start('leader', ['leader'], true);
+    const first = fleet.start('entry-1', ['leader']);
+    const second = fleet.start('entry-2', ['leader']);
+    const all = [leader, first, second];
+    const target = buildTarget();
+    first.node.announce(target, CLOCK.now());
+    await waitUntil('all know the target', () =>
+      all.every(({ view }) => view.getTarget(target.id) !== undefined),
+    );
+    const report = { target: target.id, born: target.born };
+    first.rateLimits.observations = [create(RateLimitReportSchema, { ...report, perSecond: 2 })];
+    await waitUntil('all know the limit', () =>
+      all.every(({ view }) => view.getTarget(target.id)?.rateLimit === 2),
+    );
+    // An announcement says nothing of limits.
+    const next = { ...target, sequence: target.sequence + 1n };
+    second.node.announce(buildTarget(next), CLOCK.now());
+    second.rateLimits.demands = [create(PermitDemandSchema, { target: target.id, requests: 1 })];
+    await waitUntil('the entry has permits', () => second.rateLimits.permits > 0);
+    expect(leader.view.getTarget(target.id)?.rateLimit).toBe(2);
+    await new Promise((resolve) => setTimeout(resolve, 900));
+    second.rateLimits.observations = [create(RateLimitReportSchema, report)];
+    await waitUntil('the limit is lifted', () =>
+      all.every(({ view }) => view.getTarget(target.id)?.rateLimit === undefined),
+    );
+  });
+
   it('does not confirm an exchange without a leader', async () => {
     const entry = fleet.start('entry', ['nobody']);
     entry.node.announce(buildTarget(), CLOCK.now());
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -14,6 +14,7 @@
   FleetService,
   LeaseResponseSchema,
   NamedWeightsSchema,
+  PermitGrantSchema,
   QuotaGrantSchema,
   QuotaReportSchema,
   ReadDocumentResponseSchema,
@@ -26,7 +27,10 @@
   type FleetDocument,
   type LeaseRequest,
   type LeaseResponse,
+  type PermitDemand,
+  type PermitGrant,
   type PromptReading,
+  type RateLimitReport,
   type ReadDocumentResponse,
   type SubmitResponse,
   type TargetRecord,
@@ -133,6 +137,23 @@
   applySuspects(suspects: readonly ISuspectParts[], now: number): void;
 }
 
+/** Reports about the limits that targets name, for the hub. */
+export interface IRateLimitReports {
+  readonly observations: readonly RateLimitReport[];
+  readonly demands: readonly PermitDemand[];
+}
+
+/** Supplies what this process's data path saw of limits and the permits it needs, and receives permits. */
+export interface IRateLimitSource {
+  /** Observations that no hub has received yet, and the demand since the last call. */
+  listReports(now: number): IRateLimitReports;
+  removeReported(reports: Pick<IRateLimitReports, 'observations'>): void;
+  /** Queues all observations again, for a hub of a new epoch. */
+  repeatReports(): void;
+  applyGrants(grants: readonly PermitGrant[], requestedAt: number, now: number): void;
+  setHubReachable(isReachable: boolean, now: number): void;
+}
+
 export type SubmitOutcome =
   { readonly kind: 'committed' } | { readonly kind: 'unknown'; readonly reason: string };
 
@@ -171,6 +192,7 @@
     private readonly _wallet: QuotaWallet,
     private readonly _workSource: IWorkSource,
     private readonly _quarantine: IQuarantineSource,
+    private readonly _rateLimits: IRateLimitSource,
     private readonly _rpc: Pick<RpcClients, 'get'>,
     private readonly _clock: IClock,
     private readonly _log: ILog,
@@ -415,6 +437,9 @@
     });
     response.work = hub.sumWorkOfOthers(request.node);
     response.entries = hub.countEntries();
+    response.permits = hub
+      .grantPermits(request.node, request.demands, now)
+      .map((grant) => create(PermitGrantSchema, grant));
     response.grants = hub.grantLeases(request, now).map((grant) => create(QuotaGrantSchema, grant));
     if (state.document !== undefined && state.document.version > request.documentVersion) {
       response.document = state.document;
@@ -505,6 +530,7 @@
   private _buildRequest(now: number, quotas: IQuotaReportInFlight): ExchangeRequest {
     const hasExchanged = this._view.epoch !== '';
     const { crashes, clearedParts } = this._quarantine.listUnreported();
+    const { observations, demands } = this._rateLimits.listReports(now);
     const announced = hasExchanged
       ? [...this._pendingAnnouncements.values()]
       : this._view.listRecords();
@@ -527,6 +553,8 @@
       suspectRevision: this._suspectRevision,
       crashes: [...crashes],
       clearedParts: [...clearedParts],
+      rateLimits: [...observations],
+      demands: [...demands],
     });
   }
 
@@ -662,6 +690,11 @@
       }
     }
     this._applySuspects(answer, request, isNewEpoch, now);
+    this._rateLimits.removeReported({ observations: request.rateLimits });
+    if (isNewEpoch) {
+      this._rateLimits.repeatReports();
+    }
+    this._rateLimits.applyGrants(answer.permits, sentAt, now);
     this._leases.applyGrants(answer.grants, sentAt, now);
     for (const finish of waiters) {
       finish();
@@ -688,6 +721,7 @@
   private _updateLeaderReachability(isReachable: boolean, detail: string): void {
     this._wallet.setHubReachable(isReachable);
     this._quarantine.setHubReachable(isReachable);
+    this._rateLimits.setHubReachable(isReachable, this._clock.now());
     if (isReachable !== this._isLeaderReachable) {
       this._isLeaderReachable = isReachable;
       this._log.info(isReachable ? 'leader regained' : 'leader lost', {
--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -11,6 +11,7 @@
 } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { RouteTable } from './RouteTable.js';
 import { isLater } from './TargetOrder.js';
+import { setRateLimit } from './TargetRateLimits.js';
 import type { DocumentDecoder } from './Types.js';
 import { WeightsHistory } from './WeightsHistory.js';
 
@@ -113,12 +114,13 @@
     }
   }
 
-  /** Applies an announcement that a target sent to this process; the load state that the hub set is kept. */
+  /** Applies an announcement that a target sent to this process; what the hub added is kept. */
   public applyAnnouncement(record: TargetRecord): void {
     const existing = this._targets.get(record.id);
     if (existing?.born === record.born) {
       record.loading = existing.loading;
       record.preparing = existing.preparing;
+      setRateLimit(record, existing.rateLimit);
     }
     this.applyTarget(record);
   }
--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -60,6 +60,8 @@
   readonly isLongStream: boolean;
   /** Whether a 5xx response may be discarded so that another target can be tried. */
   readonly mayReplaceError: boolean;
+  /** Called with what the head of the response says of the target's limit, and when the request was sent. */
+  readonly onRateLimit: (notice: RateLimitNotice, sentAt: number) => void;
   /** Called once the response has lasted long enough that its prompt cannot have crashed the target. */
   readonly onSettled: (at: number) => void;
   /** Called with the time at which the first byte of the response body arrived. */
@@ -78,6 +80,7 @@
 
 const SILENCE_CHECK_INTERVAL_MS = 250;
 
+const MIN_ERROR_STATUS = 300;
 const MIN_SERVER_ERROR_STATUS = 500;
 
 /** Responses to safe requests are buffered up to this size, and streamed beyond it. */
@@ -283,6 +286,7 @@
 
   private _handleHead(head: ITargetHead): void {
     this._options.state.lastActivityAt = this._context.clock.now();
+    this._handleRateLimit(head);
     if (this._hasEnded) {
       return;
     }
@@ -312,6 +316,19 @@
     }
   }
 
+  /** A refusal or a failure may come from something in front of the target, which knows of no limit. */
+  private _handleRateLimit({
+    rateLimit,
+    status,
+    isForThisRequest,
+    isOtherTarget,
+  }: ITargetHead): void {
+    const isSuccess = status < MIN_ERROR_STATUS && isForThisRequest;
+    if (!isOtherTarget && (rateLimit.kind !== 'unlimited' || isSuccess)) {
+      this._options.onRateLimit(rateLimit, this._sentAt);
+    }
+  }
+
   private _handleData(chunk: Buffer): void {
     this._options.state.lastActivityAt = this._context.clock.now();
     if (this._hasEnded || chunk.length === 0) {
@@ -405,7 +422,7 @@
   }
 
   private _isSuccess(): boolean {
-    return this._head !== undefined && this._head.status < 300;
+    return this._head !== undefined && this._head.status < MIN_ERROR_STATUS;
   }
 
   /**
--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -22,6 +22,7 @@
 import { Placement } from './Placement.js';
 import { PromptQuarantine } from './PromptQuarantine.js';
 import { StoreIndex } from './StoreIndex.js';
+import { TargetLimits } from './TargetLimits.js';
 import { TargetStates } from './TargetStates.js';
 import {
   BodyFraming,
@@ -136,6 +137,7 @@
   readonly quarantine?: PromptQuarantine;
   /** True if targets refuse connections after a request has broken. */
   readonly hasCrashed?: boolean;
+  readonly limits?: TargetLimits;
   readonly queued?: { readonly target: string; readonly pendingTokens: number };
 }
 
@@ -144,6 +146,14 @@
   readonly targets: ScriptedTargetClient;
 }
 
+function buildLimits(view: FleetView): TargetLimits {
+  return new TargetLimits({
+    countEntries: () => 1,
+    findTarget: (id) => view.getTarget(id),
+    random: () => 0.5,
+  });
+}
+
 async function runCall(scripts: TargetScript[], setup: ISetup = {}): Promise<IRunResult> {
   const clock = new MonotonicClock();
   const configuration = buildConfiguration({
@@ -173,6 +183,7 @@
     wallet: new QuotaWallet(8_000),
     budget: new SharedRetryBudget({ ratio: 0.2, slack: 60, windowMs: 10_000 }),
     states: new TargetStates(),
+    limits: setup.limits ?? buildLimits(view),
     placement: new Placement('zg-a'),
     quarantine: setup.quarantine ?? new PromptQuarantine(),
     store: new StoreIndex(view, () => Promise.reject(new Error('no store')), clock, SILENT_LOG),
@@ -223,6 +234,11 @@
 const resetAfterSend: TargetScript = (listener) => {
   listener.onError('reset', true);
 };
+const breakStream: TargetScript = (listener) => {
+  listener.onHead(OK_HEAD);
+  listener.onData(streamEvents(1, 2));
+  listener.onError('reset', true);
+};
 /** Sends the head, and bytes that end nothing until the exchange is aborted. */
 function sendWithoutEnd(head: ITargetHead, chunk: Buffer, intervalMs: number): TargetScript {
   return (listener, _dispatch, signal) => {
@@ -453,6 +469,77 @@
     });
   });
 
+  describe('a target that names a limit', () => {
+    /** Limits of targets, without permits. */
+    function limitTargets(ids: readonly string[], perSecond: number): TargetLimits {
+      const limits = new TargetLimits({
+        countEntries: () => 1,
+        findTarget: (id) => buildTarget({ id }),
+        random: () => 0.5,
+      });
+      limits.setHubReachable(true, 0);
+      for (const id of ids) {
+        limits.recordNotice(buildTarget({ id }), { kind: 'limited', perSecond }, 0, 0);
+      }
+      return limits;
+    }
+
+    function grantPermit(limits: TargetLimits, id: string): void {
+      const { born } = buildTarget({ id });
+      const now = performance.now();
+      limits.applyGrants([{ target: id, born, permits: 1, waitMs: 0 }], now, now);
+    }
+
+    // A repetition that ignores the limit is one request more at an engine in need.
+    it.each([
+      { way: 'the repetition of a safe request', kind: 'safe', first: resetAfterSend, status: 502 },
+      { way: 'a second try after a refusal', kind: 'unsafe', first: refuseBusy, status: 503 },
+      { way: 'a resumed stream', kind: 'streaming', first: breakStream, status: 200 },
+    ] as const)('gets no request without a permit: $way', async ({ kind, first, status }) => {
+      const limits = limitTargets(['i-0', 'i-1'], 2);
+      const setup = { limits, route: { kind, isResumable: kind === 'streaming' } };
+      const { sink, targets } = await runCall([first, answerOk], setup);
+      expect(targets.sent.map(({ target }) => target)).toEqual(['i-2']);
+      expect(sink.status).toBe(status);
+      expect(sink.ending).not.toBe('end');
+    });
+
+    it('gets as many requests as there are permits', async () => {
+      const limits = limitTargets(['i-0', 'i-1', 'i-2'], 2);
+      grantPermit(limits, 'i-1');
+      const answerLimited: TargetScript = (listener) => {
+        listener.onHead({ ...OK_HEAD, rateLimit: { kind: 'limited', perSecond: 2 } });
+        listener.onData(streamEvents(1, 3));
+        listener.onEnd();
+      };
+      const first = await runCall([answerLimited], { limits });
+      expect(first.targets.sent.map(({ target }) => target)).toEqual(['i-1']);
+      const second = await runCall([answerOk], { limits });
+      expect(second.targets.sent).toEqual([]);
+    });
+
+    it('has a request refused at once that would get no permit in time', async () => {
+      const limits = limitTargets(['i-0', 'i-1', 'i-2'], 1);
+      const startedAt = performance.now();
+      const { sink } = await runCall([answerOk], { limits });
+      expect(sink).toMatchObject({ status: 503, ending: 'refuse' });
+      expect(sink.retryAfterMs).toBeGreaterThanOrEqual(1_000);
+      expect(performance.now() - startedAt).toBeLessThan(100);
+    });
+
+    it('has a request wait that will probably get a permit in time', async () => {
+      const limits = limitTargets(['i-0', 'i-1', 'i-2'], 10);
+      setTimeout(() => {
+        for (const id of ['i-0', 'i-1', 'i-2']) {
+          grantPermit(limits, id);
+        }
+      }, 60);
+      const { sink, targets } = await runCall([answerOk], { limits });
+      expect(targets.sent).toHaveLength(1);
+      expect(sink).toMatchObject({ status: 200, ending: 'end' });
+    });
+  });
+
   it('does not concatenate parts of two responses to a safe request', async () => {
     const failMidway: TargetScript = (listener) => {
       listener.onHead(OK_HEAD);
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -26,6 +26,8 @@
   type TargetStates,
 } from './TargetStates.js';
 import { decideOverload } from './Overload.js';
+import type { TargetLimits } from './TargetLimits.js';
+import { decidePermitWait } from './PermitWait.js';
 import type { StoreIndex } from './StoreIndex.js';
 import type {
   IAnswerSink,
@@ -79,6 +81,7 @@
   readonly wallet: QuotaWallet;
   readonly budget: SharedRetryBudget;
   readonly states: TargetStates;
+  readonly limits: TargetLimits;
   readonly placement: Placement;
   readonly quarantine: PromptQuarantine;
   readonly store: StoreIndex;
@@ -115,8 +118,17 @@
   mayHaveRun: boolean;
   /** False once the request has probably crashed a target. */
   mayRepeat: boolean;
+  /** Time until which the request may wait for a permit; undefined until it has to. */
+  waitUntil: number | undefined;
 }
 
+/** Where a request can be sent now. */
+type TargetChoice =
+  | { readonly kind: 'placed'; readonly placement: IPlacement }
+  /** A target with a limit may take it later. */
+  | { readonly kind: 'limited'; readonly target: TargetRecord }
+  | { readonly kind: 'none' };
+
 /** What was decided before an attempt. */
 interface IPlannedAttempt {
   readonly request: IPlacementRequest;
@@ -151,6 +163,7 @@
       lastEventId: call.resumeAfter,
       mayHaveRun: false,
       mayRepeat: true,
+      waitUntil: undefined,
     };
     const isQuotaSpent = await this._runAttempts(call, sink, admitted, progress);
     if (!isQuotaSpent && admitted.account !== undefined) {
@@ -241,11 +254,18 @@
         return progress.mayHaveRun;
       }
       const request = this._describeRequest(call, admitted);
-      const placement = this._place(call, admitted, request, standing, progress, now);
-      if (placement === undefined) {
+      const choice = this._place(call, admitted, request, standing, progress, now);
+      if (choice.kind === 'none') {
         this._finishUnanswered(call, sink, progress, 'no_target');
         return progress.mayHaveRun;
       }
+      if (choice.kind === 'limited') {
+        if (await this._waitForPermit(call, sink, admitted, choice.target, progress)) {
+          continue;
+        }
+        return progress.mayHaveRun;
+      }
+      const { placement } = choice;
       if (this._refuseOverload(call, sink, admitted, placement, progress)) {
         return false;
       }
@@ -286,7 +306,49 @@
     return true;
   }
 
-  /** Chooses a target that was not tried yet, outside its cooldown if possible; undefined without one. */
+  /** Waits until a target with a limit may take the call; false if the call was ended instead. */
+  private async _waitForPermit(
+    call: T,
+    sink: IAnswerSink,
+    { route, account, deadlineAt }: IAdmittedCall,
+    target: TargetRecord,
+    progress: IProgress,
+  ): Promise<boolean> {
+    const { clock, limits } = this._context;
+    const now = clock.now();
+    progress.waitUntil ??= Math.min(now + route.latencyObjectiveMs, deadlineAt - MIN_ATTEMPT_MS);
+    const expectedWaitMs = limits.estimateWaitMs(target, now);
+    const decision = decidePermitWait(expectedWaitMs, progress.waitUntil - now, call.id);
+    switch (decision.kind) {
+      case 'wait':
+        await limits.waitForPermit(
+          target,
+          {
+            priority: getPriority(route, account),
+            arrivedAt: call.arrivedAt,
+            timeoutMs: decision.timeoutMs,
+            signal: call.signal,
+          },
+          now,
+        );
+        return true;
+      case 'refuse':
+        limits.recordLacking(target);
+        if (sink.isStarted || progress.mayHaveRun) {
+          this._finishUnanswered(call, sink, progress, 'limited');
+        } else {
+          const perSecond = limits.getLimit(target);
+          const detail = { target: target.id, perSecond, expectedWaitMs };
+          this._refuse(call, sink, 503, 'limited', decision.retryAfterMs, detail);
+        }
+        return false;
+    }
+  }
+
+  /**
+   * Chooses a target that was not tried yet and may be sent a request, outside its cooldown if possible. If targets
+   * with a limit are the only ones, the request waits for the one that probably has a permit first.
+   */
   private _place(
     call: T,
     admitted: IAdmittedCall,
@@ -294,8 +356,8 @@
     standing: PromptStanding,
     progress: IProgress,
     now: number,
-  ): IPlacement | undefined {
-    const { view, states, placement } = this._context;
+  ): TargetChoice {
+    const { view, states, limits, placement } = this._context;
     const all = view.listTargets(admitted.service.name);
     const untried = all.filter((record) => !progress.tried.has(record.id));
     const targets = untried.flatMap((record): IPlacementTarget[] => {
@@ -314,13 +376,29 @@
         },
       ];
     });
-    const available = filterPreferred(targets, ({ state }) => now >= state.cooldownUntil);
+    const isCool = ({ state }: IPlacementTarget): boolean => now >= state.cooldownUntil;
+    const open = targets.filter(({ record }) => limits.hasPermit(record, now));
+    const next =
+      open.length === targets.length
+        ? undefined
+        : findSoonest(
+            targets.filter((target) => isCool(target) && !limits.hasPermit(target.record, now)),
+            ({ record }) => limits.estimateWaitMs(record, now),
+          );
+    if (next !== undefined && !open.some(isCool)) {
+      return { kind: 'limited', target: next.record };
+    }
+    if (next !== undefined) {
+      limits.recordLacking(next.record);
+    }
+    const available = filterPreferred(open, isCool);
     // A crash then tells which of the suspects is to blame, and breaks no other one.
     const apart =
       standing.kind === 'suspect'
         ? filterPreferred(available, ({ state }) => state.suspects === 0)
         : available;
-    return placement.choose(request, apart, this._context.store, now);
+    const chosen = placement.choose(request, apart, this._context.store, now);
+    return chosen === undefined ? { kind: 'none' } : { kind: 'placed', placement: chosen };
   }
 
   /** Time for which a request of the model may still begin on the weights that a target holds. */
@@ -357,13 +435,14 @@
     { request, standing, placement }: IPlannedAttempt,
     progress: IProgress,
   ): Promise<AttemptOutcome> {
-    const { clock, states, log, placement: placements } = this._context;
+    const { clock, states, limits, log, placement: placements } = this._context;
     const { target } = placement;
     const { route, account } = admitted;
     progress.tried.add(target.id);
     progress.attempts += 1;
     const state = states.ensure(target, clock.now());
     const startedAt = clock.now();
+    limits.take(target, startedAt);
     const attempt = new Attempt(this._context, call, sink, {
       target,
       state,
@@ -376,6 +455,9 @@
       mayFailOver: isRepeatable(route) && progress.attempts < route.maxAttempts,
       isLongStream: request.isEngine && request.outputTokens > LONG_STREAM_TOKENS,
       mayReplaceError: route.kind === 'safe' && progress.attempts < route.maxAttempts,
+      onRateLimit: (notice, sentAt) => {
+        this._recordRateLimit(call, target, notice, sentAt);
+      },
       onSettled: (at) => {
         this._context.quarantine.recordSettled(call, at);
       },
@@ -385,7 +467,7 @@
       },
       dispatch: {
         clientAccount: account?.name,
-        priority: Math.min(LOWEST_PRIORITY, Math.max(0, account?.priority ?? route.priority)),
+        priority: getPriority(route, account),
         ...describeCacheUse(request, placement, this._context.store, clock.now()),
       },
     });
@@ -433,6 +515,24 @@
     return outcome;
   }
 
+  private _recordRateLimit(
+    call: T,
+    target: TargetRecord,
+    notice: RateLimitNotice,
+    sentAt: number,
+  ): void {
+    const { limits, clock, node, log, metrics } = this._context;
+    if (limits.recordNotice(target, notice, sentAt, clock.now())) {
+      node.requestExchange();
+      log.info('target limit changed', {
+        request: call.id,
+        target: target.id,
+        perSecond: limits.getLimit(target),
+      });
+      metrics.increment('gateway_target_limit_changes_total', {});
+    }
+  }
+
   /** Cancels requests at targets that would crash when they begin to answer. */
   private _cancelQuarantined(now: number): void {
     for (const [attempt, call] of this._running) {
@@ -618,6 +718,20 @@
   return preferred.length > 0 ? preferred : targets;
 }
 
+/** The target with the least waiting time; undefined without targets. */
+function findSoonest(
+  targets: readonly IPlacementTarget[],
+  estimateWaitMs: (target: IPlacementTarget) => number,
+): IPlacementTarget | undefined {
+  const ranked = targets.map((target) => ({ target, waitMs: estimateWaitMs(target) }));
+  return ranked.sort((left, right) => left.waitMs - right.waitMs)[0]?.target;
+}
+
+/** Urgency of a call: from 0 (most urgent) to 9. */
+function getPriority(route: IRoute, account: IClientAccount | undefined): number {
+  return Math.min(LOWEST_PRIORITY, Math.max(0, account?.priority ?? route.priority));
+}
+
 /** True if requests of the route may run more than once. */
 function isRepeatable(route: IRoute): boolean {
   TEST_ONLY: if (isMechanismDisabled('repeat-unsafe')) return true;
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -43,6 +43,8 @@
   | 'quota'
   | 'no_target'
   | 'overloaded'
+  /** All targets name limits on the requests a second that they take. */
+  | 'limited'
   | 'quarantined'
   | 'not_run'
   | 'failed'
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -17,6 +17,7 @@
 import { PromptHolders } from '../gateway/PromptHolders.js';
 import { PromptQuarantine } from '../gateway/PromptQuarantine.js';
 import { StoreIndex, type PollStore } from '../gateway/StoreIndex.js';
+import { TargetLimits } from '../gateway/TargetLimits.js';
 import { TargetStates } from '../gateway/TargetStates.js';
 import type { ICall, ITargetClient } from '../gateway/Types.js';
 import { create } from '@bufbuild/protobuf';
@@ -90,6 +91,11 @@
     const quarantine = new PromptQuarantine();
     this._rpc = new RpcClients(clusterSecret);
     this.view = new FleetView(adapters.decodeDocument, _log);
+    const limits = new TargetLimits({
+      countEntries: () => this.view.entryCount,
+      findTarget: (id) => this.view.getTarget(id),
+      random: Math.random,
+    });
     this.node = new FleetNode(
       {
         address: internalAddress,
@@ -111,6 +117,7 @@
         },
       },
       quarantine,
+      limits,
       this._rpc,
       clock,
       _log,
@@ -118,6 +125,7 @@
     );
     this.view.onTargetUnavailable(({ id }) => {
       states.remove(id);
+      limits.remove(id);
       holders.removeTarget(id);
     });
     this._storeIndex = new StoreIndex(this.view, adapters.pollStore, clock, _log);
@@ -127,6 +135,7 @@
       wallet,
       budget: new SharedRetryBudget(_options.retryBudget),
       states,
+      limits,
       placement,
       quarantine,
       store: this._storeIndex,
