--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -210,6 +210,7 @@
       resumeAfter: undefined,
       arrivedAt: clock.now(),
       signal: new AbortController().signal,
+      hashContent: () => 1,
       ...setup.call,
     },
     sink,
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -491,6 +491,7 @@
       reason: outcome.kind === 'answered' ? undefined : outcome.reason,
       status: attempt.status,
       // What requests that broke with their target have in common.
+      content: outcome.kind === 'failed' ? formatHash(call.hashContent()) : undefined,
       sharedParts: outcome.kind === 'failed' ? formatSharedParts(call) : undefined,
       rateLimit: formatRateLimit(attempt.rateLimit),
       framing: attempt.framing,
@@ -786,6 +787,10 @@
   }
 }
 
+function formatHash(hash: number): string {
+  return hash.toString(16).padStart(8, '0');
+}
+
 /** Ids of the prompt parts that other requests may have too, for the log. */
 function formatSharedParts({ parts }: ICall): string | undefined {
   const shared = parts.slice(0, -1).slice(0, MAX_LOGGED_PARTS);
--- a/src/gateway/PromptQuarantine.test.ts
+++ b/src/gateway/PromptQuarantine.test.ts
@@ -25,6 +25,7 @@
     resumeAfter: undefined,
     arrivedAt: 0,
     signal: new AbortController().signal,
+    hashContent: () => 1,
   };
 }
 
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -33,6 +33,8 @@
   readonly arrivedAt: number;
   /** Aborted when the client disconnects. */
   readonly signal: AbortSignal;
+  /** Hash of method, host, path with query, and body: a repetition has the same. */
+  hashContent(): number;
 }
 
 export type RefusalReason =
