Demand permits of the target that a request would choose

Cause: an entry demanded permits of the target with the least waiting time, also where it would have chosen one without a limit, as of a nearer data centre. Such permits lapsed, those of the entries that wanted the target were fewer, and no answer told of the limit's end. Change: while other targets can take a request, only the limited one that it would choose is demanded.

--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -378,18 +378,19 @@
     });
     const isCool = ({ state }: IPlacementTarget): boolean => now >= state.cooldownUntil;
     const open = targets.filter(({ record }) => limits.hasPermit(record, now));
-    const next =
+    const closed =
       open.length === targets.length
-        ? undefined
-        : findSoonest(
-            targets.filter((target) => isCool(target) && !limits.hasPermit(target.record, now)),
-            ({ record }) => limits.estimateWaitMs(record, now),
-          );
-    if (next !== undefined && !open.some(isCool)) {
+        ? []
+        : targets.filter((target) => isCool(target) && !limits.hasPermit(target.record, now));
+    if (closed.length > 0 && !open.some(isCool)) {
+      const next = findSoonest(closed, ({ record }) => limits.estimateWaitMs(record, now));
       return { kind: 'limited', target: next.record };
     }
-    if (next !== undefined) {
-      limits.recordLacking(next.record);
+    if (closed.length > 0) {
+      const wanted = placement.choose(request, targets.filter(isCool), this._context.store, now);
+      if (wanted !== undefined && !limits.hasPermit(wanted.target, now)) {
+        limits.recordLacking(wanted.target);
+      }
     }
     const available = filterPreferred(open, isCool);
     // A crash then tells which of the suspects is to blame, and breaks no other one.
@@ -719,13 +720,13 @@
   return preferred.length > 0 ? preferred : targets;
 }
 
-/** The target with the least waiting time; undefined without targets. */
+/** The target with the least waiting time, of one or more. */
 function findSoonest(
   targets: readonly IPlacementTarget[],
   estimateWaitMs: (target: IPlacementTarget) => number,
-): IPlacementTarget | undefined {
+): IPlacementTarget {
   const ranked = targets.map((target) => ({ target, waitMs: estimateWaitMs(target) }));
-  return ranked.sort((left, right) => left.waitMs - right.waitMs)[0]?.target;
+  return ranked.reduce((best, other) => (other.waitMs < best.waitMs ? other : best)).target;
 }
 
 /** Urgency of a call: from 0 (most urgent) to 9. */
