Quarantine requests that crash targets and come again

What callers saw: one lookup ended all engines of its service, again and again as it was repeated; twelve ended. Cause: only shared parts of prompts were blamed for a crash. A request without such parts, or one that is deadly by its last part or by its body, was reported nowhere, so each repetition began anew at any entry. The class: blame for a failure by what requests have in common, with the request itself left out. Change: a request is identified by its content and client account; the hash is blamed for a crash beside the shared parts, on every kind of route. It is quarantined after two crashes that it explains nearly alone, or three; only a whole successful answer clears it, as it may crash a target late in a stream. Requests of one crash are told to all processes only if they broke more than once. A target is probed once for all requests that break with it. Ruled out: blaming the route or the client account (all others share them); three crashes in all cases (a service of three engines is then down). Eight cases of CallRunner.test.ts and CrashEvidence.test.ts. The old case of PromptQuarantine.test.ts that called a new request sound because its parts are is replaced: it now tells parts and request apart.

--- a/src/fleet/CrashEvidence.test.ts
+++ b/src/fleet/CrashEvidence.test.ts
@@ -9,7 +9,7 @@
 const CRASHING = 666;
 const SUBJECT = 5;
 
-/** Adds one crash of a target of its own with the parts of each request that broke, the last one its own. */
+/** Adds one crash of a target of its own with the parts of each request that broke, and the request itself last. */
 function addCrash(evidence: CrashEvidence, number: number, requests: readonly number[][]): void {
   requests.forEach((parts, i) => {
     evidence.add(
@@ -18,7 +18,7 @@
         target: `i-${number}`,
         born: number,
         parts: parts.slice(0, -1),
-        prompt: parts.at(-1) ?? 0,
+        request: parts.at(-1) ?? 0,
       },
       number * 1_000,
     );
@@ -49,6 +49,38 @@
     expect(listQuarantined(evidence)).toEqual([[CRASHING]]);
   });
 
+  it('refuses a request without shared parts that crashed two targets alone, or three with others', () => {
+    const alone = new CrashEvidence();
+    addCrash(alone, 1, [[1]]);
+    expect(listQuarantined(alone)).toEqual([]);
+    addCrash(alone, 2, [[1]]);
+    expect(listQuarantined(alone)).toEqual([[1]]);
+    const crowded = new CrashEvidence();
+    for (const crash of [1, 2, 3]) {
+      addCrash(crowded, crash, [[1], [crash + 10], [crash + 20], [crash + 30]]);
+      expect(listQuarantined(crowded)).toEqual(crash < 3 ? [] : [[1]]);
+    }
+  });
+
+  it('does not refuse a sound request that came again at a target that crashes by another one', () => {
+    const evidence = new CrashEvidence();
+    addCrash(evidence, 1, [[1], [11]]);
+    addCrash(evidence, 2, [[1], [2]]);
+    addCrash(evidence, 3, [[1], [2]]);
+    addCrash(evidence, 4, [[1], [2]]);
+    expect(listQuarantined(evidence)).toEqual([[1]]);
+  });
+
+  it('tells all processes of requests only if they broke more than once', () => {
+    const evidence = new CrashEvidence();
+    addCrash(evidence, 1, [[1], [11], [12]]);
+    expect(evidence.list(10_000)).toEqual([]);
+    addCrash(evidence, 2, [[1], [21], [22]]);
+    expect(evidence.list(10_000)).toEqual([{ parts: [1], quarantined: false }]);
+    evidence.clear([1]);
+    expect(evidence.list(10_000)).toEqual([]);
+  });
+
   it('does not blame a part of which a response has settled since', () => {
     const evidence = new CrashEvidence();
     for (let crash = 1; crash <= 3; crash += 1) {
--- a/src/fleet/CrashEvidence.ts
+++ b/src/fleet/CrashEvidence.ts
@@ -1,6 +1,7 @@
 /**
- * Finds the prompt parts that crash targets. A target that crashes breaks all of its requests, so each crash puts
- * blame on the parts of every request that had not settled there; a settled response clears its parts.
+ * Finds the prompt parts and the requests that crash targets. A target that crashes breaks all of its requests, so each
+ * crash puts blame on the parts of every request that had not settled there, and on the request itself, which may come
+ * again; a settled response clears them.
  */
 
 /** Time for which a crash counts as evidence, and so the time for which a part stays in quarantine. */
@@ -10,8 +11,12 @@
 const MIN_BLAME = 1.5;
 const MIN_BLAMED_CRASHES = 2;
 
-/** Crashes from which parts are quarantined however many other requests broke with them. */
+/**
+ * Crashes from which parts, and requests, are quarantined however many other requests broke with them. Sound requests
+ * seldom have the bad luck to come again at further targets that crash.
+ */
 const SUFFICIENT_CRASHES = 4;
+const SUFFICIENT_REQUEST_CRASHES = 3;
 
 /** Bounds of the memory. */
 const MAX_CRASHES = 64;
@@ -28,8 +33,8 @@
   readonly born: number;
   /** The parts that other requests may have too and that are not known to be sound. */
   readonly parts: readonly number[];
-  /** The last part, which only repetitions of the request have too. */
-  readonly prompt: number;
+  /** What only repetitions of the request have too; 0 if it is known to be sound. */
+  readonly request: number;
 }
 
 /** Parts under suspicion. If they are quarantined, requests that have all of them are refused. */
@@ -40,7 +45,8 @@
 
 interface ISuspectRequest {
   readonly parts: Set<number>;
-  readonly prompt: number;
+  /** 0 once a response to the request or a repetition has settled. */
+  request: number;
 }
 
 interface ICrash {
@@ -58,16 +64,18 @@
 /**
  * Collects reports of broken requests and decides which parts to quarantine. Of parts that occurred in exactly the
  * same crashes any one may be to blame, so only a request that has all of them is refused; if one request caused all
- * of them, only its repetitions are.
+ * of them, only its repetitions are, as the request itself is among them.
  *
  * @example
- * evidence.add({ attempt: 1, target: 'i-1', born: 100, parts: [7], prompt: 9 }, now);
+ * evidence.add({ attempt: 1, target: 'i-1', born: 100, parts: [7], request: 9 }, now);
  * const suspects = evidence.list(now);
  */
 export class CrashEvidence {
   /** By target and its start time, oldest first. */
   private readonly _crashes = new Map<string, ICrash>();
   private _blamed: readonly IBlamed[] = [];
+  /** True if `_blamed` is to be decided anew. */
+  private _isStale = false;
   /** Quarantined by an earlier hub. */
   private _restored: { readonly parts: Set<number>; readonly at: number }[] = [];
   private _revision = 0;
@@ -82,20 +90,21 @@
     return this._crashes.size;
   }
 
-  public add({ attempt, target, born, parts, prompt }: IBrokenRequest, now: number): void {
+  public add({ attempt, target, born, parts, request }: IBrokenRequest, now: number): void {
     const key = `${target}/${born}`;
     const crash = this._crashes.get(key) ?? {
       at: now,
       requests: new Map<number, ISuspectRequest>(),
     };
     const isFull = crash.requests.size >= MAX_REQUESTS_PER_CRASH;
-    if (parts.length === 0 || isFull || crash.requests.has(attempt)) {
+    const isSound = parts.length === 0 && request === 0;
+    if (isSound || isFull || crash.requests.has(attempt)) {
       return;
     }
-    crash.requests.set(attempt, { parts: new Set(parts.slice(0, MAX_PARTS_PER_REQUEST)), prompt });
+    crash.requests.set(attempt, { parts: new Set(parts.slice(0, MAX_PARTS_PER_REQUEST)), request });
     this._crashes.set(key, crash);
     this._dropSurplus();
-    this._update();
+    this._invalidate();
   }
 
   /** Clears the parts of a response that has settled; true if any of them was under suspicion. */
@@ -104,8 +113,9 @@
     for (const part of parts) {
       for (const [key, { requests }] of this._crashes) {
         for (const [attempt, request] of requests) {
-          hasChanged = request.parts.delete(part) || hasChanged;
-          if (request.parts.size === 0) {
+          hasChanged = request.parts.delete(part) || request.request === part || hasChanged;
+          request.request = request.request === part ? 0 : request.request;
+          if (request.parts.size === 0 && request.request === 0) {
             requests.delete(attempt);
           }
         }
@@ -119,7 +129,7 @@
     }
     if (hasChanged) {
       this._restored = this._restored.filter((restored) => restored.parts.size > 0);
-      this._update();
+      this._invalidate();
     }
     return hasChanged;
   }
@@ -127,15 +137,17 @@
   /** The quarantined parts, and all other suspects in one entry. */
   public list(now: number): readonly ISuspectParts[] {
     this._expire(now);
+    this._decide();
     const quarantined = [
       ...this._blamed.map(({ parts }) => ({ parts, quarantined: true })),
       ...this._restored.map(({ parts }) => ({ parts: [...parts], quarantined: true })),
     ];
-    const suspects = new Set(
-      [...this._crashes.values()].flatMap(({ requests }) =>
+    const suspects = new Set([
+      ...[...this._crashes.values()].flatMap(({ requests }) =>
         [...requests.values()].flatMap(({ parts }) => [...parts]),
       ),
-    );
+      ...listRepeatedRequests([...this._crashes.values()]),
+    ]);
     return suspects.size === 0
       ? quarantined
       : [...quarantined, { parts: [...suspects], quarantined: false }];
@@ -149,7 +161,7 @@
       }
     }
     this._restored = this._restored.slice(-MAX_RESTORED);
-    this._update();
+    this._invalidate();
   }
 
   private _expire(now: number): void {
@@ -161,12 +173,16 @@
         this._crashes.delete(key);
       }
       this._restored = restored;
-      this._update();
+      this._invalidate();
     }
   }
 
   /** Drops the oldest crashes beyond the bound, first those that are no reason for a quarantine. */
   private _dropSurplus(): void {
+    if (this._crashes.size <= MAX_CRASHES) {
+      return;
+    }
+    this._decide();
     const reasons = new Set(this._blamed.flatMap(({ crashes }) => crashes));
     const isReason = ([, crash]: readonly [string, ICrash]): boolean => reasons.has(crash);
     const all = [...this._crashes];
@@ -176,8 +192,17 @@
     }
   }
 
-  /** Decides anew which parts to quarantine. A crash that these explain puts no blame on other parts. */
-  private _update(): void {
+  private _invalidate(): void {
+    this._isStale = true;
+    this._revision += 1;
+  }
+
+  /** Decides which parts to quarantine if reports have changed. A crash that these explain puts no blame on other parts. */
+  private _decide(): void {
+    if (!this._isStale) {
+      return;
+    }
+    this._isStale = false;
     const blamed: IBlamed[] = [];
     let unexplained = [...this._crashes.values()];
     for (let worst = findWorst(unexplained); worst !== undefined; worst = findWorst(unexplained)) {
@@ -186,7 +211,6 @@
       unexplained = unexplained.filter((crash) => listRequestsWith(crash, parts).length === 0);
     }
     this._blamed = blamed;
-    this._revision += 1;
   }
 }
 
@@ -196,43 +220,74 @@
  */
 function findWorst(crashes: readonly ICrash[]): IBlamed | undefined {
   const candidates = [...sumBlame(crashes)].filter(
-    ([, { blame, crashes: own }]) =>
-      own.length >= SUFFICIENT_CRASHES || (own.length >= MIN_BLAMED_CRASHES && blame >= MIN_BLAME),
+    ([, { blame, crashes: own, sufficientCrashes }]) =>
+      own.length >= sufficientCrashes || (own.length >= MIN_BLAMED_CRASHES && blame >= MIN_BLAME),
   );
   candidates.sort(([, left], [, right]) => right.crashes.length - left.crashes.length);
   for (const [, { crashes: worst }] of candidates) {
     const tied = candidates
       .filter(([, { crashes: own }]) => hasSameItems(own, worst))
       .map(([part]) => part);
-    const requests = worst.flatMap((crash) => listRequestsWith(crash, tied));
-    const prompts = new Set(requests.map(({ prompt }) => prompt));
-    if (requests.length > 0) {
-      return { parts: prompts.size > 1 ? tied : [...tied, ...prompts], crashes: worst };
+    if (worst.some((crash) => listRequestsWith(crash, tied).length > 0)) {
+      return { parts: tied, crashes: worst };
     }
   }
   return undefined;
 }
 
-function sumBlame(
-  crashes: readonly ICrash[],
-): ReadonlyMap<number, { readonly blame: number; readonly crashes: readonly ICrash[] }> {
-  const byPart = new Map<number, { blame: number; readonly crashes: ICrash[] }>();
-  for (const crash of crashes) {
-    const parts = new Set([...crash.requests.values()].flatMap((request) => [...request.parts]));
+interface IBlame {
+  blame: number;
+  readonly crashes: ICrash[];
+  readonly sufficientCrashes: number;
+}
+
+/**
+ * Blame by part and by request. The parts of a crash share it with all requests that have such parts, a request shares it
+ * with all that broke.
+ */
+function sumBlame(crashes: readonly ICrash[]): ReadonlyMap<number, IBlame> {
+  const byPart = new Map<number, IBlame>();
+  const addBlame = (
+    crash: ICrash,
+    parts: ReadonlySet<number>,
+    blame: number,
+    sufficientCrashes: number,
+  ): void => {
     for (const part of parts) {
-      const entry = byPart.get(part) ?? { blame: 0, crashes: [] };
-      entry.blame += 1 / crash.requests.size;
+      const entry = byPart.get(part) ?? { blame: 0, crashes: [], sufficientCrashes };
+      entry.blame += blame;
       entry.crashes.push(crash);
       byPart.set(part, entry);
     }
+  };
+  for (const crash of crashes) {
+    const requests = [...crash.requests.values()];
+    const withParts = requests.filter(({ parts }) => parts.size > 0);
+    const parts = new Set(withParts.flatMap((request) => [...request.parts]));
+    addBlame(crash, parts, 1 / withParts.length, SUFFICIENT_CRASHES);
+    addBlame(crash, listRequestHashes(crash), 1 / requests.length, SUFFICIENT_REQUEST_CRASHES);
   }
   return byPart;
 }
 
-/** The requests of a crash that had all of some parts; these may include a prompt. */
+/** The requests of a crash that are not known to be sound. */
+function listRequestHashes({ requests }: ICrash): ReadonlySet<number> {
+  return new Set([...requests.values()].map(({ request }) => request).filter((hash) => hash !== 0));
+}
+
+/** Requests that broke in several crashes. The others are too many to tell all processes of them. */
+function listRepeatedRequests(crashes: readonly ICrash[]): readonly number[] {
+  const counts = new Map<number, number>();
+  for (const hash of crashes.flatMap((crash) => [...listRequestHashes(crash)])) {
+    counts.set(hash, (counts.get(hash) ?? 0) + 1);
+  }
+  return [...counts].flatMap(([hash, count]) => (count >= MIN_BLAMED_CRASHES ? [hash] : []));
+}
+
+/** The requests of a crash that had all of some parts; these may include a request itself. */
 function listRequestsWith(crash: ICrash, parts: readonly number[]): readonly ISuspectRequest[] {
   return [...crash.requests.values()].filter((request) =>
-    parts.every((part) => request.parts.has(part) || request.prompt === part),
+    parts.every((part) => request.parts.has(part) || request.request === part),
   );
 }
 
--- a/src/fleet/FleetNode.test.ts
+++ b/src/fleet/FleetNode.test.ts
@@ -101,8 +101,8 @@
   public repeatCount = 0;
   private _crashes: CrashReport[] = [];
 
-  public addCrash(target: string, parts: number[], prompt: number): void {
-    this._crashes.push(create(CrashReportSchema, { attempt: prompt, target, parts, prompt }));
+  public addCrash(target: string, parts: number[], request: number): void {
+    this._crashes.push(create(CrashReportSchema, { attempt: request, target, parts, request }));
   }
 
   public listUnreported(): IQuarantineReport {
--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -234,11 +234,9 @@
     }
   }
 
-  /** Cancels the request at the target unless its response has settled; the attempt then counts as failed. */
+  /** Cancels the request at the target; the attempt then counts as failed. */
   public cancel(reason: string): void {
-    if (!this._isSettled) {
-      this._end({ kind: 'failed', reason });
-    }
+    this._end({ kind: 'failed', reason });
   }
 
   /** Cancels the request when the weights of the target expire before its first byte. */
--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -137,6 +137,8 @@
   readonly quarantine?: PromptQuarantine;
   /** True if targets refuse connections after a request has broken. */
   readonly hasCrashed?: boolean;
+  /** Start time of the targets. */
+  readonly born?: number;
   readonly limits?: TargetLimits;
   readonly queued?: { readonly target: string; readonly pendingTokens: number };
 }
@@ -166,7 +168,8 @@
   }
   for (let i = 0; i < (setup.targets ?? 3); i += 1) {
     const models = [{ name: 'm', version: BigInt(setup.held?.[i] ?? 1) }];
-    view.applyTarget(buildTarget({ id: `i-${i}`, address: `10.1.0.${i}:8000`, models }));
+    const born = setup.born ?? 1_000;
+    view.applyTarget(buildTarget({ id: `i-${i}`, address: `10.1.0.${i}:8000`, models, born }));
   }
   if (setup.named !== undefined) {
     view.weights.record('m', setup.named.version, clock.now() - setup.named.knownMs);
@@ -466,7 +469,65 @@
         quarantine,
         hasCrashed: true,
       });
-      expect(quarantine.listUnreported().crashes).toEqual([]);
+      expect(quarantine.listUnreported().crashes).toMatchObject([{ parts: [] }]);
+    });
+  });
+
+  // What callers saw: a lookup ended all engines of its service, and again each time it was repeated.
+  describe('a target that crashes by a request that comes again', () => {
+    const breakAtOnce: TargetScript = (listener) => {
+      listener.onError('other side closed', true);
+    };
+    const breakLate: TargetScript = (listener) => {
+      listener.onHead(OK_HEAD);
+      listener.onData(streamEvents(1, 2));
+      setTimeout(() => {
+        listener.onError('other side closed', true);
+      }, 300);
+    };
+
+    it.each([
+      { kind: 'safe', script: breakAtOnce, crashes: 2 },
+      { kind: 'unsafe', script: breakAtOnce, crashes: 2 },
+      { kind: 'streaming', script: breakAtOnce, crashes: 2 },
+      { kind: 'streaming', script: breakLate, crashes: 2 },
+    ] as const)('gets it no more on a route of kind $kind', async ({ kind, script, crashes }) => {
+      const quarantine = new PromptQuarantine();
+      const setup = {
+        quarantine,
+        hasCrashed: true,
+        route: { kind, maxAttempts: 2 },
+        call: { deadlineMs: 2_000, parts: [] },
+      };
+      let sent = 0;
+      for (let repetition = 1; repetition <= 4; repetition += 1) {
+        const call = { ...setup.call, id: `r${repetition}` };
+        const born = repetition * 1_000;
+        const result = await runCall([script, script], { ...setup, call, born });
+        sent += result.targets.sent.length;
+      }
+      expect(sent).toBe(crashes);
+      const other = { ...setup.call, hashContent: () => 2 };
+      const { sink } = await runCall([answerOk], { ...setup, call: other });
+      expect(sink.status).toBe(200);
+    });
+
+    it('has the request cancelled in the middle of its stream once it is quarantined', async () => {
+      const reporter = new PromptQuarantine();
+      const call = { deadlineMs: 2_000, parts: [] };
+      await runCall([breakAtOnce], { call, quarantine: reporter, hasCrashed: true });
+      const parts = [reporter.listUnreported().crashes[0]?.request ?? 0];
+      const quarantine = new PromptQuarantine();
+      const begin: TargetScript = (listener) => {
+        listener.onHead(OK_HEAD);
+        listener.onData(streamEvents(1, 2));
+      };
+      setTimeout(() => {
+        quarantine.applySuspects([{ parts, quarantined: true }], performance.now());
+      }, 400);
+      const { sink, targets } = await runCall([begin, answerOk], { call, quarantine });
+      expect(targets).toMatchObject({ aborted: 1, sent: [{}] });
+      expect(sink.ending).toBe('cut');
     });
   });
 
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -15,7 +15,7 @@
 import { Attempt, type AttemptOutcome } from './Attempt.js';
 import { formatCacheScope, type IPlacement, type Placement } from './Placement.js';
 import type { IPlacementRequest, IPlacementTarget } from './PlacementRequest.js';
-import type { PromptQuarantine, PromptStanding } from './PromptQuarantine.js';
+import type { IJudgedRequest, PromptQuarantine, PromptStanding } from './PromptQuarantine.js';
 import type { PromptSource } from './PromptSources.js';
 import {
   LONG_STREAM_TOKENS,
@@ -141,7 +141,9 @@
  * second one only if its route allows that, and "not run" is reported only if no target can have run it.
  */
 export class CallRunner<T extends ICall> {
-  private readonly _running = new Map<Attempt<T>, T>();
+  private readonly _running = new Map<Attempt<T>, IJudgedRequest>();
+  /** Probes that have not ended, by target and its start time. */
+  private readonly _probes = new Map<string, Promise<boolean>>();
 
   constructor(private readonly _context: ICallContext<T>) {
     _context.quarantine.onChange((now) => {
@@ -242,15 +244,16 @@
     admitted: IAdmittedCall,
     progress: IProgress,
   ): Promise<boolean> {
+    const judged = { call, account: admitted.account?.name };
     for (;;) {
       const now = this._context.clock.now();
       if (call.signal.aborted) {
         this._context.log.info('client left', { request: call.id, attempts: progress.attempts });
         return progress.mayHaveRun;
       }
-      const standing = this._context.quarantine.getStanding(call, now);
+      const standing = this._context.quarantine.getStanding(judged, now);
       if (standing.kind === 'quarantined') {
-        this._finishQuarantined(call, sink, progress, standing.partIds);
+        this._finishQuarantined(call, sink, progress, standing);
         return progress.mayHaveRun;
       }
       const request = this._describeRequest(call, admitted);
@@ -436,9 +439,10 @@
     { request, standing, placement }: IPlannedAttempt,
     progress: IProgress,
   ): Promise<AttemptOutcome> {
-    const { clock, states, limits, log, placement: placements } = this._context;
+    const { clock, states, limits, quarantine, log, placement: placements } = this._context;
     const { target } = placement;
     const { route, account } = admitted;
+    const judged = { call, account: account?.name };
     progress.tried.add(target.id);
     progress.attempts += 1;
     const state = states.ensure(target, clock.now());
@@ -460,7 +464,7 @@
         this._recordRateLimit(call, target, notice, sentAt);
       },
       onSettled: (at) => {
-        this._context.quarantine.recordSettled(call, at);
+        quarantine.recordSettled(judged, at);
       },
       onFirstByte: (at) => {
         placements.recordReading(request, target, at);
@@ -474,7 +478,7 @@
     });
     const suspects = standing.kind === 'suspect' ? 1 : 0;
     state.suspects += suspects;
-    this._running.set(attempt, call);
+    this._running.set(attempt, judged);
     const outcome = await attempt.run();
     this._running.delete(attempt);
     state.suspects -= suspects;
@@ -511,8 +515,11 @@
       viewAgeMs: Math.round(now - this._context.view.hubAnsweredAt),
     });
     this._recordOutcome(target, outcome, now);
-    if (outcome.kind === 'failed' && outcome.isBroken === true && !attempt.isSettled) {
-      await this._checkCrash(call, target, progress);
+    if (outcome.kind === 'answered' && attempt.isSettled) {
+      quarantine.recordAnswered(judged, now);
+    }
+    if (outcome.kind === 'failed' && outcome.isBroken === true) {
+      await this._checkCrash(judged, target, progress);
     }
     return outcome;
   }
@@ -537,36 +544,60 @@
 
   /** Cancels requests at targets that would crash when they begin to answer. */
   private _cancelQuarantined(now: number): void {
-    for (const [attempt, call] of this._running) {
-      if (this._context.quarantine.getStanding(call, now).kind === 'quarantined') {
-        attempt.cancel('the prompt is quarantined');
+    for (const [attempt, judged] of this._running) {
+      const standing = this._context.quarantine.getStanding(judged, now);
+      // A part crashes a target before its response has settled, a request may do so later.
+      if (standing.kind === 'quarantined' && (standing.isRepetition || !attempt.isSettled)) {
+        attempt.cancel('the request is quarantined');
       }
     }
   }
 
-  /** Reports a prompt with parts that are not known to be sound if its target has ended. */
-  private async _checkCrash(call: T, target: TargetRecord, progress: IProgress): Promise<void> {
-    const { quarantine, client, clock, states, node, log, metrics } = this._context;
+  /** Reports a request that is not known to be sound if its target has ended. */
+  private async _checkCrash(
+    judged: IJudgedRequest,
+    target: TargetRecord,
+    progress: IProgress,
+  ): Promise<void> {
+    const { quarantine, clock, states, node, log, metrics } = this._context;
     TEST_ONLY: if (isMechanismDisabled('prompt-quarantine')) return;
-    if (!quarantine.hasUnprovenPart(call, clock.now()) || (await client.probe(target))) {
+    if (!quarantine.isUnproven(judged, clock.now()) || (await this._probe(target))) {
       return;
     }
     const now = clock.now();
-    const standing = quarantine.getStanding(call, now);
+    const standing = quarantine.getStanding(judged, now);
+    const { call } = judged;
     // A further crash by the same part must not come from a repetition.
     progress.mayRepeat = standing.kind === 'clear';
     recordUnreachable(states.ensure(target, now), now);
-    quarantine.recordCrash(call, progress.attempts, target, now);
+    quarantine.recordCrash(judged, progress.attempts, target, now);
     node.requestExchange();
     log.info('target crashed', {
       request: call.id,
       target: target.id,
+      content: formatHash(call.hashContent()),
       sharedParts: formatSharedParts(call),
       standing: standing.kind,
     });
     metrics.increment('gateway_target_crashes_total', {});
   }
 
+  /** Probes a target once for all requests that break with it. */
+  private async _probe(target: TargetRecord): Promise<boolean> {
+    const key = `${target.id}/${target.born}`;
+    const running = this._probes.get(key);
+    if (running !== undefined) {
+      return running;
+    }
+    const probe = this._context.client.probe(target);
+    this._probes.set(key, probe);
+    try {
+      return await probe;
+    } finally {
+      this._probes.delete(key);
+    }
+  }
+
   private _recordOutcome(target: TargetRecord, outcome: AttemptOutcome, now: number): void {
     const state = this._context.states.ensure(target, now);
     if (outcome.kind === 'not_run') {
@@ -649,18 +680,21 @@
     }
   }
 
-  /** Ends a call whose prompt has quarantined parts. */
+  /** Ends a call that is quarantined, or whose prompt has quarantined parts. */
   private _finishQuarantined(
     call: T,
     sink: IAnswerSink,
     progress: IProgress,
-    partIds: readonly string[],
+    { partIds, isRepetition }: Extract<PromptStanding, { kind: 'quarantined' }>,
   ): void {
     if (progress.mayHaveRun) {
       this._finishUnanswered(call, sink, progress, 'quarantined');
     } else {
-      const parts = partIds.slice(0, MAX_LOGGED_PARTS).join();
-      this._refuse(call, sink, 503, 'quarantined', QUARANTINE_RETRY_AFTER_MS, { parts });
+      const detail = {
+        parts: partIds.slice(0, MAX_LOGGED_PARTS).join(),
+        content: isRepetition ? formatHash(call.hashContent()) : undefined,
+      };
+      this._refuse(call, sink, 503, 'quarantined', QUARANTINE_RETRY_AFTER_MS, detail);
     }
   }
 
--- a/src/gateway/PromptQuarantine.test.ts
+++ b/src/gateway/PromptQuarantine.test.ts
@@ -4,13 +4,15 @@
  */
 import { describe, expect, it } from 'vitest';
 import { buildTarget } from '../fleet/Fixtures.js';
-import { PromptQuarantine, type PromptStanding } from './PromptQuarantine.js';
+import { hashText } from '../policy/TargetTable.js';
+import { PromptQuarantine, type IJudgedRequest, type PromptStanding } from './PromptQuarantine.js';
 import type { ICall } from './Types.js';
 
 const CRASHING = 'd0';
 
-function buildCall(...parts: string[]): ICall {
-  return {
+/** A request of which the last part is its own. */
+function buildRequest(...parts: string[]): IJudgedRequest {
+  const call: ICall = {
     id: parts.join(),
     method: 'POST',
     host: 'desk.example',
@@ -25,15 +27,16 @@
     resumeAfter: undefined,
     arrivedAt: 0,
     signal: new AbortController().signal,
-    hashContent: () => 1,
+    hashContent: () => hashText(parts.join()),
   };
+  return { call, account: 'pag' };
 }
 
 /** An entry on which a number of targets have crashed, each with another prompt that has the part that crashes targets. */
 function createWithCrashes(count: number): PromptQuarantine {
   const quarantine = new PromptQuarantine();
   for (let crash = 1; crash <= count; crash += 1) {
-    const call = buildCall('f', CRASHING, `own${crash}`);
+    const call = buildRequest('f', CRASHING, `own${crash}`);
     quarantine.recordCrash(call, 1, buildTarget({ id: `i-${crash}` }), 0);
   }
   return quarantine;
@@ -44,16 +47,17 @@
   now: number,
   ...parts: string[]
 ): PromptStanding['kind'] {
-  return quarantine.getStanding(buildCall(...parts), now).kind;
+  return quarantine.getStanding(buildRequest(...parts), now).kind;
 }
 
 describe('PromptQuarantine', () => {
   it('goes by its own reports while no hub is reachable, and names the part', () => {
     const quarantine = createWithCrashes(2);
-    quarantine.recordSettled(buildCall('f', 'b', 'own9'), 1);
-    expect(quarantine.getStanding(buildCall('f', CRASHING, 'own3'), 2)).toEqual({
+    quarantine.recordSettled(buildRequest('f', 'b', 'own9'), 1);
+    expect(quarantine.getStanding(buildRequest('f', CRASHING, 'own3'), 2)).toEqual({
       kind: 'quarantined',
       partIds: [CRASHING],
+      isRepetition: false,
     });
     expect(getKind(quarantine, 2, 'f', 'b', 'own4')).toBe('clear');
   });
@@ -78,34 +82,67 @@
 
   it('does not report parts with which responses have settled lately', () => {
     const quarantine = new PromptQuarantine();
-    quarantine.recordSettled(buildCall('f', 'b', 'own1'), 0);
-    expect(quarantine.hasUnprovenPart(buildCall('f', 'b', 'own2'), 1_000)).toBe(false);
-    expect(quarantine.hasUnprovenPart(buildCall('f', CRASHING, 'own2'), 1_000)).toBe(true);
-    expect(quarantine.hasUnprovenPart(buildCall('f', 'b', 'own2'), 10_000)).toBe(true);
-    quarantine.recordCrash(buildCall('f', CRASHING, 'own3'), 1, buildTarget({}), 1_000);
-    expect(quarantine.listUnreported().crashes[0]?.parts).toHaveLength(1);
+    const sound = buildRequest('f', 'b', 'own1');
+    quarantine.recordSettled(sound, 0);
+    quarantine.recordAnswered(sound, 0);
+    expect(quarantine.isUnproven(sound, 1_000)).toBe(false);
+    expect(quarantine.isUnproven(buildRequest('f', 'b', 'own2'), 1_000)).toBe(true);
+    expect(quarantine.isUnproven(sound, 10_000)).toBe(true);
+    quarantine.recordCrash(sound, 1, buildTarget({}), 1_000);
+    quarantine.recordCrash(buildRequest('f', 'b', 'own2'), 1, buildTarget({}), 1_000);
+    quarantine.recordCrash(buildRequest('f', CRASHING, 'own3'), 1, buildTarget({}), 1_000);
+    const { crashes } = quarantine.listUnreported();
+    expect(crashes.map(({ parts }) => parts.length)).toEqual([0, 0, 1]);
+    expect(crashes.map(({ request }) => request !== 0)).toEqual([false, true, true]);
   });
 
   it('clears a suspect of the hub when a response with it settles, or settled shortly before', () => {
     const source = createWithCrashes(1);
     const parts = source.listUnreported().crashes[0]?.parts ?? [];
     const other = new PromptQuarantine();
-    other.recordSettled(buildCall('f', 'b', 'own7'), 0);
+    other.recordSettled(buildRequest('f', 'b', 'own7'), 0);
     other.applySuspects([{ parts, quarantined: false }], 100);
     expect(other.listUnreported().clearedParts).toHaveLength(1);
     expect(getKind(other, 100, 'f', 'b', 'own8')).toBe('clear');
     expect(getKind(other, 100, 'f', CRASHING, 'own8')).toBe('suspect');
-    other.recordSettled(buildCall('f', CRASHING, 'own8'), 200);
+    other.recordSettled(buildRequest('f', CRASHING, 'own8'), 200);
     expect(getKind(other, 200, 'f', CRASHING, 'own9')).toBe('clear');
     expect(other.listUnreported().clearedParts).toHaveLength(2);
   });
 
+  it('goes by its own reports of a request that comes again, of the same client account only', () => {
+    const quarantine = new PromptQuarantine();
+    const request = buildRequest();
+    for (const id of ['i-1', 'i-2']) {
+      expect(quarantine.getStanding(request, 0).kind).toBe('clear');
+      quarantine.recordCrash(request, Number(id.at(-1)), buildTarget({ id }), 0);
+    }
+    expect(quarantine.getStanding(request, 1)).toMatchObject({
+      kind: 'quarantined',
+      isRepetition: true,
+    });
+    expect(quarantine.getStanding({ ...request, account: 'hvar' }, 1).kind).toBe('clear');
+    expect(quarantine.getStanding(buildRequest('other'), 1).kind).toBe('clear');
+  });
+
+  it('clears a request of the hub that was answered here, also shortly before', () => {
+    const source = new PromptQuarantine();
+    const request = buildRequest();
+    source.recordCrash(request, 1, buildTarget({}), 0);
+    const parts = [source.listUnreported().crashes[0]?.request ?? 0];
+    const other = new PromptQuarantine();
+    other.recordAnswered(request, 0);
+    other.applySuspects([{ parts, quarantined: true }], 100);
+    expect(other.getStanding(request, 100).kind).toBe('clear');
+    expect(other.listUnreported().clearedParts).toEqual(parts);
+  });
+
   it('forgets its own suspicion, also for a new hub, once the hub has cleared the part', () => {
     const quarantine = createWithCrashes(1);
     quarantine.removeReported(quarantine.listUnreported());
     quarantine.applySuspects([], 10);
     expect(getKind(quarantine, 10, 'f', CRASHING, 'own2')).toBe('clear');
     quarantine.repeatReports();
-    expect(quarantine.listUnreported().crashes).toEqual([]);
+    expect(quarantine.listUnreported().crashes.flatMap(({ parts }) => parts)).toEqual([]);
   });
 });
--- a/src/gateway/PromptQuarantine.ts
+++ b/src/gateway/PromptQuarantine.ts
@@ -1,6 +1,6 @@
 /**
- * What this entry knows of prompt parts that crash targets: which parts are sound, which are suspect and which are
- * quarantined. The hub decides over the reports of all entries; without it, an entry goes by its own.
+ * What this entry knows of prompt parts and of requests that crash targets: which are sound, which are suspect and which
+ * are quarantined. The hub decides over the reports of all entries; without it, an entry goes by its own.
  */
 import { create } from '@bufbuild/protobuf';
 import { Emitter } from '../common/Lifecycle.js';
@@ -23,13 +23,24 @@
 /** Own reports that are kept for a new hub. */
 const MAX_REPORTS = 256;
 
-/** Where a request stands because of the parts of its prompt. */
+/** A request with the client account that sent it; undefined on routes without keys. */
+export interface IJudgedRequest {
+  readonly call: ICall;
+  readonly account: string | undefined;
+}
+
+/** Where a request stands because of the parts of its prompt, or because it came before. */
 export type PromptStanding =
   | { readonly kind: 'clear' }
   /** A target crashed with one of its parts; no response with it has settled since. */
   | { readonly kind: 'suspect' }
   /** A target would probably crash. */
-  | { readonly kind: 'quarantined'; readonly partIds: readonly string[] };
+  | {
+      readonly kind: 'quarantined';
+      readonly partIds: readonly string[];
+      /** True if the request itself is quarantined. */
+      readonly isRepetition: boolean;
+    };
 
 /** Holds the suspects of the hub, and the reports of this entry until a hub has received them. */
 export class PromptQuarantine implements IQuarantineSource {
@@ -51,56 +62,60 @@
     return this._suspects;
   }
 
-  public getStanding(call: ICall, now: number): PromptStanding {
+  public getStanding(judged: IJudgedRequest, now: number): PromptStanding {
     const own = this._ownEvidence.list(now);
     const entries = [...this._suspects, ...own];
     if (entries.length === 0) {
       return { kind: 'clear' };
     }
-    const hashes = new Set(hashParts(call));
+    const { call } = judged;
+    const request = hashRequest(judged);
+    const hashes = new Set([...hashSharedParts(call), request]);
     const quarantined = [...this._suspects, ...(this._isHubReachable ? [] : own)].find(
       (entry) => entry.quarantined && entry.parts.every((part) => hashes.has(part)),
     );
     if (quarantined !== undefined) {
       const partIds = call.parts.filter((part) => quarantined.parts.includes(hashPart(call, part)));
-      return { kind: 'quarantined', partIds: partIds.map(({ id }) => id) };
+      return {
+        kind: 'quarantined',
+        partIds: partIds.map(({ id }) => id),
+        isRepetition: quarantined.parts.includes(request),
+      };
     }
     const isSuspect = entries.some(({ parts }) => parts.some((part) => hashes.has(part)));
     return { kind: isSuspect ? 'suspect' : 'clear' };
   }
 
-  /** True if the prompt has a part other than the last that is not known to be sound. */
-  public hasUnprovenPart(call: ICall, now: number): boolean {
-    return hashParts(call)
-      .slice(0, -1)
-      .some((part) => !this._isSound(part, now));
+  /** True if the request or a shared part of its prompt is not known to be sound. */
+  public isUnproven(judged: IJudgedRequest, now: number): boolean {
+    return listHashes(judged).some((hash) => !this._isSound(hash, now));
   }
 
   /** Records that a response has settled: none of the parts crashes a target. */
-  public recordSettled(call: ICall, now: number): void {
-    const parts = hashParts(call);
-    for (const part of parts) {
-      this._settledAt.delete(part);
-      this._settledAt.set(part, now);
-    }
-    for (const part of this._settledAt.keys()) {
-      if (this._settledAt.size <= MAX_SOUND_PARTS) {
-        break;
-      }
-      this._settledAt.delete(part);
-    }
-    this._clear(parts);
+  public recordSettled({ call }: IJudgedRequest, now: number): void {
+    this._recordSound(hashSharedParts(call), now);
   }
 
-  /** Records that a target crashed before the response had settled. */
-  public recordCrash(call: ICall, attempt: number, target: TargetRecord, now: number): void {
-    const hashes = hashParts(call);
+  /** Records that a request was answered with success, so that it does not crash a target. */
+  public recordAnswered(judged: IJudgedRequest, now: number): void {
+    this._recordSound([hashRequest(judged)], now);
+  }
+
+  /** Records that a target crashed under a request. */
+  public recordCrash(
+    judged: IJudgedRequest,
+    attempt: number,
+    target: TargetRecord,
+    now: number,
+  ): void {
+    const { call } = judged;
+    const request = hashRequest(judged);
     const report = create(CrashReportSchema, {
       attempt: hashText(`${call.id}/${attempt}`),
       target: target.id,
       born: target.born,
-      parts: hashes.slice(0, -1).filter((part) => !this._isSound(part, now)),
-      prompt: hashes.at(-1) ?? 0,
+      parts: hashSharedParts(call).filter((part) => !this._isSound(part, now)),
+      request: this._isSound(request, now) ? 0 : request,
     });
     this._ownEvidence.add(report, now);
     this._reports = [...this._reports, report].slice(-MAX_REPORTS);
@@ -137,8 +152,8 @@
   public applySuspects(suspects: readonly ISuspectParts[], now: number): void {
     this._suspects = suspects.map(({ parts, quarantined }) => ({ parts: [...parts], quarantined }));
     const listed = new Set(suspects.flatMap(({ parts }) => parts));
-    for (const { parts } of this._unreported.values()) {
-      parts.forEach((part) => listed.add(part));
+    for (const { parts, request } of this._unreported.values()) {
+      [...parts, request].forEach((part) => listed.add(part));
     }
     const own = this._ownEvidence.list(now).flatMap(({ parts }) => parts);
     this._dropEvidence(own.filter((part) => !listed.has(part)));
@@ -146,6 +161,20 @@
     this._changes.fire(now);
   }
 
+  private _recordSound(parts: readonly number[], now: number): void {
+    for (const part of parts) {
+      this._settledAt.delete(part);
+      this._settledAt.set(part, now);
+    }
+    for (const part of this._settledAt.keys()) {
+      if (this._settledAt.size <= MAX_SOUND_PARTS) {
+        break;
+      }
+      this._settledAt.delete(part);
+    }
+    this._clear(parts);
+  }
+
   /** Clears parts here, and at the hub if it lists them. */
   private _clear(parts: readonly number[]): void {
     this._dropEvidence(parts);
@@ -168,8 +197,11 @@
     }
     for (const report of this._reports) {
       report.parts = report.parts.filter((part) => !parts.includes(part));
+      report.request = parts.includes(report.request) ? 0 : report.request;
     }
-    this._reports = this._reports.filter((report) => report.parts.length > 0);
+    this._reports = this._reports.filter(
+      (report) => report.parts.length > 0 || report.request !== 0,
+    );
   }
 
   private _isSound(part: number, now: number): boolean {
@@ -177,11 +209,21 @@
   }
 }
 
-/** Hashes of all parts. Unlike cached parts, a part that crashes targets does so for each isolation key. */
-function hashParts(call: ICall): number[] {
-  return call.parts.map((part) => hashPart(call, part));
+/** Hashes of all that may be to blame for a crash: the parts that other requests may have too, and the request itself. */
+function listHashes(judged: IJudgedRequest): number[] {
+  return [...hashSharedParts(judged.call), hashRequest(judged)];
+}
+
+/** Hashes of all parts but the last. Unlike cached parts, a part that crashes targets does so for each isolation key. */
+function hashSharedParts(call: ICall): number[] {
+  return call.parts.slice(0, -1).map((part) => hashPart(call, part));
 }
 
 function hashPart({ model }: ICall, { id }: IPromptPart): number {
   return hashText(`${model ?? ''}/${id}`);
 }
+
+/** Equal for all repetitions of a request; never 0. */
+function hashRequest({ call, account }: IJudgedRequest): number {
+  return hashText(`${call.hashContent()}/${account ?? ''}`) || 1;
+}
