--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -20,7 +20,7 @@
 } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { CallRunner } from './CallRunner.js';
 import { Placement } from './Placement.js';
-import { PromptQuarantine } from './PromptQuarantine.js';
+import { CrashQuarantine } from './CrashQuarantine.js';
 import { StoreIndex } from './StoreIndex.js';
 import { TargetLimits } from './TargetLimits.js';
 import { TargetStates } from './TargetStates.js';
@@ -134,7 +134,7 @@
   /** Weights versions of the targets in order; the default is 1. */
   readonly held?: readonly number[];
   /** Prompt tokens of other entries' requests that wait at a target. */
-  readonly quarantine?: PromptQuarantine;
+  readonly quarantine?: CrashQuarantine;
   /** True if targets refuse connections after a request has broken. */
   readonly hasCrashed?: boolean;
   /** Start time of the targets. */
@@ -188,7 +188,7 @@
     states: new TargetStates(),
     limits: setup.limits ?? buildLimits(view),
     placement: new Placement('zg-a'),
-    quarantine: setup.quarantine ?? new PromptQuarantine(),
+    quarantine: setup.quarantine ?? new CrashQuarantine(),
     store: new StoreIndex(view, () => Promise.reject(new Error('no store')), clock, SILENT_LOG),
     client: targets,
     clock,
@@ -410,7 +410,7 @@
     const parts = ['f0', 'd0', 'own'].map((id) => ({ id, tokens: 10 }));
 
     it('gets its request repeated once, and not when one of its parts is under suspicion', async () => {
-      const quarantine = new PromptQuarantine();
+      const quarantine = new CrashQuarantine();
       const setup = { call: { parts, deadlineMs: 2_000 }, route: { maxAttempts: 3 }, quarantine };
       const first = await runCall([crash, crash, answerOk], { ...setup, hasCrashed: true });
       expect(first.targets.sent).toHaveLength(2);
@@ -418,7 +418,7 @@
     });
 
     it('gets no further request with the part that crashed it', async () => {
-      const quarantine = new PromptQuarantine();
+      const quarantine = new CrashQuarantine();
       for (const own of ['o1', 'o2']) {
         const call = { id: own, parts: [...parts.slice(0, 2), { id: own, tokens: 10 }] };
         await runCall([crash, crash], { call, quarantine, hasCrashed: true });
@@ -430,8 +430,8 @@
     });
 
     it('has the request cancelled that would crash it, once the part is quarantined', async () => {
-      const reporter = new PromptQuarantine();
-      const quarantine = new PromptQuarantine();
+      const reporter = new CrashQuarantine();
+      const quarantine = new CrashQuarantine();
       const call = { parts, deadlineMs: 2_000 };
       await runCall([crash], { call, quarantine: reporter, hasCrashed: true });
       const suspect = reporter.listUnreported().crashes[0]?.parts ?? [];
@@ -444,7 +444,7 @@
     });
 
     it('is told apart from one that has only lost an answer', async () => {
-      const quarantine = new PromptQuarantine();
+      const quarantine = new CrashQuarantine();
       const { sink, targets } = await runCall([crash, crash, answerOk], {
         call: { parts },
         route: { maxAttempts: 3 },
@@ -456,7 +456,7 @@
     });
 
     it('is not blamed on a response that had settled', async () => {
-      const quarantine = new PromptQuarantine();
+      const quarantine = new CrashQuarantine();
       const breakLate: TargetScript = (listener) => {
         listener.onHead(OK_HEAD);
         listener.onData(streamEvents(1, 2));
@@ -492,7 +492,7 @@
       { kind: 'streaming', script: breakAtOnce, crashes: 2 },
       { kind: 'streaming', script: breakLate, crashes: 2 },
     ] as const)('gets it no more on a route of kind $kind', async ({ kind, script, crashes }) => {
-      const quarantine = new PromptQuarantine();
+      const quarantine = new CrashQuarantine();
       const setup = {
         quarantine,
         hasCrashed: true,
@@ -513,11 +513,11 @@
     });
 
     it('has the request cancelled in the middle of its stream once it is quarantined', async () => {
-      const reporter = new PromptQuarantine();
+      const reporter = new CrashQuarantine();
       const call = { deadlineMs: 2_000, parts: [] };
       await runCall([breakAtOnce], { call, quarantine: reporter, hasCrashed: true });
       const parts = [reporter.listUnreported().crashes[0]?.request ?? 0];
-      const quarantine = new PromptQuarantine();
+      const quarantine = new CrashQuarantine();
       const begin: TargetScript = (listener) => {
         listener.onHead(OK_HEAD);
         listener.onData(streamEvents(1, 2));
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -15,7 +15,7 @@
 import { Attempt, type AttemptOutcome } from './Attempt.js';
 import { formatCacheScope, type IPlacement, type Placement } from './Placement.js';
 import type { IPlacementRequest, IPlacementTarget } from './PlacementRequest.js';
-import type { IJudgedRequest, PromptQuarantine, PromptStanding } from './PromptQuarantine.js';
+import type { IJudgedRequest, CrashQuarantine, QuarantineStanding } from './CrashQuarantine.js';
 import type { PromptSource } from './PromptSources.js';
 import {
   LONG_STREAM_TOKENS,
@@ -83,7 +83,7 @@
   readonly states: TargetStates;
   readonly limits: TargetLimits;
   readonly placement: Placement;
-  readonly quarantine: PromptQuarantine;
+  readonly quarantine: CrashQuarantine;
   readonly store: StoreIndex;
   readonly client: ITargetClient<T>;
   readonly clock: IClock;
@@ -132,7 +132,7 @@
 /** What was decided before an attempt. */
 interface IPlannedAttempt {
   readonly request: IPlacementRequest;
-  readonly standing: PromptStanding;
+  readonly standing: QuarantineStanding;
   readonly placement: IPlacement;
 }
 
@@ -356,7 +356,7 @@
     call: T,
     admitted: IAdmittedCall,
     request: IPlacementRequest,
-    standing: PromptStanding,
+    standing: QuarantineStanding,
     progress: IProgress,
     now: number,
   ): TargetChoice {
@@ -685,7 +685,7 @@
     call: T,
     sink: IAnswerSink,
     progress: IProgress,
-    { partIds, isRepetition }: Extract<PromptStanding, { kind: 'quarantined' }>,
+    { partIds, isRepetition }: Extract<QuarantineStanding, { kind: 'quarantined' }>,
   ): void {
     if (progress.mayHaveRun) {
       this._finishUnanswered(call, sink, progress, 'quarantined');
--- a/src/gateway/PromptQuarantine.test.ts
+++ b/src/gateway/CrashQuarantine.test.ts
@@ -5,7 +5,11 @@
 import { describe, expect, it } from 'vitest';
 import { buildTarget } from '../fleet/Fixtures.js';
 import { hashText } from '../policy/TargetTable.js';
-import { PromptQuarantine, type IJudgedRequest, type PromptStanding } from './PromptQuarantine.js';
+import {
+  CrashQuarantine,
+  type IJudgedRequest,
+  type QuarantineStanding,
+} from './CrashQuarantine.js';
 import type { ICall } from './Types.js';
 
 const CRASHING = 'd0';
@@ -33,8 +37,8 @@
 }
 
 /** An entry on which a number of targets have crashed, each with another prompt that has the part that crashes targets. */
-function createWithCrashes(count: number): PromptQuarantine {
-  const quarantine = new PromptQuarantine();
+function createWithCrashes(count: number): CrashQuarantine {
+  const quarantine = new CrashQuarantine();
   for (let crash = 1; crash <= count; crash += 1) {
     const call = buildRequest('f', CRASHING, `own${crash}`);
     quarantine.recordCrash(call, 1, buildTarget({ id: `i-${crash}` }), 0);
@@ -43,14 +47,14 @@
 }
 
 function getKind(
-  quarantine: PromptQuarantine,
+  quarantine: CrashQuarantine,
   now: number,
   ...parts: string[]
-): PromptStanding['kind'] {
+): QuarantineStanding['kind'] {
   return quarantine.getStanding(buildRequest(...parts), now).kind;
 }
 
-describe('PromptQuarantine', () => {
+describe('CrashQuarantine', () => {
   it('goes by its own reports while no hub is reachable, and names the part', () => {
     const quarantine = createWithCrashes(2);
     quarantine.recordSettled(buildRequest('f', 'b', 'own9'), 1);
@@ -81,7 +85,7 @@
   });
 
   it('does not report parts with which responses have settled lately', () => {
-    const quarantine = new PromptQuarantine();
+    const quarantine = new CrashQuarantine();
     const sound = buildRequest('f', 'b', 'own1');
     quarantine.recordSettled(sound, 0);
     quarantine.recordAnswered(sound, 0);
@@ -99,7 +103,7 @@
   it('clears a suspect of the hub when a response with it settles, or settled shortly before', () => {
     const source = createWithCrashes(1);
     const parts = source.listUnreported().crashes[0]?.parts ?? [];
-    const other = new PromptQuarantine();
+    const other = new CrashQuarantine();
     other.recordSettled(buildRequest('f', 'b', 'own7'), 0);
     other.applySuspects([{ parts, quarantined: false }], 100);
     expect(other.listUnreported().clearedParts).toHaveLength(1);
@@ -111,7 +115,7 @@
   });
 
   it('goes by its own reports of a request that comes again, of the same client account only', () => {
-    const quarantine = new PromptQuarantine();
+    const quarantine = new CrashQuarantine();
     const request = buildRequest();
     for (const id of ['i-1', 'i-2']) {
       expect(quarantine.getStanding(request, 0).kind).toBe('clear');
@@ -126,11 +130,11 @@
   });
 
   it('clears a request of the hub that was answered here, also shortly before', () => {
-    const source = new PromptQuarantine();
+    const source = new CrashQuarantine();
     const request = buildRequest();
     source.recordCrash(request, 1, buildTarget({}), 0);
     const parts = [source.listUnreported().crashes[0]?.request ?? 0];
-    const other = new PromptQuarantine();
+    const other = new CrashQuarantine();
     other.recordAnswered(request, 0);
     other.applySuspects([{ parts, quarantined: true }], 100);
     expect(other.getStanding(request, 100).kind).toBe('clear');
--- a/src/gateway/PromptQuarantine.ts
+++ b/src/gateway/CrashQuarantine.ts
@@ -30,7 +30,7 @@
 }
 
 /** Where a request stands because of the parts of its prompt, or because it came before. */
-export type PromptStanding =
+export type QuarantineStanding =
   | { readonly kind: 'clear' }
   /** A target crashed with one of its parts; no response with it has settled since. */
   | { readonly kind: 'suspect' }
@@ -43,7 +43,7 @@
     };
 
 /** Holds the suspects of the hub, and the reports of this entry until a hub has received them. */
-export class PromptQuarantine implements IQuarantineSource {
+export class CrashQuarantine implements IQuarantineSource {
   private readonly _settledAt = new Map<number, number>();
   private readonly _ownEvidence = new CrashEvidence();
   private _reports: CrashReport[] = [];
@@ -62,7 +62,7 @@
     return this._suspects;
   }
 
-  public getStanding(judged: IJudgedRequest, now: number): PromptStanding {
+  public getStanding(judged: IJudgedRequest, now: number): QuarantineStanding {
     const own = this._ownEvidence.list(now);
     const entries = [...this._suspects, ...own];
     if (entries.length === 0) {
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -15,7 +15,7 @@
 import { CallRunner } from '../gateway/CallRunner.js';
 import { Placement } from '../gateway/Placement.js';
 import { PromptHolders } from '../gateway/PromptHolders.js';
-import { PromptQuarantine } from '../gateway/PromptQuarantine.js';
+import { CrashQuarantine } from '../gateway/CrashQuarantine.js';
 import { StoreIndex, type PollStore } from '../gateway/StoreIndex.js';
 import { TargetLimits } from '../gateway/TargetLimits.js';
 import { TargetStates } from '../gateway/TargetStates.js';
@@ -88,7 +88,7 @@
     const states = new TargetStates();
     const holders = new PromptHolders();
     const placement = new Placement(dataCentre, holders);
-    const quarantine = new PromptQuarantine();
+    const quarantine = new CrashQuarantine();
     this._rpc = new RpcClients(clusterSecret);
     this.view = new FleetView(adapters.decodeDocument, _log);
     const limits = new TargetLimits({
