Probe the target before an answer ends that only the close of its connection ends

Cause: where the close alone marks the end, a crash leaves nothing in the bytes that tells it from the end. Change: before such an answer ends with success, its target is probed, as after a crash. If it refuses the connection, the answer has broken off: a stream goes on elsewhere, another answer is repeated or cut. Plain answers have the same end and the same probe. Ruled out: counting every such end as broken (an engine that answers so always would never complete a request).

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -365,16 +365,41 @@
     if (this._hasEnded) {
       return;
     }
-    this._hasEnded = true;
     if (this._isDiscarded) {
+      this._hasEnded = true;
       this._finish(this._describeDiscarded());
-      return;
-    }
-    if (this._isBrokenOff()) {
+    } else if (this._isBrokenOff()) {
+      this._hasEnded = true;
       const reason = 'the stream ended inside an event';
       this._finish({ kind: 'failed', reason, isBroken: true });
+    } else if (this._head?.framing === BodyFraming.Close && this._isSuccess()) {
+      void this._relayEndIfListening();
+    } else {
+      this._relayEnd();
+    }
+  }
+
+  /** The close of a connection may also be the crash of the target, which then refuses the next one. */
+  private async _relayEndIfListening(): Promise<void> {
+    TEST_ONLY: if (isMechanismDisabled('stream-end')) {
+      this._relayEnd();
       return;
     }
+    const isListening = await this._context.client.probe(this._options.target);
+    if (this._hasEnded) {
+      return;
+    }
+    if (isListening) {
+      this._relayEnd();
+    } else {
+      this._hasEnded = true;
+      this._finish({ kind: 'failed', reason: 'the target ended', isBroken: true });
+    }
+  }
+
+  /** Relays what is left of a complete response, and its end. */
+  private _relayEnd(): void {
+    this._hasEnded = true;
     this._startSink();
     for (const chunk of this._buffered) {
       this._sink.write(chunk);
--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -377,6 +377,43 @@
     },
   );
 
+  // An engine that crashes between two events leaves nothing in the bytes that tells its crash from the end.
+  describe('a response that only the close of its connection ends', () => {
+    const closeHead = { ...OK_HEAD, framing: BodyFraming.Close };
+    const closeBetweenEvents: TargetScript = (listener) => {
+      listener.onHead(closeHead);
+      listener.onData(streamEvents(1, 2));
+      listener.onEnd();
+    };
+    const resume: TargetScript = (listener) => {
+      listener.onHead(OK_HEAD);
+      listener.onData(streamEvents(3, 4));
+      listener.onEnd();
+    };
+
+    it('is complete if its target still accepts connections', async () => {
+      const { sink, targets } = await runCall([closeBetweenEvents]);
+      expect(sink).toMatchObject({ ending: 'end', body: streamEvents(1, 2).toString() });
+      expect(targets.sent).toHaveLength(1);
+    });
+
+    it('is resumed elsewhere if its target has ended', async () => {
+      const setup = { hasCrashed: true };
+      const { sink, targets } = await runCall([closeBetweenEvents, resume], setup);
+      expect(targets.sent[1]?.dispatch.resumeAfter).toBe(2);
+      expect(sink).toMatchObject({ ending: 'end', body: streamEvents(1, 4).toString() });
+    });
+
+    it.each(['unsafe', 'safe'] as const)(
+      'is no success on a route of kind %s if its target has ended',
+      async (kind) => {
+        const setup = { route: { kind, maxAttempts: 1 }, hasCrashed: true };
+        const { sink } = await runCall([closeBetweenEvents], setup);
+        expect(sink.ending).not.toBe('end');
+      },
+    );
+  });
+
   it('does not take the close of a connection for the end of a stream that has not begun', async () => {
     const closeAtOnce: TargetScript = (listener) => {
       listener.onHead({ ...OK_HEAD, framing: BodyFraming.Close });
