Take over what the hub added to a record older than the last announcement

Cause: a target had announced itself to that process later than to the hub. The process ignored the hub's record as the older one, and the hub sends a record once. So a limit, or a load of weights, was never learned there. The class: one order for two writers of one record. Change: of a record that is older than the process's own of the same start, what the hub adds is taken over: loading, preparing, limit. Measured: FleetView.test.ts, whose first case failed before.

--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -118,14 +118,25 @@
   public applyAnnouncement(record: TargetRecord): void {
     const existing = this._targets.get(record.id);
     if (existing?.born === record.born) {
-      record.loading = existing.loading;
-      record.preparing = existing.preparing;
-      setRateLimit(record, existing.rateLimit);
+      copyHubState(existing, record);
     }
     this.applyTarget(record);
   }
 
-  /** Applies a target's record from the hub; ignored if a later one is known. */
+  /**
+   * Applies a target's record from the hub. The target may have announced itself to this process later than to the hub;
+   * then only what the hub added is new.
+   */
+  public applyHubTarget(record: TargetRecord): void {
+    const existing = this._targets.get(record.id);
+    if (existing?.born === record.born && isLater(existing, record)) {
+      copyHubState(record, existing);
+    } else {
+      this.applyTarget(record);
+    }
+  }
+
+  /** Applies a target's record; ignored if a later one is known. */
   public applyTarget(record: TargetRecord): void {
     const existing = this._targets.get(record.id);
     const isSameIncarnation = existing?.born === record.born;
@@ -154,7 +165,7 @@
     }
     this.applyWeights(answer.weights, now);
     for (const record of answer.targets) {
-      this.applyTarget(record);
+      this.applyHubTarget(record);
     }
     this._remoteWork = new Map(answer.work.map((work: TargetWork) => [work.id, work]));
   }
@@ -172,6 +183,13 @@
   }
 }
 
+/** Copies what the hub adds to the announcements of a target. */
+function copyHubState(from: TargetRecord, to: TargetRecord): void {
+  to.loading = from.loading;
+  to.preparing = from.preparing;
+  setRateLimit(to, from.rateLimit);
+}
+
 function isReady(record: TargetRecord): boolean {
   return record.phase === TargetPhase.READY;
 }
