Blame a request for a crash by the share of its repetitions

Cause: a crash divided its blame by the number of reports, also where two of these were of one request that had come again. Change: a request's blame is its share of all that broke with the target. Measured: the new case of CrashEvidence.test.ts, which failed before.

--- a/src/fleet/CrashEvidence.test.ts
+++ b/src/fleet/CrashEvidence.test.ts
@@ -62,6 +62,14 @@
     }
   });
 
+  // Both repetitions may reach the same target through two processes.
+  it('divides no blame among repetitions of one request that broke with the same target', () => {
+    const evidence = new CrashEvidence();
+    addCrash(evidence, 1, [[1], [1]]);
+    addCrash(evidence, 2, [[1], [22]]);
+    expect(listQuarantined(evidence)).toEqual([[1]]);
+  });
+
   it('does not refuse a sound request that came again at a target that crashes by another one', () => {
     const evidence = new CrashEvidence();
     addCrash(evidence, 1, [[1], [11]]);
--- a/src/fleet/CrashEvidence.ts
+++ b/src/fleet/CrashEvidence.ts
@@ -242,14 +242,14 @@
 }
 
 /**
- * Blame by part and by request. The parts of a crash share it with all requests that have such parts, a request shares it
- * with all that broke.
+ * Blame by part and by request. The parts of a crash share it with all requests that have such parts; a request and its
+ * repetitions share it with all that broke.
  */
 function sumBlame(crashes: readonly ICrash[]): ReadonlyMap<number, IBlame> {
   const byPart = new Map<number, IBlame>();
   const addBlame = (
     crash: ICrash,
-    parts: ReadonlySet<number>,
+    parts: Iterable<number>,
     blame: number,
     sufficientCrashes: number,
   ): void => {
@@ -265,21 +265,31 @@
     const withParts = requests.filter(({ parts }) => parts.size > 0);
     const parts = new Set(withParts.flatMap((request) => [...request.parts]));
     addBlame(crash, parts, 1 / withParts.length, SUFFICIENT_CRASHES);
-    addBlame(crash, listRequestHashes(crash), 1 / requests.length, SUFFICIENT_REQUEST_CRASHES);
+    for (const [hash, count] of countRequests(requests)) {
+      addBlame(crash, [hash], count / requests.length, SUFFICIENT_REQUEST_CRASHES);
+    }
   }
   return byPart;
 }
 
-/** The requests of a crash that are not known to be sound. */
-function listRequestHashes({ requests }: ICrash): ReadonlySet<number> {
-  return new Set([...requests.values()].map(({ request }) => request).filter((hash) => hash !== 0));
+/** Number of times that each request broke in a crash, of those that are not known to be sound. */
+function countRequests(requests: readonly ISuspectRequest[]): ReadonlyMap<number, number> {
+  const counts = new Map<number, number>();
+  for (const { request } of requests) {
+    if (request !== 0) {
+      counts.set(request, (counts.get(request) ?? 0) + 1);
+    }
+  }
+  return counts;
 }
 
 /** Requests that broke in several crashes. The others are too many to tell all processes of them. */
 function listRepeatedRequests(crashes: readonly ICrash[]): readonly number[] {
   const counts = new Map<number, number>();
-  for (const hash of crashes.flatMap((crash) => [...listRequestHashes(crash)])) {
-    counts.set(hash, (counts.get(hash) ?? 0) + 1);
+  for (const { requests } of crashes) {
+    for (const hash of countRequests([...requests.values()]).keys()) {
+      counts.set(hash, (counts.get(hash) ?? 0) + 1);
+    }
   }
   return [...counts].flatMap(([hash, count]) => (count >= MIN_BLAMED_CRASHES ? [hash] : []));
 }
