Save a new quarantine at once

Cause: members saved targets and quarantine every 2 s at most, and a change of a target's limit alone was no change. Change: a change of the suspects starts a save, 0.1 s after the one before at the earliest; limits belong to what is compared. Ruled out: keeping the quarantine in the replicated log (a write of all disks for a word that any entry can give again). Measured: MemberHost.test.ts, which fails with the interval alone.

--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -161,6 +161,7 @@
           restore: (records) => {
             this.node.restoreTargets(records);
           },
+          onSuspectsChange: quarantine.onChange,
           listSuspects: () => quarantine.suspects,
           restoreSuspects: (suspects) => {
             quarantine.applySuspects(suspects, clock.now());
--- a/src/run/MemberHost.ts
+++ b/src/run/MemberHost.ts
@@ -3,6 +3,7 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import { Code, ConnectError } from '@connectrpc/connect';
 import type { IClock } from '../common/Clock.js';
+import type { IEvent } from '../common/Lifecycle.js';
 import { describeError, type ILog } from '../common/Log.js';
 import type { RpcClients } from '../common/Rpc.js';
 import { isAborted, sleep } from '../common/Tasks.js';
@@ -27,6 +28,9 @@
 /** Interval of the checks whether the targets have changed and must be saved. */
 const TARGETS_SAVE_INTERVAL_MS = 2_000;
 
+/** Shortest time between two saves. */
+const MIN_SAVE_INTERVAL_MS = 100;
+
 /** File with the targets that were saved last. */
 const TARGETS_FILE = 'targets';
 
@@ -41,13 +45,15 @@
 
 /**
  * What this process saves and restores for a restart of all processes: the targets, so that requests are served
- * sooner, and the quarantined prompt parts, so that they crash no further target. All of it is soft state.
+ * sooner and within their limits, and the quarantine, so that it loses no further target. All of it is soft state.
  */
 export interface ITargetCache {
   list(): readonly TargetRecord[];
   restore(records: readonly TargetRecord[]): void;
   listSuspects(): readonly ISuspectParts[];
   restoreSuspects(suspects: readonly ISuspectParts[]): void;
+  /** Fires when the suspects have changed, which are then saved without delay. */
+  readonly onSuspectsChange: IEvent<unknown>;
 }
 
 export interface IMemberOptions {
@@ -159,11 +165,17 @@
     }
   }
 
-  /** Saves the targets whenever they have changed, until the signal is aborted. */
+  /** Saves the targets and the quarantine whenever they have changed, until the signal is aborted. */
   private async _saveTargets(directory: DataDirectory, signal: AbortSignal): Promise<void> {
     let savedFingerprint = '';
+    let suspectsChanged = new AbortController();
+    const subscription = this._targetCache.onSuspectsChange(() => {
+      suspectsChanged.abort();
+    });
     while (!isAborted(signal)) {
-      await sleep(TARGETS_SAVE_INTERVAL_MS, signal);
+      await sleep(MIN_SAVE_INTERVAL_MS, signal);
+      await sleep(TARGETS_SAVE_INTERVAL_MS - MIN_SAVE_INTERVAL_MS, suspectsChanged.signal, signal);
+      suspectsChanged = new AbortController();
       const targets = this._targetCache.list();
       const suspects = this._targetCache.listSuspects().filter((entry) => entry.quarantined);
       const fingerprint = buildFingerprint(targets, suspects);
@@ -176,6 +188,7 @@
         savedFingerprint = fingerprint;
       }
     }
+    subscription.dispose();
   }
 
   private async _bootstrapIfEmpty(): Promise<void> {
@@ -206,7 +219,8 @@
 ): string {
   return [
     ...targets.map(
-      ({ id, born, phase, models }) => `${id} ${born} ${phase} ${models[0]?.version ?? ''}`,
+      ({ id, born, phase, models, rateLimit }) =>
+        `${id} ${born} ${phase} ${models[0]?.version ?? ''} ${rateLimit ?? ''}`,
     ),
     ...suspects.map(({ parts }) => parts.join('+')),
   ].join();
