Let the backlog of the queue's test outlast the arrival of its requests

Cause: the 80 requests arrive over 2 to 3 s there and were served at 40 a second, so that no backlog of 40 came up. Holding the first ones at the target had some others refused with 503: these would have waited longer than a quarter of the service's limit of 20 s, which is what the queue refuses at once. So the 503 were right, and the test's service too fast. Change: the test's service takes a second a request and has a limit of 60 s. What is checked stays: the other account is served before 60 of the 80 are, and all 80 are. Ruled out: waiting for a smaller backlog (the check of 60 would then be met without fairness).

--- a/src/entry/EdgeHarness.ts
+++ b/src/entry/EdgeHarness.ts
@@ -61,6 +61,8 @@
   readonly plainTargets?: number;
   readonly entries?: number;
   readonly overrides?: IEntryTestLimits;
+  /** Time limit of the services; a request waits for a quarter of it at most. */
+  readonly serviceTimeoutMs?: number;
 }
 
 /** An answer whose body was read completely. */
@@ -156,7 +158,7 @@
     const reserveAddress = (): string => `127.0.0.1:${ports.pop() ?? 0}`;
     const harness = new EdgeHarness(reserveAddress());
     await harness._startControl();
-    await harness._publishInitialItems();
+    await harness._publishInitialItems(options.serviceTimeoutMs);
     for (let index = 0; index < entryCount; index++) {
       await harness._startEntry(`entry-${index}`, reserveAddress(), reserveAddress(), options);
     }
@@ -319,13 +321,13 @@
     this._servers.push(server);
   }
 
-  private async _publishInitialItems(): Promise<void> {
+  private async _publishInitialItems(timeoutMs: number = SERVICE_TIMEOUT_MS): Promise<void> {
     const lace = create(ServiceSchema, {
       ...{ name: 'lace', kind: ServiceKind.MODEL, models: ['lace-1'] },
-      ...{ defaultOutputTokens: 16, timeoutMs: SERVICE_TIMEOUT_MS },
+      ...{ defaultOutputTokens: 16, timeoutMs },
     });
     const desk = create(ServiceSchema, {
-      ...{ name: 'order-desk', kind: ServiceKind.PLAIN, timeoutMs: SERVICE_TIMEOUT_MS },
+      ...{ name: 'order-desk', kind: ServiceKind.PLAIN, timeoutMs },
       routes: [
         { path: '/orders', methods: ['POST'], nonRepeatable: true },
         { path: '/stock', methods: ['GET', 'POST'] },
--- a/src/entry/EdgeQueue.test.ts
+++ b/src/entry/EdgeQueue.test.ts
@@ -45,6 +45,7 @@
     harness = await EdgeHarness.start({
       engines: [],
       overrides: { queue: { maxRequestsPerTarget: 8 } },
+      serviceTimeoutMs: 60_000,
     });
   });
 
@@ -56,9 +57,9 @@
     await harness.addAccount('hvar', 1e8);
     const { text: key } = await harness.createKey('hvar');
     let flooded = 0;
-    // One target runs 8 requests at a time, so these 80 take ten rounds of 200 ms.
+    // One target runs 8 requests at a time, so these 80 take ten rounds of a second, also if they arrive over some seconds.
     const flood = Array.from({ length: 80 }, async () => {
-      const body = JSON.stringify({ delayMs: 200 });
+      const body = JSON.stringify({ delayMs: 1_000 });
       const answer = await harness.call('/stock/linen', { method: 'POST', body });
       flooded += 1;
       return answer.status;
