Judge requests by the number of their crashes alone without a hub

All sound requests of an account are alike there. Cause: with its own reports only, an entry took each request that broke for the only one, so two crashes were proof. Change: evidence without the reports of others quarantines a request after three crashes, whatever its share. A quarantine of parts names the request too if one request caused all of the crashes, as before. Ruled out: no quarantine of requests without a hub (a cut entry would lose targets for as long as the cut lasts). Measured: two new cases of CrashEvidence.test.ts; the first failed before.

--- a/src/fleet/CrashEvidence.test.ts
+++ b/src/fleet/CrashEvidence.test.ts
@@ -70,6 +70,22 @@
     expect(listQuarantined(evidence)).toEqual([[1]]);
   });
 
+  // Alone with its own reports, a process takes a sound request that many send for the only one that broke.
+  it('refuses a request after three crashes if the reports of other processes are missing', () => {
+    const evidence = new CrashEvidence(false);
+    for (const crash of [1, 2, 3]) {
+      addCrash(evidence, crash, [[1]]);
+      expect(listQuarantined(evidence)).toEqual(crash < 3 ? [] : [[1]]);
+    }
+  });
+
+  it('refuses only repetitions of a request with unproven parts, also without the other reports', () => {
+    const evidence = new CrashEvidence(false);
+    addCrash(evidence, 1, [[SUBJECT, CRASHING, 1]]);
+    addCrash(evidence, 2, [[SUBJECT, CRASHING, 1]]);
+    expect(listQuarantined(evidence)).toEqual([[SUBJECT, CRASHING, 1]]);
+  });
+
   it('does not refuse a sound request that came again at a target that crashes by another one', () => {
     const evidence = new CrashEvidence();
     addCrash(evidence, 1, [[1], [11]]);
--- a/src/fleet/CrashEvidence.ts
+++ b/src/fleet/CrashEvidence.ts
@@ -80,6 +80,12 @@
   private _restored: { readonly parts: Set<number>; readonly at: number }[] = [];
   private _revision = 0;
 
+  /**
+   * @param _hasAllReports false at a process that has its own reports only: it does not know which other requests broke,
+   *   so that a request is quarantined by the number of its crashes alone
+   */
+  constructor(private readonly _hasAllReports = true) {}
+
   /** Increases with each change of the list. */
   public get revision(): number {
     return this._revision;
@@ -205,7 +211,11 @@
     this._isStale = false;
     const blamed: IBlamed[] = [];
     let unexplained = [...this._crashes.values()];
-    for (let worst = findWorst(unexplained); worst !== undefined; worst = findWorst(unexplained)) {
+    for (;;) {
+      const worst = findWorst(unexplained, this._hasAllReports);
+      if (worst === undefined) {
+        break;
+      }
       const { parts } = worst;
       blamed.push(worst);
       unexplained = unexplained.filter((crash) => listRequestsWith(crash, parts).length === 0);
@@ -218,8 +228,8 @@
  * The parts with the most crashes among those with enough blame; undefined if there are none. Parts that occurred in the
  * same crashes but never in one request are left out: the next crash tells them apart.
  */
-function findWorst(crashes: readonly ICrash[]): IBlamed | undefined {
-  const candidates = [...sumBlame(crashes)].filter(
+function findWorst(crashes: readonly ICrash[], hasAllReports: boolean): IBlamed | undefined {
+  const candidates = [...sumBlame(crashes, hasAllReports)].filter(
     ([, { blame, crashes: own, sufficientCrashes }]) =>
       own.length >= sufficientCrashes || (own.length >= MIN_BLAMED_CRASHES && blame >= MIN_BLAME),
   );
@@ -228,8 +238,11 @@
     const tied = candidates
       .filter(([, { crashes: own }]) => hasSameItems(own, worst))
       .map(([part]) => part);
-    if (worst.some((crash) => listRequestsWith(crash, tied).length > 0)) {
-      return { parts: tied, crashes: worst };
+    const requests = worst.flatMap((crash) => listRequestsWith(crash, tied));
+    const hashes = new Set(requests.map(({ request }) => request));
+    if (requests.length > 0) {
+      const isOneRequest = hashes.size === 1 && !hashes.has(0);
+      return { parts: [...new Set([...tied, ...(isOneRequest ? hashes : [])])], crashes: worst };
     }
   }
   return undefined;
@@ -245,7 +258,7 @@
  * Blame by part and by request. The parts of a crash share it with all requests that have such parts; a request and its
  * repetitions share it with all that broke.
  */
-function sumBlame(crashes: readonly ICrash[]): ReadonlyMap<number, IBlame> {
+function sumBlame(crashes: readonly ICrash[], hasAllReports: boolean): ReadonlyMap<number, IBlame> {
   const byPart = new Map<number, IBlame>();
   const addBlame = (
     crash: ICrash,
@@ -266,7 +279,8 @@
     const parts = new Set(withParts.flatMap((request) => [...request.parts]));
     addBlame(crash, parts, 1 / withParts.length, SUFFICIENT_CRASHES);
     for (const [hash, count] of countRequests(requests)) {
-      addBlame(crash, [hash], count / requests.length, SUFFICIENT_REQUEST_CRASHES);
+      const share = hasAllReports ? count / requests.length : 0;
+      addBlame(crash, [hash], share, SUFFICIENT_REQUEST_CRASHES);
     }
   }
   return byPart;
--- a/src/gateway/CrashQuarantine.ts
+++ b/src/gateway/CrashQuarantine.ts
@@ -45,7 +45,7 @@
 /** Holds the suspects of the hub, and the reports of this entry until a hub has received them. */
 export class CrashQuarantine implements IQuarantineSource {
   private readonly _settledAt = new Map<number, number>();
-  private readonly _ownEvidence = new CrashEvidence();
+  private readonly _ownEvidence = new CrashEvidence(false);
   private _reports: CrashReport[] = [];
   /** By attempt. */
   private readonly _unreported = new Map<number, CrashReport>();
