Save a new limit of a target at once

Cause: a change of a limit was saved with the next check, every 2 s. Change: it starts a save as a change of the quarantine does.

--- a/src/fleet/FleetView.test.ts
+++ b/src/fleet/FleetView.test.ts
@@ -28,6 +28,18 @@
     expect(view.getTarget('i-1')).toMatchObject({ rateLimit: 2, loading: true, slots: 3 });
   });
 
+  it('tells of a limit that the hub added or dropped', () => {
+    const view = createView({}, {});
+    const limits: unknown[] = [];
+    view.onRateLimitChange(({ rateLimit }) => {
+      limits.push(rateLimit);
+    });
+    for (const changes of [{ rateLimit: 2 }, { rateLimit: 2 }, {}]) {
+      view.applyHubTarget(buildTarget(changes));
+    }
+    expect(limits).toEqual([2, undefined]);
+  });
+
   it('learns nothing from a record of an earlier start', () => {
     const view = createView({ born: 2, sequence: 1n }, { born: 1, sequence: 8n, rateLimit: 2 });
     expect(view.getTarget('i-1')?.rateLimit).toBeUndefined();
--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -33,6 +33,7 @@
   private readonly _weights = new WeightsHistory();
   private readonly _tableChanges = new Emitter<RouteTable>();
   private readonly _unavailableTargets = new Emitter<TargetRecord>();
+  private readonly _rateLimitChanges = new Emitter<TargetRecord>();
   private _remoteWork: ReadonlyMap<string, IRemoteWork> = new Map();
   private _table: RouteTable | undefined;
   private _entryCount = 1;
@@ -41,6 +42,9 @@
   /** Fires with the former record when a ready target stops being ready or restarts. */
   public readonly onTargetUnavailable = this._unavailableTargets.onFire;
 
+  /** Fires with the new record when a target has another limit, or none any more. */
+  public readonly onRateLimitChange = this._rateLimitChanges.onFire;
+
   /** Epoch of the hub that answered last; empty before its first answer. */
   public epoch = '';
   /** The hub's revision up to which this copy is complete. */
@@ -129,11 +133,16 @@
    */
   public applyHubTarget(record: TargetRecord): void {
     const existing = this._targets.get(record.id);
+    const previousLimit = existing?.rateLimit;
     if (existing?.born === record.born && isLater(existing, record)) {
       copyHubState(record, existing);
     } else {
       this.applyTarget(record);
     }
+    const current = this._targets.get(record.id);
+    if (current !== undefined && current.rateLimit !== previousLimit) {
+      this._rateLimitChanges.fire(current);
+    }
   }
 
   /** Applies a target's record; ignored if a later one is known. */
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -1,6 +1,7 @@
 /** One process of a deployment whose targets announce themselves. */
 import { setMaxListeners } from 'node:events';
 import { MonotonicClock } from '../common/Clock.js';
+import { Emitter } from '../common/Lifecycle.js';
 import { describeError, type ILog } from '../common/Log.js';
 import { Metrics } from '../common/Metrics.js';
 import { RpcClients } from '../common/Rpc.js';
@@ -145,6 +146,13 @@
       log: _log,
       weightsLimitMs: _options.weightsRolloutLimitMs - WEIGHTS_LIMIT_MARGIN_MS,
     });
+    const changes = new Emitter<unknown>();
+    quarantine.onChange((now) => {
+      changes.fire(now);
+    });
+    this.view.onRateLimitChange((target) => {
+      changes.fire(target);
+    });
     this._memberHost =
       member &&
       new MemberHost(
@@ -161,7 +169,7 @@
           restore: (records) => {
             this.node.restoreTargets(records);
           },
-          onSuspectsChange: quarantine.onChange,
+          onChange: changes.onFire,
           listSuspects: () => quarantine.suspects,
           restoreSuspects: (suspects) => {
             quarantine.applySuspects(suspects, clock.now());
--- a/src/run/MemberHost.test.ts
+++ b/src/run/MemberHost.test.ts
@@ -18,7 +18,7 @@
   public targets: readonly TargetRecord[] = [];
   public suspects: readonly ISuspectParts[] = [];
   private readonly _changes = new Emitter<number>();
-  public readonly onSuspectsChange = this._changes.onFire;
+  public readonly onChange = this._changes.onFire;
 
   public list(): readonly TargetRecord[] {
     return this.targets;
--- a/src/run/MemberHost.ts
+++ b/src/run/MemberHost.ts
@@ -52,8 +52,8 @@
   restore(records: readonly TargetRecord[]): void;
   listSuspects(): readonly ISuspectParts[];
   restoreSuspects(suspects: readonly ISuspectParts[]): void;
-  /** Fires when the suspects have changed, which are then saved without delay. */
-  readonly onSuspectsChange: IEvent<unknown>;
+  /** Fires when the suspects or the limit of a target have changed, which are then saved without delay. */
+  readonly onChange: IEvent<unknown>;
 }
 
 export interface IMemberOptions {
@@ -168,14 +168,14 @@
   /** Saves the targets and the quarantine whenever they have changed, until the signal is aborted. */
   private async _saveTargets(directory: DataDirectory, signal: AbortSignal): Promise<void> {
     let savedFingerprint = '';
-    let suspectsChanged = new AbortController();
-    const subscription = this._targetCache.onSuspectsChange(() => {
-      suspectsChanged.abort();
+    let changed = new AbortController();
+    const subscription = this._targetCache.onChange(() => {
+      changed.abort();
     });
     while (!isAborted(signal)) {
       await sleep(MIN_SAVE_INTERVAL_MS, signal);
-      await sleep(TARGETS_SAVE_INTERVAL_MS - MIN_SAVE_INTERVAL_MS, suspectsChanged.signal, signal);
-      suspectsChanged = new AbortController();
+      await sleep(TARGETS_SAVE_INTERVAL_MS - MIN_SAVE_INTERVAL_MS, changed.signal, signal);
+      changed = new AbortController();
       const targets = this._targetCache.list();
       const suspects = this._targetCache.listSuspects().filter((entry) => entry.quarantined);
       const fingerprint = buildFingerprint(targets, suspects);
