Divide the blame for a crash among different requests, not among reports

Cause: of two requests, the one that more clients sent at the moment of the crash got the larger share, so that the popular one was quarantined and explained the crashes of the other. Change: a request gets the same share of a crash however often it broke there. Measured: the new case of CrashEvidence.test.ts, which failed before; the case of repetitions that broke together still passes.

--- a/src/fleet/CrashEvidence.test.ts
+++ b/src/fleet/CrashEvidence.test.ts
@@ -70,6 +70,16 @@
     expect(listQuarantined(evidence)).toEqual([[1]]);
   });
 
+  // Lookups of one client account may all be alike; the more of them break, the less each says.
+  it('does not take a sound request for the cause because many like it broke with the one that is', () => {
+    const evidence = new CrashEvidence();
+    addCrash(evidence, 1, [[1], [7], [7], [7]]);
+    addCrash(evidence, 2, [[1], [7], [7], [7]]);
+    expect(listQuarantined(evidence)).toEqual([]);
+    addCrash(evidence, 3, [[1], [33]]);
+    expect(listQuarantined(evidence)).toEqual([[1]]);
+  });
+
   // Alone with its own reports, a process takes a sound request that many send for the only one that broke.
   it('refuses a request after three crashes if the reports of other processes are missing', () => {
     const evidence = new CrashEvidence(false);
--- a/src/fleet/CrashEvidence.ts
+++ b/src/fleet/CrashEvidence.ts
@@ -256,7 +256,7 @@
 
 /**
  * Blame by part and by request. The parts of a crash share it with all requests that have such parts; a request and its
- * repetitions share it with all that broke.
+ * repetitions together share it with all others that broke.
  */
 function sumBlame(crashes: readonly ICrash[], hasAllReports: boolean): ReadonlyMap<number, IBlame> {
   const byPart = new Map<number, IBlame>();
@@ -278,32 +278,24 @@
     const withParts = requests.filter(({ parts }) => parts.size > 0);
     const parts = new Set(withParts.flatMap((request) => [...request.parts]));
     addBlame(crash, parts, 1 / withParts.length, SUFFICIENT_CRASHES);
-    for (const [hash, count] of countRequests(requests)) {
-      const share = hasAllReports ? count / requests.length : 0;
-      addBlame(crash, [hash], share, SUFFICIENT_REQUEST_CRASHES);
-    }
+    const hashes = listRequestHashes(crash);
+    const soundCount = requests.filter(({ request }) => request === 0).length;
+    const share = hasAllReports ? 1 / (hashes.size + soundCount) : 0;
+    addBlame(crash, hashes, share, SUFFICIENT_REQUEST_CRASHES);
   }
   return byPart;
 }
 
-/** Number of times that each request broke in a crash, of those that are not known to be sound. */
-function countRequests(requests: readonly ISuspectRequest[]): ReadonlyMap<number, number> {
-  const counts = new Map<number, number>();
-  for (const { request } of requests) {
-    if (request !== 0) {
-      counts.set(request, (counts.get(request) ?? 0) + 1);
-    }
-  }
-  return counts;
+/** The requests of a crash that are not known to be sound. */
+function listRequestHashes({ requests }: ICrash): ReadonlySet<number> {
+  return new Set([...requests.values()].map(({ request }) => request).filter((hash) => hash !== 0));
 }
 
 /** Requests that broke in several crashes. The others are too many to tell all processes of them. */
 function listRepeatedRequests(crashes: readonly ICrash[]): readonly number[] {
   const counts = new Map<number, number>();
-  for (const { requests } of crashes) {
-    for (const hash of countRequests([...requests.values()]).keys()) {
-      counts.set(hash, (counts.get(hash) ?? 0) + 1);
-    }
+  for (const hash of crashes.flatMap((crash) => [...listRequestHashes(crash)])) {
+    counts.set(hash, (counts.get(hash) ?? 0) + 1);
   }
   return [...counts].flatMap(([hash, count]) => (count >= MIN_BLAMED_CRASHES ? [hash] : []));
 }
