Obey targets that leave or want no requests for a time

What callers and engines would see: an engine that leaves, or turns requests away with Retry-After, goes on getting requests from each machine. Change: both are part of the decoded head, kept with the target's state by incarnation, and obeyed where every request is placed. A request waits for the end of a short pause, or is refused at once with the time until the first target takes requests again. After a pause the target gets one more request at a time.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -60,8 +60,8 @@
   readonly isLongStream: boolean;
   /** Whether a 5xx response may be discarded so that another target can be tried. */
   readonly mayReplaceError: boolean;
-  /** Called with what the head of the response says of the target's limit, and when the request was sent. */
-  readonly onRateLimit: (notice: RateLimitNotice, sentAt: number) => void;
+  /** Called with what the head of the response says of the target, and when the request was sent. */
+  readonly onNotice: (notice: ITargetNotice, sentAt: number) => void;
   /** Called once the response has lasted long enough that its prompt cannot have crashed the target. */
   readonly onSettled: (at: number) => void;
   /** Called with the time at which the first byte of the response body arrived. */
@@ -75,6 +75,9 @@
   readonly metrics: Metrics;
 }
 
+/** What the head of a response says of its target beside the response itself. */
+export type ITargetNotice = Pick<ITargetHead, 'rateLimit' | 'isLeaving' | 'pauseMs'>;
+
 /** A target that crashes by a prompt does so when it begins to answer. */
 const SETTLE_TIME_MS = 250;
 
@@ -284,7 +287,7 @@
 
   private _handleHead(head: ITargetHead): void {
     this._options.state.lastActivityAt = this._context.clock.now();
-    this._handleRateLimit(head);
+    this._handleNotice(head);
     if (this._hasEnded) {
       return;
     }
@@ -314,17 +317,16 @@
     }
   }
 
-  /** A refusal or a failure may come from something in front of the target, which knows of no limit. */
-  private _handleRateLimit({
-    rateLimit,
-    status,
-    isForThisRequest,
-    isOtherTarget,
-  }: ITargetHead): void {
-    const isSuccess = status < MIN_ERROR_STATUS && isForThisRequest;
-    if (!isOtherTarget && (rateLimit.kind !== 'unlimited' || isSuccess)) {
-      this._options.onRateLimit(rateLimit, this._sentAt);
+  /** A refusal or a failure may come from something in front of the target, so it does not tell of a limit's end. */
+  private _handleNotice(head: ITargetHead): void {
+    if (head.isOtherTarget) {
+      return;
     }
+    const isSuccess = head.status < MIN_ERROR_STATUS && head.isForThisRequest;
+    const { isLeaving, pauseMs } = head;
+    const rateLimit: RateLimitNotice =
+      head.rateLimit.kind === 'unlimited' && !isSuccess ? { kind: 'unreadable' } : head.rateLimit;
+    this._options.onNotice({ rateLimit, isLeaving, pauseMs }, this._sentAt);
   }
 
   private _handleData(chunk: Buffer): void {
--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -23,7 +23,7 @@
 import { CrashQuarantine } from './CrashQuarantine.js';
 import { StoreIndex } from './StoreIndex.js';
 import { TargetLimits } from './TargetLimits.js';
-import { TargetStates } from './TargetStates.js';
+import { recordPause, TargetStates, type ITargetState } from './TargetStates.js';
 import {
   BodyFraming,
   type IAnswerSink,
@@ -47,6 +47,8 @@
   isOtherTarget: false,
   load: undefined,
   rateLimit: { kind: 'unlimited' },
+  isLeaving: false,
+  pauseMs: undefined,
 };
 const BUSY_HEAD: ITargetHead = { ...OK_HEAD, status: 503, isNotRun: true };
 
@@ -140,6 +142,7 @@
   /** Start time of the targets. */
   readonly born?: number;
   readonly limits?: TargetLimits;
+  readonly states?: TargetStates;
   readonly queued?: { readonly target: string; readonly pendingTokens: number };
 }
 
@@ -185,7 +188,7 @@
     node: { requestLeases: () => Promise.resolve(), requestExchange: () => undefined },
     wallet: new QuotaWallet(8_000),
     budget: new SharedRetryBudget({ ratio: 0.2, slack: 60, windowMs: 10_000 }),
-    states: new TargetStates(),
+    states: setup.states ?? new TargetStates(),
     limits: setup.limits ?? buildLimits(view),
     placement: new Placement('zg-a'),
     quarantine: setup.quarantine ?? new CrashQuarantine(),
@@ -640,6 +643,85 @@
     });
   });
 
+  describe('a target that leaves, or wants no requests for a time', () => {
+    /** What two of three targets stated before. */
+    const wishes = {
+      leaves: (state: ITargetState) => {
+        state.isLeaving = true;
+      },
+      pauses: (state: ITargetState) => {
+        recordPause(state, 60_000, performance.now());
+      },
+    };
+    const ways = [
+      { way: 'the first try', kind: 'safe', scripts: [answerOk], status: 200 },
+      { way: 'a repetition', kind: 'safe', scripts: [resetAfterSend], status: 502 },
+      { way: 'a second try', kind: 'unsafe', scripts: [refuseBusy], status: 503 },
+      { way: 'a resumed stream', kind: 'streaming', scripts: [breakStream], status: 200 },
+    ] as const;
+    const cases = (['leaves', 'pauses'] as const).flatMap((wish) =>
+      ways.map((item) => ({ wish, ...item })),
+    );
+
+    it.each(cases)('$wish: gets no request, not as $way', async (item) => {
+      const states = new TargetStates();
+      for (const id of ['i-0', 'i-1']) {
+        wishes[item.wish](states.ensure(buildTarget({ id }), 0));
+      }
+      const { sink, targets } = await runCall([...item.scripts, answerOk], {
+        states,
+        route: { kind: item.kind, isResumable: item.kind === 'streaming' },
+      });
+      expect(targets.sent.map(({ target }) => target)).toEqual(['i-2']);
+      expect(sink.status).toBe(item.status);
+    });
+
+    it.each([
+      { name: 'a success', head: { ...OK_HEAD, isLeaving: true } },
+      { name: 'a refusal', head: { ...BUSY_HEAD, isLeaving: true } },
+      { name: 'a refusal that names a time', head: { ...BUSY_HEAD, pauseMs: 60_000 } },
+    ])('is believed in $name', async ({ head }) => {
+      const states = new TargetStates();
+      const answer: TargetScript = (listener) => {
+        listener.onHead(head);
+        listener.onEnd();
+      };
+      const setup = { states, targets: 1, route: { kind: 'safe', maxAttempts: 1 } } as const;
+      await runCall([answer], setup);
+      const { sink, targets } = await runCall([answerOk], setup);
+      expect(targets.sent).toEqual([]);
+      expect(sink).toMatchObject({ status: 503, ending: 'refuse' });
+    });
+
+    it('has a request refused at once with the time until the first target takes requests again', async () => {
+      const states = new TargetStates();
+      for (const [id, pauseMs] of [
+        ['i-0', 9_000],
+        ['i-1', 2_000],
+        ['i-2', 4_000],
+      ] as const) {
+        recordPause(states.ensure(buildTarget({ id }), 0), pauseMs, performance.now());
+      }
+      const startedAt = performance.now();
+      const { sink } = await runCall([answerOk], { states });
+      expect(performance.now() - startedAt).toBeLessThan(100);
+      expect(sink.status).toBe(503);
+      expect(sink.retryAfterMs).toBeGreaterThan(1_900);
+      expect(sink.retryAfterMs).toBeLessThan(3_100);
+    });
+
+    it('has a request wait for the end of a short pause', async () => {
+      const states = new TargetStates();
+      for (const id of ['i-0', 'i-1', 'i-2']) {
+        recordPause(states.ensure(buildTarget({ id }), 0), 80, performance.now());
+      }
+      const startedAt = performance.now();
+      const { sink } = await runCall([answerOk], { states });
+      expect(sink.status).toBe(200);
+      expect(performance.now() - startedAt).toBeGreaterThan(70);
+    });
+  });
+
   it('does not concatenate parts of two responses to a safe request', async () => {
     const failMidway: TargetScript = (listener) => {
       listener.onHead(OK_HEAD);
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -12,14 +12,16 @@
 import type { IClientAccount, IRoute, IService } from '../fleet/Types.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { hashText } from '../policy/TargetTable.js';
-import { Attempt, type AttemptOutcome } from './Attempt.js';
+import { Attempt, type AttemptOutcome, type ITargetNotice } from './Attempt.js';
 import { formatCacheScope, type IPlacement, type Placement } from './Placement.js';
 import type { IPlacementRequest, IPlacementTarget } from './PlacementRequest.js';
 import type { IJudgedRequest, CrashQuarantine, QuarantineStanding } from './CrashQuarantine.js';
 import type { PromptSource } from './PromptSources.js';
 import {
+  getPauseMs,
   LONG_STREAM_TOKENS,
   recordBusy,
+  recordPause,
   recordFirstByte,
   recordFailure,
   recordUnreachable,
@@ -125,8 +127,8 @@
 /** Where a request can be sent now. */
 type TargetChoice =
   | { readonly kind: 'placed'; readonly placement: IPlacement }
-  /** A target with a limit may take it later. */
-  | { readonly kind: 'limited'; readonly target: TargetRecord }
+  /** A target with a limit, or that wants no requests for a time, may take it later. */
+  | { readonly kind: 'closed'; readonly target: TargetRecord }
   | { readonly kind: 'none' };
 
 /** What was decided before an attempt. */
@@ -262,8 +264,8 @@
         this._finishUnanswered(call, sink, progress, 'no_target');
         return progress.mayHaveRun;
       }
-      if (choice.kind === 'limited') {
-        if (await this._waitForPermit(call, sink, admitted, choice.target, progress)) {
+      if (choice.kind === 'closed') {
+        if (await this._waitForTarget(call, sink, admitted, choice.target, progress)) {
           continue;
         }
         return progress.mayHaveRun;
@@ -309,18 +311,19 @@
     return true;
   }
 
-  /** Waits until a target with a limit may take the call; false if the call was ended instead. */
-  private async _waitForPermit(
+  /** Waits until a target may take the call; false if the call was ended instead. */
+  private async _waitForTarget(
     call: T,
     sink: IAnswerSink,
     { route, account, deadlineAt }: IAdmittedCall,
     target: TargetRecord,
     progress: IProgress,
   ): Promise<boolean> {
-    const { clock, limits } = this._context;
+    const { clock, limits, states } = this._context;
     const now = clock.now();
     progress.waitUntil ??= Math.min(now + route.latencyObjectiveMs, deadlineAt - MIN_ATTEMPT_MS);
-    const expectedWaitMs = limits.estimateWaitMs(target, now);
+    const expectedWaitMs = this._estimateWaitMs(target, now);
+    const pauseMs = getPauseMs(states.ensure(target, now), now);
     const decision = decidePermitWait(expectedWaitMs, progress.waitUntil - now, call.id);
     switch (decision.kind) {
       case 'wait':
@@ -329,7 +332,7 @@
           {
             priority: getPriority(route, account),
             arrivedAt: call.arrivedAt,
-            timeoutMs: decision.timeoutMs,
+            timeoutMs: pauseMs > 0 ? Math.min(pauseMs, decision.timeoutMs) : decision.timeoutMs,
             signal: call.signal,
           },
           now,
@@ -341,7 +344,12 @@
           this._finishUnanswered(call, sink, progress, 'limited');
         } else {
           const perSecond = limits.getLimit(target);
-          const detail = { target: target.id, perSecond, expectedWaitMs };
+          const detail = {
+            target: target.id,
+            perSecond,
+            pauseMs: Math.round(pauseMs),
+            expectedWaitMs: Math.round(expectedWaitMs),
+          };
           this._refuse(call, sink, 503, 'limited', decision.retryAfterMs, detail);
         }
         return false;
@@ -349,8 +357,8 @@
   }
 
   /**
-   * Chooses a target that was not tried yet and may be sent a request, outside its cooldown if possible. If targets
-   * with a limit are the only ones, the request waits for the one that probably has a permit first.
+   * Chooses a target that was not tried yet and may be sent a request, outside its cooldown if possible. If all others
+   * have a limit or want no requests for a time, the request waits for the one that probably takes it first.
    */
   private _place(
     call: T,
@@ -365,14 +373,15 @@
     const untried = all.filter((record) => !progress.tried.has(record.id));
     const targets = untried.flatMap((record): IPlacementTarget[] => {
       const weightsUsableMs = this._getWeightsUsableMs(call.model, record, now);
-      if (weightsUsableMs <= 0) {
+      const state = states.ensure(record, now);
+      if (weightsUsableMs <= 0 || state.isLeaving) {
         return [];
       }
       const others = view.getRemoteWork(record.id);
       return [
         {
           record,
-          state: states.ensure(record, now),
+          state,
           othersOpen: others.open,
           othersPendingTokens: others.pendingTokens,
           weightsUsableMs,
@@ -380,14 +389,16 @@
       ];
     });
     const isCool = ({ state }: IPlacementTarget): boolean => now >= state.cooldownUntil;
-    const open = targets.filter(({ record }) => limits.hasPermit(record, now));
-    const closed =
-      open.length === targets.length
-        ? []
-        : targets.filter((target) => isCool(target) && !limits.hasPermit(target.record, now));
-    if (closed.length > 0 && !open.some(isCool)) {
-      const next = findSoonest(closed, ({ record }) => limits.estimateWaitMs(record, now));
-      return { kind: 'limited', target: next.record };
+    const isOpen = ({ record, state }: IPlacementTarget): boolean =>
+      limits.hasPermit(record, now) && getPauseMs(state, now) === 0;
+    const open = targets.filter(isOpen);
+    const closed = open.length === targets.length ? [] : targets.filter((item) => !isOpen(item));
+    const isClosed = open.length === 0 || (closed.some(isCool) && !open.some(isCool));
+    if (closed.length > 0 && isClosed) {
+      const next = findSoonest(filterPreferred(closed, isCool), ({ record }) =>
+        this._estimateWaitMs(record, now),
+      );
+      return { kind: 'closed', target: next.record };
     }
     if (closed.length > 0) {
       const wanted = placement.choose(request, targets.filter(isCool), this._context.store, now);
@@ -405,6 +416,15 @@
     return chosen === undefined ? { kind: 'none' } : { kind: 'placed', placement: chosen };
   }
 
+  /** Expected time until a target takes a further request, by its limit and its pause. */
+  private _estimateWaitMs(target: TargetRecord, now: number): number {
+    const { limits, states } = this._context;
+    const pauseMs = getPauseMs(states.ensure(target, now), now);
+    return limits.hasPermit(target, now)
+      ? pauseMs
+      : Math.max(pauseMs, limits.estimateWaitMs(target, now));
+  }
+
   /** Time for which a request of the model may still begin on the weights that a target holds. */
   private _getWeightsUsableMs(
     model: string | undefined,
@@ -460,8 +480,9 @@
       mayFailOver: isRepeatable(route) && progress.attempts < route.maxAttempts,
       isLongStream: request.isEngine && request.outputTokens > LONG_STREAM_TOKENS,
       mayReplaceError: route.kind === 'safe' && progress.attempts < route.maxAttempts,
-      onRateLimit: (notice, sentAt) => {
-        this._recordRateLimit(call, target, notice, sentAt);
+      onNotice: (notice, sentAt) => {
+        this._recordRateLimit(call, target, notice.rateLimit, sentAt);
+        this._recordWish(call, target, notice);
       },
       onSettled: (at) => {
         quarantine.recordSettled(judged, at);
@@ -542,6 +563,25 @@
     }
   }
 
+  /** Records that a target leaves, or wants no requests for a time. */
+  private _recordWish(call: T, target: TargetRecord, { isLeaving, pauseMs }: ITargetNotice): void {
+    const { states, clock, log, metrics } = this._context;
+    TEST_ONLY: if (isMechanismDisabled('target-wish')) return;
+    const now = clock.now();
+    const state = states.ensure(target, now);
+    if (isLeaving && !state.isLeaving) {
+      state.isLeaving = true;
+      log.info('target leaves', { request: call.id, target: target.id });
+      metrics.increment('gateway_target_wishes_total', { kind: 'leaves' });
+    }
+    if (pauseMs !== undefined && pauseMs > 0) {
+      recordPause(state, pauseMs, now);
+      const untilMs = Math.round(state.pausedUntil - now);
+      log.info('target pauses', { request: call.id, target: target.id, pauseMs, untilMs });
+      metrics.increment('gateway_target_wishes_total', { kind: 'pauses' });
+    }
+  }
+
   /** Cancels requests at targets that would crash when they begin to answer. */
   private _cancelQuarantined(now: number): void {
     for (const [attempt, judged] of this._running) {
--- a/src/gateway/TargetStates.ts
+++ b/src/gateway/TargetStates.ts
@@ -16,6 +16,13 @@
 /** Cooldown of a target that refused a request because it is full or loads weights. */
 const BUSY_COOLDOWN_MS = 150;
 
+/** A longer pause counts as this one, so that no answer puts a target out of use for good. */
+const MAX_PAUSE_MS = 300_000;
+
+/** After a pause an entry may have one request more in progress at a target after each step, until the ramp ends. */
+const RAMP_STEP_MS = 50;
+const RAMP_MS = 2_000;
+
 /** Age beyond which a reported load is ignored. */
 const MAX_LOAD_AGE_MS = 1_000;
 
@@ -49,6 +56,10 @@
   /** Consecutive failures. */
   failures: number;
   cooldownUntil: number;
+  /** Until when the target wants no requests of this entry. */
+  pausedUntil: number;
+  /** True once the target has stated that it leaves: it gets no further requests. */
+  isLeaving: boolean;
   /** When the target last sent a byte of any response to this entry. */
   lastActivityAt: number;
   load: (IReportedLoad & { readonly at: number }) | undefined;
@@ -76,6 +87,8 @@
         slownessUpdatedAt: Number.NEGATIVE_INFINITY,
         failures: 0,
         cooldownUntil: 0,
+        pausedUntil: Number.NEGATIVE_INFINITY,
+        isLeaving: false,
         lastActivityAt: Number.NEGATIVE_INFINITY,
         load: undefined,
       };
@@ -134,6 +147,26 @@
   state.cooldownUntil = Math.max(state.cooldownUntil, now + BUSY_COOLDOWN_MS);
 }
 
+/** Starts a pause that a target asked for. Each wish holds to its own end, so the longest one counts. */
+export function recordPause(state: ITargetState, pauseMs: number, now: number): void {
+  state.pausedUntil = Math.max(state.pausedUntil, now + Math.min(MAX_PAUSE_MS, pauseMs));
+}
+
+/**
+ * Time until a target takes another request after a pause; 0 if it does now. It gets its share of the waiting requests
+ * gradually, not all at once.
+ */
+export function getPauseMs(state: ITargetState, now: number): number {
+  const elapsedMs = now - state.pausedUntil;
+  if (elapsedMs < 0) {
+    return -elapsedMs;
+  }
+  const maxOpen = 1 + Math.floor(elapsedMs / RAMP_STEP_MS);
+  return elapsedMs >= RAMP_MS || state.open < maxOpen
+    ? 0
+    : RAMP_STEP_MS - (elapsedMs % RAMP_STEP_MS);
+}
+
 /** Ratio of actual to expected time to the first byte, decayed to the given time; 1 is as expected. */
 export function getSlowness(state: ITargetState, now: number): number {
   return (
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -45,7 +45,7 @@
   | 'quota'
   | 'no_target'
   | 'overloaded'
-  /** All targets name limits on the requests a second that they take. */
+  /** All targets name limits on the requests a second that they take, or want none for a time. */
   | 'limited'
   | 'quarantined'
   | 'not_run'
@@ -122,6 +122,10 @@
   readonly isOtherTarget: boolean;
   readonly load: IReportedLoad | undefined;
   readonly rateLimit: RateLimitNotice;
+  /** True if the target states that it leaves and wants no new requests. */
+  readonly isLeaving: boolean;
+  /** Time for which the target wants no requests of this entry, as it refused one; undefined if it states none. */
+  readonly pauseMs: number | undefined;
 }
 
 /** Receives the response of a target. `onEnd` or `onError` is the last call. */
