Renew a quarantine with the first crash after its end, and list it once

Change: quarantines that have ended are remembered (64); the next crash by a request that has all their parts renews them, four times as long each time. Equal lists are one. Ruled out: no end at all (a sound request that was quarantined by bad luck can't show it while it is refused everywhere).

--- a/src/fleet/CrashEvidence.test.ts
+++ b/src/fleet/CrashEvidence.test.ts
@@ -176,6 +176,39 @@
     expect(listQuarantined(evidence, 603_000)).toEqual([]);
   });
 
+  // On a long day two crashes after each ten minutes would add up.
+  it('renews a quarantine for four times as long with the first crash after its end', () => {
+    const evidence = new CrashEvidence();
+    addCrash(evidence, 1, [[1]]);
+    addCrash(evidence, 2, [[1]]);
+    expect(listQuarantined(evidence, 700_000)).toEqual([]);
+    addCrash(evidence, 800, [[1], [8]]);
+    expect(listQuarantined(evidence, 800_000)).toEqual([[1]]);
+    expect(listQuarantined(evidence, 3_100_000)).toEqual([[1]]);
+    expect(listQuarantined(evidence, 3_300_000)).toEqual([]);
+    evidence.clear([1]);
+    addCrash(evidence, 4_000, [[1], [9]]);
+    expect(listQuarantined(evidence, 4_000_000)).toEqual([]);
+  });
+
+  it('renews a quarantine also if its crashes ended one after the other', () => {
+    const evidence = new CrashEvidence();
+    addCrash(evidence, 1, [[1]]);
+    addCrash(evidence, 400, [[1]]);
+    expect(listQuarantined(evidence, 700_000)).toEqual([]);
+    addCrash(evidence, 1_100, [[1], [8]]);
+    expect(listQuarantined(evidence, 1_100_000)).toEqual([[1]]);
+  });
+
+  it('lists a quarantine once that it restored and then found again', () => {
+    const evidence = new CrashEvidence();
+    const suspects = [{ parts: [1], quarantined: true }];
+    evidence.restore([...suspects, ...suspects], 0);
+    addCrash(evidence, 1, [[1]]);
+    addCrash(evidence, 2, [[1]]);
+    expect(listQuarantined(evidence)).toEqual([[1]]);
+  });
+
   it('restores a quarantine at a new hub until one of its parts is cleared', () => {
     const evidence = new CrashEvidence();
     evidence.restore([{ parts: [CRASHING], quarantined: true }], 0);
--- a/src/fleet/CrashEvidence.ts
+++ b/src/fleet/CrashEvidence.ts
@@ -18,11 +18,15 @@
 const SUFFICIENT_CRASHES = 4;
 const SUFFICIENT_REQUEST_CRASHES = 3;
 
+/** A quarantine that is renewed after its end lasts this many times as long as the one before. */
+const RENEWAL_FACTOR = 4;
+
 /** Bounds of the memory. */
 const MAX_CRASHES = 64;
 const MAX_REQUESTS_PER_CRASH = 64;
 const MAX_PARTS_PER_REQUEST = 16;
 const MAX_RESTORED = 64;
+const MAX_FORMER = 64;
 
 /** A request that broke when its target crashed. Parts are hashes. */
 export interface IBrokenRequest {
@@ -61,6 +65,16 @@
   readonly crashes: readonly ICrash[];
 }
 
+interface IFormer {
+  readonly parts: Set<number>;
+  /** Time for which the quarantine lasted. */
+  readonly lifetimeMs: number;
+}
+
+interface IRestored extends IFormer {
+  readonly at: number;
+}
+
 /**
  * Collects reports of broken requests and decides which parts to quarantine. Of parts that occurred in exactly the
  * same crashes any one may be to blame, so only a request that has all of them is refused; if one request caused all
@@ -76,8 +90,10 @@
   private _blamed: readonly IBlamed[] = [];
   /** True if `_blamed` is to be decided anew. */
   private _isStale = false;
-  /** Quarantined by an earlier hub. */
-  private _restored: { readonly parts: Set<number>; readonly at: number }[] = [];
+  /** Quarantined without reports: by an earlier hub, or renewed. */
+  private _restored: IRestored[] = [];
+  /** Quarantines that have ended. The next crash shows that they still hold. */
+  private _former: IFormer[] = [];
   private _revision = 0;
 
   /**
@@ -109,6 +125,7 @@
     }
     crash.requests.set(attempt, { parts: new Set(parts.slice(0, MAX_PARTS_PER_REQUEST)), request });
     this._crashes.set(key, crash);
+    this._renew(crash, now);
     this._dropSurplus();
     this._invalidate();
   }
@@ -129,12 +146,13 @@
           this._crashes.delete(key);
         }
       }
-      for (const restored of this._restored) {
-        hasChanged = restored.parts.delete(part) || hasChanged;
+      for (const { parts: kept } of [...this._restored, ...this._former]) {
+        hasChanged = kept.delete(part) || hasChanged;
       }
     }
     if (hasChanged) {
       this._restored = this._restored.filter((restored) => restored.parts.size > 0);
+      this._former = this._former.filter((former) => former.parts.size > 0);
       this._invalidate();
     }
     return hasChanged;
@@ -144,10 +162,9 @@
   public list(now: number): readonly ISuspectParts[] {
     this._expire(now);
     this._decide();
-    const quarantined = [
-      ...this._blamed.map(({ parts }) => ({ parts, quarantined: true })),
-      ...this._restored.map(({ parts }) => ({ parts: [...parts], quarantined: true })),
-    ];
+    const lists = [...this._blamed, ...this._restored].map(({ parts }) => [...parts]);
+    const different = new Map(lists.map((parts) => [formatParts(parts), parts]));
+    const quarantined = [...different.values()].map((parts) => ({ parts, quarantined: true }));
     const suspects = new Set([
       ...[...this._crashes.values()].flatMap(({ requests }) =>
         [...requests.values()].flatMap(({ parts }) => [...parts]),
@@ -163,7 +180,7 @@
   public restore(suspects: readonly ISuspectParts[], now: number): void {
     for (const { parts, quarantined } of suspects) {
       if (quarantined && parts.length > 0) {
-        this._restored.push({ parts: new Set(parts), at: now });
+        this._restored.push({ parts: new Set(parts), at: now, lifetimeMs: EVIDENCE_LIFETIME_MS });
       }
     }
     this._restored = this._restored.slice(-MAX_RESTORED);
@@ -173,14 +190,34 @@
   private _expire(now: number): void {
     const oldest = now - EVIDENCE_LIFETIME_MS;
     const expired = [...this._crashes].filter(([, { at }]) => at < oldest);
-    const restored = this._restored.filter(({ at }) => at >= oldest);
-    if (expired.length > 0 || restored.length < this._restored.length) {
-      for (const [key] of expired) {
-        this._crashes.delete(key);
-      }
-      this._restored = restored;
-      this._invalidate();
+    const ended = this._restored.filter(({ at, lifetimeMs }) => at < now - lifetimeMs);
+    if (expired.length === 0 && ended.length === 0) {
+      return;
     }
+    this._decide();
+    const blamedBefore = this._blamed;
+    for (const [key] of expired) {
+      this._crashes.delete(key);
+    }
+    this._restored = this._restored.filter((restored) => !ended.includes(restored));
+    this._invalidate();
+    this._decide();
+    const kept = new Set(this._blamed.map(({ parts }) => formatParts(parts)));
+    const endedBlamed = blamedBefore
+      .filter(({ parts }) => !kept.has(formatParts(parts)))
+      .map(({ parts }) => ({ parts: new Set(parts), lifetimeMs: EVIDENCE_LIFETIME_MS }));
+    this._former = [...this._former, ...endedBlamed, ...ended].slice(-MAX_FORMER);
+  }
+
+  /** Renews the quarantines that have ended if a request with all of their parts broke again. */
+  private _renew(crash: ICrash, now: number): void {
+    const renewed = this._former.filter(
+      ({ parts }) => listRequestsWith(crash, [...parts]).length > 0,
+    );
+    for (const { parts, lifetimeMs } of renewed) {
+      this._restored.push({ parts, at: now, lifetimeMs: RENEWAL_FACTOR * lifetimeMs });
+    }
+    this._former = this._former.filter((former) => !renewed.includes(former));
   }
 
   /** Drops the oldest crashes beyond the bound, first those that are no reason for a quarantine. */
@@ -307,6 +344,11 @@
   );
 }
 
+/** Equal for lists with the same parts. */
+function formatParts(parts: readonly number[]): string {
+  return [...parts].sort((left, right) => left - right).join();
+}
+
 function hasSameItems(left: readonly ICrash[], right: readonly ICrash[]): boolean {
   return left.length === right.length && left.every((crash, i) => crash === right[i]);
 }
