Let a request that waits for the end of a pause sleep without a hub

Cause: without a hub, a waiting request slept until its entry's next share of the target's limit. A target without a limit has none, so a request that waited for another reason, the end of a pause, asked again each millisecond. Change: only a limit bounds the sleep. The decision to wait, which serves pauses too, is named decideTargetWait. Measured: the new case of TargetLimits.test.ts, which failed before (2 ms of 60).

--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -29,7 +29,7 @@
 } from './TargetStates.js';
 import { decideOverload } from './Overload.js';
 import type { TargetLimits } from './TargetLimits.js';
-import { decidePermitWait } from './PermitWait.js';
+import { decideTargetWait } from './TargetWait.js';
 import type { StoreIndex } from './StoreIndex.js';
 import type {
   IAnswerSink,
@@ -120,14 +120,14 @@
   mayHaveRun: boolean;
   /** False once the request has probably crashed a target. */
   mayRepeat: boolean;
-  /** Time until which the request may wait for a permit; undefined until it has to. */
+  /** Time until which the request may wait for a target; undefined until it has to. */
   waitUntil: number | undefined;
 }
 
 /** Where a request can be sent now. */
 type TargetChoice =
   | { readonly kind: 'placed'; readonly placement: IPlacement }
-  /** A target with a limit, or that wants no requests for a time, may take it later. */
+  /** All targets have reached their limits, or want no requests for a time; this one will probably take it first. */
   | { readonly kind: 'closed'; readonly target: TargetRecord }
   | { readonly kind: 'none' };
 
@@ -324,7 +324,7 @@
     progress.waitUntil ??= Math.min(now + route.latencyObjectiveMs, deadlineAt - MIN_ATTEMPT_MS);
     const expectedWaitMs = this._estimateWaitMs(target, now);
     const pauseMs = getPauseMs(states.ensure(target, now), now);
-    const decision = decidePermitWait(expectedWaitMs, progress.waitUntil - now, call.id);
+    const decision = decideTargetWait(expectedWaitMs, progress.waitUntil - now, call.id);
     switch (decision.kind) {
       case 'wait':
         await limits.waitForPermit(
--- a/src/gateway/TargetLimits.test.ts
+++ b/src/gateway/TargetLimits.test.ts
@@ -204,6 +204,16 @@
     expect(limits.getLimit(buildTarget({ id: 'i-1', born: 2 }))).toBeUndefined();
   });
 
+  // A request that waits for another reason would ask again in a loop.
+  it('waits as long as asked for a target without a limit while no hub is reachable', async () => {
+    const target = buildTarget({ id: 'i-1' });
+    const { signal } = new AbortController();
+    const options = { priority: 0, arrivedAt: 0, timeoutMs: 60, signal };
+    const startedAt = performance.now();
+    await buildLimits(target).waitForPermit(target, options, 0);
+    expect(performance.now() - startedAt).toBeGreaterThan(50);
+  });
+
   it('wakes waiting requests in order of their urgency, as many as there are permits', async () => {
     const target = buildTarget({ id: 'i-1' });
     setRateLimit(target, 2);
--- a/src/gateway/TargetLimits.ts
+++ b/src/gateway/TargetLimits.ts
@@ -192,9 +192,10 @@
     const rank = arrivedAt + priority * URGENCY_HEAD_START_MS;
     const wake = new AbortController();
     const waiter = { targetId: target.id, rank, wake, isReported: false };
-    const slotMs = this._isHubReachable
-      ? Number.POSITIVE_INFINITY
-      : Math.max(1, this.estimateWaitMs(target, now));
+    const waitsForSlot = !this._isHubReachable && this.getLimit(target) !== undefined;
+    const slotMs = waitsForSlot
+      ? Math.max(1, this.estimateWaitMs(target, now))
+      : Number.POSITIVE_INFINITY;
     this._ensure(target);
     this._waiters.push(waiter);
     try {
