Ignore what a response of an earlier start says of a target

Cause: a response that was still under way when its target started again was recorded under the target's id and replaced the state of the new start: its limit, its permits, and whether it leaves. Found by reading; no run showed it. Change: a limit of an earlier start is ignored, and wishes go to the state of the start that stated them. Measured: the new case of TargetLimits.test.ts, which failed before.

--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -25,6 +25,7 @@
   recordFirstByte,
   recordFailure,
   recordUnreachable,
+  type ITargetState,
   type TargetStates,
 } from './TargetStates.js';
 import { decideOverload } from './Overload.js';
@@ -482,7 +483,7 @@
       mayReplaceError: route.kind === 'safe' && progress.attempts < route.maxAttempts,
       onNotice: (notice, sentAt) => {
         this._recordRateLimit(call, target, notice.rateLimit, sentAt);
-        this._recordWish(call, target, notice);
+        this._recordWish(call, target, state, notice);
       },
       onSettled: (at) => {
         quarantine.recordSettled(judged, at);
@@ -564,11 +565,15 @@
   }
 
   /** Records that a target leaves, or wants no requests for a time. */
-  private _recordWish(call: T, target: TargetRecord, { isLeaving, pauseMs }: ITargetNotice): void {
-    const { states, clock, log, metrics } = this._context;
+  private _recordWish(
+    call: T,
+    target: TargetRecord,
+    state: ITargetState,
+    { isLeaving, pauseMs }: ITargetNotice,
+  ): void {
+    const { clock, log, metrics } = this._context;
     TEST_ONLY: if (isMechanismDisabled('target-wish')) return;
     const now = clock.now();
-    const state = states.ensure(target, now);
     if (isLeaving && !state.isLeaving) {
       state.isLeaving = true;
       log.info('target leaves', { request: call.id, target: target.id });
--- a/src/gateway/TargetLimits.test.ts
+++ b/src/gateway/TargetLimits.test.ts
@@ -204,6 +204,15 @@
     expect(limits.getLimit(buildTarget({ id: 'i-1', born: 2 }))).toBeUndefined();
   });
 
+  it('ignores what an earlier start of the target said', () => {
+    const limits = buildLimits(buildTarget({ id: 'i-1', born: 2 }));
+    const current = buildTarget({ id: 'i-1', born: 2 });
+    limits.recordNotice(current, { kind: 'limited', perSecond: 2 }, 0, 100);
+    const former = buildTarget({ id: 'i-1', born: 1 });
+    expect(limits.recordNotice(former, { kind: 'limited', perSecond: 9 }, 0, 200)).toBe(false);
+    expect(limits.getLimit(current)).toBe(2);
+  });
+
   // A request that waits for another reason would ask again in a loop.
   it('waits as long as asked for a target without a limit while no hub is reachable', async () => {
     const target = buildTarget({ id: 'i-1' });
--- a/src/gateway/TargetLimits.ts
+++ b/src/gateway/TargetLimits.ts
@@ -116,6 +116,9 @@
     now: number,
   ): boolean {
     TEST_ONLY: if (isMechanismDisabled('target-limit')) return false;
+    if ((this._states.get(target.id)?.born ?? target.born) > target.born) {
+      return false;
+    }
     const previous = this.getLimit(target);
     switch (notice.kind) {
       case 'unreadable':
