Refuse no other prompt of the same content after two crashes under one request

Cause: a quarantine of parts that one request caused named that request, but no longer its last prompt part. Change: a report names the last part again, and a quarantine all that its requests have in common: content, last part, or both. Ruled out: the last part as a part of the request's hash (repetitions need not have the same one). Measured: the new case of CrashEvidence.test.ts, by which [5, 1, 11] are refused together; the code before named [5, 1] only.

--- a/src/fleet/CrashEvidence.test.ts
+++ b/src/fleet/CrashEvidence.test.ts
@@ -19,6 +19,7 @@
         born: number,
         parts: parts.slice(0, -1),
         request: parts.at(-1) ?? 0,
+        prompt: 0,
       },
       number * 1_000,
     );
@@ -96,6 +97,15 @@
     expect(listQuarantined(evidence)).toEqual([[SUBJECT, CRASHING, 1]]);
   });
 
+  // Without a body, the chats of a client account differ in their prompts only.
+  it('does not refuse another prompt of the same content after two crashes under one request', () => {
+    const evidence = new CrashEvidence(false);
+    const broken = { born: 1, parts: [SUBJECT], request: 1, prompt: 11 };
+    evidence.add({ ...broken, attempt: 1, target: 'i-1' }, 0);
+    evidence.add({ ...broken, attempt: 2, target: 'i-2' }, 0);
+    expect(listQuarantined(evidence)).toEqual([[SUBJECT, 1, 11]]);
+  });
+
   it('does not refuse a sound request that came again at a target that crashes by another one', () => {
     const evidence = new CrashEvidence();
     addCrash(evidence, 1, [[1], [11]]);
--- a/src/fleet/CrashEvidence.ts
+++ b/src/fleet/CrashEvidence.ts
@@ -39,6 +39,8 @@
   readonly parts: readonly number[];
   /** What only repetitions of the request have too; 0 if it is known to be sound. */
   readonly request: number;
+  /** The last part of the prompt, which only requests of one session have; 0 without a prompt. */
+  readonly prompt: number;
 }
 
 /** Parts under suspicion. If they are quarantined, requests that have all of them are refused. */
@@ -51,6 +53,7 @@
   readonly parts: Set<number>;
   /** 0 once a response to the request or a repetition has settled. */
   request: number;
+  readonly prompt: number;
 }
 
 interface ICrash {
@@ -78,10 +81,10 @@
 /**
  * Collects reports of broken requests and decides which parts to quarantine. Of parts that occurred in exactly the
  * same crashes any one may be to blame, so only a request that has all of them is refused; if one request caused all
- * of them, only its repetitions are, as the request itself is among them.
+ * of them, only its repetitions are.
  *
  * @example
- * evidence.add({ attempt: 1, target: 'i-1', born: 100, parts: [7], request: 9 }, now);
+ * evidence.add({ attempt: 1, target: 'i-1', born: 100, parts: [7], request: 9, prompt: 8 }, now);
  * const suspects = evidence.list(now);
  */
 export class CrashEvidence {
@@ -112,7 +115,8 @@
     return this._crashes.size;
   }
 
-  public add({ attempt, target, born, parts, request }: IBrokenRequest, now: number): void {
+  public add(broken: IBrokenRequest, now: number): void {
+    const { attempt, target, born, parts, request, prompt } = broken;
     const key = `${target}/${born}`;
     const crash = this._crashes.get(key) ?? {
       at: now,
@@ -123,7 +127,8 @@
     if (isSound || isFull || crash.requests.has(attempt)) {
       return;
     }
-    crash.requests.set(attempt, { parts: new Set(parts.slice(0, MAX_PARTS_PER_REQUEST)), request });
+    const suspectParts = new Set(parts.slice(0, MAX_PARTS_PER_REQUEST));
+    crash.requests.set(attempt, { parts: suspectParts, request, prompt });
     this._crashes.set(key, crash);
     this._renew(crash, now);
     this._dropSurplus();
@@ -276,10 +281,12 @@
       .filter(([, { crashes: own }]) => hasSameItems(own, worst))
       .map(([part]) => part);
     const requests = worst.flatMap((crash) => listRequestsWith(crash, tied));
-    const hashes = new Set(requests.map(({ request }) => request));
     if (requests.length > 0) {
-      const isOneRequest = hashes.size === 1 && !hashes.has(0);
-      return { parts: [...new Set([...tied, ...(isOneRequest ? hashes : [])])], crashes: worst };
+      const own = [
+        ...findCommon(requests.map(({ request }) => request)),
+        ...findCommon(requests.map(({ prompt }) => prompt)),
+      ];
+      return { parts: [...new Set([...tied, ...own])], crashes: worst };
     }
   }
   return undefined;
@@ -337,13 +344,21 @@
   return [...counts].flatMap(([hash, count]) => (count >= MIN_BLAMED_CRASHES ? [hash] : []));
 }
 
-/** The requests of a crash that had all of some parts; these may include a request itself. */
+/** The requests of a crash that had all of some parts; these may include a request itself, or its prompt. */
 function listRequestsWith(crash: ICrash, parts: readonly number[]): readonly ISuspectRequest[] {
   return [...crash.requests.values()].filter((request) =>
-    parts.every((part) => request.parts.has(part) || request.request === part),
+    parts.every(
+      (part) => request.parts.has(part) || request.request === part || request.prompt === part,
+    ),
   );
 }
 
+/** The hash that all requests have, if it is known. */
+function findCommon(hashes: readonly number[]): readonly number[] {
+  const different = new Set(hashes);
+  return different.size === 1 && !different.has(0) ? [...different] : [];
+}
+
 /** Equal for lists with the same parts. */
 function formatParts(parts: readonly number[]): string {
   return [...parts].sort((left, right) => left - right).join();
--- a/src/gateway/CrashQuarantine.ts
+++ b/src/gateway/CrashQuarantine.ts
@@ -70,7 +70,7 @@
     }
     const { call } = judged;
     const request = hashRequest(judged);
-    const hashes = new Set([...hashSharedParts(call), request]);
+    const hashes = new Set([...hashParts(call), request]);
     const quarantined = [...this._suspects, ...(this._isHubReachable ? [] : own)].find(
       (entry) => entry.quarantined && entry.parts.every((part) => hashes.has(part)),
     );
@@ -116,6 +116,7 @@
       born: target.born,
       parts: hashSharedParts(call).filter((part) => !this._isSound(part, now)),
       request: this._isSound(request, now) ? 0 : request,
+      prompt: hashParts(call).at(-1) ?? 0,
     });
     this._ownEvidence.add(report, now);
     this._reports = [...this._reports, report].slice(-MAX_REPORTS);
@@ -214,9 +215,14 @@
   return [...hashSharedParts(judged.call), hashRequest(judged)];
 }
 
-/** Hashes of all parts but the last. Unlike cached parts, a part that crashes targets does so for each isolation key. */
+/** Hashes of all parts but the last, which other requests may have too. */
 function hashSharedParts(call: ICall): number[] {
-  return call.parts.slice(0, -1).map((part) => hashPart(call, part));
+  return hashParts(call).slice(0, -1);
+}
+
+/** Hashes of all parts. Unlike cached parts, a part that crashes targets does so for each isolation key. */
+function hashParts(call: ICall): number[] {
+  return call.parts.map((part) => hashPart(call, part));
 }
 
 function hashPart({ model }: ICall, { id }: IPromptPart): number {
