Say of the handover of permits only what its time covers

Cause: the comment counted the life of the former leader's permits in, which the property test covers instead. Change: a comment; the bundle is byte-equal.

--- a/src/fleet/TargetRateLimits.ts
+++ b/src/fleet/TargetRateLimits.ts
@@ -14,7 +14,7 @@
 
 /**
  * A former leader may issue permits for this long after the start of the next one: until it notices that no majority
- * confirms it, and its permits have expired.
+ * confirms it.
  */
 const HANDOVER_MS = 1_500;
 
