Hold back no part that most requests of a route have

The first part, which all chats have, was in four crashes by other causes and was quarantined; then no request with it got through that could have cleared it. Change: an entry treats quarantined parts that four of five of a route's last 64 requests have (20 at least) as suspect only. They go to targets one at a time, and the first response that settles clears them at the hub. A request that is quarantined itself is held back in any case. Ruled out: trials by single requests that the hub hands out (no part of a request is known to be common there, and each would cost a target). Measured: three new cases of CrashQuarantine.test.ts, the first of which failed before.

--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -247,7 +247,7 @@
     admitted: IAdmittedCall,
     progress: IProgress,
   ): Promise<boolean> {
-    const judged = { call, account: admitted.account?.name };
+    const judged = { call, account: admitted.account?.name, route: admitted.route.name };
     for (;;) {
       const now = this._context.clock.now();
       if (call.signal.aborted) {
@@ -463,7 +463,7 @@
     const { clock, states, limits, quarantine, log, placement: placements } = this._context;
     const { target } = placement;
     const { route, account } = admitted;
-    const judged = { call, account: account?.name };
+    const judged = { call, account: account?.name, route: route.name };
     progress.tried.add(target.id);
     progress.attempts += 1;
     const state = states.ensure(target, clock.now());
--- a/src/gateway/CrashQuarantine.test.ts
+++ b/src/gateway/CrashQuarantine.test.ts
@@ -33,7 +33,7 @@
     signal: new AbortController().signal,
     hashContent: () => hashText(parts.join()),
   };
-  return { call, account: 'pag' };
+  return { call, account: 'pag', route: 'assist' };
 }
 
 /** An entry on which a number of targets have crashed, each with another prompt that has the part that crashes targets. */
@@ -141,6 +141,45 @@
     expect(other.listUnreported().clearedParts).toEqual(parts);
   });
 
+  // While all targets are down no response settles, so that a part that all prompts of a route have is blamed for every crash.
+  it('holds back nothing that most requests of a route have', () => {
+    const quarantine = new CrashQuarantine();
+    const common = createWithCrashes(1).listUnreported().crashes[0]?.parts[0] ?? 0;
+    quarantine.setHubReachable(true);
+    quarantine.applySuspects([{ parts: [common], quarantined: true }], 0);
+    const kinds = Array.from({ length: 40 }, (_, i) => getKind(quarantine, i, 'f', 'b', `own${i}`));
+    expect(kinds.slice(0, 10)).not.toContain('suspect');
+    expect(kinds.slice(-10)).not.toContain('quarantined');
+    quarantine.recordSettled(buildRequest('f', 'b', 'own40'), 50);
+    expect(getKind(quarantine, 50, 'f', 'b', 'own41')).toBe('clear');
+    expect(quarantine.listUnreported().clearedParts).toEqual([common]);
+  });
+
+  it('holds back a request that comes again and again, also if its route has no other', () => {
+    const quarantine = new CrashQuarantine();
+    const request = buildRequest('f', 'own1');
+    quarantine.recordCrash(request, 1, buildTarget({}), 0);
+    const parts = [quarantine.listUnreported().crashes[0]?.request ?? 0];
+    quarantine.setHubReachable(true);
+    quarantine.applySuspects([{ parts, quarantined: true }], 0);
+    for (let i = 0; i < 60; i += 1) {
+      const again = { ...request, call: { ...request.call, id: `again${i}` } };
+      expect(quarantine.getStanding(again, i).kind).toBe('quarantined');
+    }
+  });
+
+  it('holds back a part that a fifth of the requests of a route have', () => {
+    const quarantine = new CrashQuarantine();
+    const crashing = createWithCrashes(1).listUnreported().crashes[0]?.parts[1] ?? 0;
+    quarantine.setHubReachable(true);
+    quarantine.applySuspects([{ parts: [crashing], quarantined: true }], 0);
+    for (let i = 0; i < 100; i += 1) {
+      const isCrashing = i % 5 === 0;
+      const kind = getKind(quarantine, i, 'f', isCrashing ? CRASHING : 'b', `own${i}`);
+      expect(kind).toBe(isCrashing ? 'quarantined' : 'clear');
+    }
+  });
+
   it('forgets its own suspicion, also for a new hub, once the hub has cleared the part', () => {
     const quarantine = createWithCrashes(1);
     quarantine.removeReported(quarantine.listUnreported());
--- a/src/gateway/CrashQuarantine.ts
+++ b/src/gateway/CrashQuarantine.ts
@@ -20,6 +20,14 @@
 /** Parts of which the last settled response is remembered; the least recently used one is dropped. */
 const MAX_SOUND_PARTS = 10_000;
 
+/**
+ * Prompt parts that at least this share of a route's recent requests have are not held back: it would stop the route, and
+ * no response could show that they are sound. The share counts only from a number of requests on.
+ */
+const MAX_HELD_SHARE = 0.8;
+const MIN_RECENT_REQUESTS = 20;
+const MAX_RECENT_REQUESTS = 64;
+
 /** Own reports that are kept for a new hub. */
 const MAX_REPORTS = 256;
 
@@ -27,6 +35,8 @@
 export interface IJudgedRequest {
   readonly call: ICall;
   readonly account: string | undefined;
+  /** Name of the route. */
+  readonly route: string;
 }
 
 /** Where a request stands because of the parts of its prompt, or because it came before. */
@@ -52,6 +62,8 @@
   private readonly _clearedParts = new Set<number>();
   private _suspects: readonly ISuspectParts[] = [];
   private _isHubReachable = false;
+  /** Hashes of recent requests by request id, oldest first, by route; kept only while there are suspects. */
+  private readonly _recent = new Map<string, Map<string, ReadonlySet<number>>>();
   private readonly _changes = new Emitter<number>();
 
   /** Fires with the present time when the hub has listed other suspects. */
@@ -66,13 +78,18 @@
     const own = this._ownEvidence.list(now);
     const entries = [...this._suspects, ...own];
     if (entries.length === 0) {
+      this._recent.clear();
       return { kind: 'clear' };
     }
     const { call } = judged;
     const request = hashRequest(judged);
     const hashes = new Set([...hashParts(call), request]);
+    this._recordRecent(judged, hashes);
     const quarantined = [...this._suspects, ...(this._isHubReachable ? [] : own)].find(
-      (entry) => entry.quarantined && entry.parts.every((part) => hashes.has(part)),
+      (entry) =>
+        entry.quarantined &&
+        entry.parts.every((part) => hashes.has(part)) &&
+        (entry.parts.includes(request) || !this._isCommon(entry, judged.route)),
     );
     if (quarantined !== undefined) {
       const partIds = call.parts.filter((part) => quarantined.parts.includes(hashPart(call, part)));
@@ -162,6 +179,25 @@
     this._changes.fire(now);
   }
 
+  private _recordRecent({ call, route }: IJudgedRequest, hashes: ReadonlySet<number>): void {
+    const recent = this._recent.get(route) ?? new Map<string, ReadonlySet<number>>();
+    recent.set(call.id, hashes);
+    this._recent.set(route, recent);
+    for (const id of recent.keys()) {
+      if (recent.size <= MAX_RECENT_REQUESTS) {
+        break;
+      }
+      recent.delete(id);
+    }
+  }
+
+  /** True if most of a route's recent requests have all parts of an entry. */
+  private _isCommon({ parts }: ISuspectParts, route: string): boolean {
+    const recent = [...(this._recent.get(route)?.values() ?? [])];
+    const matching = recent.filter((hashes) => parts.every((part) => hashes.has(part))).length;
+    return recent.length >= MIN_RECENT_REQUESTS && matching >= MAX_HELD_SHARE * recent.length;
+  }
+
   private _recordSound(parts: readonly number[], now: number): void {
     for (const part of parts) {
       this._settledAt.delete(part);
