--- a/src/fleet/CrashEvidence.ts
+++ b/src/fleet/CrashEvidence.ts
@@ -4,7 +4,7 @@
  * again; a settled response clears them.
  */
 
-/** Time for which a crash counts as evidence, and so the time for which a part stays in quarantine. */
+/** Time for which a crash counts as evidence, and so the time for which a part stays in quarantine at first. */
 const EVIDENCE_LIFETIME_MS = 600_000;
 
 /** Blame and crashes from which parts are quarantined. A crash divides one unit of blame among its requests. */
@@ -12,8 +12,8 @@
 const MIN_BLAMED_CRASHES = 2;
 
 /**
- * Crashes from which parts, and requests, are quarantined however many other requests broke with them. Sound requests
- * seldom have the bad luck to come again at further targets that crash.
+ * Crashes from which parts, and requests, are quarantined however many other requests broke with them. A sound request
+ * seldom comes again at two further targets that crash.
  */
 const SUFFICIENT_CRASHES = 4;
 const SUFFICIENT_REQUEST_CRASHES = 3;
