Elect and keep a leader while disks are slow

Cause: a vote counted only if the voter had saved it within 600 ms, and it was saved in two writes, the term and then the vote, each with two syncs. A voter that was saving campaigned meanwhile. A follower answered an append, and every heartbeat behind it, only when its disk had the entries, so the leader took it for lost and stepped down. With syncs of 250 ms no term had a leader.

Change: a term and its vote are one write; votes and appends that wait for the disk are answered as pending within a heartbeat interval; who saves a vote does not campaign; campaigns of slow disks are spread. A pending append is contact only: a commit still needs the sync.

--- a/src/common/Tasks.ts
+++ b/src/common/Tasks.ts
@@ -113,3 +113,21 @@
     await sleep(addJitter(intervalMs), signal);
   }
 }
+
+/**
+ * True if a task ends, also with a failure, within a time in milliseconds. The task goes on in any case.
+ *
+ * @example
+ * if (!(await isSettledWithin(save, 200))) { return 'pending'; }
+ */
+export async function isSettledWithin(task: Promise<unknown>, ms: number): Promise<boolean> {
+  const settled = new AbortController();
+  let isSettled = false;
+  const settle = (): void => {
+    isSettled = true;
+    settled.abort();
+  };
+  task.then(settle, settle);
+  await sleep(ms, settled.signal);
+  return isSettled;
+}
--- a/src/consensus/Elections.ts
+++ b/src/consensus/Elections.ts
@@ -1,21 +1,35 @@
 /** Leader election: campaigns when there is no leader, and answers vote requests of other members. */
 import { create } from '@bufbuild/protobuf';
-import { isAborted, runWithTimeout, sleep } from '../common/Tasks.js';
+import { isAborted, isSettledWithin, runWithTimeout, sleep } from '../common/Tasks.js';
 import {
   VoteRequestSchema,
   VoteResponseSchema,
   type Member,
+  type Sender,
   type VoteRequest,
   type VoteResponse,
 } from '../gen/redwingwharf/v1/consensus_pb.js';
 import type { MemberState } from './MemberState.js';
-import { countMajority, isSameMember, listVoters, getMemberIdentity } from './Memberships.js';
+import {
+  countMajority,
+  formatMemberIdentity,
+  isSameMember,
+  listVoters,
+  getMemberIdentity,
+} from './Memberships.js';
 import type { IConsensusTimings } from './Timings.js';
 import type { IConsensusTransport } from './Transport.js';
 
+/** A candidate waits this many of the longest election timeouts for votes that voters are saving. */
+const MAX_SAVE_TIMEOUTS = 4;
+
 /** Runs the election timer and campaigns of one member, and decides its votes. */
 export class Elections {
   private _lastCampaignAt = Number.NEGATIVE_INFINITY;
+  /** Time that the last candidacy took to save. It spreads the campaigns of members with slow disks. */
+  private _candidacySaveMs = 0;
+  /** Votes that are being decided or saved, by candidate and term. */
+  private readonly _votes = new Map<string, Promise<boolean>>();
 
   constructor(
     private readonly _state: MemberState,
@@ -41,35 +55,69 @@
     }
   }
 
-  /** Answers a vote request or pre-vote request. */
-  public handleVote(request: VoteRequest): Promise<VoteResponse> {
-    return this._state.mutex.run(async () => {
-      const granted = await this._decideVote(request);
-      return create(VoteResponseSchema, { sender: this._state.createSender(), granted });
-    });
+  /** Answers a vote request or pre-vote request; within a heartbeat interval, however slow the disk is. */
+  public async handleVote(request: VoteRequest): Promise<VoteResponse> {
+    const state = this._state;
+    if (!state.isFromMember(request.sender)) {
+      return create(VoteResponseSchema, { sender: state.createSender(), granted: false });
+    }
+    if (request.preVote) {
+      const granted = this._mayGrantPreVote(request, request.sender);
+      return create(VoteResponseSchema, { sender: state.createSender(), granted });
+    }
+    const vote = this._startVote(request, request.sender);
+    const pending = !(await isSettledWithin(vote, this._timings.heartbeatIntervalMs));
+    const granted = !pending && (await vote);
+    return create(VoteResponseSchema, { sender: state.createSender(), granted, pending });
+  }
+
+  private _mayGrantPreVote(request: VoteRequest, sender: Sender): boolean {
+    return (
+      !this._hasLiveLeader() && Number(sender.term) >= this._state.term && this._isUpToDate(request)
+    );
   }
 
-  private async _decideVote(request: VoteRequest): Promise<boolean> {
+  /** Decides and saves a vote, or joins an earlier request for it. */
+  private _startVote(request: VoteRequest, sender: Sender): Promise<boolean> {
+    const key = `${formatMemberIdentity(sender)}/${sender.term}`;
+    const running = this._votes.get(key);
+    if (running !== undefined) {
+      return running;
+    }
+    const vote = this._state.mutex.run(() => this._decideVote(request, sender));
+    this._votes.set(key, vote);
+    vote
+      .catch((error: unknown) => {
+        this._state.fail(error);
+      })
+      .finally(() => {
+        this._votes.delete(key);
+      });
+    return vote;
+  }
+
+  private async _decideVote(request: VoteRequest, sender: Sender): Promise<boolean> {
     const state = this._state;
-    const { sender } = request;
-    if (!state.isFromMember(sender) || this._hasLiveLeader()) {
+    const term = Number(sender.term);
+    if (this._hasLiveLeader() || term < state.term) {
       return false;
     }
-    const term = Number(sender.term);
-    if (request.preVote) {
-      return term >= state.term && this._isUpToDate(request);
+    const isNewTerm = term > state.term;
+    const { votedFor } = state.store;
+    const isFree = isNewTerm || votedFor === undefined;
+    const granted = (isFree || isSameMember(votedFor, sender)) && this._isUpToDate(request);
+    if (granted) {
+      state.recordContact();
     }
-    if (term > state.term) {
-      await state.enterTerm(term);
+    if (isNewTerm) {
+      await state.enterTerm(term, granted ? sender : undefined);
+    } else if (granted && isFree) {
+      await state.store.saveVote(sender);
     }
-    const { votedFor } = state.store;
-    const isVoteAvailable = votedFor === undefined || isSameMember(votedFor, sender);
-    if (term !== state.term || !isVoteAvailable || !this._isUpToDate(request)) {
-      return false;
+    if (granted) {
+      state.recordContact();
     }
-    await state.store.saveVote(sender);
-    state.recordContact();
-    return true;
+    return granted;
   }
 
   /** True while the leader was heard from recently. A member then grants no votes and does not campaign. */
@@ -96,7 +144,7 @@
     while (!isAborted(signal)) {
       const since = Math.max(state.lastContactAt, this._lastCampaignAt);
       const remainingMs = since + this._getElectionTimeoutMs(random) - state.clock.now();
-      const canCampaign = state.role !== 'leader' && state.isVoter;
+      const canCampaign = state.role !== 'leader' && state.isVoter && this._votes.size === 0;
       // A group of one has no leader to wait for.
       if (canCampaign && (remainingMs <= 0 || state.membership.members.length === 1)) {
         return;
@@ -115,7 +163,8 @@
     const hasHadContact =
       this._state.hasHadContact || this._lastCampaignAt > Number.NEGATIVE_INFINITY;
     return hasHadContact
-      ? minElectionTimeoutMs + (maxElectionTimeoutMs - minElectionTimeoutMs) * random
+      ? minElectionTimeoutMs +
+          (maxElectionTimeoutMs - minElectionTimeoutMs + this._candidacySaveMs) * random
       : minFirstElectionTimeoutMs +
           (maxFirstElectionTimeoutMs - minFirstElectionTimeoutMs) * random;
   }
@@ -123,10 +172,13 @@
   private async _runElection(signal: AbortSignal): Promise<void> {
     const state = this._state;
     const isCandidate = await state.mutex.run(async () => {
-      if (this._hasLiveLeader() || !state.isVoter || isAborted(signal)) {
+      const hasHeardSince = state.lastContactAt > this._lastCampaignAt;
+      if (this._hasLiveLeader() || hasHeardSince || !state.isVoter || isAborted(signal)) {
         return false;
       }
+      const startedAt = state.clock.now();
       await state.startCandidacy();
+      this._candidacySaveMs = state.clock.now() - startedAt;
       return true;
     });
     if (!isCandidate) {
@@ -167,20 +219,27 @@
     term: number,
     signal: AbortSignal,
   ): Promise<boolean> {
+    const { callTimeoutMs, minElectionTimeoutMs, maxElectionTimeoutMs } = this._timings;
+    const timeoutMs = Math.min(callTimeoutMs, minElectionTimeoutMs);
+    const deadline = this._state.clock.now() + MAX_SAVE_TIMEOUTS * maxElectionTimeoutMs;
     try {
-      const timeoutMs = Math.min(this._timings.callTimeoutMs, this._timings.minElectionTimeoutMs);
-      const response = await runWithTimeout(signal, timeoutMs, (limited) =>
-        this._transport.requestVote(voter.address, request, limited),
-      );
-      if (!this._state.isExpectedResponse(response.sender, getMemberIdentity(voter))) {
-        return false;
-      }
-      const responseTerm = Number(response.sender.term);
-      if (responseTerm > term) {
-        await this._state.observeTerm(responseTerm);
-        return false;
+      for (;;) {
+        const response = await runWithTimeout(signal, timeoutMs, (limited) =>
+          this._transport.requestVote(voter.address, request, limited),
+        );
+        if (!this._state.isExpectedResponse(response.sender, getMemberIdentity(voter))) {
+          return false;
+        }
+        const responseTerm = Number(response.sender.term);
+        if (responseTerm > term) {
+          await this._state.observeTerm(responseTerm);
+          return false;
+        }
+        const isOver = this._state.term > term || this._state.clock.now() > deadline;
+        if (!response.pending || isOver) {
+          return response.granted;
+        }
       }
-      return response.granted;
     } catch (error) {
       this._state.log.debug('vote request failed', { address: voter.address, error });
       return false;
--- a/src/consensus/Follower.ts
+++ b/src/consensus/Follower.ts
@@ -1,6 +1,7 @@
 /** The follower's side of replication: stores entries and snapshots that a leader sends. */
 import { create } from '@bufbuild/protobuf';
 import { crc32 } from 'node:zlib';
+import { isSettledWithin } from '../common/Tasks.js';
 import {
   AppendResponseSchema,
   SnapshotResponseSchema,
@@ -14,6 +15,7 @@
 import type { ISnapshotPosition } from './ConsensusStore.js';
 import { InvariantError } from './InvariantError.js';
 import type { MemberState } from './MemberState.js';
+import type { IConsensusTimings } from './Timings.js';
 
 /** Chunks of a snapshot received so far. */
 interface IPartialSnapshot {
@@ -27,38 +29,92 @@
 /** Answers a leader's appends and snapshot chunks, and checks them against the log and the term. */
 export class Follower {
   private _partialSnapshot: IPartialSnapshot | undefined;
+  /** What is being stored for the leader of a term. */
+  private _storing: { readonly term: number; readonly step: Promise<unknown> } | undefined;
 
-  constructor(private readonly _state: MemberState) {}
+  constructor(
+    private readonly _state: MemberState,
+    private readonly _timings: IConsensusTimings,
+  ) {}
 
   /** Answers an append, which is a heartbeat if it has no entries. */
   public handleAppend(request: AppendRequest): Promise<AppendResponse> {
-    this._recordContact(request.sender);
-    return this._state.mutex.run(async () => {
-      const { sender } = request;
-      if (!(await this._acceptLeader(sender, request.leaderAddress))) {
-        return this._respondToAppend(false, 0);
-      }
-      const retryIndex = this._findRetryIndex(request);
-      if (retryIndex !== undefined) {
-        return this._respondToAppend(false, retryIndex);
-      }
-      return this._storeEntries(request);
-    });
+    const { sender } = request;
+    const previousIndex = Number(request.previousIndex);
+    return this._runStep(
+      sender,
+      async () => {
+        if (!(await this._acceptLeader(sender, request.leaderAddress))) {
+          return this._respondToAppend(false, 0);
+        }
+        const retryIndex = this._findRetryIndex(request);
+        if (retryIndex !== undefined) {
+          return this._respondToAppend(false, retryIndex);
+        }
+        return this._store(this._storeEntries(request));
+      },
+      () => this._respondToAppend(false, previousIndex, true),
+    );
   }
 
-  /** Answers one chunk of a snapshot. */
+  /** Answers one chunk of a snapshot. While the whole snapshot is being stored, the last chunk is asked for again. */
   public handleSnapshot(request: SnapshotRequest): Promise<SnapshotResponse> {
-    this._recordContact(request.sender);
-    return this._state.mutex.run(async () => {
-      if (!(await this._acceptLeader(request.sender, undefined))) {
-        return this._respondToSnapshot(0);
-      }
-      if (Number(request.lastIndex) <= this._state.commitIndex) {
-        this._partialSnapshot = undefined;
-        return this._respondToSnapshot(Number(request.totalSize));
-      }
-      return this._receiveChunk(request);
+    return this._runStep(
+      request.sender,
+      async () => {
+        if (!(await this._acceptLeader(request.sender, undefined))) {
+          return this._respondToSnapshot(0);
+        }
+        if (Number(request.lastIndex) <= this._state.commitIndex) {
+          this._partialSnapshot = undefined;
+          return this._respondToSnapshot(Number(request.totalSize));
+        }
+        return this._store(this._receiveChunk(request));
+      },
+      () => this._respondToSnapshot(Number(request.offset)),
+    );
+  }
+
+  /**
+   * Runs a step of the leader's. If the disk takes longer than a heartbeat interval, the step goes on and the leader
+   * gets the response of a busy member meanwhile, so that it does not take the member for lost.
+   */
+  private async _runStep<T>(
+    sender: Sender | undefined,
+    step: () => Promise<T>,
+    createBusyResponse: () => T,
+  ): Promise<T> {
+    this._recordContact(sender);
+    const { heartbeatIntervalMs } = this._timings;
+    const earlier = this._getStepFor(sender);
+    if (earlier !== undefined && !(await isSettledWithin(earlier, heartbeatIntervalMs))) {
+      return createBusyResponse();
+    }
+    const result = this._state.mutex.run(step);
+    const isDone = await isSettledWithin(result, heartbeatIntervalMs);
+    if (isDone || this._getStepFor(sender) === undefined) {
+      return result;
+    }
+    result.catch((error: unknown) => {
+      this._state.fail(error);
     });
+    return createBusyResponse();
+  }
+
+  /** What is being stored for a sender that this member follows. */
+  private _getStepFor(sender: Sender | undefined): Promise<unknown> | undefined {
+    const isLeader = this._state.isSameGroup(sender) && Number(sender.term) === this._storing?.term;
+    return isLeader ? this._storing?.step : undefined;
+  }
+
+  /** Marks this member as busy until a step that follows the leader of this term has ended. */
+  private async _store<T>(step: Promise<T>): Promise<T> {
+    this._storing = { term: this._state.term, step };
+    try {
+      return await step;
+    } finally {
+      this._storing = undefined;
+    }
   }
 
   /** Restarts the election timer before the message waits for the disk: a slow disk causes no election. */
@@ -193,9 +249,14 @@
     this._state.log.info('snapshot installed', { index, bytes: data.length });
   }
 
-  private _respondToAppend(success: boolean, matchIndex: number): AppendResponse {
+  private _respondToAppend(success: boolean, matchIndex: number, pending = false): AppendResponse {
     const sender = this._state.createSender();
-    return create(AppendResponseSchema, { sender, success, matchIndex: BigInt(matchIndex) });
+    return create(AppendResponseSchema, {
+      sender,
+      success,
+      matchIndex: BigInt(matchIndex),
+      pending,
+    });
   }
 
   private _respondToSnapshot(nextOffset: number): SnapshotResponse {
--- a/src/consensus/Leadership.ts
+++ b/src/consensus/Leadership.ts
@@ -48,6 +48,8 @@
   confirmedAt: number | undefined;
   /** Like `confirmedAt`, but before the first acknowledgement the time when replication started. */
   contactAt: number;
+  /** True while the member's disk stores what it got last; it gets heartbeats only. */
+  isStoring: boolean;
   wake: () => void;
 }
 
@@ -189,6 +191,7 @@
       matchIndex: 0,
       confirmedAt: undefined,
       contactAt: this._state.clock.now(),
+      isStoring: false,
       wake: () => undefined,
     };
   }
@@ -225,7 +228,7 @@
       if (previousTerm === undefined || !this._hasEntry(peer.nextIndex)) {
         return await this._sendSnapshot(peer, signal);
       }
-      const request = this._createAppendRequest(peer.nextIndex, previousTerm);
+      const request = this._createAppendRequest(peer, previousTerm);
       const response = await runWithTimeout(signal, this._timings.callTimeoutMs, (limited) =>
         this._transport.appendEntries(peer.member.address, request, limited),
       );
@@ -241,14 +244,15 @@
     return index > store.lastIndex || store.getEntry(index) !== undefined;
   }
 
-  private _createAppendRequest(nextIndex: number, previousTerm: number): AppendRequest {
+  private _createAppendRequest(peer: IPeer, previousTerm: number): AppendRequest {
     const { store, commitIndex, address } = this._state;
+    const { nextIndex, isStoring } = peer;
     return create(AppendRequestSchema, {
       sender: this._state.createSender(),
       previousIndex: BigInt(nextIndex - 1),
       previousTerm: BigInt(previousTerm),
       commitIndex: BigInt(commitIndex),
-      entries: store.listEntries(nextIndex, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES),
+      entries: isStoring ? [] : store.listEntries(nextIndex, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES),
       leaderAddress: address,
     });
   }
@@ -262,6 +266,10 @@
     if (!(await this._acceptResponse(peer, response.sender, startedAt))) {
       return false;
     }
+    peer.isStoring = response.pending;
+    if (response.pending) {
+      return true;
+    }
     const matchIndex = Number(response.matchIndex);
     if (response.success) {
       const sent = Number(request.previousIndex) + request.entries.length;
--- a/src/consensus/MemberState.ts
+++ b/src/consensus/MemberState.ts
@@ -187,12 +187,12 @@
     });
   }
 
-  /** Becomes a follower in a higher term. Call only within `mutex`. */
-  public async enterTerm(term: number): Promise<void> {
+  /** Becomes a follower in a higher term, and casts its vote there if one is given. Call only within `mutex`. */
+  public async enterTerm(term: number, vote?: IMemberIdentity): Promise<void> {
     this.stepDown();
     this._leader = undefined;
     this._leaderAddress = undefined;
-    await this.store.saveTerm(term);
+    await this.store.saveTerm(term, vote);
     this._emitRoleChange();
   }
 
--- a/src/consensus/RandomFaults.test.ts
+++ b/src/consensus/RandomFaults.test.ts
@@ -15,6 +15,9 @@
 
 const ROUNDS = 12;
 
+/** Longer than the calls and the shortest election timeout of the group. */
+const SLOW_DISK_MS = 300;
+
 const MEMBER_IDS = ['m1', 'm2', 'm3'] as const;
 
 const FOREVER = new AbortController().signal;
@@ -50,7 +53,7 @@
 async function injectFault(group: TestCluster, random: () => number): Promise<string> {
   const id = MEMBER_IDS[Math.floor(random() * MEMBER_IDS.length)] ?? 'm1';
   const durationMs = random() * 400;
-  switch (Math.floor(random() * 5)) {
+  switch (Math.floor(random() * 6)) {
     case 0:
       await group.kill(id);
       await sleep(durationMs, FOREVER);
@@ -75,6 +78,11 @@
       group.network.lossRate = 0;
       group.network.maxDelayMs = 0;
       return 'loss and delay';
+    case 4:
+      group.diskDelaysMs.set(id, SLOW_DISK_MS);
+      await sleep(2 * durationMs, FOREVER);
+      group.diskDelaysMs.delete(id);
+      return `slow disk ${id}`;
     default:
       for (const each of MEMBER_IDS) {
         await group.kill(each);
--- a/src/consensus/ReplicatedLog.ts
+++ b/src/consensus/ReplicatedLog.ts
@@ -136,7 +136,7 @@
     this._elections = new Elections(state, transport, timings, random, () => {
       this._startLeadership();
     });
-    const follower = new Follower(state);
+    const follower = new Follower(state, timings);
     this.onRoleChange = state.roleChanges.onFire;
     this.onFailure = state.failures.onFire;
     this.handlers = {
--- /dev/null
+++ b/src/consensus/SlowDisk.test.ts
@@ -0,0 +1,79 @@
+import { afterEach, describe, expect, it } from 'vitest';
+import { TEST_TIMINGS, TestCluster } from './TestCluster.js';
+
+/** More than a call may take, and more than the shortest election timeout. */
+const SLOW_DISK_MS = 2 * TEST_TIMINGS.callTimeoutMs;
+
+const PROPOSAL_TIMEOUT_MS = 10_000;
+
+const MEMBER_IDS = ['m1', 'm2', 'm3'];
+
+let cluster: TestCluster | undefined;
+
+afterEach(async () => {
+  cluster?.diskDelaysMs.clear();
+  await cluster?.dispose();
+  cluster = undefined;
+});
+
+function limitDisks(group: TestCluster, ids: readonly string[]): void {
+  for (const id of ids) {
+    group.diskDelaysMs.set(id, SLOW_DISK_MS);
+  }
+}
+
+describe('Slow disks', () => {
+  // A vote that was saved after the candidate had given up counted for nothing, so no term had a leader.
+  it.each([1, 2, 3])(
+    'elects a leader after the loss of one while all disks are slow (seed %i)',
+    async (seed) => {
+      const group = await TestCluster.create(3, seed);
+      cluster = group;
+      await group.commit('before');
+      const leader = await group.waitForLeader();
+      limitDisks(group, MEMBER_IDS);
+      await group.kill(leader.id);
+      const next = await group.waitForLeader(leader.id);
+      expect(await group.tryPropose('after', PROPOSAL_TIMEOUT_MS)).toBe(true);
+      expect(next.machine.commands).toEqual(['before', 'after']);
+      expect(group.safetyViolations).toEqual([]);
+    },
+    30_000,
+  );
+
+  // The members that restart have no leader, so they campaign at almost the same time.
+  it.each([1, 2, 3])(
+    'elects a leader after a stop of all while all disks are slow (seed %i)',
+    async (seed) => {
+      const group = await TestCluster.create(3, seed);
+      cluster = group;
+      await group.commit('before');
+      for (const id of MEMBER_IDS) {
+        await group.kill(id);
+      }
+      limitDisks(group, MEMBER_IDS);
+      await Promise.all(MEMBER_IDS.map((id) => group.startMember(id)));
+      await group.waitForLeader();
+      expect(await group.tryPropose('after', PROPOSAL_TIMEOUT_MS)).toBe(true);
+      expect(group.safetyViolations).toEqual([]);
+    },
+    30_000,
+  );
+
+  // A follower answered only when its disk had the entries, so the leader took it for lost and stepped down.
+  it('keeps its leader while the disks of all followers are slow', async () => {
+    const group = await TestCluster.create(3);
+    cluster = group;
+    const leader = await group.waitForLeader();
+    const { term } = leader.log.status;
+    limitDisks(
+      group,
+      MEMBER_IDS.filter((id) => id !== leader.id),
+    );
+    for (const command of ['a', 'b', 'c']) {
+      expect(await group.tryPropose(command, PROPOSAL_TIMEOUT_MS)).toBe(true);
+    }
+    expect(leader.log.status).toMatchObject({ role: 'leader', term });
+    expect(group.safetyViolations).toEqual([]);
+  });
+});
--- a/src/consensus/TestCluster.ts
+++ b/src/consensus/TestCluster.ts
@@ -16,7 +16,8 @@
   VoteRequestSchema,
   VoteResponseSchema,
 } from '../gen/redwingwharf/v1/consensus_pb.js';
-import { DataDirectory } from '../storage/DataDirectory.js';
+import { DataDirectory, type IDataDirectory } from '../storage/DataDirectory.js';
+import type { IOpenedLog } from '../storage/RecordLog.js';
 import { bootstrapDataDirectory, ReplicatedLog, type IConsensusHandlers } from './ReplicatedLog.js';
 import { formatMemberIdentity } from './Memberships.js';
 import type { IConsensusTimings } from './Timings.js';
@@ -28,6 +29,8 @@
 
 const POLL_INTERVAL_MS = 5;
 
+const FOREVER = new AbortController().signal;
+
 /** Addresses at which members look for a group that admits them. */
 const PEER_ADDRESSES = Array.from({ length: 9 }, (_, n) => `node-${n + 1}`);
 
@@ -166,6 +169,55 @@
   }
 }
 
+/** A data directory of which each write takes `getDelayMs()` longer to become durable. */
+class SlowDirectory implements IDataDirectory {
+  constructor(
+    private readonly _directory: IDataDirectory,
+    private readonly _getDelayMs: () => number,
+  ) {}
+
+  public get path(): string {
+    return this._directory.path;
+  }
+
+  public read(name: string): Promise<Uint8Array | undefined> {
+    return this._directory.read(name);
+  }
+
+  public async replace(name: string, content: Uint8Array): Promise<void> {
+    await this._delay();
+    await this._directory.replace(name, content);
+  }
+
+  public hasLog(): Promise<boolean> {
+    return this._directory.hasLog();
+  }
+
+  public async openLog(): Promise<IOpenedLog> {
+    const opened = await this._directory.openLog();
+    const { log } = opened;
+    const append = log.append.bind(log);
+    let stored: Promise<unknown> = Promise.resolve();
+    log.append = async (payloads) => {
+      const isWritten = append(payloads);
+      stored = Promise.all([stored, isWritten, payloads.length === 0 ? undefined : this._delay()]);
+      await stored;
+    };
+    return opened;
+  }
+
+  public close(): Promise<void> {
+    return this._directory.close();
+  }
+
+  private async _delay(): Promise<void> {
+    const delayMs = this._getDelayMs();
+    if (delayMs > 0) {
+      await sleep(delayMs, FOREVER);
+    }
+  }
+}
+
 /** State machine that lists the applied commands in order. */
 export class ListMachine implements IStateMachine {
   public commands: string[] = [];
@@ -207,6 +259,8 @@
 export class TestCluster {
   public readonly network: FakeNetwork;
   public readonly members = new Map<string, ITestMember>();
+  /** Milliseconds that each write of a member's disk takes longer, by member id. */
+  public readonly diskDelaysMs = new Map<string, number>();
   /**
    * Violated safety properties: two commands applied at one index, two leaders of one term, or a member
    * that stopped because of an error.
@@ -267,7 +321,8 @@
     const machine = this._createMachine((command, index) => {
       this._checkAppliedCommand(command, index);
     });
-    const opened = await ReplicatedLog.open(directory, {
+    const disk = new SlowDirectory(directory, () => this.diskDelaysMs.get(id) ?? 0);
+    const opened = await ReplicatedLog.open(disk, {
       memberId: id,
       address,
       listPeers: () => PEER_ADDRESSES,
