Withhold earlier leases when any process reports one, also at a hub that has just started

Cause: a hub whose own process had started less than a window before took all processes as stopped, and granted what the records say was spent as it left the window, less what survivors reported. A process that was frozen or cut off, and so reported nothing, still spent under its lease.

Change: the first lease of an earlier hub that any process reports, for any client account, shows that not all had stopped. The hub then withholds the ceiling less the reported leases for two windows, as after any change of the leader.

The property test has new processes that lead and frozen entries as further events.

--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -120,6 +120,8 @@
   private readonly _lastReports = new Map<string, { sequence: bigint; at: number }>();
   /** Client accounts of the configuration that was in force when this hub started. */
   private _initialAccounts: ReadonlySet<string> | undefined;
+  /** True once a process has reported a lease of an earlier hub. */
+  private _hasSurvivors = false;
   private _revision = 0;
 
   constructor(
@@ -312,6 +314,9 @@
       return [];
     }
     this._lastReports.set(formatRun(run), { sequence: reportSequence, at: now });
+    if (last === undefined && quotas.some(({ held, spent }) => held + spent > 0)) {
+      this._recordSurvivors();
+    }
     const entryCount = this.countEntries();
     return quotas.flatMap(({ clientAccount, held, wanted, spent, total }) => {
       const pool = this._ensurePool(clientAccount);
@@ -382,6 +387,14 @@
     return pool;
   }
 
+  /** A process holds leases of an earlier hub, so others may hold such leases of any client account. */
+  private _recordSurvivors(): void {
+    this._hasSurvivors = true;
+    for (const pool of this._pools.values()) {
+      pool.recordSurvivors();
+    }
+  }
+
   private _planRecovery(account: string): QuotaRecovery {
     const { isConfigured, records } = this._earlier;
     const ceiling = this._earlier.getCeiling(account);
@@ -389,7 +402,7 @@
       return { kind: 'nothing_spent' };
     }
     const startedAt = this._startedAt;
-    if (!this.isColdStart) {
+    if (!this.isColdStart || this._hasSurvivors) {
       return { kind: 'earlier_leases', startedAt, ceiling };
     }
     const stoppedAt = this._options.processStartedAt;
--- a/src/fleet/Quota.test.ts
+++ b/src/fleet/Quota.test.ts
@@ -31,6 +31,7 @@
   public readonly spent: ISpent[] = [];
   public readonly refused: ISpent[] = [];
   private _isHubReachable = true;
+  private _frozen: number | undefined;
   private _hubChangedAt = Number.NEGATIVE_INFINITY;
   private readonly _entries: ITestEntry[];
   private _pool = new QuotaPool(LIMIT, WINDOW_MS, NOTHING_SPENT);
@@ -55,8 +56,8 @@
 
   public exchange(entry: number, now: number, isAnswered = true): void {
     const { wallet, incarnation } = this._get(entry);
-    wallet.setHubReachable(this._isHubReachable && isAnswered);
-    if (!this._isHubReachable) {
+    wallet.setHubReachable(this._isHubReachable && isAnswered && entry !== this._frozen);
+    if (!this._isHubReachable || entry === this._frozen) {
       return;
     }
     const run = { node: `n${entry}`, incarnation: String(incarnation) };
@@ -89,6 +90,17 @@
     }
   }
 
+  /** Replaces the hub by a process that has just started, as after a stop of all, although the entries go on. */
+  public replaceHubByNewProcess(now: number): void {
+    this._pool = new QuotaPool(LIMIT, WINDOW_MS, this._planRecoveryFromStop(now));
+    this._records = [];
+  }
+
+  /** Keeps an entry from reporting, without a change of its lease. */
+  public setFrozen(entry: number | undefined): void {
+    this._frozen = entry;
+  }
+
   public restartEntry(entry: number): void {
     this._entries[entry] = this._createEntry(this._get(entry).incarnation + 1);
   }
@@ -112,15 +124,7 @@
     this._entries.forEach((_, entry) => {
       this.restartEntry(entry);
     });
-    const last = this._records.at(-1)?.at ?? now;
-    const slices = this._records.map(({ at, tokens }) => ({ tokens, ageMs: last - at }));
-    const history = { ceiling: this._ceiling, slices, maxLagMs: MAX_LAG_MS };
-    this._pool = new QuotaPool(LIMIT, WINDOW_MS, {
-      kind: 'all_stopped',
-      startedAt: now,
-      stoppedAt: now,
-      history,
-    });
+    this._pool = new QuotaPool(LIMIT, WINDOW_MS, this._planRecoveryFromStop(now));
     this._hubChangedAt = now;
     this._records = [];
   }
@@ -135,6 +139,13 @@
       .reduce((sum, { tokens }) => sum + tokens, 0);
   }
 
+  private _planRecoveryFromStop(now: number): QuotaRecovery {
+    const last = this._records.at(-1)?.at ?? now;
+    const slices = this._records.map(({ at, tokens }) => ({ tokens, ageMs: last - at }));
+    const history = { ceiling: this._ceiling, slices, maxLagMs: MAX_LAG_MS };
+    return { kind: 'all_stopped', startedAt: now, stoppedAt: now, history };
+  }
+
   private _get(entry: number): ITestEntry {
     const found = this._entries[entry];
     if (found === undefined) {
@@ -153,7 +164,14 @@
   /** Requests, each with the fraction of the entries that selects its entry. */
   readonly requests: readonly { readonly position: number; readonly tokens: number }[];
   readonly event:
-    'none' | 'hub_lost' | 'hub_back' | 'hub_replaced' | 'entry_restarted' | 'all_stopped';
+    | 'none'
+    | 'hub_lost'
+    | 'hub_back'
+    | 'hub_replaced'
+    | 'new_process_leads'
+    | 'entry_frozen'
+    | 'entry_restarted'
+    | 'all_stopped';
   readonly lostAnswers: number;
 }
 
@@ -169,7 +187,14 @@
     { weight: 30, arbitrary: fc.constant('none' as const) },
     {
       weight: 4,
-      arbitrary: fc.constantFrom('hub_lost', 'hub_back', 'hub_replaced', 'entry_restarted'),
+      arbitrary: fc.constantFrom(
+        'hub_lost',
+        'hub_back',
+        'hub_replaced',
+        'new_process_leads',
+        'entry_frozen',
+        'entry_restarted',
+      ),
     },
     { weight: 1, arbitrary: fc.constant('all_stopped' as const) },
   ),
@@ -190,11 +215,22 @@
     case 'hub_replaced':
       fleet.replaceHub(now);
       break;
+    case 'new_process_leads':
+      // With one entry all others than the frozen one have stopped.
+      if (size > 1 && fleet.isRecorded(now)) {
+        fleet.replaceHubByNewProcess(now);
+        fleet.exchangeAll(now);
+      }
+      break;
+    case 'entry_frozen':
+      fleet.setFrozen(index % 2 === 0 ? index % size : undefined);
+      break;
     case 'entry_restarted':
       fleet.restartEntry(index % size);
       break;
     case 'all_stopped':
       if (fleet.isRecorded(now)) {
+        fleet.setFrozen(undefined);
         fleet.restartAll(now);
       }
       break;
@@ -228,6 +264,31 @@
     30_000,
   );
 
+  it.each([3, 8, 70])(
+    'never exceeds the limit when a restarted process becomes the hub while one of %i entries is cut off with a lease',
+    (size) => {
+      const fleet = new Fleet(size);
+      for (let now = 0; now < 40_000; now += 100) {
+        if (now === 14_000) {
+          fleet.setFrozen(1);
+        }
+        if (now === 16_000) {
+          fleet.replaceHubByNewProcess(now);
+        }
+        if (now % 500 === 0) {
+          fleet.exchangeAll(now);
+          fleet.record(now);
+        }
+        // While it is cut off, the entry spends what its lease allows.
+        const isCutOff = now >= 14_000;
+        const tokens = isCutOff ? 4_000 : 1_800;
+        fleet.send(isCutOff ? 1 : (now / 100) % size, tokens, now);
+        fleet.send((now / 100) % size, 1_800, now);
+      }
+      expect(fleet.sumWorstWindow()).toBeLessThanOrEqual(LIMIT);
+    },
+  );
+
   it.each([3, 8, 70])(
     'refuses no request of a client account that stays at half of its limit with %i entries',
     (size) => {
--- a/src/fleet/QuotaPool.ts
+++ b/src/fleet/QuotaPool.ts
@@ -3,7 +3,7 @@
  * what it has spent within the sliding window never exceeds it. The sum of all leases never exceeds the limit,
  * so neither does what all entries spend within any window, also while they cannot reach the hub.
  */
-import { computeWithheld, type QuotaRecovery } from './QuotaRecovery.js';
+import { applySurvivors, computeWithheld, type QuotaRecovery } from './QuotaRecovery.js';
 import { FORGET_WINDOWS } from './QuotaRule.js';
 
 /** Fraction of the unspent tokens that the hub keeps for entries that need more than their share. */
@@ -75,7 +75,7 @@
     /** Most tokens within the window. */
     private _limit: number,
     private readonly _windowMs: number,
-    private readonly _recovery: QuotaRecovery,
+    private _recovery: QuotaRecovery,
   ) {
     this._ceiling = this._computeWithheld(Number.NEGATIVE_INFINITY);
   }
@@ -100,6 +100,9 @@
     const previous = this._shares.get(key);
     if (previous === undefined) {
       this._brought += usage.lease;
+      if (usage.lease > 0) {
+        this.recordSurvivors();
+      }
       this._endEarlierRuns(run, now);
     } else {
       this._spentSinceRecord += Math.max(0, usage.total - previous.total);
@@ -127,6 +130,11 @@
     return { lease, waitMs };
   }
 
+  /** Called when a process has reported a lease of an earlier hub, for this or another client account. */
+  public recordSurvivors(): void {
+    this._recovery = applySurvivors(this._recovery);
+  }
+
   /** True if no entry has reported for so long that all leases and spending have expired. */
   public isUnused(now: number): boolean {
     this._expire(now);
--- a/src/fleet/QuotaRecovery.ts
+++ b/src/fleet/QuotaRecovery.ts
@@ -40,6 +40,22 @@
       readonly history: ISpendingHistory;
     };
 
+/**
+ * What a hub assumes once a process has reported a lease of an earlier hub: not all processes had stopped, so others
+ * may hold such leases too.
+ */
+export function applySurvivors(recovery: QuotaRecovery): QuotaRecovery {
+  switch (recovery.kind) {
+    case 'nothing_spent':
+    case 'earlier_leases':
+      return recovery;
+    case 'all_stopped': {
+      const { startedAt, history } = recovery;
+      return { kind: 'earlier_leases', startedAt, ceiling: history.ceiling };
+    }
+  }
+}
+
 /**
  * Tokens that processes unknown to the hub may have spent within the window or may still spend.
  *
@@ -68,8 +84,7 @@
       }
       const expired =
         now - startedAt < SURVIVOR_REPORT_MS ? 0 : sumExpired(history, windowMs, now - stoppedAt);
-      // Entries that have survived go on with their leases, as after a change of the leader.
-      return Math.max(0, history.ceiling - Math.max(expired, brought));
+      return Math.max(0, history.ceiling - expired);
     }
   }
 }
