Know what most requests of a route have before a target crashes

Cause: a part that most requests of a route have is not held back, but requests were counted only while something was suspect, so that for the first twenty requests after a quarantine nothing was known.

Change: the parts of recent requests are recorded at all times.

The new case of CrashQuarantine.test.ts fails before (quarantined instead of suspect).

--- a/src/gateway/CrashQuarantine.test.ts
+++ b/src/gateway/CrashQuarantine.test.ts
@@ -155,6 +155,18 @@
     expect(quarantine.listUnreported().clearedParts).toEqual([common]);
   });
 
+  // The first requests after a quarantine began were refused, as only requests since then counted.
+  it('holds back nothing that most requests of a route had before the crash', () => {
+    const quarantine = createWithCrashes(0);
+    const common = createWithCrashes(1).listUnreported().crashes[0]?.parts[0] ?? 0;
+    quarantine.setHubReachable(true);
+    for (let i = 0; i < 40; i += 1) {
+      expect(getKind(quarantine, i, 'f', 'b', `own${i}`)).toBe('clear');
+    }
+    quarantine.applySuspects([{ parts: [common], quarantined: true }], 50);
+    expect(getKind(quarantine, 51, 'f', 'b', 'own40')).toBe('suspect');
+  });
+
   it('holds back a request that comes again and again, also if its route has no other', () => {
     const quarantine = new CrashQuarantine();
     const request = buildRequest('f', 'own1');
--- a/src/gateway/CrashQuarantine.ts
+++ b/src/gateway/CrashQuarantine.ts
@@ -62,7 +62,7 @@
   private readonly _clearedParts = new Set<number>();
   private _suspects: readonly ISuspectParts[] = [];
   private _isHubReachable = false;
-  /** Hashes of recent requests by request id, oldest first, by route; kept only while there are suspects. */
+  /** Hashes of the prompt parts of recent requests by request id, oldest first, by route. */
   private readonly _recent = new Map<string, Map<string, ReadonlySet<number>>>();
   private readonly _changes = new Emitter<number>();
 
@@ -75,16 +75,17 @@
   }
 
   public getStanding(judged: IJudgedRequest, now: number): QuarantineStanding {
+    const { call } = judged;
+    const parts = hashParts(call);
+    // Also while nothing is suspect: right after a crash, what most requests have must be known.
+    this._recordRecent(judged, new Set(parts));
     const own = this._ownEvidence.list(now);
     const entries = [...this._suspects, ...own];
     if (entries.length === 0) {
-      this._recent.clear();
       return { kind: 'clear' };
     }
-    const { call } = judged;
     const request = hashRequest(judged);
-    const hashes = new Set([...hashParts(call), request]);
-    this._recordRecent(judged, hashes);
+    const hashes = new Set([...parts, request]);
     const quarantined = [...this._suspects, ...(this._isHubReachable ? [] : own)].find(
       (entry) =>
         entry.quarantined &&
