Know a request by its prompt too, where that is not part of its content

Cause: a request was known by method, host, path, body and client account. Where the prompt is named in headers, as on the users' platform, different chats of an account may have all of these in common; three crashes of targets that had any of its chats in progress then made all of them be refused.

Change: the prompt parts are part of the identity. The content alone is judged by its own, after four crashes, only where nothing more specific explains them, and only at entries that know the client account to send other contents, so that a request that comes again with other prompts is still found. A response with the content that settles clears it.

Three new cases fail before and pass after.

--- a/src/fleet/CrashEvidence.test.ts
+++ b/src/fleet/CrashEvidence.test.ts
@@ -20,6 +20,7 @@
         parts: parts.slice(0, -1),
         request: parts.at(-1) ?? 0,
         prompt: 0,
+        content: 0,
       },
       number * 1_000,
     );
@@ -100,12 +101,27 @@
   // Without a body, the chats of a client account differ in their prompts only.
   it('does not refuse another prompt of the same content after two crashes under one request', () => {
     const evidence = new CrashEvidence(false);
-    const broken = { born: 1, parts: [SUBJECT], request: 1, prompt: 11 };
+    const broken = { born: 1, parts: [SUBJECT], request: 1, prompt: 11, content: 0 };
     evidence.add({ ...broken, attempt: 1, target: 'i-1' }, 0);
     evidence.add({ ...broken, attempt: 2, target: 'i-2' }, 0);
     expect(listQuarantined(evidence)).toEqual([[SUBJECT, 1, 11]]);
   });
 
+  // Chats of a client account may have one content and differ in their prompts only.
+  it('blames a content that different prompts have with the fourth crash only', () => {
+    for (const hasAllReports of [true, false]) {
+      const evidence = new CrashEvidence(hasAllReports);
+      for (const crash of [1, 2, 3, 4]) {
+        expect(listQuarantined(evidence)).toEqual([]);
+        const broken = { target: `i-${crash}`, born: 1, request: 20 + crash, prompt: 30 + crash };
+        evidence.add({ ...broken, attempt: crash, parts: [], content: SUBJECT }, 0);
+      }
+      expect(listQuarantined(evidence)).toEqual([[SUBJECT]]);
+      evidence.clear([SUBJECT]);
+      expect(listQuarantined(evidence)).toEqual([]);
+    }
+  });
+
   it('does not refuse a sound request that came again at a target that crashes by another one', () => {
     const evidence = new CrashEvidence();
     addCrash(evidence, 1, [[1], [11]]);
--- a/src/fleet/CrashEvidence.ts
+++ b/src/fleet/CrashEvidence.ts
@@ -41,6 +41,8 @@
   readonly request: number;
   /** The last part of the prompt, which only requests of one session have; 0 without a prompt. */
   readonly prompt: number;
+  /** What requests with other prompts may have too, if theirs is not part of the content; 0 if it is known to be sound. */
+  readonly content: number;
 }
 
 /** Parts under suspicion. If they are quarantined, requests that have all of them are refused. */
@@ -54,6 +56,8 @@
   /** 0 once a response to the request or a repetition has settled. */
   request: number;
   readonly prompt: number;
+  /** 0 without a prompt, or once a response to a request with the content has settled. */
+  content: number;
 }
 
 interface ICrash {
@@ -116,19 +120,19 @@
   }
 
   public add(broken: IBrokenRequest, now: number): void {
-    const { attempt, target, born, parts, request, prompt } = broken;
+    const { attempt, target, born, parts, request, prompt, content } = broken;
     const key = `${target}/${born}`;
     const crash = this._crashes.get(key) ?? {
       at: now,
       requests: new Map<number, ISuspectRequest>(),
     };
     const isFull = crash.requests.size >= MAX_REQUESTS_PER_CRASH;
-    const isSound = parts.length === 0 && request === 0;
+    const isSound = parts.length === 0 && request === 0 && content === 0;
     if (isSound || isFull || crash.requests.has(attempt)) {
       return;
     }
     const suspectParts = new Set(parts.slice(0, MAX_PARTS_PER_REQUEST));
-    crash.requests.set(attempt, { parts: suspectParts, request, prompt });
+    crash.requests.set(attempt, { parts: suspectParts, request, prompt, content });
     this._crashes.set(key, crash);
     this._renew(crash, now);
     this._dropSurplus();
@@ -141,9 +145,8 @@
     for (const part of parts) {
       for (const [key, { requests }] of this._crashes) {
         for (const [attempt, request] of requests) {
-          hasChanged = request.parts.delete(part) || request.request === part || hasChanged;
-          request.request = request.request === part ? 0 : request.request;
-          if (request.parts.size === 0 && request.request === 0) {
+          hasChanged = clearPart(request, part) || hasChanged;
+          if (request.parts.size === 0 && request.request === 0 && request.content === 0) {
             requests.delete(attempt);
           }
         }
@@ -268,17 +271,22 @@
 
 /**
  * The parts with the most crashes among those with enough blame; undefined if there are none. Parts that occurred in the
- * same crashes but never in one request are left out: the next crash tells them apart.
+ * same crashes but never in one request are left out: the next crash tells them apart. Contents come last, as requests
+ * with many prompts may have them.
  */
 function findWorst(crashes: readonly ICrash[], hasAllReports: boolean): IBlamed | undefined {
   const candidates = [...sumBlame(crashes, hasAllReports)].filter(
     ([, { blame, crashes: own, sufficientCrashes }]) =>
       own.length >= sufficientCrashes || (own.length >= MIN_BLAMED_CRASHES && blame >= MIN_BLAME),
   );
-  candidates.sort(([, left], [, right]) => right.crashes.length - left.crashes.length);
-  for (const [, { crashes: worst }] of candidates) {
+  candidates.sort(
+    ([, left], [, right]) =>
+      Number(left.isContent) - Number(right.isContent) ||
+      right.crashes.length - left.crashes.length,
+  );
+  for (const [, { crashes: worst, isContent }] of candidates) {
     const tied = candidates
-      .filter(([, { crashes: own }]) => hasSameItems(own, worst))
+      .filter(([, entry]) => entry.isContent === isContent && hasSameItems(entry.crashes, worst))
       .map(([part]) => part);
     const requests = worst.flatMap((crash) => listRequestsWith(crash, tied));
     if (requests.length > 0) {
@@ -296,11 +304,12 @@
   blame: number;
   readonly crashes: ICrash[];
   readonly sufficientCrashes: number;
+  readonly isContent: boolean;
 }
 
 /**
  * Blame by part and by request. The parts of a crash share it with all requests that have such parts; a request and its
- * repetitions together share it with all others that broke.
+ * repetitions together share it with all others that broke. Contents are judged by the number of crashes alone.
  */
 function sumBlame(crashes: readonly ICrash[], hasAllReports: boolean): ReadonlyMap<number, IBlame> {
   const byPart = new Map<number, IBlame>();
@@ -309,9 +318,10 @@
     parts: Iterable<number>,
     blame: number,
     sufficientCrashes: number,
+    isContent = false,
   ): void => {
     for (const part of parts) {
-      const entry = byPart.get(part) ?? { blame: 0, crashes: [], sufficientCrashes };
+      const entry = byPart.get(part) ?? { blame: 0, crashes: [], sufficientCrashes, isContent };
       entry.blame += blame;
       entry.crashes.push(crash);
       byPart.set(part, entry);
@@ -326,6 +336,7 @@
     const soundCount = requests.filter(({ request }) => request === 0).length;
     const share = hasAllReports ? 1 / (hashes.size + soundCount) : 0;
     addBlame(crash, hashes, share, SUFFICIENT_REQUEST_CRASHES);
+    addBlame(crash, listContents(crash), 0, SUFFICIENT_CRASHES, true);
   }
   return byPart;
 }
@@ -335,24 +346,41 @@
   return new Set([...requests.values()].map(({ request }) => request).filter((hash) => hash !== 0));
 }
 
-/** Requests that broke in several crashes. The others are too many to tell all processes of them. */
+/** Contents of the requests with prompts that are not known to be sound. */
+function listContents({ requests }: ICrash): ReadonlySet<number> {
+  return new Set([...requests.values()].map(({ content }) => content).filter((hash) => hash !== 0));
+}
+
+/** Requests and contents that broke in several crashes. The others are too many to tell all processes of them. */
 function listRepeatedRequests(crashes: readonly ICrash[]): readonly number[] {
   const counts = new Map<number, number>();
-  for (const hash of crashes.flatMap((crash) => [...listRequestHashes(crash)])) {
+  const hashes = crashes.flatMap((crash) => [...listRequestHashes(crash), ...listContents(crash)]);
+  for (const hash of hashes) {
     counts.set(hash, (counts.get(hash) ?? 0) + 1);
   }
   return [...counts].flatMap(([hash, count]) => (count >= MIN_BLAMED_CRASHES ? [hash] : []));
 }
 
-/** The requests of a crash that had all of some parts; these may include a request itself, or its prompt. */
+/** The requests of a crash that had all of some parts; these may include a request itself, its prompt or its content. */
 function listRequestsWith(crash: ICrash, parts: readonly number[]): readonly ISuspectRequest[] {
   return [...crash.requests.values()].filter((request) =>
     parts.every(
-      (part) => request.parts.has(part) || request.request === part || request.prompt === part,
+      (part) =>
+        request.parts.has(part) ||
+        [request.request, request.prompt, request.content].includes(part),
     ),
   );
 }
 
+/** Takes a part, or what stands for the whole request, off a request; true if it was under suspicion. */
+function clearPart(request: ISuspectRequest, part: number): boolean {
+  const isSuspect = request.parts.has(part) || request.request === part || request.content === part;
+  request.parts.delete(part);
+  request.request = request.request === part ? 0 : request.request;
+  request.content = request.content === part ? 0 : request.content;
+  return isSuspect;
+}
+
 /** The hash that all requests have, if it is known. */
 function findCommon(hashes: readonly number[]): readonly number[] {
   const different = new Set(hashes);
--- a/src/gateway/CrashQuarantine.test.ts
+++ b/src/gateway/CrashQuarantine.test.ts
@@ -16,6 +16,10 @@
 
 /** A request of which the last part is its own. */
 function buildRequest(...parts: string[]): IJudgedRequest {
+  return buildRequestWithContent(parts.join(), ...parts);
+}
+
+function buildRequestWithContent(content: string, ...parts: string[]): IJudgedRequest {
   const call: ICall = {
     id: parts.join(),
     method: 'POST',
@@ -31,7 +35,7 @@
     resumeAfter: undefined,
     arrivedAt: 0,
     signal: new AbortController().signal,
-    hashContent: () => hashText(parts.join()),
+    hashContent: () => hashText(content),
   };
   return { call, account: 'pag', route: 'assist' };
 }
@@ -129,6 +133,42 @@
     expect(quarantine.getStanding(buildRequest('other'), 1).kind).toBe('clear');
   });
 
+  /** Hashes that all crashes of targets under different prompts with one content have in common. */
+  function findCommonContent(content: string): readonly number[] {
+    const source = new CrashQuarantine();
+    source.recordCrash(buildRequestWithContent(content, 'own1'), 1, buildTarget({}), 0);
+    return [source.listUnreported().crashes[0]?.content ?? 0];
+  }
+
+  // Three crashes of targets that had chats of an account in progress made all its chats be refused.
+  it('does not refuse other prompts of a content that broke three times with others', () => {
+    const quarantine = new CrashQuarantine();
+    for (const id of ['i-1', 'i-2', 'i-3', 'i-4']) {
+      const request = buildRequestWithContent('/chat', `own-${id}`);
+      quarantine.recordCrash(request, 1, buildTarget({ id }), 0);
+    }
+    const other = buildRequestWithContent('/chat', 'own9');
+    expect(quarantine.getStanding(other, 1).kind).toBe('suspect');
+    const again = buildRequestWithContent('/chat', 'own-i-1');
+    for (const id of ['i-5', 'i-6']) {
+      quarantine.recordCrash(again, Number(id.at(-1)), buildTarget({ id }), 0);
+    }
+    expect(quarantine.getStanding(again, 1).kind).toBe('quarantined');
+    expect(quarantine.getStanding(other, 1).kind).toBe('suspect');
+  });
+
+  it('refuses a content with any prompt if the client account is known to send others', () => {
+    const quarantine = new CrashQuarantine();
+    quarantine.setHubReachable(true);
+    for (let i = 0; i < 12; i += 1) {
+      getKind(quarantine, i, 'f', `own${i}`);
+    }
+    quarantine.applySuspects([{ parts: findCommonContent('/deadly'), quarantined: true }], 20);
+    const deadly = buildRequestWithContent('/deadly', 'own8');
+    expect(quarantine.getStanding(deadly, 21).kind).toBe('quarantined');
+    expect(quarantine.getStanding({ ...deadly, account: 'hvar' }, 21).kind).toBe('clear');
+  });
+
   it('clears a request of the hub that was answered here, also shortly before', () => {
     const source = new CrashQuarantine();
     const request = buildRequest();
--- a/src/gateway/CrashQuarantine.ts
+++ b/src/gateway/CrashQuarantine.ts
@@ -28,6 +28,9 @@
 const MIN_RECENT_REQUESTS = 20;
 const MAX_RECENT_REQUESTS = 64;
 
+/** Recent requests of a client account on a route from which on it is known whether most of them have one content. */
+const MIN_OWN_REQUESTS = 10;
+
 /** Own reports that are kept for a new hub. */
 const MAX_REPORTS = 256;
 
@@ -39,6 +42,13 @@
   readonly route: string;
 }
 
+interface IRecentRequest {
+  /** Hashes of the prompt parts. */
+  readonly parts: ReadonlySet<number>;
+  readonly account: string | undefined;
+  readonly content: number;
+}
+
 /** Where a request stands because of the parts of its prompt, or because it came before. */
 export type QuarantineStanding =
   | { readonly kind: 'clear' }
@@ -62,8 +72,8 @@
   private readonly _clearedParts = new Set<number>();
   private _suspects: readonly ISuspectParts[] = [];
   private _isHubReachable = false;
-  /** Hashes of the prompt parts of recent requests by request id, oldest first, by route. */
-  private readonly _recent = new Map<string, Map<string, ReadonlySet<number>>>();
+  /** Recent requests by id, oldest first, by route. */
+  private readonly _recent = new Map<string, Map<string, IRecentRequest>>();
   private readonly _changes = new Emitter<number>();
 
   /** Fires with the present time when the hub has listed other suspects. */
@@ -77,20 +87,21 @@
   public getStanding(judged: IJudgedRequest, now: number): QuarantineStanding {
     const { call } = judged;
     const parts = hashParts(call);
+    const content = hashContent(judged);
     // Also while nothing is suspect: right after a crash, what most requests have must be known.
-    this._recordRecent(judged, new Set(parts));
+    this._recordRecent(judged, { parts: new Set(parts), account: judged.account, content });
     const own = this._ownEvidence.list(now);
     const entries = [...this._suspects, ...own];
     if (entries.length === 0) {
       return { kind: 'clear' };
     }
     const request = hashRequest(judged);
-    const hashes = new Set([...parts, request]);
+    const hashes = new Set([...parts, request, content]);
     const quarantined = [...this._suspects, ...(this._isHubReachable ? [] : own)].find(
       (entry) =>
         entry.quarantined &&
         entry.parts.every((part) => hashes.has(part)) &&
-        (entry.parts.includes(request) || !this._isCommon(entry, judged.route)),
+        (entry.parts.includes(request) || !this._isCommon(entry, judged, content)),
     );
     if (quarantined !== undefined) {
       const partIds = call.parts.filter((part) => quarantined.parts.includes(hashPart(call, part)));
@@ -110,8 +121,8 @@
   }
 
   /** Records that a response has settled: none of the parts crashes a target. */
-  public recordSettled({ call }: IJudgedRequest, now: number): void {
-    this._recordSound(hashSharedParts(call), now);
+  public recordSettled(judged: IJudgedRequest, now: number): void {
+    this._recordSound(listSharedHashes(judged), now);
   }
 
   /** Records that a request was answered with success, so that it does not crash a target. */
@@ -128,6 +139,7 @@
   ): void {
     const { call } = judged;
     const request = hashRequest(judged);
+    const content = hashContent(judged);
     const report = create(CrashReportSchema, {
       attempt: hashText(`${call.id}/${attempt}`),
       target: target.id,
@@ -135,6 +147,7 @@
       parts: hashSharedParts(call).filter((part) => !this._isSound(part, now)),
       request: this._isSound(request, now) ? 0 : request,
       prompt: hashParts(call).at(-1) ?? 0,
+      content: call.parts.length === 0 || this._isSound(content, now) ? 0 : content,
     });
     this._ownEvidence.add(report, now);
     this._reports = [...this._reports, report].slice(-MAX_REPORTS);
@@ -171,8 +184,8 @@
   public applySuspects(suspects: readonly ISuspectParts[], now: number): void {
     this._suspects = suspects.map(({ parts, quarantined }) => ({ parts: [...parts], quarantined }));
     const listed = new Set(suspects.flatMap(({ parts }) => parts));
-    for (const { parts, request } of this._unreported.values()) {
-      [...parts, request].forEach((part) => listed.add(part));
+    for (const { parts, request, content } of this._unreported.values()) {
+      [...parts, request, content].forEach((part) => listed.add(part));
     }
     const own = this._ownEvidence.list(now).flatMap(({ parts }) => parts);
     this._dropEvidence(own.filter((part) => !listed.has(part)));
@@ -180,9 +193,9 @@
     this._changes.fire(now);
   }
 
-  private _recordRecent({ call, route }: IJudgedRequest, hashes: ReadonlySet<number>): void {
-    const recent = this._recent.get(route) ?? new Map<string, ReadonlySet<number>>();
-    recent.set(call.id, hashes);
+  private _recordRecent({ call, route }: IJudgedRequest, request: IRecentRequest): void {
+    const recent = this._recent.get(route) ?? new Map<string, IRecentRequest>();
+    recent.set(call.id, request);
     this._recent.set(route, recent);
     for (const id of recent.keys()) {
       if (recent.size <= MAX_RECENT_REQUESTS) {
@@ -192,11 +205,25 @@
     }
   }
 
-  /** True if most of a route's recent requests have all parts of an entry. */
-  private _isCommon({ parts }: ISuspectParts, route: string): boolean {
+  /**
+   * True if most of a route's recent requests have all parts of an entry. A content says nothing of requests with
+   * different prompts unless the client account is known to send others.
+   */
+  private _isCommon(
+    { parts }: ISuspectParts,
+    { route, account }: IJudgedRequest,
+    content: number,
+  ): boolean {
     const recent = [...(this._recent.get(route)?.values() ?? [])];
-    const matching = recent.filter((hashes) => parts.every((part) => hashes.has(part))).length;
-    return recent.length >= MIN_RECENT_REQUESTS && matching >= MAX_HELD_SHARE * recent.length;
+    if (parts.includes(content)) {
+      const own = recent.filter((request) => request.account === account);
+      const matching = own.filter((request) => request.content === content).length;
+      return own.length < MIN_OWN_REQUESTS || matching >= MAX_HELD_SHARE * own.length;
+    }
+    const matching = recent.filter((request) => parts.every((part) => request.parts.has(part)));
+    return (
+      recent.length >= MIN_RECENT_REQUESTS && matching.length >= MAX_HELD_SHARE * recent.length
+    );
   }
 
   private _recordSound(parts: readonly number[], now: number): void {
@@ -236,9 +263,11 @@
     for (const report of this._reports) {
       report.parts = report.parts.filter((part) => !parts.includes(part));
       report.request = parts.includes(report.request) ? 0 : report.request;
+      report.content = parts.includes(report.content) ? 0 : report.content;
     }
     this._reports = this._reports.filter(
-      (report) => report.parts.length > 0 || report.request !== 0,
+      ({ parts: suspects, request, content }) =>
+        suspects.length > 0 || request !== 0 || content !== 0,
     );
   }
 
@@ -249,7 +278,13 @@
 
 /** Hashes of all that may be to blame for a crash: the parts that other requests may have too, and the request itself. */
 function listHashes(judged: IJudgedRequest): number[] {
-  return [...hashSharedParts(judged.call), hashRequest(judged)];
+  return [...listSharedHashes(judged), hashRequest(judged)];
+}
+
+/** Hashes of all that requests with other prompts may have too. */
+function listSharedHashes(judged: IJudgedRequest): number[] {
+  const { call } = judged;
+  return call.parts.length === 0 ? [] : [...hashSharedParts(call), hashContent(judged)];
 }
 
 /** Hashes of all parts but the last, which other requests may have too. */
@@ -266,7 +301,16 @@
   return hashText(`${model ?? ''}/${id}`);
 }
 
-/** Equal for all repetitions of a request; never 0. */
-function hashRequest({ call, account }: IJudgedRequest): number {
+/** Equal for all repetitions of a request; never 0. Where the prompt is not part of the content, it is included. */
+function hashRequest(judged: IJudgedRequest): number {
+  const { parts } = judged.call;
+  const content = hashContent(judged);
+  return parts.length === 0
+    ? content
+    : hashText([content, ...parts.map(({ id }) => id)].join('/')) || 1;
+}
+
+/** Equal for all requests of a client account with the same method, host, path and body; never 0. */
+function hashContent({ call, account }: IJudgedRequest): number {
   return hashText(`${call.hashContent()}/${account ?? ''}`) || 1;
 }
