Clear the last part of a prompt with the request that was answered

Cause, read and now shown by a test: a quarantine that a new hub restored names parts, a request and the last part of its prompt.

Change: an answered request clears the last part of its prompt too.

Evidence: the new case of CrashQuarantine.test.ts fails before (quarantined) and passes after.

--- a/src/gateway/CrashQuarantine.test.ts
+++ b/src/gateway/CrashQuarantine.test.ts
@@ -140,6 +140,20 @@
     return [source.listUnreported().crashes[0]?.content ?? 0];
   }
 
+  // With its request cleared, a quarantine that a new hub restored would hold back the whole session of the prompt.
+  it('clears the last part of the prompt of a request that was answered', () => {
+    const source = new CrashQuarantine();
+    const request = buildRequest('f', 'session1');
+    source.recordCrash(request, 1, buildTarget({}), 0);
+    const { request: hash, prompt } = source.listUnreported().crashes[0] ?? {};
+    const quarantine = new CrashQuarantine();
+    quarantine.setHubReachable(true);
+    quarantine.applySuspects([{ parts: [hash ?? 0, prompt ?? 0], quarantined: true }], 0);
+    quarantine.recordAnswered(request, 10);
+    const next = buildRequestWithContent('next', 'f', 'session1');
+    expect(quarantine.getStanding(next, 20).kind).toBe('clear');
+  });
+
   // Three crashes of targets that had chats of an account in progress made all its chats be refused.
   it('does not refuse other prompts of a content that broke three times with others', () => {
     const quarantine = new CrashQuarantine();
--- a/src/gateway/CrashQuarantine.ts
+++ b/src/gateway/CrashQuarantine.ts
@@ -125,9 +125,9 @@
     this._recordSound(listSharedHashes(judged), now);
   }
 
-  /** Records that a request was answered with success, so that it does not crash a target. */
+  /** Records that a request was answered with success: neither it nor the last part of its prompt crashes a target. */
   public recordAnswered(judged: IJudgedRequest, now: number): void {
-    this._recordSound([hashRequest(judged)], now);
+    this._recordSound([hashRequest(judged), ...hashParts(judged.call).slice(-1)], now);
   }
 
   /** Records that a target crashed under a request. */
