Take no answer of a sidecar's target for complete that was reset or whose target ended

Cause: an answer with neither a length nor chunks ends with its connection, and undici reports a reset there as the end. platform/TargetClient told the two apart, common/HttpAnswer did not. A crashed target closes its connections too.

Dispatches of a sidecar have connections of their own, so that resets of others do not count.

Evidence: HttpAnswer.test.ts, an answer without length that is reset: complete before, rejected after; closed by a server that ends: rejected; closed by one that goes on: complete.

--- a/src/common/HttpAnswer.test.ts
+++ b/src/common/HttpAnswer.test.ts
@@ -5,16 +5,19 @@
 import { Agent } from 'undici';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { sendRequest, type IHttpAnswer } from './HttpAnswer.js';
+import { ResetDetector } from './ResetDetector.js';
 
 const CHUNKS = Array.from({ length: 50 }, (_, index) => `part ${index};`);
 
 describe('sendRequest', () => {
   let server: Server;
   let agent: Agent;
+  let resets: ResetDetector;
   let respond: (response: ServerResponse) => void;
 
   beforeEach(async () => {
-    agent = new Agent();
+    resets = new ResetDetector(1_000);
+    agent = new Agent({ connect: resets.connect });
     server = createServer((_request, response) => {
       respond(response);
     });
@@ -31,7 +34,7 @@
   async function send(signal = new AbortController().signal): Promise<IHttpAnswer> {
     const { port } = server.address() as AddressInfo;
     const options = { origin: `http://127.0.0.1:${port}`, path: '/', method: 'GET' } as const;
-    return sendRequest(agent, options, signal);
+    return sendRequest(agent, resets, options, signal);
   }
 
   it('buffers chunks that arrive before the reader is attached', async () => {
@@ -74,6 +77,33 @@
     await expect(answer.body.read(() => undefined)).rejects.toThrow();
   });
 
+  // Only the close of the connection ends an answer with neither a length nor chunks; a reset looked the same.
+  it.each([
+    ['closed', undefined],
+    ['reset', 'reset'],
+    ['closed by a server that ends', 'ended'],
+  ])('tells whether an answer without length is complete when it is %s', async (_ending, error) => {
+    respond = ({ socket }) => {
+      socket?.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart', () => {
+        setTimeout(() => {
+          if (error === 'reset') {
+            socket.resetAndDestroy();
+          } else {
+            socket.end();
+          }
+          if (error === 'ended') {
+            server.close();
+          }
+        }, 20);
+      });
+    };
+    const answer = await send();
+    let text = '';
+    const read = answer.body.read((chunk) => (text += chunk.toString()));
+    await (error === undefined ? read : expect(read).rejects.toThrow(error));
+    expect(text).toBe('part');
+  });
+
   it('rejects and closes the connection when the callback throws', async () => {
     const closed = new Promise((resolve) => {
       respond = (response) => {
--- a/src/common/HttpAnswer.ts
+++ b/src/common/HttpAnswer.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
+import { isCloseDelimited, type IResetWatch, type ResetDetector } from './ResetDetector.js';
 
 /** An answer whose head has arrived; the body may be incomplete. */
 export interface IHttpAnswer {
@@ -151,8 +152,13 @@
 class ResponseHandler implements Dispatcher.DispatchHandler {
   private _controller: Dispatcher.DispatchController | undefined;
   private _body: AnswerBody | undefined;
+  /** Defined if only the close of its connection ends the answer. */
+  private _resetWatch: IResetWatch | undefined;
 
   constructor(
+    private readonly _method: string,
+    private readonly _origin: string,
+    private readonly _resets: ResetDetector,
     private readonly _signal: AbortSignal,
     private readonly _onHead: (answer: IHttpAnswer) => void,
     private readonly _onFailure: (error: Error) => void,
@@ -174,6 +180,9 @@
   ): void {
     if (statusCode >= 200) {
       this._body = new AnswerBody(controller);
+      if (isCloseDelimited(this._method, statusCode, headers)) {
+        this._resetWatch = this._resets.watch();
+      }
       this._onHead({ statusCode, headers, body: this._body });
     }
   }
@@ -183,13 +192,32 @@
   }
 
   public onResponseEnd(): void {
-    this._finish(undefined);
+    if (this._resetWatch === undefined) {
+      this._finish(undefined);
+      return;
+    }
+    this._resetWatch.finish((wasReset) => {
+      if (wasReset) {
+        this._finish(new Error('reset before the end of the answer'));
+      } else {
+        this._finishIfAccepting();
+      }
+    });
   }
 
   public onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this._resetWatch?.cancel();
     this._finish(error);
   }
 
+  /** A server that has crashed closes its connections too. */
+  private _finishIfAccepting(): void {
+    this._resets.probe(this._origin, (isAccepting) => {
+      const message = 'the server ended before the end of the answer';
+      this._finish(isAccepting ? undefined : new Error(message));
+    });
+  }
+
   private readonly _abort = (): void => {
     const reason: unknown = this._signal.reason;
     const error = reason instanceof Error ? reason : new Error('the request was aborted');
@@ -211,17 +239,29 @@
  * Sends a request and resolves once the head of the answer has arrived; 1xx answers are skipped. Rejects
  * with the connection's error or the reason of the signal.
  *
+ * @param resets detector whose connector the dispatcher uses
+ *
  * @example
- * const answer = await sendRequest(agent, { origin, path: '/', method: 'GET' }, signal);
+ * const agent = new Agent({ connect: resets.connect });
+ * const answer = await sendRequest(agent, resets, { origin, path: '/', method: 'GET' }, signal);
  * await answer.body.read((chunk) => parts.push(chunk));
  */
 export async function sendRequest(
   dispatcher: Dispatcher,
+  resets: ResetDetector,
   options: IRequestOptions,
   signal: AbortSignal,
 ): Promise<IHttpAnswer> {
   signal.throwIfAborted();
   return new Promise((resolve, reject) => {
-    dispatcher.dispatch(options, new ResponseHandler(signal, resolve, reject));
+    const handler = new ResponseHandler(
+      options.method,
+      String(options.origin),
+      resets,
+      signal,
+      resolve,
+      reject,
+    );
+    dispatcher.dispatch(options, handler);
   });
 }
--- /dev/null
+++ b/src/common/ResetDetector.ts
@@ -0,0 +1,105 @@
+/**
+ * Tells a reset from the end of an answer that only the close of its connection ends. undici reports both as the end, and
+ * Node reports only the end where the end of the bytes and a reset arrive together.
+ */
+import type { IncomingHttpHeaders } from 'node:http';
+import { buildConnector } from 'undici';
+
+/** Delay before an answer that ends with the close of its connection counts as complete, to detect a reset. */
+const RESET_DETECTION_DELAY_MS = 20;
+
+const RESET_CODES: ReadonlySet<string | undefined> = new Set(['ECONNRESET', 'EPIPE']);
+
+const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** True if a status or method allows for no body, whatever the headers say. */
+export function isBodyless(method: string, status: number): boolean {
+  return method === 'HEAD' || BODYLESS_STATUSES.has(status);
+}
+
+/** True if only the close of its connection ends an answer. */
+export function isCloseDelimited(
+  method: string,
+  status: number,
+  headers: IncomingHttpHeaders,
+): boolean {
+  const hasEnd =
+    headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+  return !hasEnd && !isBodyless(method, status);
+}
+
+/** Watches one answer that ends with the close of its connection. */
+export interface IResetWatch {
+  /** Calls back, a moment after the end of the bytes, whether the connection was reset. */
+  finish(onResult: (wasReset: boolean) => void): void;
+  /** Ends the watch of an answer that has failed. */
+  cancel(): void;
+}
+
+/**
+ * Connector for the connections to one server, and the watch over its answers. A reset of any connection counts against
+ * all answers that are being watched, as undici does not tell on which connection an answer arrives.
+ *
+ * @example
+ * const detector = new ResetDetector(1_000);
+ * const pool = new Pool(origin, { connect: detector.connect });
+ * const watch = detector.watch();
+ */
+export class ResetDetector {
+  private readonly _connect: buildConnector.connector;
+  private _resetCount = 0;
+  private _watchCount = 0;
+
+  /** @param connectTimeoutMs time limit of a connection attempt in milliseconds */
+  constructor(connectTimeoutMs: number) {
+    this._connect = buildConnector({ timeout: connectTimeoutMs });
+  }
+
+  /** The listeners run before undici's. Writing to a reset connection fails at once, so one that ends is probed. */
+  public readonly connect: buildConnector.connector = (options, callback) => {
+    this._connect(options, (...result) => {
+      const [, socket] = result;
+      const countReset = (error: Error | null | undefined): void => {
+        if (RESET_CODES.has((error as NodeJS.ErrnoException | null)?.code)) {
+          this._resetCount += 1;
+        }
+      };
+      socket?.prependListener('error', countReset);
+      socket?.prependListener('end', () => {
+        if (this._watchCount > 0) {
+          socket.write('\r\n', countReset);
+        }
+      });
+      callback(...result);
+    });
+  };
+
+  /**
+   * Calls back whether a server still accepts connections. If not, it has ended, and its answers that ended with the close
+   * of their connection are probably incomplete.
+   */
+  public probe(origin: string, onResult: (isAccepting: boolean) => void): void {
+    const { hostname, port, protocol } = new URL(origin);
+    this._connect({ hostname, port, protocol }, (error, socket) => {
+      socket?.destroy();
+      onResult(error === null);
+    });
+  }
+
+  /** Begins with the head of an answer. */
+  public watch(): IResetWatch {
+    const resetCountAtStart = this._resetCount;
+    this._watchCount += 1;
+    return {
+      finish: (onResult) => {
+        setTimeout(() => {
+          this._watchCount -= 1;
+          onResult(this._resetCount > resetCountAtStart);
+        }, RESET_DETECTION_DELAY_MS);
+      },
+      cancel: () => {
+        this._watchCount -= 1;
+      },
+    };
+  }
+}
--- a/src/entry/DispatchClient.ts
+++ b/src/entry/DispatchClient.ts
@@ -9,6 +9,7 @@
   TICKET_HEADER,
 } from '../common/Headers.js';
 import { sendRequest, type IHttpAnswer } from '../common/HttpAnswer.js';
+import { ResetDetector } from '../common/ResetDetector.js';
 import { isConnectFailure } from '../common/ConnectErrors.js';
 import { CLUSTER_SECRET_HEADER } from '../common/Rpc.js';
 import {
@@ -74,8 +75,9 @@
 
 /** Sends dispatches to sidecars and checks the receipts in their answers. */
 export class DispatchClient {
+  private readonly _resets = new ResetDetector(CONNECT_TIMEOUT_MS);
   private readonly _agent = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: this._resets.connect,
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     keepAliveMaxTimeout: KEEP_ALIVE_TIMEOUT_MS,
     // The deadline of the request, through its signal, limits the wait for headers and body.
@@ -132,7 +134,7 @@
       },
       body: dispatch.body ?? null,
     };
-    return sendRequest(this._agent, options, dispatch.signal);
+    return sendRequest(this._agent, this._resets, options, dispatch.signal);
   }
 
   private async _readHead(dispatch: IDispatch, response: IHttpAnswer): Promise<DispatchOutcome> {
--- a/src/sidecar/DispatchHandler.ts
+++ b/src/sidecar/DispatchHandler.ts
@@ -4,7 +4,6 @@
  */
 import { create } from '@bufbuild/protobuf';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Dispatcher } from 'undici';
 import {
   decodeHeader,
   encodeHeader,
@@ -33,6 +32,7 @@
   HOP_BY_HOP_HEADERS,
   type ForwardFailure,
   type IForwardRequest,
+  type ITargetConnections,
 } from './Forwarder.js';
 import { checkTicket, type IGateState } from './Gate.js';
 import { addWaitEstimate, type PromptQueue } from './PromptQueue.js';
@@ -66,7 +66,7 @@
     private readonly _watcher: ITargetWatcher,
     private readonly _claims: ClaimTable,
     private readonly _feed: IFeed,
-    private readonly _http: Dispatcher,
+    private readonly _connections: ITargetConnections,
     private readonly _log: ILog,
   ) {}
 
@@ -153,7 +153,7 @@
     const resumeId = request.headers[STREAM_HEADER];
     const forward = this._buildForward(request, ticket, request);
     const result = await forwardRequest(
-      this._http,
+      this._connections,
       this._options.targetAddress,
       typeof resumeId === 'string' ? buildResume(forward, resumeId) : forward,
       controller.signal,
--- a/src/sidecar/Forwarder.ts
+++ b/src/sidecar/Forwarder.ts
@@ -4,6 +4,7 @@
 import { isConnectFailure } from '../common/ConnectErrors.js';
 import { REQUEST_ID_HEADER } from '../common/Headers.js';
 import { sendRequest, type IHttpAnswer } from '../common/HttpAnswer.js';
+import { ResetDetector } from '../common/ResetDetector.js';
 import { Err, Ok, type IFailure, type Result } from '../common/Result.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -51,9 +52,15 @@
   'expect',
 ]);
 
-/** Sends a request over a connection of `http`. With a pool, the request must be repeatable. */
+/** Connections to a target. `dispatcher` connects by means of `resets`. */
+export interface ITargetConnections {
+  readonly dispatcher: Dispatcher;
+  readonly resets: ResetDetector;
+}
+
+/** Sends a request over one of the connections. With a pool, the request must be repeatable. */
 export async function forwardRequest(
-  http: Dispatcher,
+  { dispatcher, resets }: ITargetConnections,
   address: string,
   request: IForwardRequest,
   signal: AbortSignal,
@@ -68,7 +75,7 @@
       headersTimeout: request.timeoutMs,
       bodyTimeout: request.timeoutMs,
     };
-    return Ok(await sendRequest(http, options, signal));
+    return Ok(await sendRequest(dispatcher, resets, options, signal));
   } catch (error) {
     return Err(describeFailure(error));
   }
@@ -84,9 +91,11 @@
   signal: AbortSignal,
   readAnswer: (response: IHttpAnswer) => Promise<void>,
 ): Promise<Result<void, ForwardFailure>> {
-  const client = new Client(`http://${address}`, { connect: { timeout: CONNECT_TIMEOUT_MS } });
+  const resets = new ResetDetector(CONNECT_TIMEOUT_MS);
+  const client = new Client(`http://${address}`, { connect: resets.connect });
   try {
-    const response = await forwardRequest(client, address, request, signal);
+    const connections = { dispatcher: client, resets };
+    const response = await forwardRequest(connections, address, request, signal);
     if (response.err) {
       return Err(response.val);
     }
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -6,6 +6,7 @@
 import type { IClock } from '../common/Clock.js';
 import { generateIdentifier, hasSameBytes } from '../common/Hashes.js';
 import type { ILog } from '../common/Log.js';
+import { ResetDetector } from '../common/ResetDetector.js';
 import type { RpcClients } from '../common/Rpc.js';
 import { isAborted, sleep } from '../common/Tasks.js';
 import type { ControlClient } from '../control/ControlClient.js';
@@ -35,6 +36,9 @@
 import { UsedChunks } from './UsedChunks.js';
 import { WeightsReconciler } from './WeightsReconciler.js';
 
+/** Time limit of a connection attempt to the target. */
+const CONNECT_TIMEOUT_MS = 10_000;
+
 const DRAIN_POLL_INTERVAL_MS = 50;
 
 /** Covers one announcement to each entry, after which the entries know that the target is draining. */
@@ -47,6 +51,13 @@
 export class Sidecar {
   private readonly _incarnation = generateIdentifier();
   private readonly _http = new Agent({ headersTimeout: 0, bodyTimeout: 0 });
+  private readonly _resets = new ResetDetector(CONNECT_TIMEOUT_MS);
+  /** Connections for dispatches, so that the resets of others do not count. */
+  private readonly _dispatchHttp = new Agent({
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: this._resets.connect,
+  });
   private readonly _claims = new ClaimTable();
   private readonly _usedChunks = new UsedChunks();
   private readonly _watcher: TargetWatcher;
@@ -93,7 +104,7 @@
       this._watcher,
       this._claims,
       feed,
-      this._http,
+      { dispatcher: this._dispatchHttp, resets: this._resets },
       _log,
     );
     const admission = new TargetAdmission(
@@ -157,7 +168,7 @@
   }
 
   public async dispose(): Promise<void> {
-    await this._http.destroy();
+    await Promise.all([this._http.destroy(), this._dispatchHttp.destroy()]);
   }
 
   /** Returns undefined when the target has no model: only engines have weights. */
