Judge a content by the third crash, and by the requests of its client account

Cause: a content was quarantined only with the fourth crash, and held back only at entries with ten of the client account's requests among the last 64 of the route.

Change: the third crash suffices, as for a request; contents are remembered by route and client account, and a content is held back unless most of its client account's requests there are known to have it.

Evidence: CrashEvidence.test.ts and CrashQuarantine.test.ts state the new rules.

--- a/src/fleet/CrashEvidence.test.ts
+++ b/src/fleet/CrashEvidence.test.ts
@@ -108,10 +108,10 @@
   });
 
   // Chats of a client account may have one content and differ in their prompts only.
-  it('blames a content that different prompts have with the fourth crash only', () => {
+  it('blames a content that different prompts have with the third crash only', () => {
     for (const hasAllReports of [true, false]) {
       const evidence = new CrashEvidence(hasAllReports);
-      for (const crash of [1, 2, 3, 4]) {
+      for (const crash of [1, 2, 3]) {
         expect(listQuarantined(evidence)).toEqual([]);
         const broken = { target: `i-${crash}`, born: 1, request: 20 + crash, prompt: 30 + crash };
         evidence.add({ ...broken, attempt: crash, parts: [], content: SUBJECT }, 0);
--- a/src/fleet/CrashEvidence.ts
+++ b/src/fleet/CrashEvidence.ts
@@ -336,7 +336,7 @@
     const soundCount = requests.filter(({ request }) => request === 0).length;
     const share = hasAllReports ? 1 / (hashes.size + soundCount) : 0;
     addBlame(crash, hashes, share, SUFFICIENT_REQUEST_CRASHES);
-    addBlame(crash, listContents(crash), 0, SUFFICIENT_CRASHES, true);
+    addBlame(crash, listContents(crash), 0, SUFFICIENT_REQUEST_CRASHES, true);
   }
   return byPart;
 }
--- a/src/gateway/CrashQuarantine.test.ts
+++ b/src/gateway/CrashQuarantine.test.ts
@@ -162,6 +162,9 @@
       quarantine.recordCrash(request, 1, buildTarget({ id }), 0);
     }
     const other = buildRequestWithContent('/chat', 'own9');
+    for (let i = 0; i < 10; i += 1) {
+      quarantine.getStanding(buildRequestWithContent('/chat', `sound${i}`), 0);
+    }
     expect(quarantine.getStanding(other, 1).kind).toBe('suspect');
     const again = buildRequestWithContent('/chat', 'own-i-1');
     for (const id of ['i-5', 'i-6']) {
@@ -171,7 +174,7 @@
     expect(quarantine.getStanding(other, 1).kind).toBe('suspect');
   });
 
-  it('refuses a content with any prompt if the client account is known to send others', () => {
+  it('refuses a content with any prompt unless most requests of the client account have it', () => {
     const quarantine = new CrashQuarantine();
     quarantine.setHubReachable(true);
     for (let i = 0; i < 12; i += 1) {
--- a/src/gateway/CrashQuarantine.ts
+++ b/src/gateway/CrashQuarantine.ts
@@ -28,8 +28,10 @@
 const MIN_RECENT_REQUESTS = 20;
 const MAX_RECENT_REQUESTS = 64;
 
-/** Recent requests of a client account on a route from which on it is known whether most of them have one content. */
+/** The same for a content among the requests of a client account on a route; the least recently used ones are dropped. */
 const MIN_OWN_REQUESTS = 10;
+const MAX_OWN_REQUESTS = 20;
+const MAX_OWNERS = 1_000;
 
 /** Own reports that are kept for a new hub. */
 const MAX_REPORTS = 256;
@@ -42,12 +44,7 @@
   readonly route: string;
 }
 
-interface IRecentRequest {
-  /** Hashes of the prompt parts. */
-  readonly parts: ReadonlySet<number>;
-  readonly account: string | undefined;
-  readonly content: number;
-}
+type RecentRequests<T> = Map<string, T>;
 
 /** Where a request stands because of the parts of its prompt, or because it came before. */
 export type QuarantineStanding =
@@ -72,8 +69,10 @@
   private readonly _clearedParts = new Set<number>();
   private _suspects: readonly ISuspectParts[] = [];
   private _isHubReachable = false;
-  /** Recent requests by id, oldest first, by route. */
-  private readonly _recent = new Map<string, Map<string, IRecentRequest>>();
+  /** Hashes of the prompt parts of recent requests by request id, oldest first, by route. */
+  private readonly _recentParts = new Map<string, RecentRequests<ReadonlySet<number>>>();
+  /** Contents of recent requests by request id, oldest first, by route and client account; the last used one is last. */
+  private readonly _recentContents = new Map<string, RecentRequests<number>>();
   private readonly _changes = new Emitter<number>();
 
   /** Fires with the present time when the hub has listed other suspects. */
@@ -89,7 +88,7 @@
     const parts = hashParts(call);
     const content = hashContent(judged);
     // Also while nothing is suspect: right after a crash, what most requests have must be known.
-    this._recordRecent(judged, { parts: new Set(parts), account: judged.account, content });
+    this._recordRecent(judged, parts, content);
     const own = this._ownEvidence.list(now);
     const entries = [...this._suspects, ...own];
     if (entries.length === 0) {
@@ -193,37 +192,38 @@
     this._changes.fire(now);
   }
 
-  private _recordRecent({ call, route }: IJudgedRequest, request: IRecentRequest): void {
-    const recent = this._recent.get(route) ?? new Map<string, IRecentRequest>();
-    recent.set(call.id, request);
-    this._recent.set(route, recent);
-    for (const id of recent.keys()) {
-      if (recent.size <= MAX_RECENT_REQUESTS) {
-        break;
-      }
-      recent.delete(id);
-    }
+  private _recordRecent(
+    { call, route, account }: IJudgedRequest,
+    parts: number[],
+    content: number,
+  ): void {
+    const byRoute = this._recentParts.get(route) ?? new Map<string, ReadonlySet<number>>();
+    byRoute.set(call.id, new Set(parts));
+    dropOldest(byRoute, MAX_RECENT_REQUESTS);
+    this._recentParts.set(route, byRoute);
+    const key = formatOwner(route, account);
+    const own = this._recentContents.get(key) ?? new Map<string, number>();
+    own.set(call.id, content);
+    dropOldest(own, MAX_OWN_REQUESTS);
+    this._recentContents.delete(key);
+    this._recentContents.set(key, own);
+    dropOldest(this._recentContents, MAX_OWNERS);
   }
 
-  /**
-   * True if most of a route's recent requests have all parts of an entry. A content says nothing of requests with
-   * different prompts unless the client account is known to send others.
-   */
+  /** True if most of a route's recent requests have all parts of an entry, or most of its client account's the content. */
   private _isCommon(
     { parts }: ISuspectParts,
     { route, account }: IJudgedRequest,
     content: number,
   ): boolean {
-    const recent = [...(this._recent.get(route)?.values() ?? [])];
     if (parts.includes(content)) {
-      const own = recent.filter((request) => request.account === account);
-      const matching = own.filter((request) => request.content === content).length;
-      return own.length < MIN_OWN_REQUESTS || matching >= MAX_HELD_SHARE * own.length;
+      const own = [...(this._recentContents.get(formatOwner(route, account))?.values() ?? [])];
+      const same = own.filter((other) => other === content);
+      return isMost(same.length, own.length, MIN_OWN_REQUESTS);
     }
-    const matching = recent.filter((request) => parts.every((part) => request.parts.has(part)));
-    return (
-      recent.length >= MIN_RECENT_REQUESTS && matching.length >= MAX_HELD_SHARE * recent.length
-    );
+    const recent = [...(this._recentParts.get(route)?.values() ?? [])];
+    const matching = recent.filter((hashes) => parts.every((part) => hashes.has(part)));
+    return isMost(matching.length, recent.length, MIN_RECENT_REQUESTS);
   }
 
   private _recordSound(parts: readonly number[], now: number): void {
@@ -276,6 +276,23 @@
   }
 }
 
+function isMost(count: number, total: number, minTotal: number): boolean {
+  return total >= minTotal && count >= MAX_HELD_SHARE * total;
+}
+
+function dropOldest(map: Map<string, unknown>, maxSize: number): void {
+  for (const key of map.keys()) {
+    if (map.size <= maxSize) {
+      return;
+    }
+    map.delete(key);
+  }
+}
+
+function formatOwner(route: string, account: string | undefined): string {
+  return `${route} ${account ?? ''}`;
+}
+
 /** Hashes of all that may be to blame for a crash: the parts that other requests may have too, and the request itself. */
 function listHashes(judged: IJudgedRequest): number[] {
   return [...listSharedHashes(judged), hashRequest(judged)];
