Tell the hub which suspect parts most requests of a route have

Cause: a process that has just started does not know what most requests of a route have. And while the hub blames such a part for every crash, it finds no other cause.

Change: a process that knows it clears the part when the hub lists it, also as a suspect only.

--- a/src/gateway/CrashQuarantine.ts
+++ b/src/gateway/CrashQuarantine.ts
@@ -179,7 +179,10 @@
     this._isHubReachable = isReachable;
   }
 
-  /** Replaces the list of suspects, and clears those with which a response has settled here lately. */
+  /**
+   * Replaces the list of suspects, and clears those with which a response has settled here lately, and parts that most
+   * requests of a route have: other processes may not know that, as after a start.
+   */
   public applySuspects(suspects: readonly ISuspectParts[], now: number): void {
     this._suspects = suspects.map(({ parts, quarantined }) => ({ parts: [...parts], quarantined }));
     const listed = new Set(suspects.flatMap(({ parts }) => parts));
@@ -188,7 +191,7 @@
     }
     const own = this._ownEvidence.list(now).flatMap(({ parts }) => parts);
     this._dropEvidence(own.filter((part) => !listed.has(part)));
-    this._clear([...listed].filter((part) => this._isSound(part, now)));
+    this._clear([...listed].filter((part) => this._isSound(part, now) || this._isMostlySent(part)));
     this._changes.fire(now);
   }
 
@@ -226,6 +229,13 @@
     return isMost(matching.length, recent.length, MIN_RECENT_REQUESTS);
   }
 
+  private _isMostlySent(part: number): boolean {
+    return [...this._recentParts.values()].some((recent) => {
+      const matching = [...recent.values()].filter((parts) => parts.has(part));
+      return isMost(matching.length, recent.size, MIN_RECENT_REQUESTS);
+    });
+  }
+
   private _recordSound(parts: readonly number[], now: number): void {
     for (const part of parts) {
       this._settledAt.delete(part);
