Release what an attempt holds also if it throws

Cause, read and now shown by a test: an exception of the HTTP client left the attempt in the list of running ones, and its target with one suspect request too many, so that no other suspect request went there.

Evidence: the new case of CallRunner.test.ts fails before (1 suspect left) and passes after.

--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -61,6 +61,7 @@
     private readonly _scripts: TargetScript[],
     /** Whether targets accept connections after a request has broken. */
     private readonly _isListening: boolean,
+    private readonly _sendError: Error | undefined,
   ) {}
 
   public probe(): Promise<boolean> {
@@ -74,6 +75,9 @@
     listener: ITargetListener,
   ): ITargetExchange {
     this.sent.push({ target: target.id, dispatch });
+    if (this._sendError !== undefined) {
+      throw this._sendError;
+    }
     const script = this._scripts.shift();
     const exchange = new AbortController();
     setImmediate(() => script?.(listener, dispatch, exchange.signal));
@@ -139,6 +143,8 @@
   readonly quarantine?: CrashQuarantine;
   /** True if targets refuse connections after a request has broken. */
   readonly hasCrashed?: boolean;
+  /** Thrown instead of sending a request. */
+  readonly sendError?: Error;
   /** Start time of the targets. */
   readonly born?: number;
   readonly limits?: TargetLimits;
@@ -182,7 +188,7 @@
     const work = [{ id, open: 20, pendingTokens }];
     view.applyResponse(create(ExchangeResponseSchema, { work }), clock.now());
   }
-  const targets = new ScriptedTargetClient(scripts, setup.hasCrashed !== true);
+  const targets = new ScriptedTargetClient(scripts, setup.hasCrashed !== true, setup.sendError);
   const runner = new CallRunner<ICall>({
     view,
     node: { requestLeases: () => Promise.resolve(), requestExchange: () => undefined },
@@ -553,6 +559,20 @@
       expect(sink.status).toBe(200);
     });
 
+    // A target keeps its place for one suspect request at a time, so one that was never released closed it to all others.
+    it('does not count a suspect request at a target any more after an exception', async () => {
+      const quarantine = new CrashQuarantine();
+      const states = new TargetStates();
+      const setup = { call: { parts: [] }, quarantine, states, targets: 1 };
+      for (const born of [1_000, 2_000]) {
+        await runCall([breakAtOnce], { ...setup, born, hasCrashed: true });
+      }
+      const failing = { ...setup, born: 3_000, sendError: new Error('no socket') };
+      await expect(runCall([], failing)).rejects.toThrow('no socket');
+      const target = buildTarget({ id: 'i-0', born: 3_000 });
+      expect(states.ensure(target, performance.now()).suspects).toBe(0);
+    });
+
     it('has the request cancelled in the middle of its stream once it is quarantined', async () => {
       const reporter = new CrashQuarantine();
       const call = { deadlineMs: 2_000, parts: [] };
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -501,9 +501,13 @@
     const suspects = standing.kind === 'suspect' ? 1 : 0;
     state.suspects += suspects;
     this._running.set(attempt, judged);
-    const outcome = await attempt.run();
-    this._running.delete(attempt);
-    state.suspects -= suspects;
+    let outcome: AttemptOutcome;
+    try {
+      outcome = await attempt.run();
+    } finally {
+      this._running.delete(attempt);
+      state.suspects -= suspects;
+    }
     progress.lastEventId = attempt.lastEventId;
     if (outcome.kind !== 'not_run') {
       progress.mayHaveRun = true;
