--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -41,7 +41,7 @@
  * Time in which every process reports to a new hub which loads of weights it knew of. What the former leader
  * did is then known, as it announces each load to all processes before it sends an order.
  */
-export const HANDOVER_MS = 1_000;
+export const LOAD_HANDOVER_MS = 1_000;
 
 interface IHubTarget {
   record: TargetRecord;
@@ -156,7 +156,7 @@
   public announce(record: TargetRecord, now: number): boolean {
     const existing = this._targets.get(record.id);
     const seenAt = now - record.ageMs;
-    if (now - this._startedAt < HANDOVER_MS && (record.loading || record.preparing)) {
+    if (now - this._startedAt < LOAD_HANDOVER_MS && (record.loading || record.preparing)) {
       this._inheritedLoads.add(record.id);
     }
     if (existing === undefined) {
--- a/src/fleet/TargetRateLimits.ts
+++ b/src/fleet/TargetRateLimits.ts
@@ -16,7 +16,7 @@
  * A former leader may issue permits for this long after the start of the next one: until it notices that no majority
  * confirms it.
  */
-const HANDOVER_MS = 1_500;
+const PERMIT_HANDOVER_MS = 1_500;
 
 /**
  * A report may have been under way for this long. Whether a request was sent before or after a limit was named is
@@ -124,7 +124,7 @@
         born,
         // An earlier leader may have learned of the limit until then.
         namedAt: this._startedAt,
-        nextAt: this._startedAt + HANDOVER_MS,
+        nextAt: this._startedAt + PERMIT_HANDOVER_MS,
         demands: new Map(),
         totalDemand: 0,
       };
--- a/src/fleet/WeightsRollout.ts
+++ b/src/fleet/WeightsRollout.ts
@@ -4,7 +4,7 @@
 import { isAborted, runWithTimeout, sleep } from '../common/Tasks.js';
 import { TargetPhase, type TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { getHeldVersion } from './HeldWeights.js';
-import { HANDOVER_MS, type FleetHub } from './FleetHub.js';
+import { LOAD_HANDOVER_MS, type FleetHub } from './FleetHub.js';
 
 /** Interval at which the engines' weights are compared with the named ones. */
 const RECONCILE_INTERVAL_MS = 100;
@@ -151,7 +151,7 @@
       this._leadership = { term, since: now };
     }
     const leadingMs = term > 1 ? now - this._leadership.since : Number.POSITIVE_INFINITY;
-    if (leadingMs < (hub.isColdStart ? this._options.leaseMs : HANDOVER_MS)) {
+    if (leadingMs < (hub.isColdStart ? this._options.leaseMs : LOAD_HANDOVER_MS)) {
       return;
     }
     // The former leader may have sent an order just before it lost its leadership.
