--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -734,14 +734,14 @@
     call: T,
     sink: IAnswerSink,
     progress: IProgress,
-    { partIds, isRepetition }: Extract<QuarantineStanding, { kind: 'quarantined' }>,
+    { partIds }: Extract<QuarantineStanding, { kind: 'quarantined' }>,
   ): void {
     if (progress.mayHaveRun) {
       this._finishUnanswered(call, sink, progress, 'quarantined');
     } else {
       const detail = {
         parts: partIds.slice(0, MAX_LOGGED_PARTS).join(),
-        content: isRepetition ? formatHash(call.hashContent()) : undefined,
+        content: formatHash(call.hashContent()),
       };
       this._refuse(call, sink, 503, 'quarantined', QUARANTINE_RETRY_AFTER_MS, detail);
     }
