Tell the hub which contents nearly all requests of a client account have

Each process decided by what it had seen itself.

Change: six requests of the account suffice if nearly all have the content, and a process that knows fifteen or more clears the content at the hub. Requests without a prompt are left out: there the content is the request.

Evidence: two of three new cases of CrashQuarantine.test.ts fail before or with requests without a prompt counted; the third is the bound.

--- a/src/consensus/Elections.ts
+++ b/src/consensus/Elections.ts
@@ -106,6 +106,7 @@
     const { votedFor } = state.store;
     const isFree = isNewTerm || votedFor === undefined;
     const granted = (isFree || isSameMember(votedFor, sender)) && this._isUpToDate(request);
+    // The election timeout counts from the vote as well as from its save, which may take longer than the timeout.
     if (granted) {
       state.recordContact();
     }
--- a/src/gateway/CrashQuarantine.test.ts
+++ b/src/gateway/CrashQuarantine.test.ts
@@ -174,6 +174,44 @@
     expect(quarantine.getStanding(other, 1).kind).toBe('suspect');
   });
 
+  // A process that sees few requests of a client account does not know that all its requests have one content.
+  it('clears the content of nearly all requests of a client account at the hub', () => {
+    const quarantine = new CrashQuarantine();
+    quarantine.setHubReachable(true);
+    const content = findCommonContent('/chat');
+    for (let i = 0; i < 20; i += 1) {
+      quarantine.getStanding(buildRequestWithContent('/chat', `own${i}`), i);
+    }
+    quarantine.applySuspects([{ parts: content, quarantined: false }], 20);
+    expect(quarantine.listUnreported().clearedParts).toEqual(content);
+  });
+
+  it('does not clear a request without a prompt, even if its client account sends no other', () => {
+    const quarantine = new CrashQuarantine();
+    const request = buildRequest();
+    for (let i = 0; i < 20; i += 1) {
+      quarantine.getStanding({ ...request, call: { ...request.call, id: `again${i}` } }, i);
+    }
+    quarantine.recordCrash(request, 1, buildTarget({}), 20);
+    const parts = [quarantine.listUnreported().crashes[0]?.request ?? 0];
+    quarantine.setHubReachable(true);
+    quarantine.applySuspects([{ parts, quarantined: true }], 20);
+    expect(quarantine.listUnreported().clearedParts).toEqual([]);
+    expect(quarantine.getStanding(request, 21).kind).toBe('quarantined');
+  });
+
+  it('does not clear the content of half of the requests of a client account', () => {
+    const quarantine = new CrashQuarantine();
+    quarantine.setHubReachable(true);
+    for (let i = 0; i < 20; i += 1) {
+      quarantine.getStanding(buildRequestWithContent(`/chat/${i % 2}`, `own${i}`), i);
+    }
+    quarantine.applySuspects([{ parts: findCommonContent('/chat/0'), quarantined: true }], 20);
+    expect(quarantine.listUnreported().clearedParts).toEqual([]);
+    const again = buildRequestWithContent('/chat/0', 'own20');
+    expect(quarantine.getStanding(again, 21).kind).toBe('quarantined');
+  });
+
   it('refuses a content with any prompt unless most requests of the client account have it', () => {
     const quarantine = new CrashQuarantine();
     quarantine.setHubReachable(true);
--- a/src/gateway/CrashQuarantine.ts
+++ b/src/gateway/CrashQuarantine.ts
@@ -28,9 +28,16 @@
 const MIN_RECENT_REQUESTS = 20;
 const MAX_RECENT_REQUESTS = 64;
 
-/** The same for a content among the requests of a client account on a route; the least recently used ones are dropped. */
-const MIN_OWN_REQUESTS = 10;
+/**
+ * The same for a content among the requests of a client account on a route. The hub is told from a larger number on, as a
+ * request that comes again at one process may be most of its client account's there.
+ */
+const MAX_OWN_HELD_SHARE = 0.95;
+const MIN_OWN_REQUESTS = 6;
+const MIN_OWN_REQUESTS_FOR_HUB = 15;
 const MAX_OWN_REQUESTS = 20;
+
+/** Client accounts on routes of which requests are remembered; the least recently used ones are dropped. */
 const MAX_OWNERS = 1_000;
 
 /** Own reports that are kept for a new hub. */
@@ -44,6 +51,7 @@
   readonly route: string;
 }
 
+/** What is known of the last requests, by request id, oldest first. */
 type RecentRequests<T> = Map<string, T>;
 
 /** Where a request stands because of the parts of its prompt, or because it came before. */
@@ -69,9 +77,9 @@
   private readonly _clearedParts = new Set<number>();
   private _suspects: readonly ISuspectParts[] = [];
   private _isHubReachable = false;
-  /** Hashes of the prompt parts of recent requests by request id, oldest first, by route. */
+  /** Hashes of the prompt parts, by route. */
   private readonly _recentParts = new Map<string, RecentRequests<ReadonlySet<number>>>();
-  /** Contents of recent requests by request id, oldest first, by route and client account; the last used one is last. */
+  /** Contents, by route and client account, the least recently used one first. */
   private readonly _recentContents = new Map<string, RecentRequests<number>>();
   private readonly _changes = new Emitter<number>();
 
@@ -180,8 +188,9 @@
   }
 
   /**
-   * Replaces the list of suspects, and clears those with which a response has settled here lately, and parts that most
-   * requests of a route have: other processes may not know that, as after a start.
+   * Replaces the list of suspects, and clears those with which a response has settled here lately, parts that most requests
+   * of a route have, and contents of nearly all requests of a client account: other processes may not know that, as after a
+   * start.
    */
   public applySuspects(suspects: readonly ISuspectParts[], now: number): void {
     this._suspects = suspects.map(({ parts, quarantined }) => ({ parts: [...parts], quarantined }));
@@ -191,7 +200,12 @@
     }
     const own = this._ownEvidence.list(now).flatMap(({ parts }) => parts);
     this._dropEvidence(own.filter((part) => !listed.has(part)));
-    this._clear([...listed].filter((part) => this._isSound(part, now) || this._isMostlySent(part)));
+    const common = this._listCommonContents();
+    this._clear(
+      [...listed].filter(
+        (part) => this._isSound(part, now) || this._isMostlySent(part) || common.has(part),
+      ),
+    );
     this._changes.fire(now);
   }
 
@@ -204,6 +218,10 @@
     byRoute.set(call.id, new Set(parts));
     dropOldest(byRoute, MAX_RECENT_REQUESTS);
     this._recentParts.set(route, byRoute);
+    // Without a prompt the content is the request itself.
+    if (parts.length === 0) {
+      return;
+    }
     const key = formatOwner(route, account);
     const own = this._recentContents.get(key) ?? new Map<string, number>();
     own.set(call.id, content);
@@ -220,15 +238,15 @@
     content: number,
   ): boolean {
     if (parts.includes(content)) {
-      const own = [...(this._recentContents.get(formatOwner(route, account))?.values() ?? [])];
-      const same = own.filter((other) => other === content);
-      return isMost(same.length, own.length, MIN_OWN_REQUESTS);
+      const own = this._recentContents.get(formatOwner(route, account));
+      return own !== undefined && isNearlyAll(own, content, MIN_OWN_REQUESTS);
     }
     const recent = [...(this._recentParts.get(route)?.values() ?? [])];
     const matching = recent.filter((hashes) => parts.every((part) => hashes.has(part)));
     return isMost(matching.length, recent.length, MIN_RECENT_REQUESTS);
   }
 
+  /** True if most of the recent requests of any route have a part. */
   private _isMostlySent(part: number): boolean {
     return [...this._recentParts.values()].some((recent) => {
       const matching = [...recent.values()].filter((parts) => parts.has(part));
@@ -236,6 +254,19 @@
     });
   }
 
+  /** Contents of nearly all recent requests of a client account on a route. */
+  private _listCommonContents(): ReadonlySet<number> {
+    const newest = [...this._recentContents.values()].map((own) => ({
+      own,
+      content: [...own.values()].at(-1) ?? 0,
+    }));
+    return new Set(
+      newest
+        .filter(({ own, content }) => isNearlyAll(own, content, MIN_OWN_REQUESTS_FOR_HUB))
+        .map(({ content }) => content),
+    );
+  }
+
   private _recordSound(parts: readonly number[], now: number): void {
     for (const part of parts) {
       this._settledAt.delete(part);
@@ -290,6 +321,11 @@
   return total >= minTotal && count >= MAX_HELD_SHARE * total;
 }
 
+function isNearlyAll(own: RecentRequests<number>, content: number, minTotal: number): boolean {
+  const same = [...own.values()].filter((other) => other === content);
+  return own.size >= minTotal && same.length >= MAX_OWN_HELD_SHARE * own.size;
+}
+
 function dropOldest(map: Map<string, unknown>, maxSize: number): void {
   for (const key of map.keys()) {
     if (map.size <= maxSize) {
