Blame no content that was answered within ten minutes

No share of requests tells the two contents apart; that one of them has been answered before does.

Change: a content is sound for ten minutes after a request with it was answered with success, as a request that crashes targets never is. Settling alone does not clear a content.

--- a/src/gateway/CrashQuarantine.ts
+++ b/src/gateway/CrashQuarantine.ts
@@ -17,7 +17,7 @@
 /** A part counts as sound for this long after a response with it has settled. */
 const SOUND_MS = 5_000;
 
-/** Parts of which the last settled response is remembered; the least recently used one is dropped. */
+/** Parts, and contents, of which the last such response is remembered; the least recently used one is dropped. */
 const MAX_SOUND_PARTS = 10_000;
 
 /**
@@ -29,16 +29,10 @@
 const MAX_RECENT_REQUESTS = 64;
 
 /**
- * The same for a content among the requests of a client account on a route. The hub is told from a larger number on, as a
- * request that comes again at one process may be most of its client account's there.
+ * A content counts as sound for this long after a request with it was answered with success. It is longer than for parts,
+ * as a content is blamed only where nothing more specific explains the crashes.
  */
-const MAX_OWN_HELD_SHARE = 0.95;
-const MIN_OWN_REQUESTS = 6;
-const MIN_OWN_REQUESTS_FOR_HUB = 15;
-const MAX_OWN_REQUESTS = 20;
-
-/** Client accounts on routes of which requests are remembered; the least recently used ones are dropped. */
-const MAX_OWNERS = 1_000;
+const SOUND_CONTENT_MS = 600_000;
 
 /** Own reports that are kept for a new hub. */
 const MAX_REPORTS = 256;
@@ -51,9 +45,6 @@
   readonly route: string;
 }
 
-/** What is known of the last requests, by request id, oldest first. */
-type RecentRequests<T> = Map<string, T>;
-
 /** Where a request stands because of the parts of its prompt, or because it came before. */
 export type QuarantineStanding =
   | { readonly kind: 'clear' }
@@ -77,10 +68,10 @@
   private readonly _clearedParts = new Set<number>();
   private _suspects: readonly ISuspectParts[] = [];
   private _isHubReachable = false;
-  /** Hashes of the prompt parts, by route. */
-  private readonly _recentParts = new Map<string, RecentRequests<ReadonlySet<number>>>();
-  /** Contents, by route and client account, the least recently used one first. */
-  private readonly _recentContents = new Map<string, RecentRequests<number>>();
+  /** When a request with a content was last answered with success, oldest first. */
+  private readonly _answeredAt = new Map<number, number>();
+  /** Hashes of the prompt parts of recent requests by request id, oldest first, by route. */
+  private readonly _recentParts = new Map<string, Map<string, ReadonlySet<number>>>();
   private readonly _changes = new Emitter<number>();
 
   /** Fires with the present time when the hub has listed other suspects. */
@@ -96,7 +87,7 @@
     const parts = hashParts(call);
     const content = hashContent(judged);
     // Also while nothing is suspect: right after a crash, what most requests have must be known.
-    this._recordRecent(judged, parts, content);
+    this._recordRecent(judged, parts);
     const own = this._ownEvidence.list(now);
     const entries = [...this._suspects, ...own];
     if (entries.length === 0) {
@@ -108,7 +99,7 @@
       (entry) =>
         entry.quarantined &&
         entry.parts.every((part) => hashes.has(part)) &&
-        (entry.parts.includes(request) || !this._isCommon(entry, judged, content)),
+        (entry.parts.includes(request) || !this._isCommon(entry, judged.route)),
     );
     if (quarantined !== undefined) {
       const partIds = call.parts.filter((part) => quarantined.parts.includes(hashPart(call, part)));
@@ -129,12 +120,16 @@
 
   /** Records that a response has settled: none of the parts crashes a target. */
   public recordSettled(judged: IJudgedRequest, now: number): void {
-    this._recordSound(listSharedHashes(judged), now);
+    this._recordSound(hashSharedParts(judged.call), now);
   }
 
   /** Records that a request was answered with success: neither it nor the last part of its prompt crashes a target. */
   public recordAnswered(judged: IJudgedRequest, now: number): void {
-    this._recordSound([hashRequest(judged), ...hashParts(judged.call).slice(-1)], now);
+    const { call } = judged;
+    this._recordSound([hashRequest(judged), ...hashParts(call).slice(-1)], now);
+    if (call.parts.length > 0) {
+      this._recordSoundContent(hashContent(judged), now);
+    }
   }
 
   /** Records that a target crashed under a request. */
@@ -154,7 +149,7 @@
       parts: hashSharedParts(call).filter((part) => !this._isSound(part, now)),
       request: this._isSound(request, now) ? 0 : request,
       prompt: hashParts(call).at(-1) ?? 0,
-      content: call.parts.length === 0 || this._isSound(content, now) ? 0 : content,
+      content: call.parts.length === 0 || this._isSoundContent(content, now) ? 0 : content,
     });
     this._ownEvidence.add(report, now);
     this._reports = [...this._reports, report].slice(-MAX_REPORTS);
@@ -188,9 +183,8 @@
   }
 
   /**
-   * Replaces the list of suspects, and clears those with which a response has settled here lately, parts that most requests
-   * of a route have, and contents of nearly all requests of a client account: other processes may not know that, as after a
-   * start.
+   * Replaces the list of suspects, and clears what is known to be sound here and parts that most requests of a route have:
+   * other processes may not know that, as after a start.
    */
   public applySuspects(suspects: readonly ISuspectParts[], now: number): void {
     this._suspects = suspects.map(({ parts, quarantined }) => ({ parts: [...parts], quarantined }));
@@ -200,87 +194,53 @@
     }
     const own = this._ownEvidence.list(now).flatMap(({ parts }) => parts);
     this._dropEvidence(own.filter((part) => !listed.has(part)));
-    const common = this._listCommonContents();
     this._clear(
       [...listed].filter(
-        (part) => this._isSound(part, now) || this._isMostlySent(part) || common.has(part),
+        (part) =>
+          this._isSound(part, now) || this._isSoundContent(part, now) || this._isMostlySent(part),
       ),
     );
     this._changes.fire(now);
   }
 
-  private _recordRecent(
-    { call, route, account }: IJudgedRequest,
-    parts: number[],
-    content: number,
-  ): void {
-    const byRoute = this._recentParts.get(route) ?? new Map<string, ReadonlySet<number>>();
-    byRoute.set(call.id, new Set(parts));
-    dropOldest(byRoute, MAX_RECENT_REQUESTS);
-    this._recentParts.set(route, byRoute);
-    // Without a prompt the content is the request itself.
-    if (parts.length === 0) {
-      return;
-    }
-    const key = formatOwner(route, account);
-    const own = this._recentContents.get(key) ?? new Map<string, number>();
-    own.set(call.id, content);
-    dropOldest(own, MAX_OWN_REQUESTS);
-    this._recentContents.delete(key);
-    this._recentContents.set(key, own);
-    dropOldest(this._recentContents, MAX_OWNERS);
+  private _recordRecent({ call, route }: IJudgedRequest, parts: readonly number[]): void {
+    const recent = this._recentParts.get(route) ?? new Map<string, ReadonlySet<number>>();
+    recent.set(call.id, new Set(parts));
+    dropOldest(recent, MAX_RECENT_REQUESTS);
+    this._recentParts.set(route, recent);
   }
 
-  /** True if most of a route's recent requests have all parts of an entry, or most of its client account's the content. */
-  private _isCommon(
-    { parts }: ISuspectParts,
-    { route, account }: IJudgedRequest,
-    content: number,
-  ): boolean {
-    if (parts.includes(content)) {
-      const own = this._recentContents.get(formatOwner(route, account));
-      return own !== undefined && isNearlyAll(own, content, MIN_OWN_REQUESTS);
-    }
+  /** True if most of a route's recent requests have all parts of an entry. */
+  private _isCommon({ parts }: ISuspectParts, route: string): boolean {
     const recent = [...(this._recentParts.get(route)?.values() ?? [])];
     const matching = recent.filter((hashes) => parts.every((part) => hashes.has(part)));
-    return isMost(matching.length, recent.length, MIN_RECENT_REQUESTS);
+    return isMost(matching.length, recent.length);
   }
 
   /** True if most of the recent requests of any route have a part. */
   private _isMostlySent(part: number): boolean {
     return [...this._recentParts.values()].some((recent) => {
       const matching = [...recent.values()].filter((parts) => parts.has(part));
-      return isMost(matching.length, recent.size, MIN_RECENT_REQUESTS);
+      return isMost(matching.length, recent.size);
     });
   }
 
-  /** Contents of nearly all recent requests of a client account on a route. */
-  private _listCommonContents(): ReadonlySet<number> {
-    const newest = [...this._recentContents.values()].map((own) => ({
-      own,
-      content: [...own.values()].at(-1) ?? 0,
-    }));
-    return new Set(
-      newest
-        .filter(({ own, content }) => isNearlyAll(own, content, MIN_OWN_REQUESTS_FOR_HUB))
-        .map(({ content }) => content),
-    );
-  }
-
   private _recordSound(parts: readonly number[], now: number): void {
     for (const part of parts) {
       this._settledAt.delete(part);
       this._settledAt.set(part, now);
     }
-    for (const part of this._settledAt.keys()) {
-      if (this._settledAt.size <= MAX_SOUND_PARTS) {
-        break;
-      }
-      this._settledAt.delete(part);
-    }
+    dropOldest(this._settledAt, MAX_SOUND_PARTS);
     this._clear(parts);
   }
 
+  private _recordSoundContent(content: number, now: number): void {
+    this._answeredAt.delete(content);
+    this._answeredAt.set(content, now);
+    dropOldest(this._answeredAt, MAX_SOUND_PARTS);
+    this._clear([content]);
+  }
+
   /** Clears parts here, and at the hub if it lists them. */
   private _clear(parts: readonly number[]): void {
     this._dropEvidence(parts);
@@ -312,21 +272,21 @@
     );
   }
 
+  private _isSoundContent(content: number, now: number): boolean {
+    const answeredAt = this._answeredAt.get(content) ?? Number.NEGATIVE_INFINITY;
+    return now - answeredAt <= SOUND_CONTENT_MS;
+  }
+
   private _isSound(part: number, now: number): boolean {
     return now - (this._settledAt.get(part) ?? Number.NEGATIVE_INFINITY) <= SOUND_MS;
   }
 }
 
-function isMost(count: number, total: number, minTotal: number): boolean {
-  return total >= minTotal && count >= MAX_HELD_SHARE * total;
+function isMost(count: number, total: number): boolean {
+  return total >= MIN_RECENT_REQUESTS && count >= MAX_HELD_SHARE * total;
 }
 
-function isNearlyAll(own: RecentRequests<number>, content: number, minTotal: number): boolean {
-  const same = [...own.values()].filter((other) => other === content);
-  return own.size >= minTotal && same.length >= MAX_OWN_HELD_SHARE * own.size;
-}
-
-function dropOldest(map: Map<string, unknown>, maxSize: number): void {
+function dropOldest<T>(map: Map<T, unknown>, maxSize: number): void {
   for (const key of map.keys()) {
     if (map.size <= maxSize) {
       return;
@@ -335,19 +295,9 @@
   }
 }
 
-function formatOwner(route: string, account: string | undefined): string {
-  return `${route} ${account ?? ''}`;
-}
-
 /** Hashes of all that may be to blame for a crash: the parts that other requests may have too, and the request itself. */
 function listHashes(judged: IJudgedRequest): number[] {
-  return [...listSharedHashes(judged), hashRequest(judged)];
-}
-
-/** Hashes of all that requests with other prompts may have too. */
-function listSharedHashes(judged: IJudgedRequest): number[] {
-  const { call } = judged;
-  return call.parts.length === 0 ? [] : [...hashSharedParts(call), hashContent(judged)];
+  return [...hashSharedParts(judged.call), hashRequest(judged)];
 }
 
 /** Hashes of all parts but the last, which other requests may have too. */
