--- a/src/consensus/SlowDisk.test.ts
+++ b/src/consensus/SlowDisk.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, describe, expect, it } from 'vitest';
-import { TEST_TIMINGS, TestCluster } from './TestCluster.js';
+import { TEST_TIMINGS, TestCluster, waitUntil } from './TestCluster.js';
 
 /** More than a call may take, and more than the shortest election timeout. */
 const SLOW_DISK_MS = 2 * TEST_TIMINGS.callTimeoutMs;
@@ -16,7 +16,7 @@
   cluster = undefined;
 });
 
-function limitDisks(group: TestCluster, ids: readonly string[]): void {
+function setSlowDisks(group: TestCluster, ids: readonly string[]): void {
   for (const id of ids) {
     group.diskDelaysMs.set(id, SLOW_DISK_MS);
   }
@@ -31,7 +31,7 @@
       cluster = group;
       await group.commit('before');
       const leader = await group.waitForLeader();
-      limitDisks(group, MEMBER_IDS);
+      setSlowDisks(group, MEMBER_IDS);
       await group.kill(leader.id);
       const next = await group.waitForLeader(leader.id);
       expect(await group.tryPropose('after', PROPOSAL_TIMEOUT_MS)).toBe(true);
@@ -51,7 +51,7 @@
       for (const id of MEMBER_IDS) {
         await group.kill(id);
       }
-      limitDisks(group, MEMBER_IDS);
+      setSlowDisks(group, MEMBER_IDS);
       await Promise.all(MEMBER_IDS.map((id) => group.startMember(id)));
       await group.waitForLeader();
       expect(await group.tryPropose('after', PROPOSAL_TIMEOUT_MS)).toBe(true);
@@ -60,13 +60,33 @@
     30_000,
   );
 
+  // The member that stores the snapshot is all that the leader has left for a majority.
+  it('keeps its leader while a member with a slow disk stores a snapshot and the other one is cut off', async () => {
+    const group = await TestCluster.create(3);
+    cluster = group;
+    const [behind = '', other = ''] = MEMBER_IDS.filter((id) => id !== group.findLeader()?.id);
+    await group.kill(behind);
+    for (let round = 0; round < 60; round += 1) {
+      const commands = Array.from({ length: 30 }, (_, n) => `round-${round}-${n}`);
+      await Promise.all(commands.map((command) => group.tryPropose(command, PROPOSAL_TIMEOUT_MS)));
+    }
+    const leader = await group.waitForLeader();
+    const { term } = leader.log.status;
+    setSlowDisks(group, [behind]);
+    const returned = await group.startMember(behind);
+    group.network.cut(group.get(other).address);
+    await waitUntil('the snapshot is stored', () => returned.machine.restoreCount > 0);
+    expect(leader.log.status).toMatchObject({ role: 'leader', term });
+    expect(group.safetyViolations).toEqual([]);
+  });
+
   // A follower answered only when its disk had the entries, so the leader took it for lost and stepped down.
   it('keeps its leader while the disks of all followers are slow', async () => {
     const group = await TestCluster.create(3);
     cluster = group;
     const leader = await group.waitForLeader();
     const { term } = leader.log.status;
-    limitDisks(
+    setSlowDisks(
       group,
       MEMBER_IDS.filter((id) => id !== leader.id),
     );
