--- a/src/gateway/CrashQuarantine.test.ts
+++ b/src/gateway/CrashQuarantine.test.ts
@@ -256,6 +256,19 @@
     }
   });
 
+  // Where all requests with a part are refused, no response can show that it is sound.
+  it('lets one request with a quarantined part through within a minute', () => {
+    const quarantine = new CrashQuarantine();
+    const part = createWithCrashes(1).listUnreported().crashes[0]?.parts[1] ?? 0;
+    quarantine.setHubReachable(true);
+    quarantine.applySuspects([{ parts: [part], quarantined: true }], 0);
+    const kinds = Array.from({ length: 60 }, (_, second) => {
+      getKind(quarantine, second * 1_000, 'f', 'b', `other${second}`);
+      return getKind(quarantine, second * 1_000, 'f', CRASHING, `own${second}`);
+    });
+    expect(kinds).toContain('suspect');
+  });
+
   it('forgets its own suspicion, also for a new hub, once the hub has cleared the part', () => {
     const quarantine = createWithCrashes(1);
     quarantine.removeReported(quarantine.listUnreported());
