--- a/src/gateway/CrashQuarantine.ts
+++ b/src/gateway/CrashQuarantine.ts
@@ -45,7 +45,7 @@
   readonly route: string;
 }
 
-/** Where a request stands because of the parts of its prompt, or because it came before. */
+/** Where a request stands because of the parts of its prompt, of its content, or because it came before. */
 export type QuarantineStanding =
   | { readonly kind: 'clear' }
   /** A target crashed with one of its parts; no response with it has settled since. */
@@ -85,7 +85,6 @@
   public getStanding(judged: IJudgedRequest, now: number): QuarantineStanding {
     const { call } = judged;
     const parts = hashParts(call);
-    const content = hashContent(judged);
     // Also while nothing is suspect: right after a crash, what most requests have must be known.
     this._recordRecent(judged, parts);
     const own = this._ownEvidence.list(now);
@@ -94,7 +93,7 @@
       return { kind: 'clear' };
     }
     const request = hashRequest(judged);
-    const hashes = new Set([...parts, request, content]);
+    const hashes = new Set([...parts, request, hashContent(judged)]);
     const quarantined = [...this._suspects, ...(this._isHubReachable ? [] : own)].find(
       (entry) =>
         entry.quarantined &&
