Have the test of simultaneous calls wait until both entries know a target

Cause, as far as traced: calls that find no target of the harness get 503 no_target. Why the entry knows no target for a moment is open (docs/findings.md).

Change: the test first waits until both entries have served an order. What it asks of the simultaneous calls is unchanged.

--- a/src/entry/EdgeClaims.test.ts
+++ b/src/entry/EdgeClaims.test.ts
@@ -61,6 +61,12 @@
     const order = { order: 'twice', delayMs: 100 };
     const place = (entry: number): Promise<IAnswerText> =>
       harness.placeOrder(order, 'twice-1', { entry });
+    for (const entry of [0, 1]) {
+      await waitFor('a target of the entry', async () => {
+        const answer = await harness.placeOrder({ order: `ready-${entry}` }, undefined, { entry });
+        return answer.status === 201;
+      });
+    }
     const answers = await Promise.all([place(0), place(1), place(0), place(1)]);
     const last = await place(1);
     const served = [...answers, last].filter(({ status }) => status === 201);
