--- a/src/fleet/CrashEvidence.ts
+++ b/src/fleet/CrashEvidence.ts
@@ -1,7 +1,7 @@
 /**
  * Finds the prompt parts and the requests that crash targets. A target that crashes breaks all of its requests, so each
  * crash puts blame on the parts of every request that had not settled there, and on the request itself, which may come
- * again; a settled response clears them.
+ * again. A settled response clears its parts, and a successful one the request too.
  */
 
 /** Time for which a crash counts as evidence, and so the time for which a part stays in quarantine at first. */
@@ -53,10 +53,10 @@
 
 interface ISuspectRequest {
   readonly parts: Set<number>;
-  /** 0 once a response to the request or a repetition has settled. */
+  /** 0 once the request or a repetition was answered with success. */
   request: number;
   readonly prompt: number;
-  /** 0 without a prompt, or once a response to a request with the content has settled. */
+  /** 0 without a prompt, or once a request with the content was answered with success. */
   content: number;
 }
 
@@ -88,7 +88,7 @@
  * of them, only its repetitions are.
  *
  * @example
- * evidence.add({ attempt: 1, target: 'i-1', born: 100, parts: [7], request: 9, prompt: 8 }, now);
+ * evidence.add({ attempt: 1, target: 'i-1', born: 100, parts: [7], request: 9, prompt: 8, content: 5 }, now);
  * const suspects = evidence.list(now);
  */
 export class CrashEvidence {
