Log each response that the router ends in the middle

Cause: a stream that was cut left no line of its own; its last line was the `attempt ended` of the last target, as for a stream that went on elsewhere.

Change: `response cut` with the request id, the reason, the last event relayed, and the versions and ages of the inputs; counted by gateway_cuts_total.

--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -708,7 +708,7 @@
           return;
         }
         if (sink.isStarted) {
-          sink.cut();
+          this._cut(call, sink, 'time_limit', progress);
         } else {
           this._refuse(call, sink, 504, 'time_limit', undefined);
         }
@@ -719,7 +719,7 @@
           return;
         }
         if (sink.isStarted) {
-          sink.cut();
+          this._cut(call, sink, 'failed', progress, { detail: outcome.reason });
         } else {
           this._refuse(call, sink, 502, 'failed', undefined, { detail: outcome.reason });
         }
@@ -758,7 +758,7 @@
       return;
     }
     if (sink.isStarted) {
-      sink.cut();
+      this._cut(call, sink, reason, progress);
     } else if (progress.mayHaveRun) {
       this._refuse(call, sink, 502, 'failed', undefined);
     } else {
@@ -768,6 +768,29 @@
     }
   }
 
+  /** Ends a response of which the client has received a part. */
+  private _cut(
+    call: T,
+    sink: IAnswerSink,
+    reason: RefusalReason,
+    progress: IProgress,
+    detail: Readonly<Record<string, unknown>> = {},
+  ): void {
+    const { clock, log, metrics, view } = this._context;
+    log.info('response cut', {
+      request: call.id,
+      reason,
+      attempts: progress.attempts,
+      lastEvent: progress.lastEventId,
+      afterMs: Math.round(clock.now() - call.arrivedAt),
+      version: view.documentVersion,
+      viewAgeMs: Math.round(clock.now() - view.hubAnsweredAt),
+      ...detail,
+    });
+    metrics.increment('gateway_cuts_total', { reason });
+    sink.cut();
+  }
+
   private _refuse(
     call: T,
     sink: IAnswerSink,
