--- /dev/null
+++ b/src/gateway/Fixtures.ts
@@ -0,0 +1,276 @@
+/** Scripted targets and a recording sink for tests of the request path. */
+import { create } from '@bufbuild/protobuf';
+import { MonotonicClock } from '../common/Clock.js';
+import { SILENT_LOG } from '../common/Log.js';
+import { Metrics } from '../common/Metrics.js';
+import { Ok } from '../common/Result.js';
+import { buildAccount, buildConfiguration, buildRoute, buildTarget } from '../fleet/Fixtures.js';
+import { FleetView } from '../fleet/FleetView.js';
+import { QuotaWallet } from '../fleet/QuotaWallet.js';
+import { SharedRetryBudget } from '../fleet/SharedRetryBudget.js';
+import type { IRoute } from '../fleet/Types.js';
+import {
+  ExchangeResponseSchema,
+  FleetDocumentSchema,
+  type TargetRecord,
+} from '../gen/redwingwharf/v1/fleet_pb.js';
+import { CallRunner } from './CallRunner.js';
+import { Placement } from './Placement.js';
+import { CrashQuarantine } from './CrashQuarantine.js';
+import { StoreIndex } from './StoreIndex.js';
+import { TargetLimits } from './TargetLimits.js';
+import { TargetStates } from './TargetStates.js';
+import {
+  BodyFraming,
+  type IAnswerSink,
+  type ICall,
+  type IDispatch,
+  type ITargetClient,
+  type ITargetExchange,
+  type ITargetHead,
+  type ITargetListener,
+} from './Types.js';
+
+/** Behaviour of a target for one request. */
+export type TargetScript = (
+  listener: ITargetListener,
+  dispatch: IDispatch,
+  signal: AbortSignal,
+) => void;
+
+export const OK_HEAD: ITargetHead = {
+  status: 200,
+  headers: ['Seal', 's1'],
+  framing: BodyFraming.Chunked,
+  isForThisRequest: true,
+  isNotRun: false,
+  isOtherTarget: false,
+  load: undefined,
+  rateLimit: { kind: 'unlimited' },
+  isLeaving: false,
+  pauseMs: undefined,
+};
+export const BUSY_HEAD: ITargetHead = { ...OK_HEAD, status: 503, isNotRun: true };
+
+/** Runs the next script for each request and records the dispatches. */
+export class ScriptedTargetClient implements ITargetClient<ICall> {
+  public readonly sent: { readonly target: string; readonly dispatch: IDispatch }[] = [];
+  public aborted = 0;
+
+  constructor(
+    private readonly _scripts: TargetScript[],
+    /** Whether targets accept connections after a request has broken. */
+    private readonly _isListening: boolean,
+    private readonly _sendError: Error | undefined,
+  ) {}
+
+  public probe(): Promise<boolean> {
+    return Promise.resolve(this._isListening);
+  }
+
+  public send(
+    target: TargetRecord,
+    _call: ICall,
+    dispatch: IDispatch,
+    listener: ITargetListener,
+  ): ITargetExchange {
+    this.sent.push({ target: target.id, dispatch });
+    if (this._sendError !== undefined) {
+      throw this._sendError;
+    }
+    const script = this._scripts.shift();
+    const exchange = new AbortController();
+    setImmediate(() => script?.(listener, dispatch, exchange.signal));
+    return {
+      wasSent: true,
+      pause: () => undefined,
+      resume: () => undefined,
+      abort: () => {
+        exchange.abort();
+        this.aborted += 1;
+      },
+    };
+  }
+}
+
+export class RecordingSink implements IAnswerSink {
+  public isStarted = false;
+  public status = 0;
+  public body = '';
+  public retryAfterMs: number | undefined;
+  public ending: 'open' | 'end' | 'cut' | 'refuse' = 'open';
+
+  public start(status: number): void {
+    this.isStarted = true;
+    this.status = status;
+  }
+
+  public write(chunk: Uint8Array): boolean {
+    this.body += Buffer.from(chunk).toString();
+    return true;
+  }
+
+  public waitWritable(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  public end(): void {
+    this.ending = 'end';
+  }
+
+  public cut(): void {
+    this.ending = 'cut';
+  }
+
+  public refuse(status: number, _reason: string, retryAfterMs: number | undefined): void {
+    this.status = status;
+    this.retryAfterMs = retryAfterMs;
+    this.ending = 'refuse';
+  }
+}
+
+export interface ISetup {
+  readonly route?: Partial<IRoute>;
+  readonly call?: Partial<ICall>;
+  readonly targets?: number;
+  /** True if the process has not received a configuration yet. */
+  readonly isUnconfigured?: boolean;
+  /** Version named for the model, and how long ago this entry learned of it. */
+  readonly named?: { readonly version: number; readonly knownMs: number };
+  /** Weights versions of the targets in order; the default is 1. */
+  readonly held?: readonly number[];
+  /** Prompt tokens of other entries' requests that wait at a target. */
+  readonly quarantine?: CrashQuarantine;
+  /** True if targets refuse connections after a request has broken. */
+  readonly hasCrashed?: boolean;
+  /** Thrown instead of sending a request. */
+  readonly sendError?: Error;
+  /** Start time of the targets. */
+  readonly born?: number;
+  readonly limits?: TargetLimits;
+  readonly states?: TargetStates;
+  /** Repetitions that the retry budget allows beyond its ratio; the default is 60. */
+  readonly retrySlack?: number;
+  readonly queued?: { readonly target: string; readonly pendingTokens: number };
+}
+
+export interface IRunResult {
+  readonly sink: RecordingSink;
+  readonly targets: ScriptedTargetClient;
+}
+
+export function buildLimits(view: FleetView): TargetLimits {
+  return new TargetLimits({
+    countEntries: () => 1,
+    findTarget: (id) => view.getTarget(id),
+    random: () => 0.5,
+  });
+}
+
+export async function runCall(scripts: TargetScript[], setup: ISetup = {}): Promise<IRunResult> {
+  const clock = new MonotonicClock();
+  const configuration = buildConfiguration({
+    routes: [buildRoute(setup.route)],
+    clientAccounts: [buildAccount({ isIsolated: true })],
+  });
+  const view = new FleetView(() => Ok(configuration), SILENT_LOG);
+  if (setup.isUnconfigured !== true) {
+    view.applyDocument(create(FleetDocumentSchema, { version: 7n }));
+  }
+  for (let i = 0; i < (setup.targets ?? 3); i += 1) {
+    const models = [{ name: 'm', version: BigInt(setup.held?.[i] ?? 1) }];
+    const born = setup.born ?? 1_000;
+    view.applyTarget(buildTarget({ id: `i-${i}`, address: `10.1.0.${i}:8000`, models, born }));
+  }
+  if (setup.named !== undefined) {
+    view.weights.record('m', setup.named.version, clock.now() - setup.named.knownMs);
+  }
+  if (setup.queued !== undefined) {
+    const { target: id, pendingTokens } = setup.queued;
+    const work = [{ id, open: 20, pendingTokens }];
+    view.applyResponse(create(ExchangeResponseSchema, { work }), clock.now());
+  }
+  const targets = new ScriptedTargetClient(scripts, setup.hasCrashed !== true, setup.sendError);
+  const runner = new CallRunner<ICall>({
+    view,
+    node: { requestLeases: () => Promise.resolve(), requestExchange: () => undefined },
+    wallet: new QuotaWallet(8_000),
+    budget: new SharedRetryBudget({
+      ratio: 0.2,
+      slack: setup.retrySlack ?? 60,
+      windowMs: 10_000,
+    }),
+    states: setup.states ?? new TargetStates(),
+    limits: setup.limits ?? buildLimits(view),
+    placement: new Placement('zg-a'),
+    quarantine: setup.quarantine ?? new CrashQuarantine(),
+    store: new StoreIndex(view, () => Promise.reject(new Error('no store')), clock, SILENT_LOG),
+    client: targets,
+    clock,
+    metrics: new Metrics(),
+    log: SILENT_LOG,
+    weightsLimitMs: 8_800,
+  });
+  const sink = new RecordingSink();
+  await runner.run(
+    {
+      id: 'r1',
+      method: 'POST',
+      host: 'desk.example',
+      path: '/assist/7',
+      key: 'key-pag',
+      deadlineMs: 400,
+      model: 'm',
+      promptTokens: 100,
+      outputTokens: 10,
+      lengthHint: undefined,
+      parts: [],
+      resumeAfter: undefined,
+      arrivedAt: clock.now(),
+      signal: new AbortController().signal,
+      hashContent: () => 1,
+      ...setup.call,
+    },
+    sink,
+  );
+  return { sink, targets };
+}
+
+export function streamEvents(from: number, to: number): Buffer {
+  const ids = Array.from({ length: to - from + 1 }, (_, i) => from + i);
+  return Buffer.from(ids.map((id) => `id: ${id}\ndata: ${id}\n\n`).join(''));
+}
+
+export const answerOk: TargetScript = (listener) => {
+  listener.onHead(OK_HEAD);
+  listener.onData(streamEvents(1, 3));
+  listener.onEnd();
+};
+export const refuseBusy: TargetScript = (listener) => {
+  listener.onHead(BUSY_HEAD);
+  listener.onEnd();
+};
+export const resetAfterSend: TargetScript = (listener) => {
+  listener.onError('reset', true);
+};
+export const breakStream: TargetScript = (listener) => {
+  listener.onHead(OK_HEAD);
+  listener.onData(streamEvents(1, 2));
+  listener.onError('reset', true);
+};
+/** Sends the head, and bytes that end nothing until the exchange is aborted. */
+export function sendWithoutEnd(head: ITargetHead, chunk: Buffer, intervalMs: number): TargetScript {
+  return (listener, _dispatch, signal) => {
+    listener.onHead(head);
+    const timer = setInterval(() => {
+      listener.onData(chunk);
+    }, intervalMs);
+    signal.addEventListener('abort', () => {
+      clearInterval(timer);
+    });
+  };
+}
+export const refuseConnection: TargetScript = (listener) => {
+  listener.onError('connection refused', false);
+};
+export const sendNothing: TargetScript = () => undefined;
