Run the attempts of a call in a file of its own

CallRunner decides on a call and writes its final response; AttemptRunner sends it to one target and records what the end of the attempt tells of the target. CallTypes holds the state that both share.

No change of behaviour. Run: vitest src/gateway, tsc, eslint.

--- /dev/null
+++ b/src/gateway/AttemptRunner.ts
@@ -0,0 +1,332 @@
+/** Runs one attempt of a call at a target, and records what its end tells of the target. */
+import { getHeldVersion } from '../fleet/HeldWeights.js';
+import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
+import { isMechanismDisabled } from '../common/TestSwitches.js';
+import { Attempt, type AttemptOutcome, type ITargetNotice } from './Attempt.js';
+import {
+  getPriority,
+  isRepeatable,
+  type IAdmittedCall,
+  type ICallContext,
+  type ICallProgress,
+  type IPlannedAttempt,
+} from './CallTypes.js';
+import type { IJudgedRequest } from './CrashQuarantine.js';
+import { formatCacheScope, type IPlacement } from './Placement.js';
+import type { IPlacementRequest } from './PlacementRequest.js';
+import type { PromptSource } from './PromptSources.js';
+import type { StoreIndex } from './StoreIndex.js';
+import {
+  LONG_STREAM_TOKENS,
+  recordBusy,
+  recordFailure,
+  recordFirstByte,
+  recordPause,
+  recordUnreachable,
+  type ITargetState,
+} from './TargetStates.js';
+import type { IAnswerSink, ICall, IDispatch, RateLimitNotice } from './Types.js';
+
+/** Shared prompt parts with fewer tokens in total are not sent to the store: a fetch would not pay off. */
+const MIN_STORED_TOKENS = 50;
+
+/** Prompt parts that a log line names at most. */
+const MAX_LOGGED_PARTS = 8;
+
+/** Runs attempts. Those that would crash their target are cancelled once the request is quarantined. */
+export class AttemptRunner<T extends ICall> {
+  private readonly _running = new Map<Attempt<T>, IJudgedRequest>();
+  /** Probes that have not ended, by target and its start time. */
+  private readonly _probes = new Map<string, Promise<boolean>>();
+
+  constructor(private readonly _context: ICallContext<T>) {
+    _context.quarantine.onChange((now) => {
+      this._cancelQuarantined(now);
+    });
+  }
+
+  /** Sends the call to a target and relays the response; resolves when the attempt has ended. */
+  public async run(
+    call: T,
+    sink: IAnswerSink,
+    admitted: IAdmittedCall,
+    { request, standing, placement }: IPlannedAttempt,
+    progress: ICallProgress,
+  ): Promise<AttemptOutcome> {
+    const { clock, states, limits, quarantine, log, placement: placements } = this._context;
+    const { target } = placement;
+    const { route, account } = admitted;
+    const judged = { call, account: account?.name, route: route.name };
+    progress.tried.add(target.id);
+    progress.attempts += 1;
+    const state = states.ensure(target, clock.now());
+    const startedAt = clock.now();
+    limits.take(target, startedAt);
+    const attempt = new Attempt(this._context, call, sink, {
+      target,
+      state,
+      route,
+      deadlineAt: admitted.deadlineAt,
+      beginBy: startedAt + placement.weightsUsableMs,
+      lastEventId: progress.lastEventId,
+      pendingTokens: Math.round(placement.missedTokens + (call.parts.at(-1)?.tokens ?? 0)),
+      expectedMs: placement.expectedMs,
+      mayFailOver: isRepeatable(route) && progress.attempts < route.maxAttempts,
+      isLongStream: request.isEngine && request.outputTokens > LONG_STREAM_TOKENS,
+      mayReplaceError: route.kind === 'safe' && progress.attempts < route.maxAttempts,
+      onNotice: (notice, sentAt) => {
+        this._recordRateLimit(call, target, notice.rateLimit, sentAt);
+        this._recordWish(call, target, state, notice);
+      },
+      onSettled: (at) => {
+        quarantine.recordSettled(judged, at);
+      },
+      onFirstByte: (at) => {
+        placements.recordReading(request, target, at);
+        recordFirstByte(state, placement.modelMs, at - startedAt, at);
+      },
+      dispatch: {
+        clientAccount: account?.name,
+        priority: getPriority(route, account),
+        ...describeCacheUse(request, placement, this._context.store, clock.now()),
+      },
+    });
+    const suspects = standing.kind === 'suspect' ? 1 : 0;
+    state.suspects += suspects;
+    this._running.set(attempt, judged);
+    let outcome: AttemptOutcome;
+    try {
+      outcome = await attempt.run();
+    } finally {
+      this._running.delete(attempt);
+      state.suspects -= suspects;
+    }
+    progress.lastEventId = attempt.lastEventId;
+    if (outcome.kind !== 'not_run') {
+      progress.mayHaveRun = true;
+    }
+    const now = clock.now();
+    log.info('attempt ended', {
+      request: call.id,
+      route: route.name,
+      target: target.id,
+      attempt: progress.attempts,
+      outcome: outcome.kind,
+      reason: outcome.kind === 'answered' ? undefined : outcome.reason,
+      status: attempt.status,
+      // What requests that broke with their target have in common.
+      content: outcome.kind === 'failed' ? formatHash(call.hashContent()) : undefined,
+      sharedParts: outcome.kind === 'failed' ? formatSharedParts(call) : undefined,
+      rateLimit: formatRateLimit(attempt.rateLimit),
+      framing: attempt.framing,
+      lastEvent: attempt.lastEventId,
+      incompleteBytes: attempt.incompleteBytes,
+      expectedMs: Math.round(placement.expectedMs),
+      modelMs: Math.round(placement.modelMs),
+      missedTokens: Math.round(placement.missedTokens),
+      source: formatSource(placement.source),
+      open: state.open,
+      load: attempt.load && `${attempt.load.running}+${attempt.load.waiting}`,
+      firstMs: attempt.firstByteAt && Math.round(attempt.firstByteAt - startedAt),
+      longestGapMs: Math.round(attempt.longestGapMs),
+      totalMs: Math.round(now - startedAt),
+      version: admitted.table.version,
+      viewAgeMs: Math.round(now - this._context.view.hubAnsweredAt),
+    });
+    this._recordOutcome(target, outcome, now);
+    if (outcome.kind === 'answered' && attempt.isSettled) {
+      quarantine.recordAnswered(judged, now);
+    }
+    if (outcome.kind === 'failed' && outcome.isBroken === true) {
+      await this._checkCrash(judged, target, progress);
+    }
+    return outcome;
+  }
+
+  private _recordRateLimit(
+    call: T,
+    target: TargetRecord,
+    notice: RateLimitNotice,
+    sentAt: number,
+  ): void {
+    const { limits, clock, node, log, metrics } = this._context;
+    if (limits.recordNotice(target, notice, sentAt, clock.now())) {
+      node.requestExchange();
+      log.info('target limit changed', {
+        request: call.id,
+        target: target.id,
+        perSecond: limits.getLimit(target),
+      });
+      metrics.increment('gateway_target_limit_changes_total', {});
+    }
+  }
+
+  /** Records that a target leaves, or wants no requests for a time. */
+  private _recordWish(
+    call: T,
+    target: TargetRecord,
+    state: ITargetState,
+    { isLeaving, pauseMs }: ITargetNotice,
+  ): void {
+    const { clock, log, metrics } = this._context;
+    TEST_ONLY: if (isMechanismDisabled('target-wish')) return;
+    const now = clock.now();
+    if (isLeaving && !state.isLeaving) {
+      state.isLeaving = true;
+      log.info('target leaves', { request: call.id, target: target.id });
+      metrics.increment('gateway_target_wishes_total', { kind: 'leaves' });
+    }
+    if (pauseMs !== undefined && pauseMs > 0) {
+      recordPause(state, pauseMs, now);
+      const untilMs = Math.round(state.pausedUntil - now);
+      log.info('target pauses', { request: call.id, target: target.id, pauseMs, untilMs });
+      metrics.increment('gateway_target_wishes_total', { kind: 'pauses' });
+    }
+  }
+
+  /** Cancels requests at targets that would crash when they begin to answer. */
+  private _cancelQuarantined(now: number): void {
+    for (const [attempt, judged] of this._running) {
+      const standing = this._context.quarantine.getStanding(judged, now);
+      // A part crashes a target before its response has settled, a request may do so later.
+      if (standing.kind === 'quarantined' && (standing.isRepetition || !attempt.isSettled)) {
+        attempt.cancel('the request is quarantined');
+      }
+    }
+  }
+
+  /** Reports a request that is not known to be sound if its target has ended. */
+  private async _checkCrash(
+    judged: IJudgedRequest,
+    target: TargetRecord,
+    progress: ICallProgress,
+  ): Promise<void> {
+    const { quarantine, clock, states, node, log, metrics } = this._context;
+    TEST_ONLY: if (isMechanismDisabled('prompt-quarantine')) return;
+    if (!quarantine.isUnproven(judged, clock.now()) || (await this._probe(target))) {
+      return;
+    }
+    const now = clock.now();
+    const standing = quarantine.getStanding(judged, now);
+    const { call } = judged;
+    // A further crash by the same part must not come from a repetition.
+    progress.mayRepeat = standing.kind === 'clear';
+    recordUnreachable(states.ensure(target, now), now);
+    quarantine.recordCrash(judged, progress.attempts, target, now);
+    node.requestExchange();
+    log.info('target crashed', {
+      request: call.id,
+      target: target.id,
+      content: formatHash(call.hashContent()),
+      sharedParts: formatSharedParts(call),
+      standing: standing.kind,
+    });
+    metrics.increment('gateway_target_crashes_total', {});
+  }
+
+  /** Probes a target once for all requests that break with it. */
+  private async _probe(target: TargetRecord): Promise<boolean> {
+    const key = `${target.id}/${target.born}`;
+    const running = this._probes.get(key);
+    if (running !== undefined) {
+      return running;
+    }
+    const probe = this._context.client.probe(target);
+    this._probes.set(key, probe);
+    try {
+      return await probe;
+    } finally {
+      this._probes.delete(key);
+    }
+  }
+
+  private _recordOutcome(target: TargetRecord, outcome: AttemptOutcome, now: number): void {
+    const state = this._context.states.ensure(target, now);
+    if (outcome.kind === 'not_run') {
+      if (outcome.isUnreachable) {
+        recordUnreachable(state, now);
+      } else {
+        recordBusy(state, now);
+      }
+    } else if (outcome.kind === 'failed') {
+      recordFailure(state, now);
+    }
+  }
+}
+
+/**
+ * Cache fields of a dispatch. Prompt parts computed with other weights must never be found, also not after
+ * a transfer. The scope therefore contains the weights version, and the target must still hold it.
+ */
+function describeCacheUse(
+  request: IPlacementRequest,
+  { target, source }: IPlacement,
+  store: StoreIndex,
+  now: number,
+): Pick<IDispatch, 'cacheScope' | 'weightsVersion' | 'cacheSource' | 'cacheStore'> {
+  const version = getHeldVersion(target, request.model);
+  if (version === undefined) {
+    return {
+      cacheScope: undefined,
+      weightsVersion: undefined,
+      cacheSource: undefined,
+      cacheStore: undefined,
+    };
+  }
+  const scope = formatCacheScope(request, target);
+  const shared = request.parts.slice(0, -1);
+  const isShared = shared.reduce((sum, part) => sum + part.tokens, 0) >= MIN_STORED_TOKENS;
+  const isMissing = shared.some((part) => !store.isHeldOrInTransit(scope, part.id, now));
+  if (isShared && isMissing && store.address !== undefined) {
+    shared.forEach((part) => {
+      store.recordSent(scope, part.id, now);
+    });
+  }
+  return {
+    cacheScope: scope,
+    weightsVersion: version,
+    cacheSource: getSourceAddress(source, store),
+    // The target would also send the unshared last part, so the store is named only if it lacks a shared one.
+    cacheStore: isShared && isMissing ? store.address : undefined,
+  };
+}
+
+function getSourceAddress(source: PromptSource | undefined, store: StoreIndex): string | undefined {
+  switch (source?.kind) {
+    case undefined:
+      return undefined;
+    case 'target':
+      return source.record.address;
+    case 'store':
+      return store.address;
+  }
+}
+
+/** Formats a hash for the log. */
+export function formatHash(hash: number): string {
+  return hash.toString(16).padStart(8, '0');
+}
+
+/** Ids of the prompt parts that other requests may have too, for the log. */
+function formatSharedParts({ parts }: ICall): string | undefined {
+  const shared = parts.slice(0, -1).slice(0, MAX_LOGGED_PARTS);
+  return shared.length === 0 ? undefined : shared.map(({ id }) => id).join();
+}
+
+/** Formats what a response said about its target's limit, for the log; undefined if nothing. */
+function formatRateLimit(notice: RateLimitNotice | undefined): number | string | undefined {
+  switch (notice?.kind) {
+    case undefined:
+    case 'unlimited':
+      return undefined;
+    case 'limited':
+      return notice.perSecond;
+    case 'unreadable':
+      return notice.kind;
+  }
+}
+
+/** Formats a source for the log: the id of the target, or `store`. */
+function formatSource(source: PromptSource | undefined): string | undefined {
+  return source?.kind === 'target' ? source.record.id : source?.kind;
+}
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -1,43 +1,26 @@
 /** Runs one call: routing, authentication, quota, choice of targets, retries and the final response. */
-import type { IClock } from '../common/Clock.js';
-import type { ILog } from '../common/Log.js';
-import type { Metrics } from '../common/Metrics.js';
 import { isMechanismDisabled } from '../common/TestSwitches.js';
-import type { FleetNode } from '../fleet/FleetNode.js';
-import { getHeldVersion } from '../fleet/HeldWeights.js';
-import type { QuotaWallet } from '../fleet/QuotaWallet.js';
-import type { SharedRetryBudget } from '../fleet/SharedRetryBudget.js';
 import type { RouteTable } from '../fleet/RouteTable.js';
 import type { IClientAccount, IRoute, IService } from '../fleet/Types.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { hashText } from '../policy/TargetTable.js';
-import { Attempt, type AttemptOutcome, type ITargetNotice } from './Attempt.js';
-import { formatCacheScope, type IPlacement } from './Placement.js';
-import type { IPlacementRequest } from './PlacementRequest.js';
-import type { IJudgedRequest, CrashQuarantine, QuarantineStanding } from './CrashQuarantine.js';
-import type { PromptSource } from './PromptSources.js';
+import type { AttemptOutcome } from './Attempt.js';
+import { AttemptRunner, formatHash } from './AttemptRunner.js';
 import {
-  getPauseMs,
-  LONG_STREAM_TOKENS,
-  recordBusy,
-  recordPause,
-  recordFirstByte,
-  recordFailure,
-  recordUnreachable,
-  type ITargetState,
-} from './TargetStates.js';
+  getPriority,
+  isRepeatable,
+  type IAdmittedCall,
+  type ICallContext,
+  type ICallProgress,
+} from './CallTypes.js';
+import type { QuarantineStanding } from './CrashQuarantine.js';
 import { decideOverload } from './Overload.js';
-import { TargetSelector, type ITargetSelectorContext } from './TargetSelector.js';
+import type { IPlacement } from './Placement.js';
+import type { IPlacementRequest } from './PlacementRequest.js';
+import { TargetSelector } from './TargetSelector.js';
+import { getPauseMs } from './TargetStates.js';
 import { decideTargetWait } from './TargetWait.js';
-import type { StoreIndex } from './StoreIndex.js';
-import type {
-  IAnswerSink,
-  ICall,
-  IDispatch,
-  ITargetClient,
-  RateLimitNotice,
-  RefusalReason,
-} from './Types.js';
+import type { IAnswerSink, ICall, RefusalReason } from './Types.js';
 
 /** Longest time that a request waits for the hub to grant quota tokens. */
 const QUOTA_WAIT_MS = 150;
@@ -63,81 +46,23 @@
 /** A further target is tried only if at least this much time remains until the deadline. */
 const MIN_ATTEMPT_MS = 30;
 
-/** Shared prompt parts with fewer tokens in total are not sent to the store: a fetch would not pay off. */
-const MIN_STORED_TOKENS = 50;
-
 /** Unreachable targets do not count as attempts; with more than this many the call ends. */
 const MAX_UNREACHABLE_TARGETS = 3;
 
 /** Prompt parts that a log line names at most. */
 const MAX_LOGGED_PARTS = 8;
 
-/** Priority of the least urgent requests; 0 is the most urgent. */
-const LOWEST_PRIORITY = 9;
-
-/** Dependencies of the calls, shared by all of them. */
-export interface ICallContext<T extends ICall> extends ITargetSelectorContext {
-  readonly node: Pick<FleetNode, 'requestLeases' | 'requestExchange'>;
-  readonly wallet: QuotaWallet;
-  readonly budget: SharedRetryBudget;
-  readonly quarantine: CrashQuarantine;
-  readonly client: ITargetClient<T>;
-  readonly clock: IClock;
-  readonly metrics: Metrics;
-  readonly log: ILog;
-}
-
-/** Routing and quota of a call that passed admission. */
-interface IAdmittedCall {
-  readonly table: RouteTable;
-  readonly route: IRoute;
-  readonly service: IService;
-  /** Client account that is charged for the call; undefined if none is. */
-  readonly account: IClientAccount | undefined;
-  /** Quota tokens charged for the call. */
-  readonly tokens: number;
-  /** When the tokens were charged. */
-  readonly chargedAt: number;
-  readonly deadlineAt: number;
-}
-
-/** Mutable state over all attempts of one call. */
-interface IProgress {
-  readonly tried: Set<string>;
-  attempts: number;
-  unreachable: number;
-  /** Id of the last event relayed to the client. */
-  lastEventId: number | undefined;
-  /** True once a target may have run the request. */
-  mayHaveRun: boolean;
-  /** False once the request has probably crashed a target. */
-  mayRepeat: boolean;
-  /** Time until which the request may wait for a target; undefined until it has to. */
-  waitUntil: number | undefined;
-}
-
-/** What was decided before an attempt. */
-interface IPlannedAttempt {
-  readonly request: IPlacementRequest;
-  readonly standing: QuarantineStanding;
-  readonly placement: IPlacement;
-}
-
 /**
  * Runs calls from their arrival to the final response. A request that a target may have run is sent to a
  * second one only if its route allows that, and "not run" is reported only if no target can have run it.
  */
 export class CallRunner<T extends ICall> {
-  private readonly _running = new Map<Attempt<T>, IJudgedRequest>();
-  /** Probes that have not ended, by target and its start time. */
-  private readonly _probes = new Map<string, Promise<boolean>>();
   private readonly _selector: TargetSelector;
+  private readonly _attempts: AttemptRunner<T>;
 
   constructor(private readonly _context: ICallContext<T>) {
     this._selector = new TargetSelector(_context);
-    _context.quarantine.onChange((now) => {
-      this._cancelQuarantined(now);
-    });
+    this._attempts = new AttemptRunner(_context);
   }
 
   /** Writes exactly one final response to the sink, or none if the client disconnects. */
@@ -147,7 +72,7 @@
       return;
     }
     this._context.budget.recordRequest(getFirstServiceName(admitted.route), call.arrivedAt);
-    const progress: IProgress = {
+    const progress: ICallProgress = {
       tried: new Set(),
       attempts: 0,
       unreachable: 0,
@@ -231,7 +156,7 @@
     call: T,
     sink: IAnswerSink,
     admitted: IAdmittedCall,
-    progress: IProgress,
+    progress: ICallProgress,
   ): Promise<boolean> {
     const judged = { call, account: admitted.account?.name, route: admitted.route.name };
     for (;;) {
@@ -269,7 +194,7 @@
       if (this._refuseOverload(call, sink, admitted, placement, progress)) {
         return false;
       }
-      const outcome = await this._tryTarget(
+      const outcome = await this._attempts.run(
         call,
         sink,
         admitted,
@@ -290,7 +215,7 @@
     sink: IAnswerSink,
     admitted: IAdmittedCall,
     placement: IPlacement,
-    progress: IProgress,
+    progress: ICallProgress,
   ): boolean {
     if (admitted.service.engine === undefined || progress.attempts > 0 || sink.isStarted) {
       return false;
@@ -312,7 +237,7 @@
     sink: IAnswerSink,
     { route, account, deadlineAt }: IAdmittedCall,
     target: TargetRecord,
-    progress: IProgress,
+    progress: ICallProgress,
   ): Promise<boolean> {
     const { clock, limits, states } = this._context;
     const now = clock.now();
@@ -365,219 +290,12 @@
     };
   }
 
-  private async _tryTarget(
-    call: T,
-    sink: IAnswerSink,
-    admitted: IAdmittedCall,
-    { request, standing, placement }: IPlannedAttempt,
-    progress: IProgress,
-  ): Promise<AttemptOutcome> {
-    const { clock, states, limits, quarantine, log, placement: placements } = this._context;
-    const { target } = placement;
-    const { route, account } = admitted;
-    const judged = { call, account: account?.name, route: route.name };
-    progress.tried.add(target.id);
-    progress.attempts += 1;
-    const state = states.ensure(target, clock.now());
-    const startedAt = clock.now();
-    limits.take(target, startedAt);
-    const attempt = new Attempt(this._context, call, sink, {
-      target,
-      state,
-      route,
-      deadlineAt: admitted.deadlineAt,
-      beginBy: startedAt + placement.weightsUsableMs,
-      lastEventId: progress.lastEventId,
-      pendingTokens: Math.round(placement.missedTokens + (call.parts.at(-1)?.tokens ?? 0)),
-      expectedMs: placement.expectedMs,
-      mayFailOver: isRepeatable(route) && progress.attempts < route.maxAttempts,
-      isLongStream: request.isEngine && request.outputTokens > LONG_STREAM_TOKENS,
-      mayReplaceError: route.kind === 'safe' && progress.attempts < route.maxAttempts,
-      onNotice: (notice, sentAt) => {
-        this._recordRateLimit(call, target, notice.rateLimit, sentAt);
-        this._recordWish(call, target, state, notice);
-      },
-      onSettled: (at) => {
-        quarantine.recordSettled(judged, at);
-      },
-      onFirstByte: (at) => {
-        placements.recordReading(request, target, at);
-        recordFirstByte(state, placement.modelMs, at - startedAt, at);
-      },
-      dispatch: {
-        clientAccount: account?.name,
-        priority: getPriority(route, account),
-        ...describeCacheUse(request, placement, this._context.store, clock.now()),
-      },
-    });
-    const suspects = standing.kind === 'suspect' ? 1 : 0;
-    state.suspects += suspects;
-    this._running.set(attempt, judged);
-    let outcome: AttemptOutcome;
-    try {
-      outcome = await attempt.run();
-    } finally {
-      this._running.delete(attempt);
-      state.suspects -= suspects;
-    }
-    progress.lastEventId = attempt.lastEventId;
-    if (outcome.kind !== 'not_run') {
-      progress.mayHaveRun = true;
-    }
-    const now = clock.now();
-    log.info('attempt ended', {
-      request: call.id,
-      route: route.name,
-      target: target.id,
-      attempt: progress.attempts,
-      outcome: outcome.kind,
-      reason: outcome.kind === 'answered' ? undefined : outcome.reason,
-      status: attempt.status,
-      // What requests that broke with their target have in common.
-      content: outcome.kind === 'failed' ? formatHash(call.hashContent()) : undefined,
-      sharedParts: outcome.kind === 'failed' ? formatSharedParts(call) : undefined,
-      rateLimit: formatRateLimit(attempt.rateLimit),
-      framing: attempt.framing,
-      lastEvent: attempt.lastEventId,
-      incompleteBytes: attempt.incompleteBytes,
-      expectedMs: Math.round(placement.expectedMs),
-      modelMs: Math.round(placement.modelMs),
-      missedTokens: Math.round(placement.missedTokens),
-      source: formatSource(placement.source),
-      open: state.open,
-      load: attempt.load && `${attempt.load.running}+${attempt.load.waiting}`,
-      firstMs: attempt.firstByteAt && Math.round(attempt.firstByteAt - startedAt),
-      longestGapMs: Math.round(attempt.longestGapMs),
-      totalMs: Math.round(now - startedAt),
-      version: admitted.table.version,
-      viewAgeMs: Math.round(now - this._context.view.hubAnsweredAt),
-    });
-    this._recordOutcome(target, outcome, now);
-    if (outcome.kind === 'answered' && attempt.isSettled) {
-      quarantine.recordAnswered(judged, now);
-    }
-    if (outcome.kind === 'failed' && outcome.isBroken === true) {
-      await this._checkCrash(judged, target, progress);
-    }
-    return outcome;
-  }
-
-  private _recordRateLimit(
-    call: T,
-    target: TargetRecord,
-    notice: RateLimitNotice,
-    sentAt: number,
-  ): void {
-    const { limits, clock, node, log, metrics } = this._context;
-    if (limits.recordNotice(target, notice, sentAt, clock.now())) {
-      node.requestExchange();
-      log.info('target limit changed', {
-        request: call.id,
-        target: target.id,
-        perSecond: limits.getLimit(target),
-      });
-      metrics.increment('gateway_target_limit_changes_total', {});
-    }
-  }
-
-  /** Records that a target leaves, or wants no requests for a time. */
-  private _recordWish(
-    call: T,
-    target: TargetRecord,
-    state: ITargetState,
-    { isLeaving, pauseMs }: ITargetNotice,
-  ): void {
-    const { clock, log, metrics } = this._context;
-    TEST_ONLY: if (isMechanismDisabled('target-wish')) return;
-    const now = clock.now();
-    if (isLeaving && !state.isLeaving) {
-      state.isLeaving = true;
-      log.info('target leaves', { request: call.id, target: target.id });
-      metrics.increment('gateway_target_wishes_total', { kind: 'leaves' });
-    }
-    if (pauseMs !== undefined && pauseMs > 0) {
-      recordPause(state, pauseMs, now);
-      const untilMs = Math.round(state.pausedUntil - now);
-      log.info('target pauses', { request: call.id, target: target.id, pauseMs, untilMs });
-      metrics.increment('gateway_target_wishes_total', { kind: 'pauses' });
-    }
-  }
-
-  /** Cancels requests at targets that would crash when they begin to answer. */
-  private _cancelQuarantined(now: number): void {
-    for (const [attempt, judged] of this._running) {
-      const standing = this._context.quarantine.getStanding(judged, now);
-      // A part crashes a target before its response has settled, a request may do so later.
-      if (standing.kind === 'quarantined' && (standing.isRepetition || !attempt.isSettled)) {
-        attempt.cancel('the request is quarantined');
-      }
-    }
-  }
-
-  /** Reports a request that is not known to be sound if its target has ended. */
-  private async _checkCrash(
-    judged: IJudgedRequest,
-    target: TargetRecord,
-    progress: IProgress,
-  ): Promise<void> {
-    const { quarantine, clock, states, node, log, metrics } = this._context;
-    TEST_ONLY: if (isMechanismDisabled('prompt-quarantine')) return;
-    if (!quarantine.isUnproven(judged, clock.now()) || (await this._probe(target))) {
-      return;
-    }
-    const now = clock.now();
-    const standing = quarantine.getStanding(judged, now);
-    const { call } = judged;
-    // A further crash by the same part must not come from a repetition.
-    progress.mayRepeat = standing.kind === 'clear';
-    recordUnreachable(states.ensure(target, now), now);
-    quarantine.recordCrash(judged, progress.attempts, target, now);
-    node.requestExchange();
-    log.info('target crashed', {
-      request: call.id,
-      target: target.id,
-      content: formatHash(call.hashContent()),
-      sharedParts: formatSharedParts(call),
-      standing: standing.kind,
-    });
-    metrics.increment('gateway_target_crashes_total', {});
-  }
-
-  /** Probes a target once for all requests that break with it. */
-  private async _probe(target: TargetRecord): Promise<boolean> {
-    const key = `${target.id}/${target.born}`;
-    const running = this._probes.get(key);
-    if (running !== undefined) {
-      return running;
-    }
-    const probe = this._context.client.probe(target);
-    this._probes.set(key, probe);
-    try {
-      return await probe;
-    } finally {
-      this._probes.delete(key);
-    }
-  }
-
-  private _recordOutcome(target: TargetRecord, outcome: AttemptOutcome, now: number): void {
-    const state = this._context.states.ensure(target, now);
-    if (outcome.kind === 'not_run') {
-      if (outcome.isUnreachable) {
-        recordUnreachable(state, now);
-      } else {
-        recordBusy(state, now);
-      }
-    } else if (outcome.kind === 'failed') {
-      recordFailure(state, now);
-    }
-  }
-
   private _shouldRetry(
     call: T,
     sink: IAnswerSink,
     admitted: IAdmittedCall,
     outcome: AttemptOutcome,
-    progress: IProgress,
+    progress: ICallProgress,
   ): boolean {
     const { route, service } = admitted;
     const { clock, budget, view } = this._context;
@@ -611,7 +329,12 @@
     );
   }
 
-  private _finish(call: T, sink: IAnswerSink, outcome: AttemptOutcome, progress: IProgress): void {
+  private _finish(
+    call: T,
+    sink: IAnswerSink,
+    outcome: AttemptOutcome,
+    progress: ICallProgress,
+  ): void {
     switch (outcome.kind) {
       case 'answered':
         return;
@@ -645,7 +368,7 @@
   private _finishQuarantined(
     call: T,
     sink: IAnswerSink,
-    progress: IProgress,
+    progress: ICallProgress,
     { partIds }: Extract<QuarantineStanding, { kind: 'quarantined' }>,
   ): void {
     if (progress.mayHaveRun) {
@@ -663,7 +386,7 @@
   private _finishUnanswered(
     call: T,
     sink: IAnswerSink,
-    progress: IProgress,
+    progress: ICallProgress,
     reason: RefusalReason,
   ): void {
     if (call.signal.aborted) {
@@ -685,7 +408,7 @@
     call: T,
     sink: IAnswerSink,
     reason: RefusalReason,
-    progress: IProgress,
+    progress: ICallProgress,
     detail: Readonly<Record<string, unknown>> = {},
   ): void {
     const { clock, log, metrics, view } = this._context;
@@ -729,93 +452,6 @@
   }
 }
 
-/** Urgency of a call: from 0 (most urgent) to 9. */
-function getPriority(route: IRoute, account: IClientAccount | undefined): number {
-  return Math.min(LOWEST_PRIORITY, Math.max(0, account?.priority ?? route.priority));
-}
-
-/** True if requests of the route may run more than once. */
-function isRepeatable(route: IRoute): boolean {
-  TEST_ONLY: if (isMechanismDisabled('repeat-unsafe')) return true;
-  return route.kind === 'safe' || (route.kind === 'streaming' && route.isResumable);
-}
-
-/**
- * Cache fields of a dispatch. Prompt parts computed with other weights must never be found, also not after
- * a transfer. The scope therefore contains the weights version, and the target must still hold it.
- */
-function describeCacheUse(
-  request: IPlacementRequest,
-  { target, source }: IPlacement,
-  store: StoreIndex,
-  now: number,
-): Pick<IDispatch, 'cacheScope' | 'weightsVersion' | 'cacheSource' | 'cacheStore'> {
-  const version = getHeldVersion(target, request.model);
-  if (version === undefined) {
-    return {
-      cacheScope: undefined,
-      weightsVersion: undefined,
-      cacheSource: undefined,
-      cacheStore: undefined,
-    };
-  }
-  const scope = formatCacheScope(request, target);
-  const shared = request.parts.slice(0, -1);
-  const isShared = shared.reduce((sum, part) => sum + part.tokens, 0) >= MIN_STORED_TOKENS;
-  const isMissing = shared.some((part) => !store.isHeldOrInTransit(scope, part.id, now));
-  if (isShared && isMissing && store.address !== undefined) {
-    shared.forEach((part) => {
-      store.recordSent(scope, part.id, now);
-    });
-  }
-  return {
-    cacheScope: scope,
-    weightsVersion: version,
-    cacheSource: getSourceAddress(source, store),
-    // The target would also send the unshared last part, so the store is named only if it lacks a shared one.
-    cacheStore: isShared && isMissing ? store.address : undefined,
-  };
-}
-
-function getSourceAddress(source: PromptSource | undefined, store: StoreIndex): string | undefined {
-  switch (source?.kind) {
-    case undefined:
-      return undefined;
-    case 'target':
-      return source.record.address;
-    case 'store':
-      return store.address;
-  }
-}
-
-function formatHash(hash: number): string {
-  return hash.toString(16).padStart(8, '0');
-}
-
-/** Ids of the prompt parts that other requests may have too, for the log. */
-function formatSharedParts({ parts }: ICall): string | undefined {
-  const shared = parts.slice(0, -1).slice(0, MAX_LOGGED_PARTS);
-  return shared.length === 0 ? undefined : shared.map(({ id }) => id).join();
-}
-
-/** Formats what a response said about its target's limit, for the log; undefined if nothing. */
-function formatRateLimit(notice: RateLimitNotice | undefined): number | string | undefined {
-  switch (notice?.kind) {
-    case undefined:
-    case 'unlimited':
-      return undefined;
-    case 'limited':
-      return notice.perSecond;
-    case 'unreadable':
-      return notice.kind;
-  }
-}
-
-/** Formats a source for the log: the id of the target, or `store`. */
-function formatSource(source: PromptSource | undefined): string | undefined {
-  return source?.kind === 'target' ? source.record.id : source?.kind;
-}
-
 /** Quota tokens of a call; the account's default if the request states no token counts. */
 function countTokens(call: ICall, account: IClientAccount | undefined): number {
   return call.promptTokens === undefined && call.outputTokens === undefined
--- /dev/null
+++ b/src/gateway/CallTypes.ts
@@ -0,0 +1,77 @@
+/** State of a call that the steps of its path share. */
+import type { IClock } from '../common/Clock.js';
+import type { ILog } from '../common/Log.js';
+import type { Metrics } from '../common/Metrics.js';
+import { isMechanismDisabled } from '../common/TestSwitches.js';
+import type { FleetNode } from '../fleet/FleetNode.js';
+import type { QuotaWallet } from '../fleet/QuotaWallet.js';
+import type { RouteTable } from '../fleet/RouteTable.js';
+import type { SharedRetryBudget } from '../fleet/SharedRetryBudget.js';
+import type { IClientAccount, IRoute, IService } from '../fleet/Types.js';
+import type { CrashQuarantine, QuarantineStanding } from './CrashQuarantine.js';
+import type { IPlacement } from './Placement.js';
+import type { IPlacementRequest } from './PlacementRequest.js';
+import type { ITargetSelectorContext } from './TargetSelector.js';
+import type { ICall, ITargetClient } from './Types.js';
+
+/** Priority of the least urgent requests; 0 is the most urgent. */
+const LOWEST_PRIORITY = 9;
+
+/** Dependencies of the calls, shared by all of them. */
+export interface ICallContext<T extends ICall> extends ITargetSelectorContext {
+  readonly node: Pick<FleetNode, 'requestLeases' | 'requestExchange'>;
+  readonly wallet: QuotaWallet;
+  readonly budget: SharedRetryBudget;
+  readonly quarantine: CrashQuarantine;
+  readonly client: ITargetClient<T>;
+  readonly clock: IClock;
+  readonly metrics: Metrics;
+  readonly log: ILog;
+}
+
+/** Routing and quota of a call that passed admission. */
+export interface IAdmittedCall {
+  readonly table: RouteTable;
+  readonly route: IRoute;
+  readonly service: IService;
+  /** Client account that is charged for the call; undefined if none is. */
+  readonly account: IClientAccount | undefined;
+  /** Quota tokens charged for the call. */
+  readonly tokens: number;
+  /** When the tokens were charged. */
+  readonly chargedAt: number;
+  readonly deadlineAt: number;
+}
+
+/** Mutable state over all attempts of one call. */
+export interface ICallProgress {
+  readonly tried: Set<string>;
+  attempts: number;
+  unreachable: number;
+  /** Id of the last event relayed to the client. */
+  lastEventId: number | undefined;
+  /** True once a target may have run the request. */
+  mayHaveRun: boolean;
+  /** False once the request has probably crashed a target. */
+  mayRepeat: boolean;
+  /** Time until which the request may wait for a target; undefined until it has to. */
+  waitUntil: number | undefined;
+}
+
+/** What was decided before an attempt. */
+export interface IPlannedAttempt {
+  readonly request: IPlacementRequest;
+  readonly standing: QuarantineStanding;
+  readonly placement: IPlacement;
+}
+
+/** Urgency of a call: from 0 (most urgent) to 9. */
+export function getPriority(route: IRoute, account: IClientAccount | undefined): number {
+  return Math.min(LOWEST_PRIORITY, Math.max(0, account?.priority ?? route.priority));
+}
+
+/** True if requests of the route may run more than once. */
+export function isRepeatable(route: IRoute): boolean {
+  TEST_ONLY: if (isMechanismDisabled('repeat-unsafe')) return true;
+  return route.kind === 'safe' || (route.kind === 'streaming' && route.isResumable);
+}
