Keep the attempt at a silent target until another one brings the response

Callers saw streams that were cut, or an error, while the target that ran their request paused for a second or two and would have gone on.

Cause: Attempt._checkSilence ended the run after 1 s without a byte, before it was known whether another target exists, is open, is within the attempts and the retry budget, and takes the request. The class of fault: a step back that is taken before the step forward is secured.

Change: silence ends nothing. The call starts a second attempt beside the first (AttemptRace); whichever writes to the client first is kept and the other is cancelled before that write. A refusal, failure or break of one leaves the other. Attempts share the position in the stream, so that it is never read while stale. The test switch silence-failover restores the former behaviour.

Why it works: a response is given up only for bytes that already are there.

Ruled out: to end the first attempt once a second target is chosen (a refusal or a break there then loses the response; two of the tests); to wait longer than 1 s (hosts that have failed then lose each client, which leaves after 2 s).

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -39,7 +39,15 @@
       readonly isBroken?: boolean;
     }
   /** The deadline passed, or the client disconnected. */
-  | { readonly kind: 'ended'; readonly reason: string };
+  | { readonly kind: 'ended'; readonly reason: string }
+  /** Another attempt of the same call brings the response. */
+  | { readonly kind: 'withdrawn'; readonly reason: string };
+
+/** How far the client has received a stream, over all attempts of a call. */
+export interface IStreamPosition {
+  /** Id of the last event relayed to the client. */
+  lastEventId: number | undefined;
+}
 
 export interface IAttemptOptions {
   readonly target: TargetRecord;
@@ -49,17 +57,19 @@
   readonly beginBy: number;
   /** Deadline of the call: the earlier of the client's and the route's, on the monotonic clock. */
   readonly deadlineAt: number;
-  readonly lastEventId: number | undefined;
+  readonly position: IStreamPosition;
   /** Prompt tokens that the target is expected to compute, that is, that are not in its cache. */
   readonly pendingTokens: number;
   /** Expected time to the first byte of the response body. */
   readonly expectedMs: number;
-  /** Whether the attempt may be ended in favour of another target if this one falls silent. */
-  readonly mayFailOver: boolean;
   /** Whether the response is expected to generate more than `LONG_STREAM_TOKENS` tokens. */
   readonly isLongStream: boolean;
-  /** Whether a 5xx response may be discarded so that another target can be tried. */
-  readonly mayReplaceError: boolean;
+  /** Whether a response with this error status may be discarded, as another target may bring a better one. */
+  readonly mayReplaceError: (status: number) => boolean;
+  /** Called before each write to the client. */
+  readonly onRelay: () => void;
+  /** Called at intervals while the target sends nothing, though it should. */
+  readonly onSilent: () => void;
   /** Called with what the head of the response says of the target, and when the request was sent. */
   readonly onNotice: (notice: ITargetNotice, sentAt: number) => void;
   /** Called once the response has lasted long enough that its prompt cannot have crashed the target. */
@@ -84,7 +94,6 @@
 const SILENCE_CHECK_INTERVAL_MS = 250;
 
 const MIN_ERROR_STATUS = 300;
-const MIN_SERVER_ERROR_STATUS = 500;
 
 /** Responses to safe requests are buffered up to this size, and streamed beyond it. */
 const MAX_BUFFERED_BYTES = 64 * 1024;
@@ -102,8 +111,6 @@
  * response with backpressure. `run` may be called once.
  */
 export class Attempt<T extends ICall> {
-  /** Id of the last event relayed to the client, by this attempt or an earlier one. */
-  public lastEventId: number | undefined;
   public status: number | undefined;
   public firstByteAt: number | undefined;
 
@@ -134,7 +141,6 @@
     private readonly _sink: IAnswerSink,
     private readonly _options: IAttemptOptions,
   ) {
-    this.lastEventId = _options.lastEventId;
     this._framer = _options.route.kind === 'streaming' ? new EventFramer() : undefined;
     this._finished = new Promise((resolve) => {
       this._finish = resolve;
@@ -173,7 +179,8 @@
   /** Sends the request and waits until the attempt has ended. */
   public async run(): Promise<AttemptOutcome> {
     const { clock, client } = this._context;
-    const { state, pendingTokens, isLongStream, deadlineAt, target, dispatch } = this._options;
+    const { state, pendingTokens, isLongStream, deadlineAt, target, dispatch, position } =
+      this._options;
     const { signal } = this._call;
     const remainingMs = deadlineAt - clock.now();
     state.open += 1;
@@ -201,7 +208,7 @@
         {
           ...dispatch,
           deadlineMs: Math.max(1, Math.floor(remainingMs)),
-          resumeAfter: this.lastEventId,
+          resumeAfter: position.lastEventId,
         },
         {
           onHead: (head) => {
@@ -242,6 +249,11 @@
     this._end({ kind: 'failed', reason });
   }
 
+  /** Cancels the request at the target, as another attempt of the call brings the response. */
+  public withdraw(): void {
+    this._end({ kind: 'withdrawn', reason: 'another attempt answers' });
+  }
+
   /** Cancels the request when the weights of the target expire before its first byte. */
   private _startBeginTimer(): NodeJS.Timeout | undefined {
     const remainingMs = this._options.beginBy - this._context.clock.now();
@@ -265,9 +277,12 @@
     this._finish(outcome);
   }
 
-  /** Starts a cooldown of a silent target, also when this request may not fail over to another one. */
+  /**
+   * Starts a cooldown of a silent target. The attempt goes on: a sound target may send nothing for a second or more, and
+   * another one may not take the request.
+   */
   private _checkSilence(): void {
-    const { state, expectedMs, mayFailOver } = this._options;
+    const { state, expectedMs, onSilent } = this._options;
     const now = this._context.clock.now();
     const lastByteAt = this._lastByteAt > 0 ? this._lastByteAt : undefined;
     const view = {
@@ -276,13 +291,12 @@
       lastByteAt,
       lastActivityAt: state.lastActivityAt,
     };
-    if (this._isPaused || !isSilent(view, now)) {
+    if (this._hasEnded || this._isPaused || !isSilent(view, now)) {
       return;
     }
-    if (mayFailOver) {
-      this._end({ kind: 'failed', reason: 'the target is silent' });
-    }
+    TEST_ONLY: if (isMechanismDisabled('silence-failover')) this.cancel('the target is silent');
     recordUnreachable(state, now);
+    onSilent();
   }
 
   private _handleHead(head: ITargetHead): void {
@@ -305,7 +319,7 @@
     this._isDiscarded =
       head.isNotRun ||
       head.isOtherTarget ||
-      (mayReplaceError && head.status >= MIN_SERVER_ERROR_STATUS && !this._sink.isStarted);
+      (head.status >= MIN_ERROR_STATUS && mayReplaceError(head.status) && !this._sink.isStarted);
     if (this._isDiscarded) {
       this._discardTimer = setTimeout(() => {
         this._end(this._describeDiscarded());
@@ -349,7 +363,8 @@
       this._startSink();
       this._write(bytes);
       TEST_ONLY: if (isMechanismDisabled('event-number')) return;
-      this.lastEventId = lastId ?? this.lastEventId;
+      const { position } = this._options;
+      position.lastEventId = lastId ?? position.lastEventId;
     }
     if (this._framer.isOverlong) {
       this._end({ kind: 'failed', reason: `an event exceeds ${MAX_EVENT_BYTES} bytes` });
@@ -494,6 +509,7 @@
   }
 
   private _startSink(): void {
+    this._options.onRelay();
     if (!this._sink.isStarted && this._head !== undefined) {
       this._sink.start(this._head.status, this._head.headers);
     }
--- /dev/null
+++ b/src/gateway/AttemptRace.ts
@@ -0,0 +1,96 @@
+/** Runs the attempts of a call that overlap: one, and a second one while the target of the first is silent. */
+import type { Attempt, AttemptOutcome } from './Attempt.js';
+import type { ICall } from './Types.js';
+
+const MAX_ATTEMPTS_AT_ONCE = 2;
+
+/** Outcome of a race; an attempt that was withdrawn leaves the decision to the others. */
+export type RaceOutcome = Exclude<AttemptOutcome, { readonly kind: 'withdrawn' }>;
+
+/** How an attempt takes part in the race for the response of its call. */
+export interface IRaceMember<T extends ICall> {
+  /** True while another attempt may bring the response too. */
+  readonly isContested: boolean;
+  handleStart(attempt: Attempt<T>): void;
+  /** Called before an attempt writes to the client, which ends all other attempts. */
+  handleRelay(attempt: Attempt<T>): void;
+  /** Called at intervals while the target of an attempt sends nothing. */
+  handleSilence(): void;
+  handleEnd(attempt: Attempt<T>): void;
+}
+
+/**
+ * A target that sends nothing may be sound, so its attempt goes on while another target is tried. Whichever relays
+ * something to the client first is kept. No event can come twice, since each write ends all other attempts before.
+ *
+ * @example
+ * const race = new AttemptRace((itself) => startStandby(itself));
+ * const outcome = await race.run(() => startFirst(race));
+ */
+export class AttemptRace<T extends ICall> implements IRaceMember<T> {
+  private readonly _attempts = new Set<Attempt<T>>();
+  private readonly _finished: Promise<RaceOutcome>;
+  private _finish: (outcome: RaceOutcome) => void = () => undefined;
+  private _fail: (error: unknown) => void = () => undefined;
+  private _open = 0;
+  private _outcome: RaceOutcome = { kind: 'ended', reason: 'no attempt ended by itself' };
+
+  /** @param _startStandby starts an attempt at another target; undefined if none takes the request now */
+  constructor(
+    private readonly _startStandby: (race: AttemptRace<T>) => Promise<AttemptOutcome> | undefined,
+  ) {
+    this._finished = new Promise((resolve, reject) => {
+      this._finish = resolve;
+      this._fail = reject;
+    });
+  }
+
+  public get isContested(): boolean {
+    return this._attempts.size > 1;
+  }
+
+  /** Runs the first attempt. Resolves once no attempt is left, with the outcome of the one that ended last. */
+  public async run(startFirst: () => Promise<AttemptOutcome>): Promise<RaceOutcome> {
+    this._follow(startFirst());
+    return this._finished;
+  }
+
+  public handleStart(attempt: Attempt<T>): void {
+    this._attempts.add(attempt);
+  }
+
+  public handleEnd(attempt: Attempt<T>): void {
+    this._attempts.delete(attempt);
+  }
+
+  public handleRelay(attempt: Attempt<T>): void {
+    for (const other of this._attempts) {
+      if (other !== attempt) {
+        other.withdraw();
+      }
+    }
+  }
+
+  public handleSilence(): void {
+    if (this._open >= MAX_ATTEMPTS_AT_ONCE) {
+      return;
+    }
+    const standby = this._startStandby(this);
+    if (standby !== undefined) {
+      this._follow(standby);
+    }
+  }
+
+  private _follow(running: Promise<AttemptOutcome>): void {
+    this._open += 1;
+    running.then((outcome) => {
+      this._open -= 1;
+      if (outcome.kind !== 'withdrawn') {
+        this._outcome = outcome;
+      }
+      if (this._open === 0) {
+        this._finish(this._outcome);
+      }
+    }, this._fail);
+  }
+}
--- a/src/gateway/AttemptRunner.ts
+++ b/src/gateway/AttemptRunner.ts
@@ -3,9 +3,9 @@
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { isMechanismDisabled } from '../common/TestSwitches.js';
 import { Attempt, type AttemptOutcome, type ITargetNotice } from './Attempt.js';
+import type { IRaceMember } from './AttemptRace.js';
 import {
   getPriority,
-  isRepeatable,
   type IAdmittedCall,
   type ICallContext,
   type ICallProgress,
@@ -30,6 +30,8 @@
 /** Shared prompt parts with fewer tokens in total are not sent to the store: a fetch would not pay off. */
 const MIN_STORED_TOKENS = 50;
 
+const MIN_SERVER_ERROR_STATUS = 500;
+
 /** Prompt parts that a log line names at most. */
 const MAX_LOGGED_PARTS = 8;
 
@@ -52,6 +54,7 @@
     admitted: IAdmittedCall,
     { request, standing, placement }: IPlannedAttempt,
     progress: ICallProgress,
+    race: IRaceMember<T>,
   ): Promise<AttemptOutcome> {
     const { clock, states, limits, quarantine, log, placement: placements } = this._context;
     const { target } = placement;
@@ -59,21 +62,29 @@
     const judged = { call, account: account?.name, route: route.name };
     progress.tried.add(target.id);
     progress.attempts += 1;
+    const number = progress.attempts;
     const state = states.ensure(target, clock.now());
     const startedAt = clock.now();
     limits.take(target, startedAt);
-    const attempt = new Attempt(this._context, call, sink, {
+    const attempt = new Attempt<T>(this._context, call, sink, {
       target,
       state,
       route,
       deadlineAt: admitted.deadlineAt,
       beginBy: startedAt + placement.weightsUsableMs,
-      lastEventId: progress.lastEventId,
+      position: progress,
       pendingTokens: Math.round(placement.missedTokens + (call.parts.at(-1)?.tokens ?? 0)),
       expectedMs: placement.expectedMs,
-      mayFailOver: isRepeatable(route) && progress.attempts < route.maxAttempts,
       isLongStream: request.isEngine && request.outputTokens > LONG_STREAM_TOKENS,
-      mayReplaceError: route.kind === 'safe' && progress.attempts < route.maxAttempts,
+      mayReplaceError: (status) =>
+        race.isContested ||
+        (status >= MIN_SERVER_ERROR_STATUS && route.kind === 'safe' && number < route.maxAttempts),
+      onRelay: () => {
+        race.handleRelay(attempt);
+      },
+      onSilent: () => {
+        race.handleSilence();
+      },
       onNotice: (notice, sentAt) => {
         this._recordRateLimit(call, target, notice.rateLimit, sentAt);
         this._recordWish(call, target, state, notice);
@@ -94,23 +105,27 @@
     const suspects = standing.kind === 'suspect' ? 1 : 0;
     state.suspects += suspects;
     this._running.set(attempt, judged);
+    race.handleStart(attempt);
     let outcome: AttemptOutcome;
     try {
       outcome = await attempt.run();
     } finally {
       this._running.delete(attempt);
+      race.handleEnd(attempt);
       state.suspects -= suspects;
     }
-    progress.lastEventId = attempt.lastEventId;
     if (outcome.kind !== 'not_run') {
       progress.mayHaveRun = true;
+    } else if (outcome.isUnreachable) {
+      progress.attempts -= 1;
+      progress.unreachable += 1;
     }
     const now = clock.now();
     log.info('attempt ended', {
       request: call.id,
       route: route.name,
       target: target.id,
-      attempt: progress.attempts,
+      attempt: number,
       outcome: outcome.kind,
       reason: outcome.kind === 'answered' ? undefined : outcome.reason,
       status: attempt.status,
@@ -119,7 +134,7 @@
       sharedParts: outcome.kind === 'failed' ? formatSharedParts(call) : undefined,
       rateLimit: formatRateLimit(attempt.rateLimit),
       framing: attempt.framing,
-      lastEvent: attempt.lastEventId,
+      lastEvent: progress.lastEventId,
       incompleteBytes: attempt.incompleteBytes,
       expectedMs: Math.round(placement.expectedMs),
       modelMs: Math.round(placement.modelMs),
@@ -138,7 +153,7 @@
       quarantine.recordAnswered(judged, now);
     }
     if (outcome.kind === 'failed' && outcome.isBroken === true) {
-      await this._checkCrash(judged, target, progress);
+      await this._checkCrash(judged, target, number, progress);
     }
     return outcome;
   }
@@ -199,6 +214,7 @@
   private async _checkCrash(
     judged: IJudgedRequest,
     target: TargetRecord,
+    attempt: number,
     progress: ICallProgress,
   ): Promise<void> {
     const { quarantine, clock, states, node, log, metrics } = this._context;
@@ -212,7 +228,7 @@
     // A further crash by the same part must not come from a repetition.
     progress.mayRepeat = standing.kind === 'clear';
     recordUnreachable(states.ensure(target, now), now);
-    quarantine.recordCrash(judged, progress.attempts, target, now);
+    quarantine.recordCrash(judged, attempt, target, now);
     node.requestExchange();
     log.info('target crashed', {
       request: call.id,
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -5,6 +5,7 @@
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { hashText } from '../policy/TargetTable.js';
 import type { AttemptOutcome } from './Attempt.js';
+import { AttemptRace, type IRaceMember, type RaceOutcome } from './AttemptRace.js';
 import { AttemptRunner, formatHash } from './AttemptRunner.js';
 import {
   getPriority,
@@ -17,7 +18,7 @@
 import { decideOverload } from './Overload.js';
 import type { IPlacement } from './Placement.js';
 import type { IPlacementRequest } from './PlacementRequest.js';
-import { TargetSelector } from './TargetSelector.js';
+import { TargetSelector, type TargetChoice } from './TargetSelector.js';
 import { getPauseMs } from './TargetStates.js';
 import { decideTargetWait } from './TargetWait.js';
 import type { IAnswerSink, ICall, RefusalReason } from './Types.js';
@@ -171,15 +172,7 @@
         return progress.mayHaveRun;
       }
       const request = this._describeRequest(call, admitted);
-      const choice = this._selector.choose(
-        {
-          service: admitted.service.name,
-          request,
-          tried: progress.tried,
-          isSuspect: standing.kind === 'suspect',
-        },
-        now,
-      );
+      const choice = this._chooseTarget(admitted, request, standing, progress, now);
       if (choice.kind === 'none') {
         this._finishUnanswered(call, sink, progress, 'no_target');
         return progress.mayHaveRun;
@@ -194,12 +187,12 @@
       if (this._refuseOverload(call, sink, admitted, placement, progress)) {
         return false;
       }
-      const outcome = await this._attempts.run(
-        call,
-        sink,
-        admitted,
-        { request, standing, placement },
-        progress,
+      const race = new AttemptRace<T>((member) =>
+        this._startStandby(call, sink, admitted, progress, member),
+      );
+      const plan = { request, standing, placement };
+      const outcome = await race.run(() =>
+        this._attempts.run(call, sink, admitted, plan, progress, race),
       );
       if (!this._shouldRetry(call, sink, admitted, outcome, progress)) {
         this._finish(call, sink, outcome, progress);
@@ -209,6 +202,61 @@
     }
   }
 
+  private _chooseTarget(
+    admitted: IAdmittedCall,
+    request: IPlacementRequest,
+    standing: QuarantineStanding,
+    { tried }: ICallProgress,
+    now: number,
+  ): TargetChoice {
+    const isSuspect = standing.kind === 'suspect';
+    return this._selector.choose(
+      { service: admitted.service.name, request, tried, isSuspect },
+      now,
+    );
+  }
+
+  /** Starts an attempt at another target beside one that is silent; undefined if none takes the request now. */
+  private _startStandby(
+    call: T,
+    sink: IAnswerSink,
+    admitted: IAdmittedCall,
+    progress: ICallProgress,
+    race: IRaceMember<T>,
+  ): Promise<AttemptOutcome> | undefined {
+    const { quarantine, clock, budget, limits, metrics, view } = this._context;
+    const { route, service, account } = admitted;
+    const now = clock.now();
+    const judged = { call, account: account?.name, route: route.name };
+    const standing = quarantine.getStanding(judged, now);
+    const mayStart =
+      standing.kind !== 'quarantined' &&
+      isRepeatable(route) &&
+      progress.mayRepeat &&
+      progress.unreachable <= MAX_UNREACHABLE_TARGETS &&
+      this._mayTryAnother(call, sink, admitted, progress, now);
+    if (!mayStart) {
+      return undefined;
+    }
+    const request = this._describeRequest(call, admitted);
+    const choice = this._chooseTarget(admitted, request, standing, progress, now);
+    switch (choice.kind) {
+      case 'none':
+        return undefined;
+      case 'closed':
+        limits.recordLacking(choice.target);
+        return undefined;
+      case 'placed': {
+        if (!budget.trySpend(service.name, view.entryCount, now)) {
+          return undefined;
+        }
+        metrics.increment('gateway_repeats_total', { service: service.name });
+        const plan = { request, standing, placement: choice.placement };
+        return this._attempts.run(call, sink, admitted, plan, progress, race);
+      }
+    }
+  }
+
   /** Refuses a request that even the best target is expected to answer too late; true if refused. */
   private _refuseOverload(
     call: T,
@@ -294,28 +342,22 @@
     call: T,
     sink: IAnswerSink,
     admitted: IAdmittedCall,
-    outcome: AttemptOutcome,
+    outcome: RaceOutcome,
     progress: ICallProgress,
   ): boolean {
     const { route, service } = admitted;
     const { clock, budget, view } = this._context;
     const now = clock.now();
-    if (call.signal.aborted || admitted.deadlineAt - now < MIN_ATTEMPT_MS) {
-      return false;
-    }
-    // Only an event stream can be resumed. Parts of other responses must never be concatenated.
-    if (sink.isStarted && route.kind !== 'streaming') {
-      return false;
-    }
     switch (outcome.kind) {
       case 'answered':
       case 'ended':
         return false;
       case 'not_run':
         if (outcome.isUnreachable) {
-          progress.attempts -= 1;
-          progress.unreachable += 1;
-          return progress.unreachable <= MAX_UNREACHABLE_TARGETS;
+          return (
+            progress.unreachable <= MAX_UNREACHABLE_TARGETS &&
+            this._mayTryAnother(call, sink, admitted, progress, now)
+          );
         }
         break;
       case 'failed':
@@ -325,16 +367,26 @@
         break;
     }
     return (
-      progress.attempts < route.maxAttempts && budget.trySpend(service.name, view.entryCount, now)
+      this._mayTryAnother(call, sink, admitted, progress, now) &&
+      budget.trySpend(service.name, view.entryCount, now)
     );
   }
 
-  private _finish(
+  /** Whether the call has time and attempts left, and its response can go on at another target. */
+  private _mayTryAnother(
     call: T,
     sink: IAnswerSink,
-    outcome: AttemptOutcome,
+    { route, deadlineAt }: IAdmittedCall,
     progress: ICallProgress,
-  ): void {
+    now: number,
+  ): boolean {
+    // Only an event stream can be resumed. Parts of other responses must never be concatenated.
+    const canContinue = !sink.isStarted || route.kind === 'streaming';
+    const hasTime = !call.signal.aborted && deadlineAt - now >= MIN_ATTEMPT_MS;
+    return canContinue && hasTime && progress.attempts < route.maxAttempts;
+  }
+
+  private _finish(call: T, sink: IAnswerSink, outcome: RaceOutcome, progress: ICallProgress): void {
     switch (outcome.kind) {
       case 'answered':
         return;
