Keep the outcome of the attempt that answered

Callers could see a complete answer cut while its last bytes were still on the way; `response cut` was logged and counted in any case, for an answer that was whole.

Cause: AttemptRace took the outcome of the attempt that ended last. One whose target broke ends only after a probe of that target, up to 0.4 s later, so that a broken second attempt replaced the outcome `answered` of the first. CallRunner then tried a third target for a call that had its answer, or cut the response after its end.

Change: nothing replaces the outcome `answered`. The recording sink of the tests keeps every call that ends a response, as there must be one only.

Ruled out: to end the race with the answer; the probe would then run on after its call.

--- /dev/null
+++ b/src/gateway/AttemptRace.test.ts
@@ -0,0 +1,54 @@
+/** Attempts of a call that overlap because a target is silent: orders of events that lose or spoil the response. */
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import {
+  OK_HEAD,
+  resetAfterSend,
+  runCall,
+  streamEvents,
+  type IRunResult,
+  type ISetup,
+  type TargetScript,
+} from './Fixtures.js';
+
+const CALL = { deadlineMs: 6_000 };
+const WHOLE_STREAM = streamEvents(1, 5).toString();
+
+/** Longer than any call of these tests. */
+const LIMIT_MS = 8_000;
+
+/** Sends two events, and the others after a pause unless the request is aborted. */
+function pauseInStream(pauseMs: number): TargetScript {
+  return (listener, _dispatch, signal) => {
+    listener.onHead(OK_HEAD);
+    listener.onData(streamEvents(1, 2));
+    setTimeout(() => {
+      if (!signal.aborted) {
+        listener.onData(streamEvents(3, 5));
+        listener.onEnd();
+      }
+    }, pauseMs);
+  };
+}
+
+async function run(scripts: TargetScript[], setup: ISetup): Promise<IRunResult> {
+  const running = runCall(scripts, { call: CALL, ...setup });
+  await vi.advanceTimersByTimeAsync(LIMIT_MS);
+  return running;
+}
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+describe('overlapping attempts', () => {
+  // Guards against an answer that is cut after its end, because the other target broke earlier and is probed for longer.
+  it('keep the complete answer of one when the other is found broken later', async () => {
+    const setup = { targets: 2, probeMs: 400, hasCrashed: true };
+    const { sink } = await run([pauseInStream(1_500), resetAfterSend], setup);
+    expect(sink).toMatchObject({ endings: ['end'], body: WHOLE_STREAM });
+  });
+});
--- a/src/gateway/AttemptRace.ts
+++ b/src/gateway/AttemptRace.ts
@@ -49,7 +49,10 @@
     return this._attempts.size > 1;
   }
 
-  /** Runs the first attempt. Resolves once no attempt is left, with the outcome of the one that ended last. */
+  /**
+   * Runs the first attempt. Resolves once no attempt is left, with the outcome of the one that answered or, if none did,
+   * that ended last.
+   */
   public async run(startFirst: () => Promise<AttemptOutcome>): Promise<RaceOutcome> {
     this._follow(startFirst());
     return this._finished;
@@ -85,7 +88,8 @@
     this._open += 1;
     running.then((outcome) => {
       this._open -= 1;
-      if (outcome.kind !== 'withdrawn') {
+      // An attempt that broke earlier ends later than one that answers, as its target is probed first.
+      if (outcome.kind !== 'withdrawn' && this._outcome.kind !== 'answered') {
         this._outcome = outcome;
       }
       if (this._open === 0) {
--- a/src/gateway/Fixtures.ts
+++ b/src/gateway/Fixtures.ts
@@ -4,6 +4,7 @@
 import { SILENT_LOG } from '../common/Log.js';
 import { Metrics } from '../common/Metrics.js';
 import { Ok } from '../common/Result.js';
+import { sleep } from '../common/Tasks.js';
 import { buildAccount, buildConfiguration, buildRoute, buildTarget } from '../fleet/Fixtures.js';
 import { FleetView } from '../fleet/FleetView.js';
 import { QuotaWallet } from '../fleet/QuotaWallet.js';
@@ -62,10 +63,15 @@
     /** Whether targets accept connections after a request has broken. */
     private readonly _isListening: boolean,
     private readonly _sendError: Error | undefined,
+    /** Time that a probe takes, in milliseconds. */
+    private readonly _probeMs = 0,
   ) {}
 
-  public probe(): Promise<boolean> {
-    return Promise.resolve(this._isListening);
+  public async probe(): Promise<boolean> {
+    if (this._probeMs > 0) {
+      await sleep(this._probeMs);
+    }
+    return this._isListening;
   }
 
   public send(
@@ -98,7 +104,12 @@
   public status = 0;
   public body = '';
   public retryAfterMs: number | undefined;
-  public ending: 'open' | 'end' | 'cut' | 'refuse' = 'open';
+  /** All calls that end the response, in order; there must be one. */
+  public readonly endings: ('end' | 'cut' | 'refuse')[] = [];
+
+  public get ending(): 'open' | 'end' | 'cut' | 'refuse' {
+    return this.endings.at(-1) ?? 'open';
+  }
 
   public start(status: number): void {
     this.isStarted = true;
@@ -115,17 +126,17 @@
   }
 
   public end(): void {
-    this.ending = 'end';
+    this.endings.push('end');
   }
 
   public cut(): void {
-    this.ending = 'cut';
+    this.endings.push('cut');
   }
 
   public refuse(status: number, _reason: string, retryAfterMs: number | undefined): void {
     this.status = status;
     this.retryAfterMs = retryAfterMs;
-    this.ending = 'refuse';
+    this.endings.push('refuse');
   }
 }
 
@@ -143,6 +154,8 @@
   readonly quarantine?: CrashQuarantine;
   /** True if targets refuse connections after a request has broken. */
   readonly hasCrashed?: boolean;
+  /** Time that a probe of a target takes; the default is 0. */
+  readonly probeMs?: number;
   /** Thrown instead of sending a request. */
   readonly sendError?: Error;
   /** Start time of the targets. */
@@ -190,7 +203,12 @@
     const work = [{ id, open: 20, pendingTokens }];
     view.applyResponse(create(ExchangeResponseSchema, { work }), clock.now());
   }
-  const targets = new ScriptedTargetClient(scripts, setup.hasCrashed !== true, setup.sendError);
+  const targets = new ScriptedTargetClient(
+    scripts,
+    setup.hasCrashed !== true,
+    setup.sendError,
+    setup.probeMs,
+  );
   const runner = new CallRunner<ICall>({
     view,
     node: { requestLeases: () => Promise.resolve(), requestExchange: () => undefined },
