Try a further target while all attempts of a call are silent

Callers waited until their deadline, or left, although a sound target was there: the hosts of the first two targets had failed, as in the loss of a zone.

Cause: a race held two attempts at most, and silence ends none of them, so a third target that the route allows was never tried.

Change: a further attempt starts when the targets of all running attempts are silent. The attempts of the route and the retry budget limit their number, as before.

Ruled out: to replace the older of two silent attempts; its target may be sound.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -176,6 +176,18 @@
     return this.firstByteAt !== undefined;
   }
 
+  /** True while the target sends nothing, though it should. */
+  public get isSilent(): boolean {
+    const { state, expectedMs } = this._options;
+    const view = {
+      sentAt: this._sentAt,
+      expectedMs,
+      lastByteAt: this._lastByteAt > 0 ? this._lastByteAt : undefined,
+      lastActivityAt: state.lastActivityAt,
+    };
+    return !this._hasEnded && !this._isPaused && isSilent(view, this._context.clock.now());
+  }
+
   /** Sends the request and waits until the attempt has ended. */
   public async run(): Promise<AttemptOutcome> {
     const { clock, client } = this._context;
@@ -282,20 +294,12 @@
    * another one may not take the request.
    */
   private _checkSilence(): void {
-    const { state, expectedMs, onSilent } = this._options;
-    const now = this._context.clock.now();
-    const lastByteAt = this._lastByteAt > 0 ? this._lastByteAt : undefined;
-    const view = {
-      sentAt: this._sentAt,
-      expectedMs,
-      lastByteAt,
-      lastActivityAt: state.lastActivityAt,
-    };
-    if (this._hasEnded || this._isPaused || !isSilent(view, now)) {
+    const { state, onSilent } = this._options;
+    if (!this.isSilent) {
       return;
     }
     TEST_ONLY: if (isMechanismDisabled('silence-failover')) this.cancel('the target is silent');
-    recordUnreachable(state, now);
+    recordUnreachable(state, this._context.clock.now());
     onSilent();
   }
 
--- a/src/gateway/AttemptRace.test.ts
+++ b/src/gateway/AttemptRace.test.ts
@@ -4,6 +4,7 @@
   OK_HEAD,
   resetAfterSend,
   runCall,
+  sendNothing,
   streamEvents,
   type IRunResult,
   type ISetup,
@@ -16,6 +17,12 @@
 /** Longer than any call of these tests. */
 const LIMIT_MS = 8_000;
 
+const resumeStream: TargetScript = (listener, dispatch) => {
+  listener.onHead(OK_HEAD);
+  listener.onData(streamEvents((dispatch.resumeAfter ?? 0) + 1, 5));
+  listener.onEnd();
+};
+
 /** Sends two events, and the others after a pause unless the request is aborted. */
 function pauseInStream(pauseMs: number): TargetScript {
   return (listener, _dispatch, signal) => {
@@ -51,4 +58,12 @@
     const { sink } = await run([pauseInStream(1_500), resetAfterSend], setup);
     expect(sink).toMatchObject({ endings: ['end'], body: WHOLE_STREAM });
   });
+
+  // Guards against a call that waits for two hosts that have failed while a third target is sound.
+  it('of two silent targets leave a third one to try', async () => {
+    const setup = { targets: 3, route: { maxAttempts: 3 } };
+    const { sink, targets } = await run([sendNothing, sendNothing, resumeStream], setup);
+    expect(targets.sent).toHaveLength(3);
+    expect(sink).toMatchObject({ endings: ['end'], body: WHOLE_STREAM });
+  });
 });
--- a/src/gateway/AttemptRace.ts
+++ b/src/gateway/AttemptRace.ts
@@ -1,9 +1,7 @@
-/** Runs the attempts of a call that overlap: one, and a second one while the target of the first is silent. */
+/** Runs the attempts of a call that overlap: one, and a further one while the targets of all others are silent. */
 import type { Attempt, AttemptOutcome } from './Attempt.js';
 import type { ICall } from './Types.js';
 
-const MAX_ATTEMPTS_AT_ONCE = 2;
-
 /** Outcome of a race; an attempt that was withdrawn leaves the decision to the others. */
 export type RaceOutcome = Exclude<AttemptOutcome, { readonly kind: 'withdrawn' }>;
 
@@ -75,7 +73,9 @@
   }
 
   public handleSilence(): void {
-    if (this._open >= MAX_ATTEMPTS_AT_ONCE) {
+    const isOnlyWaiting =
+      this._open === this._attempts.size && [...this._attempts].every(({ isSilent }) => isSilent);
+    if (!isOnlyWaiting) {
       return;
     }
     const standby = this._startStandby(this);
