Add no events to an error response that broke off

Callers of a resumable stream got one response joined from two targets: status 400 and a part of its text from the first one, then the events of the second one, ended as complete.

Cause: once a response has started, CallRunner went on at another target if the route streams. It did not ask whether what had started was a stream: an engine may break off, or fall silent, inside the body of an error.

Change: the position in the stream holds the status that the client receives, and only a response with 200 goes on. An error that is not whole is cut.

Ruled out: to buffer errors of streaming routes as those of safe ones; a larger one would be streamed all the same.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -45,6 +45,8 @@
 
 /** How far the client has received a stream, over all attempts of a call. */
 export interface IStreamPosition {
+  /** Status of the response that the client receives; undefined before its start. */
+  status: number | undefined;
   /** Id of the last event relayed to the client. */
   lastEventId: number | undefined;
 }
@@ -515,6 +517,7 @@
   private _startSink(): void {
     this._options.onRelay();
     if (!this._sink.isStarted && this._head !== undefined) {
+      this._options.position.status = this._head.status;
       this._sink.start(this._head.status, this._head.headers);
     }
   }
--- a/src/gateway/AttemptRace.test.ts
+++ b/src/gateway/AttemptRace.test.ts
@@ -66,4 +66,26 @@
     expect(targets.sent).toHaveLength(3);
     expect(sink).toMatchObject({ endings: ['end'], body: WHOLE_STREAM });
   });
+
+  // Guards against a response that joins the error of one target and the events of another.
+  it.each<[string, TargetScript]>([
+    ['falls silent', (): void => undefined],
+    [
+      'breaks',
+      (listener): void => {
+        listener.onError('reset', true);
+      },
+    ],
+  ])('add no events to an error whose target %s before its end', async (_name, goOn) => {
+    const failInPart: TargetScript = (listener, dispatch, signal) => {
+      listener.onHead({ ...OK_HEAD, status: 400 });
+      listener.onData(Buffer.from('the prompt is'));
+      setTimeout(() => {
+        goOn(listener, dispatch, signal);
+      }, 50);
+    };
+    const { sink, targets } = await run([failInPart, resumeStream], { targets: 2 });
+    expect(targets.sent).toHaveLength(1);
+    expect(sink).toMatchObject({ status: 400, endings: ['cut'], body: 'the prompt is' });
+  });
 });
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -50,6 +50,9 @@
 /** Unreachable targets do not count as attempts; with more than this many the call ends. */
 const MAX_UNREACHABLE_TARGETS = 3;
 
+/** Status of each response with events; others are errors. */
+const STREAM_STATUS = 200;
+
 /** Prompt parts that a log line names at most. */
 const MAX_LOGGED_PARTS = 8;
 
@@ -77,6 +80,7 @@
       tried: new Set(),
       attempts: 0,
       unreachable: 0,
+      status: undefined,
       lastEventId: call.resumeAfter,
       mayHaveRun: false,
       mayRepeat: true,
@@ -380,8 +384,9 @@
     progress: ICallProgress,
     now: number,
   ): boolean {
-    // Only an event stream can be resumed. Parts of other responses must never be concatenated.
-    const canContinue = !sink.isStarted || route.kind === 'streaming';
+    // Only an event stream can be resumed. Parts of other responses, also of errors, must never be concatenated.
+    const canContinue =
+      !sink.isStarted || (route.kind === 'streaming' && progress.status === STREAM_STATUS);
     const hasTime = !call.signal.aborted && deadlineAt - now >= MIN_ATTEMPT_MS;
     return canContinue && hasTime && progress.attempts < route.maxAttempts;
   }
--- a/src/gateway/CallTypes.ts
+++ b/src/gateway/CallTypes.ts
@@ -48,6 +48,8 @@
   readonly tried: Set<string>;
   attempts: number;
   unreachable: number;
+  /** Status of the response that the client receives; undefined before its start. */
+  status: number | undefined;
   /** Id of the last event relayed to the client. */
   lastEventId: number | undefined;
   /** True once a target may have run the request. */
