End the cooldown of a silent target that sends again

Callers were refused or served late at the other targets, since a sound target that had paused for 1.7 s got no new requests for seconds more.

Cause: each request at a silent target counts a failure every 250 ms, and only the end of a whole response resets the count. With one stream the cooldown outlasted the pause by 0.8 s, with eight by 3.8 s, while events came again.

Change: a target that counts as silent is no longer in its cooldown once it sends a byte of any response. A host that has failed sends none, so its cooldown grows as before. Other failures keep their cooldown.

Ruled out: to count one failure per check instead of one per request; the cooldown still outlasts the pause, and grows more slowly for hosts that have failed.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -6,7 +6,13 @@
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { EventFramer, MAX_EVENT_BYTES } from './EventFramer.js';
 import { isSilent } from './Silence.js';
-import { recordSuccess, recordLoad, recordUnreachable, type ITargetState } from './TargetStates.js';
+import {
+  recordActivity,
+  recordLoad,
+  recordSilence,
+  recordSuccess,
+  type ITargetState,
+} from './TargetStates.js';
 import {
   BodyFraming,
   type IAnswerSink,
@@ -301,12 +307,12 @@
       return;
     }
     TEST_ONLY: if (isMechanismDisabled('silence-failover')) this.cancel('the target is silent');
-    recordUnreachable(state, this._context.clock.now());
+    recordSilence(state, this._context.clock.now());
     onSilent();
   }
 
   private _handleHead(head: ITargetHead): void {
-    this._options.state.lastActivityAt = this._context.clock.now();
+    recordActivity(this._options.state, this._context.clock.now());
     this._handleNotice(head);
     if (this._hasEnded) {
       return;
@@ -350,7 +356,7 @@
   }
 
   private _handleData(chunk: Buffer): void {
-    this._options.state.lastActivityAt = this._context.clock.now();
+    recordActivity(this._options.state, this._context.clock.now());
     if (this._hasEnded || chunk.length === 0) {
       return;
     }
--- a/src/gateway/AttemptRace.test.ts
+++ b/src/gateway/AttemptRace.test.ts
@@ -1,5 +1,6 @@
 /** Attempts of a call that overlap because a target is silent: orders of events that lose or spoil the response. */
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { buildTarget } from '../fleet/Fixtures.js';
 import {
   OK_HEAD,
   resetAfterSend,
@@ -10,6 +11,7 @@
   type ISetup,
   type TargetScript,
 } from './Fixtures.js';
+import { TargetStates } from './TargetStates.js';
 
 const CALL = { deadlineMs: 6_000 };
 const WHOLE_STREAM = streamEvents(1, 5).toString();
@@ -88,4 +90,31 @@
     expect(targets.sent).toHaveLength(1);
     expect(sink).toMatchObject({ status: 400, endings: ['cut'], body: 'the prompt is' });
   });
+
+  // Guards against a sound target that gets no requests for seconds after a pause, so that the others are overloaded.
+  it.each([1, 8])('end the cooldown of a target that goes on, with %i streams', async (count) => {
+    const states = new TargetStates();
+    const setup = { call: CALL, targets: 1, states };
+    const pauseTwice: TargetScript = (listener) => {
+      listener.onHead(OK_HEAD);
+      listener.onData(streamEvents(1, 2));
+      setTimeout(() => {
+        listener.onData(streamEvents(3, 4));
+      }, 1_700);
+      setTimeout(() => {
+        listener.onData(streamEvents(5, 5));
+        listener.onEnd();
+      }, 2_600);
+    };
+    const running = Array.from({ length: count }, () => runCall([pauseTwice], setup));
+    const state = states.ensure(buildTarget({ id: 'i-0', born: 1_000 }), performance.now());
+    await vi.advanceTimersByTimeAsync(1_650);
+    expect(state.cooldownUntil).toBeGreaterThan(performance.now());
+    await vi.advanceTimersByTimeAsync(100);
+    expect(state.cooldownUntil - performance.now()).toBeLessThanOrEqual(0);
+    await vi.advanceTimersByTimeAsync(LIMIT_MS);
+    for (const { sink } of await Promise.all(running)) {
+      expect(sink).toMatchObject({ endings: ['end'], body: WHOLE_STREAM });
+    }
+  });
 });
--- a/src/gateway/TargetStates.ts
+++ b/src/gateway/TargetStates.ts
@@ -62,6 +62,8 @@
   isLeaving: boolean;
   /** When the target last sent a byte of any response to this entry. */
   lastActivityAt: number;
+  /** True from when the target counted as silent until it sends a byte. */
+  isSilent: boolean;
   load: (IReportedLoad & { readonly at: number }) | undefined;
 }
 
@@ -90,6 +92,7 @@
         pausedUntil: Number.NEGATIVE_INFINITY,
         isLeaving: false,
         lastActivityAt: Number.NEGATIVE_INFINITY,
+        isSilent: false,
         load: undefined,
       };
       this._states.set(target.id, state);
@@ -142,6 +145,21 @@
   recordFailure(state, now);
 }
 
+/** Starts a cooldown of a target that sends nothing; one that has failed sends no byte that ends it. */
+export function recordSilence(state: ITargetState, now: number): void {
+  state.isSilent = true;
+  recordUnreachable(state, now);
+}
+
+/** Records a byte of any response. It ends the cooldown of a silent target, which is sound after all. */
+export function recordActivity(state: ITargetState, now: number): void {
+  state.lastActivityAt = now;
+  if (state.isSilent) {
+    state.isSilent = false;
+    recordSuccess(state);
+  }
+}
+
 /** Starts a short cooldown after a refusal by a target that is full or loads weights. */
 export function recordBusy(state: ITargetState, now: number): void {
   state.cooldownUntil = Math.max(state.cooldownUntil, now + BUSY_COOLDOWN_MS);
