Count the silence of a target from the end of a pause of its client

A client that reads nothing for more than a second had its stream sent to a second target as soon as it read on, and its sound target got a cooldown.

Cause: while the client is slow, the target is paused and its silence does not count. At the end of the pause the last byte is old, so that the next check took the target for silent before it could send one.

Change: the end of a pause counts like a byte of the target.

Ruled out: to set the time of the last byte itself; longestGapMs in the log would hide the pause.

Run: the test failed before (2 requests sent in place of 1); AttemptRace, SilentTargets and CallRunner tests, 94 passed; tsc, eslint, prettier.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -140,6 +140,8 @@
   private _discardedBytes = 0;
   private _discardTimer: NodeJS.Timeout | undefined;
   private _isPaused = false;
+  /** When the target was last resumed after a pause. */
+  private _resumedAt = Number.NEGATIVE_INFINITY;
   private _settleTimer: NodeJS.Timeout | undefined;
   private _isSettled = false;
 
@@ -191,7 +193,8 @@
       sentAt: this._sentAt,
       expectedMs,
       lastByteAt: this._lastByteAt > 0 ? this._lastByteAt : undefined,
-      lastActivityAt: state.lastActivityAt,
+      // While the client read nothing, the target could send nothing.
+      lastActivityAt: Math.max(state.lastActivityAt, this._resumedAt),
     };
     return !this._hasEnded && !this._isPaused && isSilent(view, this._context.clock.now());
   }
@@ -564,6 +567,7 @@
     this._exchange?.pause();
     void this._sink.waitWritable().then(() => {
       this._isPaused = false;
+      this._resumedAt = this._context.clock.now();
       this._exchange?.resume();
     });
   }
--- a/src/gateway/AttemptRace.test.ts
+++ b/src/gateway/AttemptRace.test.ts
@@ -1,8 +1,10 @@
 /** Attempts of a call that overlap because a target is silent: orders of events that lose or spoil the response. */
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { sleep } from '../common/Tasks.js';
 import { buildTarget } from '../fleet/Fixtures.js';
 import {
   OK_HEAD,
+  RecordingSink,
   resetAfterSend,
   runCall,
   sendNothing,
@@ -39,6 +41,26 @@
   };
 }
 
+/** Takes no bytes for a time after the first ones. */
+class SlowSink extends RecordingSink {
+  private _isFull = false;
+
+  constructor(private readonly _waitMs: number) {
+    super();
+  }
+
+  public override write(chunk: Uint8Array): boolean {
+    super.write(chunk);
+    const wasFull = this._isFull;
+    this._isFull = true;
+    return wasFull;
+  }
+
+  public override waitWritable(): Promise<void> {
+    return sleep(this._waitMs);
+  }
+}
+
 async function run(scripts: TargetScript[], setup: ISetup): Promise<IRunResult> {
   const running = runCall(scripts, { call: CALL, ...setup });
   await vi.advanceTimersByTimeAsync(LIMIT_MS);
@@ -117,4 +139,12 @@
       expect(sink).toMatchObject({ endings: ['end'], body: WHOLE_STREAM });
     }
   });
+
+  // Guards against a sound target that counts as silent because its client was slow to read.
+  it('do not begin because a client reads nothing for a time', async () => {
+    const sink = new SlowSink(1_550);
+    const { targets } = await run([pauseInStream(1_800)], { targets: 2, sink });
+    expect(targets.sent).toHaveLength(1);
+    expect(sink).toMatchObject({ endings: ['end'], body: WHOLE_STREAM });
+  });
 });
--- a/src/gateway/Fixtures.ts
+++ b/src/gateway/Fixtures.ts
@@ -162,6 +162,8 @@
   readonly born?: number;
   readonly limits?: TargetLimits;
   readonly states?: TargetStates;
+  /** Receives the response; the default takes all bytes at once. */
+  readonly sink?: RecordingSink;
   /** Repetitions that the retry budget allows beyond its ratio; the default is 60. */
   readonly retrySlack?: number;
   readonly queued?: { readonly target: string; readonly pendingTokens: number };
@@ -229,7 +231,7 @@
     log: SILENT_LOG,
     weightsLimitMs: 8_800,
   });
-  const sink = new RecordingSink();
+  const sink = setup.sink ?? new RecordingSink();
   await runner.run(
     {
       id: 'r1',
