Let an attempt go on when another one of its call throws

An error in a second attempt lost the answer of the first, whose target was sound: the client got status 502 or a cut stream. An error in the choice of the second target was thrown in a timer, which ends the process with all its requests.

Cause: AttemptRace rejected with the first error of any attempt, though others still ran, and the check for silence calls the choice of a target from a timer.

Change: an error counts only once no attempt is left and none answered; each is logged as `attempt failed`. One in the choice of a further target starts none.

Ruled out: to treat an error as a failed attempt, which may be repeated; the request of a call that throws is not tried again at other targets.

Run: both tests failed before (`no socket`; `no limits`, thrown in a timer); no cause of such an error is known.

--- a/src/gateway/AttemptRace.test.ts
+++ b/src/gateway/AttemptRace.test.ts
@@ -7,13 +7,16 @@
   RecordingSink,
   resetAfterSend,
   runCall,
+  ScriptedTargetClient,
   sendNothing,
   streamEvents,
   type IRunResult,
   type ISetup,
   type TargetScript,
 } from './Fixtures.js';
+import { TargetLimits } from './TargetLimits.js';
 import { TargetStates } from './TargetStates.js';
+import type { ITargetExchange } from './Types.js';
 
 const CALL = { deadlineMs: 6_000 };
 const WHOLE_STREAM = streamEvents(1, 5).toString();
@@ -61,10 +64,21 @@
   }
 }
 
+/** Sends the first request only. */
+class FailingTargetClient extends ScriptedTargetClient {
+  public override send(...args: Parameters<ScriptedTargetClient['send']>): ITargetExchange {
+    const exchange = super.send(...args);
+    if (this.sent.length > 1) {
+      throw new Error('no socket');
+    }
+    return exchange;
+  }
+}
+
 async function run(scripts: TargetScript[], setup: ISetup): Promise<IRunResult> {
   const running = runCall(scripts, { call: CALL, ...setup });
-  await vi.advanceTimersByTimeAsync(LIMIT_MS);
-  return running;
+  const [result] = await Promise.all([running, vi.advanceTimersByTimeAsync(LIMIT_MS)]);
+  return result;
 }
 
 beforeEach(() => {
@@ -147,4 +161,31 @@
     expect(targets.sent).toHaveLength(1);
     expect(sink).toMatchObject({ endings: ['end'], body: WHOLE_STREAM });
   });
+
+  // Guards against a sound target whose answer is lost because a second attempt throws.
+  it('go on if the start of one throws', async () => {
+    const client = new FailingTargetClient([pauseInStream(1_700)]);
+    const { sink, targets } = await run([], { targets: 2, client });
+    expect(targets.sent).toHaveLength(2);
+    expect(sink).toMatchObject({ endings: ['end'], body: WHOLE_STREAM });
+  });
+
+  // Guards against an error in a timer, which would end the process and all its requests.
+  it('go on if no further target can be chosen because of an error', async () => {
+    const limits = new TargetLimits({
+      countEntries: () => 1,
+      findTarget: () => undefined,
+      random: () => 0.5,
+    });
+    const check = vi.spyOn(limits, 'hasPermit');
+    const running = runCall([pauseInStream(1_700)], { call: CALL, targets: 2, limits });
+    await vi.advanceTimersByTimeAsync(500);
+    check.mockImplementation(() => {
+      throw new Error('no limits');
+    });
+    await vi.advanceTimersByTimeAsync(LIMIT_MS);
+    const { sink } = await running;
+    expect(check.mock.results.some(({ type }) => type === 'throw')).toBe(true);
+    expect(sink).toMatchObject({ endings: ['end'], body: WHOLE_STREAM });
+  });
 });
--- a/src/gateway/AttemptRace.ts
+++ b/src/gateway/AttemptRace.ts
@@ -22,7 +22,7 @@
  * something to the client first is kept. No event can come twice, since each write ends all other attempts before.
  *
  * @example
- * const race = new AttemptRace((itself) => startStandby(itself));
+ * const race = new AttemptRace((itself) => startStandby(itself), (error) => log.error(describeError(error)));
  * const outcome = await race.run(() => startFirst(race));
  */
 export class AttemptRace<T extends ICall> implements IRaceMember<T> {
@@ -31,11 +31,16 @@
   private _finish: (outcome: RaceOutcome) => void = () => undefined;
   private _fail: (error: unknown) => void = () => undefined;
   private _open = 0;
+  private _error: { readonly cause: unknown } | undefined;
   private _outcome: RaceOutcome = { kind: 'ended', reason: 'no attempt ended by itself' };
 
-  /** @param _startStandby starts an attempt at another target; undefined if none takes the request now */
+  /**
+   * @param _startStandby starts an attempt at another target; undefined if none takes the request now
+   * @param _onError called with the error of an attempt that could not be started or that threw, while others may go on
+   */
   constructor(
     private readonly _startStandby: (race: AttemptRace<T>) => Promise<AttemptOutcome> | undefined,
+    private readonly _onError: (error: unknown) => void,
   ) {
     this._finished = new Promise((resolve, reject) => {
       this._finish = resolve;
@@ -49,7 +54,7 @@
 
   /**
    * Runs the first attempt. Resolves once no attempt is left, with the outcome of the one that answered or, if none did,
-   * that ended last.
+   * that ended last. Rejects if an attempt threw and none answered.
    */
   public async run(startFirst: () => Promise<AttemptOutcome>): Promise<RaceOutcome> {
     this._follow(startFirst());
@@ -78,23 +83,44 @@
     if (!isOnlyWaiting) {
       return;
     }
-    const standby = this._startStandby(this);
-    if (standby !== undefined) {
-      this._follow(standby);
+    try {
+      const standby = this._startStandby(this);
+      if (standby !== undefined) {
+        this._follow(standby);
+      }
+    } catch (error) {
+      this._onError(error);
     }
   }
 
   private _follow(running: Promise<AttemptOutcome>): void {
     this._open += 1;
-    running.then((outcome) => {
-      this._open -= 1;
-      // An attempt that broke earlier ends later than one that answers, as its target is probed first.
-      if (outcome.kind !== 'withdrawn' && this._outcome.kind !== 'answered') {
-        this._outcome = outcome;
-      }
-      if (this._open === 0) {
-        this._finish(this._outcome);
-      }
-    }, this._fail);
+    running
+      .then(
+        (outcome) => {
+          // An attempt that broke earlier ends later than one that answers, as its target is probed first.
+          if (outcome.kind !== 'withdrawn' && this._outcome.kind !== 'answered') {
+            this._outcome = outcome;
+          }
+        },
+        (error: unknown) => {
+          this._error ??= { cause: error };
+          this._onError(error);
+        },
+      )
+      .finally(() => {
+        this._open -= 1;
+        if (this._open === 0) {
+          this._end();
+        }
+      });
+  }
+
+  private _end(): void {
+    if (this._error === undefined || this._outcome.kind === 'answered') {
+      this._finish(this._outcome);
+    } else {
+      this._fail(this._error.cause);
+    }
   }
 }
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -1,4 +1,5 @@
 /** Runs one call: routing, authentication, quota, choice of targets, retries and the final response. */
+import { describeError } from '../common/Log.js';
 import { isMechanismDisabled } from '../common/TestSwitches.js';
 import type { RouteTable } from '../fleet/RouteTable.js';
 import type { IClientAccount, IRoute, IService } from '../fleet/Types.js';
@@ -191,8 +192,12 @@
       if (this._refuseOverload(call, sink, admitted, placement, progress)) {
         return false;
       }
-      const race = new AttemptRace<T>((member) =>
-        this._startStandby(call, sink, admitted, progress, member),
+      const race = new AttemptRace<T>(
+        (member) => this._startStandby(call, sink, admitted, progress, member),
+        (error) => {
+          const reason = describeError(error);
+          this._context.log.error('attempt failed', { request: call.id, reason });
+        },
       );
       const plan = { request, standing, placement };
       const outcome = await race.run(() =>
--- a/src/gateway/Fixtures.ts
+++ b/src/gateway/Fixtures.ts
@@ -61,8 +61,8 @@
   constructor(
     private readonly _scripts: TargetScript[],
     /** Whether targets accept connections after a request has broken. */
-    private readonly _isListening: boolean,
-    private readonly _sendError: Error | undefined,
+    private readonly _isListening = true,
+    private readonly _sendError?: Error,
     /** Time that a probe takes, in milliseconds. */
     private readonly _probeMs = 0,
   ) {}
@@ -162,6 +162,8 @@
   readonly born?: number;
   readonly limits?: TargetLimits;
   readonly states?: TargetStates;
+  /** Sends the requests; the default runs the scripts. */
+  readonly client?: ScriptedTargetClient;
   /** Receives the response; the default takes all bytes at once. */
   readonly sink?: RecordingSink;
   /** Repetitions that the retry budget allows beyond its ratio; the default is 60. */
@@ -205,12 +207,9 @@
     const work = [{ id, open: 20, pendingTokens }];
     view.applyResponse(create(ExchangeResponseSchema, { work }), clock.now());
   }
-  const targets = new ScriptedTargetClient(
-    scripts,
-    setup.hasCrashed !== true,
-    setup.sendError,
-    setup.probeMs,
-  );
+  const targets =
+    setup.client ??
+    new ScriptedTargetClient(scripts, setup.hasCrashed !== true, setup.sendError, setup.probeMs);
   const runner = new CallRunner<ICall>({
     view,
     node: { requestLeases: () => Promise.resolve(), requestExchange: () => undefined },
