--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -6,7 +6,13 @@
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { EventFramer, MAX_EVENT_BYTES } from './EventFramer.js';
 import { isSilent } from './Silence.js';
-import { recordSuccess, recordLoad, recordUnreachable, type ITargetState } from './TargetStates.js';
+import {
+  recordActivity,
+  recordLoad,
+  recordSilence,
+  recordSuccess,
+  type ITargetState,
+} from './TargetStates.js';
 import {
   BodyFraming,
   type IAnswerSink,
@@ -45,6 +51,8 @@
 
 /** How far the client has received a stream, over all attempts of a call. */
 export interface IStreamPosition {
+  /** Status of the response that the client receives; undefined before its start. */
+  status: number | undefined;
   /** Id of the last event relayed to the client. */
   lastEventId: number | undefined;
 }
@@ -132,6 +140,8 @@
   private _discardedBytes = 0;
   private _discardTimer: NodeJS.Timeout | undefined;
   private _isPaused = false;
+  /** When the target was last resumed after a pause. */
+  private _resumedAt = Number.NEGATIVE_INFINITY;
   private _settleTimer: NodeJS.Timeout | undefined;
   private _isSettled = false;
 
@@ -176,6 +186,19 @@
     return this.firstByteAt !== undefined;
   }
 
+  /** True while the target sends nothing, though it should. */
+  public get isSilent(): boolean {
+    const { state, expectedMs } = this._options;
+    const view = {
+      sentAt: this._sentAt,
+      expectedMs,
+      lastByteAt: this._lastByteAt > 0 ? this._lastByteAt : undefined,
+      // While the client read nothing, the target could send nothing.
+      lastActivityAt: Math.max(state.lastActivityAt, this._resumedAt),
+    };
+    return !this._hasEnded && !this._isPaused && isSilent(view, this._context.clock.now());
+  }
+
   /** Sends the request and waits until the attempt has ended. */
   public async run(): Promise<AttemptOutcome> {
     const { clock, client } = this._context;
@@ -282,25 +305,17 @@
    * another one may not take the request.
    */
   private _checkSilence(): void {
-    const { state, expectedMs, onSilent } = this._options;
-    const now = this._context.clock.now();
-    const lastByteAt = this._lastByteAt > 0 ? this._lastByteAt : undefined;
-    const view = {
-      sentAt: this._sentAt,
-      expectedMs,
-      lastByteAt,
-      lastActivityAt: state.lastActivityAt,
-    };
-    if (this._hasEnded || this._isPaused || !isSilent(view, now)) {
+    const { state, onSilent } = this._options;
+    if (!this.isSilent) {
       return;
     }
     TEST_ONLY: if (isMechanismDisabled('silence-failover')) this.cancel('the target is silent');
-    recordUnreachable(state, now);
+    recordSilence(state, this._context.clock.now());
     onSilent();
   }
 
   private _handleHead(head: ITargetHead): void {
-    this._options.state.lastActivityAt = this._context.clock.now();
+    recordActivity(this._options.state, this._context.clock.now());
     this._handleNotice(head);
     if (this._hasEnded) {
       return;
@@ -344,7 +359,7 @@
   }
 
   private _handleData(chunk: Buffer): void {
-    this._options.state.lastActivityAt = this._context.clock.now();
+    recordActivity(this._options.state, this._context.clock.now());
     if (this._hasEnded || chunk.length === 0) {
       return;
     }
@@ -511,6 +526,7 @@
   private _startSink(): void {
     this._options.onRelay();
     if (!this._sink.isStarted && this._head !== undefined) {
+      this._options.position.status = this._head.status;
       this._sink.start(this._head.status, this._head.headers);
     }
   }
@@ -551,6 +567,7 @@
     this._exchange?.pause();
     void this._sink.waitWritable().then(() => {
       this._isPaused = false;
+      this._resumedAt = this._context.clock.now();
       this._exchange?.resume();
     });
   }
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -1,4 +1,5 @@
 /** Runs one call: routing, authentication, quota, choice of targets, retries and the final response. */
+import { describeError } from '../common/Log.js';
 import { isMechanismDisabled } from '../common/TestSwitches.js';
 import type { RouteTable } from '../fleet/RouteTable.js';
 import type { IClientAccount, IRoute, IService } from '../fleet/Types.js';
@@ -50,6 +51,9 @@
 /** Unreachable targets do not count as attempts; with more than this many the call ends. */
 const MAX_UNREACHABLE_TARGETS = 3;
 
+/** Status of each response with events; others are errors. */
+const STREAM_STATUS = 200;
+
 /** Prompt parts that a log line names at most. */
 const MAX_LOGGED_PARTS = 8;
 
@@ -77,6 +81,7 @@
       tried: new Set(),
       attempts: 0,
       unreachable: 0,
+      status: undefined,
       lastEventId: call.resumeAfter,
       mayHaveRun: false,
       mayRepeat: true,
@@ -187,8 +192,12 @@
       if (this._refuseOverload(call, sink, admitted, placement, progress)) {
         return false;
       }
-      const race = new AttemptRace<T>((member) =>
-        this._startStandby(call, sink, admitted, progress, member),
+      const race = new AttemptRace<T>(
+        (member) => this._startStandby(call, sink, admitted, progress, member),
+        (error) => {
+          const reason = describeError(error);
+          this._context.log.error('attempt failed', { request: call.id, reason });
+        },
       );
       const plan = { request, standing, placement };
       const outcome = await race.run(() =>
@@ -380,8 +389,9 @@
     progress: ICallProgress,
     now: number,
   ): boolean {
-    // Only an event stream can be resumed. Parts of other responses must never be concatenated.
-    const canContinue = !sink.isStarted || route.kind === 'streaming';
+    // Only an event stream can be resumed. Parts of other responses, also of errors, must never be concatenated.
+    const canContinue =
+      !sink.isStarted || (route.kind === 'streaming' && progress.status === STREAM_STATUS);
     const hasTime = !call.signal.aborted && deadlineAt - now >= MIN_ATTEMPT_MS;
     return canContinue && hasTime && progress.attempts < route.maxAttempts;
   }
