--- a/tools/soak/HttpCall.ts
+++ b/tools/soak/HttpCall.ts
@@ -6,6 +6,8 @@
   readonly method: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly body?: string;
+  /** Pause between the halves of the body, in milliseconds; without it the body is sent at once. */
+  readonly bodyPauseMs?: number;
   /** Time limit for the whole answer. */
   readonly timeoutMs: number;
   /** Pool of reused connections; without it each request opens a new connection. */
@@ -23,6 +25,10 @@
   readonly headers: IncomingHttpHeaders;
   readonly text: string;
   readonly sentAt: number;
+  /** When the whole request had been handed to the operating system; 0 if it never was. */
+  readonly sentWholeAt: number;
+  /** Whether the connection had carried another request before. */
+  readonly isReused: boolean;
   /** Arrival of the response headers; 0 if no response arrived. */
   readonly firstByteAt: number;
   /**
@@ -39,14 +45,26 @@
 /** Sends a request and waits for the end of the answer; never rejects. */
 export async function sendCall(url: string, options: ICallOptions): Promise<ICallResult> {
   const sentAt = performance.now();
-  let [status, firstByteAt, lastTokenAt, text] = [0, 0, 0, ''];
+  let [status, firstByteAt, lastTokenAt, sentWholeAt, text] = [0, 0, 0, 0, ''];
   let headers: IncomingHttpHeaders = {};
   let isConnected = false;
   return new Promise((resolve) => {
     const finish = (end: ICallResult['end']): void => {
       clearTimeout(timer);
       const endAt = performance.now();
-      resolve({ end, status, headers, text, sentAt, firstByteAt, lastTokenAt, endAt });
+      const isReused = call.reusedSocket;
+      resolve({
+        end,
+        status,
+        headers,
+        text,
+        sentAt,
+        sentWholeAt,
+        isReused,
+        firstByteAt,
+        lastTokenAt,
+        endAt,
+      });
     };
     const call = sendRequest(url, {
       // Opens a new connection by default: the server may close an idle one at the moment of its reuse.
@@ -67,6 +85,9 @@
         isConnected = true;
       }
     });
+    call.on('finish', () => {
+      sentWholeAt = performance.now();
+    });
     call.on('error', () => {
       finish(isConnected ? 'broken' : 'not_connected');
     });
@@ -88,6 +109,14 @@
         finish('broken');
       });
     });
-    call.end(options.body);
+    const { body, bodyPauseMs } = options;
+    if (body === undefined || bodyPauseMs === undefined) {
+      call.end(body);
+      return;
+    }
+    call.write(body.slice(0, body.length / 2));
+    setTimeout(() => {
+      call.end(body.slice(body.length / 2));
+    }, bodyPauseMs);
   });
 }
