Learn nothing of a target from an answer to another request

What callers would see: after an engine had written an earlier refusal with Retry-After, or an answer with Server-Leaving or Server-Limit, once more, it got no request of this process for up to five minutes, for good, or was kept to a limit that was lifted; an older limit also replaced a lower one. Cause: what a head says of its target was taken before its attempt id was compared. Change: it is taken only from the answer to the request itself. An answer to another request, or without an id, may be old and says nothing of now; a target that leaves, or has a limit, says so again with its next answer. That bytes arrive still counts as activity, as they come from a target that is not silent. Weighed against: believing Server-Leaving in any answer, as nothing takes it back. One more request to a target that leaves does no harm, while one that is wrongly taken as leaving stays without requests until it starts again.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -287,7 +287,10 @@
 
   private _handleHead(head: ITargetHead): void {
     this._options.state.lastActivityAt = this._context.clock.now();
-    this._handleNotice(head);
+    // An answer to another request may be old, so it says nothing of the target now.
+    if (head.isForThisRequest) {
+      this._handleNotice(head);
+    }
     if (this._hasEnded) {
       return;
     }
@@ -322,7 +325,7 @@
     if (head.isOtherTarget) {
       return;
     }
-    const isSuccess = head.status < MIN_ERROR_STATUS && head.isForThisRequest;
+    const isSuccess = head.status < MIN_ERROR_STATUS;
     const { isLeaving, pauseMs } = head;
     const rateLimit: RateLimitNotice =
       head.rateLimit.kind === 'unlimited' && !isSuccess ? { kind: 'unreadable' } : head.rateLimit;
--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -779,6 +779,28 @@
     expect(targets.aborted).toBe(1);
   });
 
+  // Such an answer may be old: a target that is well was left out for minutes, or kept to a limit that was lifted.
+  it.each([
+    { name: 'a leaving', notice: { isLeaving: true } },
+    { name: 'a pause', notice: { status: 503, isNotRun: true, pauseMs: 60_000 } },
+    { name: 'a limit', notice: { rateLimit: { kind: 'limited', perSecond: 0 } } },
+  ] as const)('learns nothing of the target from another response: $name', async ({ notice }) => {
+    const states = new TargetStates();
+    const limits = new TargetLimits({
+      countEntries: () => 1,
+      findTarget: (id) => buildTarget({ id }),
+      random: () => 0.5,
+    });
+    const answerOther: TargetScript = (listener) => {
+      listener.onHead({ ...OK_HEAD, ...notice, isForThisRequest: false });
+      listener.onEnd();
+    };
+    const setup = { states, limits, targets: 1, route: UNSAFE };
+    await runCall([answerOther], setup);
+    const { sink } = await runCall([answerOk], setup);
+    expect(sink).toMatchObject({ status: 200, ending: 'end' });
+  });
+
   it('responds with 504 at the deadline and cancels the request at the target', async () => {
     const { sink, targets } = await runCall([sendNothing], { call: { deadlineMs: 60 } });
     expect(sink).toMatchObject({ status: 504, ending: 'refuse' });
