--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -114,7 +114,7 @@
   readonly status: number;
   readonly headers: RawHeaders;
   readonly framing: BodyFraming;
-  /** False if the response belongs to another request. */
+  /** False if the response belongs to another request, or may do so. */
   readonly isForThisRequest: boolean;
   /** True if the target states that it did not run the request. */
   readonly isNotRun: boolean;
