Count an engine as loaded when its report says so, not when an order's answer does

What callers would see: requests on old weights, or sent to an engine that answers 421 as it has other weights than the record says. Cause: a 200 to an order counted as the proof that the engine holds the weights. Answers to orders and reports name no request, so an earlier 200, such as that to the report before it, which an engine writes once more, looks the same. Change: after a 200 the engine is asked for its report, as after a 202. An earlier report, written once more, does no harm there: within one start the versions only rise. Cost: one report more for an order that holds already, which is rare, as the report before the order said otherwise. Failed before: WeightsRollout.test.ts, 'counts an engine as loaded when its report says so ...': version 2 in the record of an engine that held 1. Ran: WeightsRollout.test.ts, 9 of 9; tsc, eslint, prettier.

--- a/src/fleet/WeightsRollout.test.ts
+++ b/src/fleet/WeightsRollout.test.ts
@@ -5,7 +5,7 @@
 import { ExchangeRequestSchema, TargetPhase } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { buildTarget, NO_SPENDING } from './Fixtures.js';
 import { FleetHub } from './FleetHub.js';
-import { WeightsRollout, type IEngineClient } from './WeightsRollout.js';
+import { WeightsRollout, type IEngineClient, type OrderOutcome } from './WeightsRollout.js';
 
 const QUOTA = { windowMs: 8_000, excessRatio: 0, toleranceTokens: 0 };
 const CLOCK = { now: () => Date.now() };
@@ -17,6 +17,8 @@
   /** Targets that were ordered, and when. */
   public readonly orders = new Map<string, number>();
   public maxConcurrentLoads = 0;
+  /** Answer to each order, whatever the engine does. */
+  public answer: OrderOutcome = 'accepted';
   private readonly _busy = new Set<string>();
 
   public fetchReport({ id }: { id: string }): ReturnType<IEngineClient['fetchReport']> {
@@ -38,7 +40,7 @@
       this._busy.delete(id);
       this.versions.set(id, version);
     }, LOAD_DURATION_MS);
-    return Promise.resolve('accepted');
+    return Promise.resolve(this.answer);
   }
 }
 
@@ -126,6 +128,20 @@
     expect(engines.maxConcurrentLoads).toBe(2);
   });
 
+  // An earlier 200, written once more, would have requests sent to an engine that still has the old weights.
+  it('counts an engine as loaded when its report says so, not when the answer to the order does', async () => {
+    const { hub, engines, stop } = startRollout(4);
+    engines.answer = 'done';
+    for (let step = 0; step < 200; step += 1) {
+      await vi.advanceTimersByTimeAsync(50);
+      for (const { id, models } of hub.listTargets()) {
+        expect(Number(models[0]?.version)).toBeLessThanOrEqual(engines.versions.get(id) ?? 1);
+      }
+    }
+    stop.abort();
+    expect(listOutdated(hub)).toEqual([]);
+  });
+
   it('goes on within two seconds after a change of the leader, except with engines that the former one may have ordered', async () => {
     const startedAt = Date.now();
     const { engines, stop } = startRollout(8, { term: 2, inherited: ['i-0', 'i-1'] });
--- a/src/fleet/WeightsRollout.ts
+++ b/src/fleet/WeightsRollout.ts
@@ -318,13 +318,11 @@
       sequence: initialReport.sequence,
       outcome,
     });
-    if (outcome === 'done') {
-      hub.setWeights(target.id, target.born, model, version);
-    } else if (outcome === 'accepted') {
-      await this._waitUntilLoaded(load, signal);
-    } else {
+    if (outcome !== 'accepted' && outcome !== 'done') {
       throw new Error(`the engine answered ${outcome}`);
     }
+    // Answers to orders name none: this may be an earlier one that a faulty engine has written once more.
+    await this._waitUntilLoaded(load, signal);
     this._log.info('weights loaded', {
       target: target.id,
       model,
