Take a load as done only if the engine's answer states the new version

What would be seen, with sidecars: an engine that wrote its answer to the state query once more, where that to the load command was due, counted as loaded. Its sidecar gave the load slot back and let requests in while the engine was still to load. Cause: the state is read on the connection that then carries the command, and any 200 counted as 'done'. Change: 'done' needs an answer that states the incarnation and the commanded version. Any other 200 leaves the outcome unknown, which the sidecar resolves by the engine's state, as after a lost answer. A repeated refusal (409) is not possible here: each command has a connection of its own.

--- a/src/sidecar/EngineClient.test.ts
+++ b/src/sidecar/EngineClient.test.ts
@@ -1,6 +1,6 @@
 import { once } from 'node:events';
 import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { createServer, type AddressInfo, type Server as RawServer } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
 import { Engine } from '../../fakes/Engine.js';
 import { createEngineServer } from '../../fakes/EngineServer.js';
@@ -12,6 +12,7 @@
 
 const never = new AbortController().signal;
 const servers: Server[] = [];
+const rawServers: RawServer[] = [];
 
 async function startEngine(fencing: 'strict' | 'ignore', loadMs = 1): Promise<Engine> {
   const engine = new Engine({
@@ -42,6 +43,9 @@
     server.closeAllConnections();
     server.close();
   }
+  for (const server of rawServers.splice(0)) {
+    server.close();
+  }
 });
 
 describe('EngineClient', () => {
@@ -93,6 +97,40 @@
   });
 });
 
+describe('a faulty engine', () => {
+  const state = { incarnation: 'e1', weightsVersion: 'w1', highestFence: 0n };
+  const reply = '{"incarnation":"e1","weights_version":"w1","highest_fence":0}';
+  const answer = `HTTP/1.1 200 OK\r\nContent-Length: ${reply.length}\r\n\r\n${reply}`;
+
+  /** Starts an engine that writes what `respond` returns for the first line of each request. */
+  async function startRaw(respond: (requestLine: string) => string): Promise<EngineClient> {
+    const server = createServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.on('data', (chunk) => {
+        const requestLine = /^(?:GET|POST) .*/.exec(chunk.toString())?.[0];
+        if (requestLine !== undefined) {
+          socket.write(respond(requestLine));
+        }
+      });
+    });
+    rawServers.push(server);
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    return new EngineClient(`127.0.0.1:${(server.address() as AddressInfo).port}`, '/health');
+  }
+
+  // The state is read on the connection of the command: its answer, written once more, is no proof of a load.
+  it('has the outcome of a load unknown when it repeats its answer to the request before', async () => {
+    const client = await startRaw(() => answer);
+    const outcome = await client.loadWeights(
+      { expected: state, version: 'w2', fence: 7n },
+      () => true,
+      never,
+    );
+    expect(outcome.kind).toBe('unknown');
+  });
+});
+
 describe('TargetWatcher', () => {
   it('removes the chunks of the old weights, so that none is announced or counted for the new ones', async () => {
     const engine = await startEngine('strict');
--- a/src/sidecar/EngineClient.ts
+++ b/src/sidecar/EngineClient.ts
@@ -191,17 +191,23 @@
         body: JSON.stringify({ fence: Number(command.fence), version: command.version }),
         signal,
       });
-      return await readOutcome(response);
+      return await readOutcome(response, command);
     } catch (error) {
       return { kind: 'unknown', reason: describeError(error) };
     }
   }
 }
 
-async function readOutcome(response: Dispatcher.ResponseData): Promise<LoadOutcome> {
+async function readOutcome(
+  response: Dispatcher.ResponseData,
+  { expected, version }: ILoadCommand,
+): Promise<LoadOutcome> {
   if (response.statusCode === 200) {
-    await response.body.dump();
-    return { kind: 'done' };
+    // An answer that a faulty engine has written once more states what was before.
+    const state = decodeState((await response.body.json()) as IStateReply);
+    return state.incarnation === expected.incarnation && state.weightsVersion === version
+      ? { kind: 'done' }
+      : { kind: 'unknown', reason: 'the answer does not state the commanded version' };
   }
   if (response.statusCode === 409) {
     const reply = (await response.body.json()) as IStateReply;
