Bound what a sidecar reads of its engine's answers

Cause: the answers were read as a whole, without a bound; only a time limit ended them. Change: an answer beyond 64 KB (state, load command) or 4 MB (load and cache events) is none, and closes its connection.

--- a/src/sidecar/EngineClient.test.ts
+++ b/src/sidecar/EngineClient.test.ts
@@ -129,6 +129,36 @@
     );
     expect(outcome.kind).toBe('unknown');
   });
+
+  // Without a bound the process took as many bytes as the engine could send within the time limit.
+  it('cannot fill the memory with an answer without end', async () => {
+    let sentBytes = 0;
+    const server = createServer((socket) => {
+      const chunk = Buffer.alloc(65_536, ' ');
+      const write = (): void => {
+        while (!socket.destroyed && socket.write(chunk)) {
+          sentBytes += chunk.length;
+        }
+      };
+      socket.on('error', () => undefined);
+      socket.on('drain', write);
+      socket.once('data', () => {
+        socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n', write);
+      });
+    });
+    rawServers.push(server);
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    expect(await new EngineClient(address, '/health').readState(never)).toBeUndefined();
+    const http = new Agent();
+    const target = { id: 't', service: 's', kind: 'engine', address, model: 'm' } as const;
+    const settings = { ...target, healthPath: '/health' };
+    const watcher = new TargetWatcher(settings, http, new ManualClock(), SILENT_LOG);
+    await expect(watcher.pollOnce(never)).rejects.toThrow('exceeds');
+    await http.destroy();
+    expect(sentBytes).toBeLessThan(64 * 1024 * 1024);
+  });
 });
 
 describe('TargetWatcher', () => {
--- a/src/sidecar/EngineClient.ts
+++ b/src/sidecar/EngineClient.ts
@@ -2,6 +2,7 @@
  * Reads the state of the engine beside this sidecar and sends it load commands, over its HTTP protocol.
  */
 import { buildConnector, Client, type Dispatcher } from 'undici';
+import { readJson } from '../common/JsonAnswer.js';
 import { describeError } from '../common/Log.js';
 import { deriveTimeoutSignal } from '../common/Tasks.js';
 
@@ -10,6 +11,8 @@
 
 const ORDERS_PATH = '/admin/orders';
 
+const MAX_REPLY_BYTES = 64 * 1024;
+
 /** State that an engine reports about itself. */
 export interface IEngineState {
   readonly incarnation: string;
@@ -170,7 +173,7 @@
       method: 'GET',
       signal: deriveTimeoutSignal(signal, READ_TIMEOUT_MS),
     });
-    const reply = (await response.body.json()) as IStateReply;
+    const reply = (await readJson(response.body, MAX_REPLY_BYTES)) as IStateReply;
     if (response.statusCode !== 200) {
       throw new Error(`the engine answered ${response.statusCode} to GET ${this._healthPath}`);
     }
@@ -204,13 +207,13 @@
 ): Promise<LoadOutcome> {
   if (response.statusCode === 200) {
     // An answer that a faulty engine has written once more states what was before.
-    const state = decodeState((await response.body.json()) as IStateReply);
+    const state = decodeState((await readJson(response.body, MAX_REPLY_BYTES)) as IStateReply);
     return state.incarnation === expected.incarnation && state.weightsVersion === version
       ? { kind: 'done' }
       : { kind: 'unknown', reason: 'the answer does not state the commanded version' };
   }
   if (response.statusCode === 409) {
-    const reply = (await response.body.json()) as IStateReply;
+    const reply = (await readJson(response.body, MAX_REPLY_BYTES)) as IStateReply;
     return { kind: 'refused', highestFence: decodeFence(reply.highest_fence) };
   }
   await response.body.dump();
--- a/src/sidecar/TargetWatcher.ts
+++ b/src/sidecar/TargetWatcher.ts
@@ -1,6 +1,7 @@
 /** Task that polls the target's health, incarnation, weights, load and cache events. */
 import { create } from '@bufbuild/protobuf';
 import type { Dispatcher } from 'undici';
+import { readJson } from '../common/JsonAnswer.js';
 import { Emitter } from '../common/Lifecycle.js';
 import { describeError, type ILog } from '../common/Log.js';
 import { runPeriodically, runWithTimeout } from '../common/Tasks.js';
@@ -14,6 +15,9 @@
 const POLL_INTERVAL_MS = 250;
 const POLL_TIMEOUT_MS = 500;
 
+/** Cache events take most of an answer. */
+const MAX_REPLY_BYTES = 4 * 1024 * 1024;
+
 /** Consecutive failed polls after which the target counts as down. */
 const MAX_FAILED_POLLS = 3;
 
@@ -149,7 +153,7 @@
         await response.body.dump();
         throw new Error(`target answered ${response.statusCode} to GET ${path}`);
       }
-      return response.body.json();
+      return readJson(response.body, MAX_REPLY_BYTES);
     });
   }
 
