Relay no 408, 429 or 503 of a target that does not state 'not run'

What callers saw: 'not run, try again' for a request that its target had run. A response with one of these statuses and the attempt id, but without the statement that the request was not run, was relayed as it came. To a client the status itself is that statement. Cause: the statement was asked for only where the request was to be sent again, not where the response went to the client. A faulty engine gets there by the head of a refusal that breaks off before the statement and goes on with the head of the real answer. Change: such a response is discarded like one that is not to be relayed; the request may have run. It ends with 502, or is tried at another target where its route allows that. Engines state 'not run' with all their own refusals, so none of those changes. 421 already counted as a refusal by itself. Failed before: CallRunner.test.ts, 'does not relay a 408 (429, 503) without the statement "not run"': the status was relayed.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -83,6 +83,9 @@
 
 const SILENCE_CHECK_INTERVAL_MS = 250;
 
+/** To a client these state that its request was not run and will not be, so none is relayed without a target's proof. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 const MIN_ERROR_STATUS = 300;
 const MIN_SERVER_ERROR_STATUS = 500;
 
@@ -120,7 +123,7 @@
   private _exchange: ITargetExchange | undefined;
   private _head: ITargetHead | undefined;
   private _hasEnded = false;
-  /** True if the body is discarded: the request was not run, or another target will be tried. */
+  /** True if the response is not relayed and its body is discarded. */
   private _isDiscarded = false;
   private _discardedBytes = 0;
   private _discardTimer: NodeJS.Timeout | undefined;
@@ -308,6 +311,7 @@
     this._isDiscarded =
       head.isNotRun ||
       head.isOtherTarget ||
+      NOT_RUN_STATUSES.has(head.status) ||
       (mayReplaceError && head.status >= MIN_SERVER_ERROR_STATUS && !this._sink.isStarted);
     if (this._isDiscarded) {
       this._discardTimer = setTimeout(() => {
--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -801,6 +801,25 @@
     expect(sink).toMatchObject({ status: 200, ending: 'end' });
   });
 
+  // To a client these statuses state that its request was not run and will not be, which the target has not stated.
+  it.each([408, 429, 503])(
+    'does not relay a %s without the statement "not run"',
+    async (status) => {
+      const answerUnproven: TargetScript = (listener) => {
+        listener.onHead({ ...OK_HEAD, status });
+        listener.onEnd();
+      };
+      for (const kind of ['unsafe', 'streaming'] as const) {
+        const route = { ...UNSAFE, kind };
+        const { sink, targets } = await runCall([answerUnproven, answerOk], { route });
+        expect(targets.sent).toHaveLength(1);
+        expect(sink).toMatchObject({ status: 502, ending: 'refuse' });
+      }
+      const route = { kind: 'safe', maxAttempts: 1 } as const;
+      expect((await runCall([answerUnproven], { route })).sink.status).toBe(502);
+    },
+  );
+
   it('responds with 504 at the deadline and cancels the request at the target', async () => {
     const { sink, targets } = await runCall([sendNothing], { call: { deadlineMs: 60 } });
     expect(sink).toMatchObject({ status: 504, ending: 'refuse' });
