--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -101,6 +101,9 @@
 
 const SILENCE_CHECK_INTERVAL_MS = 250;
 
+/** To a client these state that its request was not run and will not be, so none is relayed without a target's proof. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 const MIN_ERROR_STATUS = 300;
 
 /** Responses to safe requests are buffered up to this size, and streamed beyond it. */
@@ -135,7 +138,7 @@
   private _exchange: ITargetExchange | undefined;
   private _head: ITargetHead | undefined;
   private _hasEnded = false;
-  /** True if the body is discarded: the request was not run, or another target will be tried. */
+  /** True if the response is not relayed and its body is discarded. */
   private _isDiscarded = false;
   private _discardedBytes = 0;
   private _discardTimer: NodeJS.Timeout | undefined;
@@ -316,7 +319,10 @@
 
   private _handleHead(head: ITargetHead): void {
     recordActivity(this._options.state, this._context.clock.now());
-    this._handleNotice(head);
+    // An answer to another request may be old, so it says nothing of the target now.
+    if (head.isForThisRequest) {
+      this._handleNotice(head);
+    }
     if (this._hasEnded) {
       return;
     }
@@ -334,6 +340,7 @@
     this._isDiscarded =
       head.isNotRun ||
       head.isOtherTarget ||
+      NOT_RUN_STATUSES.has(head.status) ||
       (head.status >= MIN_ERROR_STATUS && mayReplaceError(head.status) && !this._sink.isStarted);
     if (this._isDiscarded) {
       this._discardTimer = setTimeout(() => {
@@ -351,7 +358,7 @@
     if (head.isOtherTarget) {
       return;
     }
-    const isSuccess = head.status < MIN_ERROR_STATUS && head.isForThisRequest;
+    const isSuccess = head.status < MIN_ERROR_STATUS;
     const { isLeaving, pauseMs } = head;
     const rateLimit: RateLimitNotice =
       head.rateLimit.kind === 'unlimited' && !isSuccess ? { kind: 'unreadable' } : head.rateLimit;
