Decode the attempt that a request resumes

A client that takes up a broken stream names in `Resumes` the id of its attempt that brought the first event. ICall.resumes holds it; the header is still forwarded to the target as other headers are. Nothing uses the field yet.

--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -220,6 +220,7 @@
       lengthHint: undefined,
       parts: [],
       resumeAfter: undefined,
+      resumes: undefined,
       arrivedAt: clock.now(),
       signal: new AbortController().signal,
       hashContent: () => 1,
--- a/src/gateway/CrashQuarantine.test.ts
+++ b/src/gateway/CrashQuarantine.test.ts
@@ -33,6 +33,7 @@
     lengthHint: undefined,
     parts: parts.map((id) => ({ id, tokens: 10 })),
     resumeAfter: undefined,
+    resumes: undefined,
     arrivedAt: 0,
     signal: new AbortController().signal,
     hashContent: () => hashText(content),
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -29,6 +29,11 @@
   readonly parts: readonly IPromptPart[];
   /** Id of the last event that the client received; undefined unless it resumes a stream. */
   readonly resumeAfter: number | undefined;
+  /**
+   * Id of the client attempt that brought the first event of the stream that this request takes up; undefined
+   * if the client names none.
+   */
+  readonly resumes: string | undefined;
   /** Time of arrival on the monotonic clock of the process. */
   readonly arrivedAt: number;
   /** Aborted when the client disconnects. */
