Record the software versions that begin streams

What callers saw: streams with events from engines of two software versions. No process knew which version had begun a stream that a client took up again.

Change: targets' announcements carry their software version. The replicated state holds a base version for each service, and a record (hash of the attempt id, version) of each stream that begins at another one; a stream without a record began at the base. The leader commits a base once no target of the former one has been known for 30 s or the longest time limit and 15 s, and forgets records after the same time. StreamOrigins records and finds versions for the requests of a process; the request path does not use it yet.

A hub tells whether a service is uniform, so that no look-up is needed. As such a statement may be older than the first stream of another version, processes rely on it for 0.8 s from the leader's confirmation, and the answer to a record says how long its first event must wait for the end of that time.

Records go through a call of their own: a leader of an older build acknowledges commands that it does not know.

Ruled out: to infer the version from the targets that are known (the entry that takes the request up may know only the new ones).

--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -22,7 +22,8 @@
 import { FORGET_WINDOWS, type IQuotaTerms } from './QuotaRule.js';
 import { RecentReadings, type IReadingDelta } from './RecentReadings.js';
 import { setRateLimit, TargetRateLimits } from './TargetRateLimits.js';
-import { needsPropagation, isLater } from './TargetOrder.js';
+import { isLater, keepSoftwareVersion, needsPropagation } from './TargetOrder.js';
+import { VersionBases } from './VersionBases.js';
 import { WorkTotals } from './WorkTotals.js';
 
 /** A process's report expires if no other one follows within this time. */
@@ -105,6 +106,9 @@
  * Exists on the leader only, for one term; nothing of it is persisted.
  */
 export class FleetHub {
+  /** Software versions of the targets and of the streams that are not recorded. */
+  public readonly versions: VersionBases;
+
   private readonly _targets = new Map<string, IHubTarget>();
   private readonly _processes = new Map<string, IProcessReport>();
   /** Sums over the reports of all processes, so that no answer has to add them up. */
@@ -131,6 +135,12 @@
     private readonly _earlier: IEarlierSpending,
   ) {
     this._rateLimits = new TargetRateLimits(_startedAt);
+    this.versions = new VersionBases(_startedAt);
+  }
+
+  /** Increases with every change of a target that all processes must learn of. */
+  public get targetRevision(): number {
+    return this._revision;
   }
 
   /** Sets the most tokens of each client account within the window; accounts without a limit are absent. */
@@ -163,6 +173,7 @@
       this._store(record, seenAt);
     } else if (isLater(record, existing.record)) {
       const isSameIncarnation = record.born === existing.record.born;
+      keepSoftwareVersion(record, existing.record);
       record.loading = isSameIncarnation && existing.record.loading;
       record.preparing = isSameIncarnation && existing.record.preparing;
       setRateLimit(record, isSameIncarnation ? existing.record.rateLimit : undefined);
@@ -190,6 +201,9 @@
       takesRequests: request.takesRequests,
       work: request.work,
     });
+    if (request.takesRequests && !request.recordsStreams) {
+      this.versions.markOldEntry(now);
+    }
     this._recentReadings.add(request.node, request.readings);
     this._applyCrashes(request, now);
     this._applyRateLimits(request.rateLimits, now);
@@ -425,6 +439,7 @@
       loading: record.loading,
       preparing: record.preparing,
       rateLimit: record.rateLimit,
+      softwareVersion: record.softwareVersion,
       weights: models.map(({ name, version }) => `${name}@${version}`),
     });
   }
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -24,6 +24,7 @@
   type ExchangeRequest,
   type ExchangeResponse,
   type FleetCommand,
+  type FindStreamOriginsResponse,
   type FleetDocument,
   type LeaseRequest,
   type LeaseResponse,
@@ -32,6 +33,8 @@
   type PromptReading,
   type RateLimitReport,
   type ReadDocumentResponse,
+  type RecordStreamsResponse,
+  type StreamRecords,
   type SubmitResponse,
   type TargetRecord,
   type TargetWork,
@@ -42,10 +45,12 @@
 import type { FleetState } from './FleetState.js';
 import type { FleetView } from './FleetView.js';
 import { LeaseReporter, type IQuotaReportInFlight } from './LeaseReporter.js';
+import { OriginCalls, type ILeading } from './OriginCalls.js';
 import type { QuotaWallet } from './QuotaWallet.js';
 import { needsPropagation } from './TargetOrder.js';
 import type { RouteTable } from './RouteTable.js';
 import { computeWindowLimit } from './QuotaRule.js';
+import { computeRebaseDelay } from './SoftwareVersions.js';
 
 /**
  * Interval between two exchanges; a change reaches every process within the interval and a round trip. It
@@ -181,6 +186,7 @@
   private _isLeaderReachable = false;
   private readonly _incarnation = randomUUID().slice(0, 8);
   private readonly _leases: LeaseReporter;
+  private readonly _origins: OriginCalls;
   /** Revision up to which this process has the others' readings, at the hub of the view's epoch. */
   private _readingRevision = 0n;
   /** Revision of the suspects that this process has, at the same hub. */
@@ -205,6 +211,16 @@
       _clock,
       _log,
     );
+    this._origins = new OriginCalls(
+      {
+        getLeading: (now) => this._getLeading(now),
+        getConfirmationAgeMs: (now) => this.getConfirmationAgeMs(now),
+        getRebaseDelayMs: () => this.getRebaseDelayMs(),
+        commit: (command, signal) => this._commit(command, signal),
+        waitForConfirmation: (signal) => this._waitForConfirmation(signal),
+      },
+      _clock,
+    );
     _view.onTableChange((table) => {
       const limits = this._deriveLimits(table);
       this._hub?.hub.setLimits(limits, this._clock.now());
@@ -268,6 +284,9 @@
           ? create(SubmitResponseSchema, { reason: 'the command is missing' })
           : this._commit(request.command, context.signal),
       readDocument: (_request, context) => this._readConfirmed(context.signal),
+      recordStreams: (request, context) => this._origins.recordStreams(request, context.signal),
+      findStreamOrigins: (request, context) =>
+        this._origins.findStreamOrigins(request, context.signal),
     });
   }
 
@@ -349,6 +368,41 @@
       : { kind: 'read', document: answer.document };
   }
 
+  /** Has the leader record streams; returns the reason if it is unknown whether they are recorded. */
+  public async recordStreams(
+    records: StreamRecords,
+    signal: AbortSignal,
+  ): Promise<RecordStreamsResponse | string> {
+    return this._callLeader(signal, async (client, limited) => {
+      const reply =
+        client === undefined
+          ? await this._origins.recordStreams(records, limited)
+          : await client.recordStreams(records, { signal: limited });
+      return reply.committed ? reply : reply.reason;
+    });
+  }
+
+  /** Asks the leader for the software versions of streams; returns the reason if it cannot tell. */
+  public async findStreamOrigins(
+    keys: readonly bigint[],
+    signal: AbortSignal,
+  ): Promise<FindStreamOriginsResponse | string> {
+    return this._callLeader(signal, async (client, limited) => {
+      const request = { keys: [...keys] };
+      const reply =
+        client === undefined
+          ? await this._origins.findStreamOrigins(request, limited)
+          : await client.findStreamOrigins(request, { signal: limited });
+      return reply.confirmed ? reply : reply.reason;
+    });
+  }
+
+  /** Time for which records of streams are kept, and a base version without targets stays in force. */
+  public getRebaseDelayMs(): number {
+    const routes = this._view.table?.configuration.routes ?? [];
+    return computeRebaseDelay(Math.max(0, ...routes.map(({ timeoutMs }) => timeoutMs)));
+  }
+
   /** Exchanges with the leader at intervals until the signal is aborted; searches for it when it fails. */
   public async run(signal: AbortSignal): Promise<void> {
     while (!isAborted(signal)) {
@@ -435,6 +489,7 @@
       const ageMs = isKnown ? Math.round(now - learnedAt) : 0;
       return create(NamedWeightsSchema, { model, version, ageMs });
     });
+    this._origins.addReports(response, request, { hub, state }, now);
     response.work = hub.sumWorkOfOthers(request.node);
     response.entries = hub.countEntries();
     response.permits = hub
@@ -461,6 +516,25 @@
     return this.getHub(this._clock.now()) !== undefined;
   }
 
+  private _getLeading(now: number): ILeading | undefined {
+    const hub = this.getHub(now);
+    const state = this._member?.state;
+    return hub === undefined || state === undefined ? undefined : { hub, state };
+  }
+
+  /** Calls the leader once. The client is undefined if this process leads. */
+  private _callLeader<T>(
+    signal: AbortSignal,
+    call: (
+      client: Client<typeof FleetService> | undefined,
+      limited: AbortSignal,
+    ) => Promise<T | string>,
+  ): Promise<T | string> {
+    return runWithTimeout(signal, COMMAND_TIMEOUT_MS, (limited) =>
+      this._isLeading() ? call(undefined, limited) : this._queryLeader(limited, call),
+    );
+  }
+
   /** Retries until an attempt returns a result; returns the last failure's reason if it times out. */
   private _retryCommand<T>(
     signal: AbortSignal,
@@ -555,6 +629,8 @@
       clearedParts: [...clearedParts],
       rateLimits: [...observations],
       demands: [...demands],
+      versionRevision: this._view.versions.getRevision(this._view.epoch),
+      recordsStreams: true,
     });
   }
 
@@ -671,6 +747,7 @@
   ): void {
     const isNewEpoch = answer.epoch !== this._view.epoch;
     this._view.applyResponse(answer, now);
+    this._view.versions.apply(answer, sentAt);
     this._readingRevision = answer.readingRevision;
     this._workSource.applyReadings(answer.readings, now);
     for (const record of request.announced) {
@@ -835,6 +912,9 @@
       return state.weights.some((named) => named.model === model && version <= named.version);
     }
     case 'recordSpending':
+    case 'recordStreams':
+    case 'setVersionBase':
+    case 'forgetStreams':
       return false;
     case undefined:
       return true;
--- a/src/fleet/FleetState.ts
+++ b/src/fleet/FleetState.ts
@@ -1,4 +1,4 @@
-/** The replicated state of a fleet: the newest configuration document and the newest weights. */
+/** The replicated state of a fleet: the newest configuration document and weights, and what binds all processes. */
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import { Emitter } from '../common/Lifecycle.js';
 import type { IStateMachine } from '../consensus/Types.js';
@@ -9,8 +9,10 @@
   type FleetCommand,
   type FleetDocument,
   type NamedWeights,
+  type ServiceVersion,
   type SpendingRecord,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
+import { StreamRecords } from './StreamRecords.js';
 
 const EMPTY_RESULT = new Uint8Array();
 
@@ -37,6 +39,10 @@
   private _spending: readonly SpendingRecord[] = [];
   /** Last recorded ceiling of the leases of each client account. */
   private _ceilings: Record<string, number> = {};
+  private readonly _versionBases = new Map<string, string>();
+
+  /** Software versions that began streams, where it is not the base version of their service. */
+  public readonly streams = new StreamRecords();
 
   /** Fires after a command that changed the state, and after a restore. */
   public readonly onChange = this._changes.onFire;
@@ -55,6 +61,11 @@
     return this._spending;
   }
 
+  /** Software version of the streams of each service that are not recorded. */
+  public get versionBases(): ReadonlyMap<string, string> {
+    return this._versionBases;
+  }
+
   /** Most tokens of a client account that may be leased; 0 if none ever were. */
   public getCeiling(clientAccount: string): number {
     return this._ceilings[clientAccount] ?? 0;
@@ -73,6 +84,15 @@
       case 'recordSpending':
         this._recordSpending(body.value);
         break;
+      case 'recordStreams':
+        this.streams.add(body.value);
+        break;
+      case 'setVersionBase':
+        this._setVersionBase(body.value);
+        break;
+      case 'forgetStreams':
+        this.streams.forget(Number(body.value.upTo));
+        break;
       case undefined:
         break;
     }
@@ -84,6 +104,8 @@
       weights: [...this._weights.values()],
       spending: [...this._spending],
       ceilings: this._ceilings,
+      versionBases: [...this._versionBases].map(([service, version]) => ({ service, version })),
+      streams: this.streams.snapshot(),
     });
     if (this._document !== undefined) {
       snapshot.document = this._document;
@@ -96,6 +118,11 @@
     this._document = snapshot.document;
     this._spending = snapshot.spending;
     this._ceilings = snapshot.ceilings;
+    this.streams.restore(snapshot.streams);
+    this._versionBases.clear();
+    for (const { service, version } of snapshot.versionBases) {
+      this._versionBases.set(service, version);
+    }
     this._weights.clear();
     for (const weights of snapshot.weights) {
       this._weights.set(weights.model, weights);
@@ -110,6 +137,11 @@
     }
   }
 
+  private _setVersionBase({ service, version }: ServiceVersion): void {
+    this._versionBases.set(service, version);
+    this._changes.fire(undefined);
+  }
+
   private _putDocument(document: FleetDocument): void {
     if (this._document === undefined || document.version > this._document.version) {
       this._document = document;
--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -10,7 +10,8 @@
   type TargetWork,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { RouteTable } from './RouteTable.js';
-import { isLater } from './TargetOrder.js';
+import { KnownVersions, type IVersionBase } from './KnownVersions.js';
+import { isLater, keepSoftwareVersion } from './TargetOrder.js';
 import { setRateLimit } from './TargetRateLimits.js';
 import type { DocumentDecoder } from './Types.js';
 import { WeightsHistory } from './WeightsHistory.js';
@@ -31,6 +32,7 @@
   private readonly _targets = new Map<string, TargetRecord>();
   private readonly _readyByService = new Map<string, TargetRecord[]>();
   private readonly _weights = new WeightsHistory();
+  private readonly _versions = new KnownVersions();
   private readonly _tableChanges = new Emitter<RouteTable>();
   private readonly _unavailableTargets = new Emitter<TargetRecord>();
   private readonly _rateLimitChanges = new Emitter<TargetRecord>();
@@ -76,6 +78,16 @@
     return this._weights;
   }
 
+  /** What the hubs told about the software versions of services. */
+  public get versions(): KnownVersions {
+    return this._versions;
+  }
+
+  /** Software version of the streams of a service that need no record; undefined if no hub has told. */
+  public getVersionBase(service: string, now: number): IVersionBase | undefined {
+    return this._versions.get(service, now);
+  }
+
   /** Targets of a service that are ready, also silent ones. */
   public listTargets(service: string): readonly TargetRecord[] {
     return this._readyByService.get(service) ?? [];
@@ -152,6 +164,9 @@
     if (existing !== undefined && isLater(existing, record)) {
       return;
     }
+    if (existing !== undefined) {
+      keepSoftwareVersion(record, existing);
+    }
     this._targets.set(record.id, record);
     const wasReady = existing !== undefined && isReady(existing);
     if (existing !== undefined && wasReady && (!isReady(record) || !isSameIncarnation)) {
--- a/src/fleet/TargetOrder.ts
+++ b/src/fleet/TargetOrder.ts
@@ -16,8 +16,8 @@
 }
 
 /**
- * True if a process that has `right` must get `left`: start, phase, address, service, slots or weights
- * differ.
+ * True if a process that has `right` must get `left`: start, phase, address, service, slots,
+ * software version or weights differ.
  */
 export function needsPropagation(left: TargetRecord, right: TargetRecord): boolean {
   return (
@@ -26,6 +26,7 @@
     left.address !== right.address ||
     left.service !== right.service ||
     left.slots !== right.slots ||
+    left.softwareVersion !== right.softwareVersion ||
     left.models.length !== right.models.length ||
     left.models.some(
       ({ name, version }) =>
@@ -33,3 +34,13 @@
     )
   );
 }
+
+/**
+ * Keeps the software version of a target, which does not change before its next start, where a later record
+ * comes from a process of an older build and so lacks it.
+ */
+export function keepSoftwareVersion(later: TargetRecord, earlier: TargetRecord): void {
+  if (later.softwareVersion === '' && later.born === earlier.born) {
+    later.softwareVersion = earlier.softwareVersion;
+  }
+}
--- /dev/null
+++ b/src/fleet/VersionRecorder.ts
@@ -0,0 +1,95 @@
+/** Commits base versions, and forgets old records of streams; acts on the leader only. */
+import { create, toBinary, type MessageInitShape } from '@bufbuild/protobuf';
+import type { IClock } from '../common/Clock.js';
+import type { ILog } from '../common/Log.js';
+import { isAborted, runWithTimeout, sleep } from '../common/Tasks.js';
+import { FleetCommandSchema } from '../gen/redwingwharf/v1/fleet_pb.js';
+import type { FleetHub } from './FleetHub.js';
+import type { FleetNode, IFleetMember } from './FleetNode.js';
+import type { FleetView } from './FleetView.js';
+
+/** Interval between two observations of the targets. */
+const OBSERVE_INTERVAL_MS = 500;
+
+/** Timeout of one command, after which its outcome counts as unknown; the next step repeats it if need be. */
+const COMMAND_TIMEOUT_MS = 900;
+
+type CommandBody = NonNullable<MessageInitShape<typeof FleetCommandSchema>['body']>;
+
+/** A time at which the records of all commands up to a number existed already. */
+interface ISequenceMark {
+  readonly sequence: number;
+  readonly at: number;
+}
+
+/** Lets the hub observe the software versions of targets at intervals, and commits what follows from it. */
+export class VersionRecorder {
+  private _hub: FleetHub | undefined;
+  /** Oldest first; a new hub starts without marks, as it cannot know how old the records are. */
+  private _marks: ISequenceMark[] = [];
+  /** Longest time so far, since streams keep the time limit of the configuration under which they began. */
+  private _rebaseDelayMs = 0;
+
+  constructor(
+    private readonly _node: Pick<FleetNode, 'getHub' | 'getRebaseDelayMs'>,
+    private readonly _view: Pick<FleetView, 'table'>,
+    private readonly _getMember: () => IFleetMember | undefined,
+    private readonly _clock: IClock,
+    private readonly _log: ILog,
+  ) {}
+
+  /** Observes and commits while this process is the hub, until the signal is aborted. */
+  public async run(signal: AbortSignal): Promise<void> {
+    while (!isAborted(signal)) {
+      await this.executeStep(this._clock.now(), signal);
+      await sleep(OBSERVE_INTERVAL_MS, signal);
+    }
+  }
+
+  /** One observation and its commands. */
+  public async executeStep(now: number, signal: AbortSignal): Promise<void> {
+    const hub = this._node.getHub(now);
+    const state = this._getMember()?.state;
+    if (hub === undefined || state === undefined) {
+      return;
+    }
+    this._rebaseDelayMs = Math.max(this._rebaseDelayMs, this._node.getRebaseDelayMs());
+    hub.versions.observe(hub.listTargets(), state, now);
+    const services = this._view.table?.configuration.services.map(({ name }) => name) ?? [];
+    for (const value of hub.versions.decideChanges(new Set(services), this._rebaseDelayMs, now)) {
+      this._log.info('base version changed', {
+        ...value,
+        former: state.versionBases.get(value.service),
+      });
+      await this._propose({ case: 'setVersionBase', value }, signal);
+    }
+    const upTo = this._findExpiredSequence(hub, state.streams.sequence, now);
+    if (upTo !== undefined && state.streams.canForget(upTo)) {
+      await this._propose({ case: 'forgetStreams', value: { upTo: BigInt(upTo) } }, signal);
+    }
+  }
+
+  /** Number of the last command whose records are older than the delay; undefined if none is known to be. */
+  private _findExpiredSequence(hub: FleetHub, sequence: number, now: number): number | undefined {
+    if (this._hub !== hub) {
+      this._hub = hub;
+      this._marks = [];
+    }
+    if (this._marks.at(-1)?.sequence !== sequence) {
+      this._marks.push({ sequence, at: now });
+    }
+    const expired = this._marks.filter(({ at }) => now - at > this._rebaseDelayMs);
+    const last = expired.at(-1);
+    if (last !== undefined) {
+      this._marks = this._marks.slice(expired.length - 1);
+    }
+    return last?.sequence;
+  }
+
+  private async _propose(body: CommandBody, signal: AbortSignal): Promise<void> {
+    const command = toBinary(FleetCommandSchema, create(FleetCommandSchema, { body }));
+    await runWithTimeout(signal, COMMAND_TIMEOUT_MS, async (limited) =>
+      this._getMember()?.log.propose(command, limited),
+    );
+  }
+}
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -11,7 +11,9 @@
 import { QuotaWallet } from '../fleet/QuotaWallet.js';
 import { SharedRetryBudget, type IRetryLimits } from '../fleet/SharedRetryBudget.js';
 import { SpendingRecorder } from '../fleet/SpendingRecorder.js';
+import { StreamOrigins } from '../fleet/StreamOrigins.js';
 import type { DocumentDecoder } from '../fleet/Types.js';
+import { VersionRecorder } from '../fleet/VersionRecorder.js';
 import { WeightsRollout, type IEngineClient } from '../fleet/WeightsRollout.js';
 import { CallRunner } from '../gateway/CallRunner.js';
 import { Placement } from '../gateway/Placement.js';
@@ -64,6 +66,7 @@
   public readonly metrics = new Metrics();
   public readonly view: FleetView;
   public readonly node: FleetNode;
+  public readonly origins: StreamOrigins;
   public readonly callRunner: CallRunner<T>;
 
   private readonly _stop = new AbortController();
@@ -71,6 +74,7 @@
   private readonly _memberHost: MemberHost | undefined;
   private readonly _rollout: WeightsRollout;
   private readonly _spendingRecorder: SpendingRecorder;
+  private readonly _versionRecorder: VersionRecorder;
   private readonly _storeIndex: StoreIndex;
   private readonly _server: InternalServer;
   private readonly _tasks: Promise<void>[] = [];
@@ -124,6 +128,7 @@
       _log,
       seeds,
     );
+    this.origins = new StreamOrigins(this.node, this.view);
     this.view.onTargetUnavailable(({ id }) => {
       states.remove(id);
       limits.remove(id);
@@ -178,6 +183,13 @@
       );
     this._rollout = this._createRollout(adapters.engineClient);
     this._spendingRecorder = new SpendingRecorder(this.node, () => this._member?.log, clock);
+    this._versionRecorder = new VersionRecorder(
+      this.node,
+      this.view,
+      () => this._member,
+      clock,
+      _log,
+    );
     this._server = this._createServer();
   }
 
@@ -189,6 +201,7 @@
       this.node.run(signal),
       this.node.runMembershipNotices(signal),
       this._spendingRecorder.run(signal),
+      this._versionRecorder.run(signal),
       this._rollout.run(signal),
     ];
     if (this._memberHost !== undefined) {
--- a/src/run/MemberHost.ts
+++ b/src/run/MemberHost.ts
@@ -219,8 +219,8 @@
 ): string {
   return [
     ...targets.map(
-      ({ id, born, phase, models, rateLimit }) =>
-        `${id} ${born} ${phase} ${models[0]?.version ?? ''} ${rateLimit ?? ''}`,
+      ({ id, born, phase, models, rateLimit, softwareVersion }) =>
+        `${id} ${born} ${phase} ${models[0]?.version ?? ''} ${rateLimit ?? ''} ${softwareVersion}`,
     ),
     ...suspects.map(({ parts }) => parts.join('+')),
   ].join();
