Record streams also before the first answer of a hub

Seen in a test: an entry that had just started began a stream of another version without a record, and the leader attributed it to the base. An entry that no hub had answered yet counted its hub as one of an older build, under which nothing is recorded. In a running process the configuration arrives with the first answer, so no request was served before; the gap was one change of order away.

--- a/src/fleet/KnownVersions.ts
+++ b/src/fleet/KnownVersions.ts
@@ -18,7 +18,7 @@
   private _confirmedAt = Number.NEGATIVE_INFINITY;
   private _revision = 0n;
   private _epoch = '';
-  private _isTracked = false;
+  private _isTracked = true;
 
   /** False if the hub that answered last is of an older build, which knows nothing of streams' origins. */
   public get isTracked(): boolean {
