--- a/src/fleet/FleetHub.test.ts
+++ b/src/fleet/FleetHub.test.ts
@@ -88,6 +88,24 @@
     expect(getTarget(hub)?.loading).toBe(false);
   });
 
+  // A process of an older build forwards announcements without it.
+  it('keeps the software version of a target until its restart', () => {
+    const hub = createHub();
+    hub.announce(buildTarget({ softwareVersion: 'v1' }), 0);
+    hub.announce(buildTarget({ sequence: 2n }), 10);
+    expect(getTarget(hub)?.softwareVersion).toBe('v1');
+    hub.announce(buildTarget({ sequence: 1n, born: 2_000 }), 20);
+    expect(getTarget(hub)?.softwareVersion).toBe('');
+  });
+
+  it('propagates the software version of a target that a process of an older build announced first', () => {
+    const hub = createHub();
+    hub.announce(buildTarget(), 0);
+    const { revision } = hub.listTargetsSince('e1', 0);
+    hub.announce(buildTarget({ sequence: 2n, softwareVersion: 'v1' }), 10);
+    expect(hub.listTargetsSince('e1', revision).targets).toMatchObject([{ softwareVersion: 'v1' }]);
+  });
+
   it('returns the targets changed since a revision, and all to a process of another epoch', () => {
     const hub = createHub();
     hub.announce(buildTarget({ id: 'i-1' }), 0);
--- a/src/fleet/FleetNode.test.ts
+++ b/src/fleet/FleetNode.test.ts
@@ -3,7 +3,12 @@
  * majority.
  */
 import { create } from '@bufbuild/protobuf';
-import { createClient, createRouterTransport, type Client } from '@connectrpc/connect';
+import {
+  createClient,
+  createRouterTransport,
+  type Client,
+  type ConnectRouter,
+} from '@connectrpc/connect';
 import type { DescService } from '@bufbuild/protobuf';
 import { afterEach, describe, expect, it } from 'vitest';
 import { MonotonicClock } from '../common/Clock.js';
@@ -11,9 +16,11 @@
 import { Ok } from '../common/Result.js';
 import { InMemoryLog } from '../consensus/InMemoryLog.js';
 import { waitUntil } from '../consensus/TestCluster.js';
+import type { IReplicatedLog } from '../consensus/Types.js';
 import {
   CrashReportSchema,
   FleetCommandSchema,
+  FleetService,
   PermitDemandSchema,
   RateLimitReportSchema,
   type CrashReport,
@@ -34,6 +41,7 @@
 import { FleetState } from './FleetState.js';
 import { FleetView } from './FleetView.js';
 import { QuotaWallet } from './QuotaWallet.js';
+import { StreamOrigins } from './StreamOrigins.js';
 
 const CLOCK = new MonotonicClock();
 const QUOTA = { windowMs: 8_000, excessRatio: 0, toleranceTokens: 0 };
@@ -43,11 +51,14 @@
   readonly view: FleetView;
   readonly quarantine: RecordingQuarantine;
   readonly rateLimits: RecordingRateLimits;
+  readonly origins: StreamOrigins;
 }
 
 /** Processes that call each other in memory; a call to a process that was not started is refused. */
 class Fleet {
   public readonly stop = new AbortController();
+  /** Addresses of processes of a build that knows no software versions. */
+  public readonly oldBuilds = new Set<string>();
   private readonly _nodes = new Map<string, FleetNode>();
 
   public get<T extends DescService>(service: T, address: string): Client<T> {
@@ -58,13 +69,22 @@
     return createClient(
       service,
       createRouterTransport((router) => {
-        node.registerRpc(router);
+        if (this.oldBuilds.has(address)) {
+          registerOldRpc(router, node);
+        } else {
+          node.registerRpc(router);
+        }
       }),
     );
   }
 
   /** Starts a process; a leader gets a replicated log of which it is the only member. */
-  public start(address: string, seeds: readonly string[], isLeader = false): IStartedProcess {
+  public start(
+    address: string,
+    seeds: readonly string[],
+    isLeader = false,
+    createLog = (state: FleetState): IReplicatedLog => new InMemoryLog(state, CLOCK, address),
+  ): IStartedProcess {
     const view = new FleetView(() => Ok(buildConfiguration()), SILENT_LOG);
     const quarantine = new RecordingQuarantine();
     const rateLimits = new RecordingRateLimits();
@@ -86,12 +106,35 @@
     );
     if (isLeader) {
       const state = new FleetState();
-      node.setMember({ log: new InMemoryLog(state, CLOCK, address), state });
+      node.setMember({ log: createLog(state), state });
     }
     this._nodes.set(address, node);
     void node.run(this.stop.signal);
     void node.runMembershipNotices(this.stop.signal);
-    return { node, view, quarantine, rateLimits };
+    return { node, view, quarantine, rateLimits, origins: new StreamOrigins(node, view) };
+  }
+}
+
+/** Serves the calls of a build that knows no software versions. */
+function registerOldRpc(router: ConnectRouter, node: FleetNode): void {
+  router.service(FleetService, {
+    exchange: (request) => {
+      const response = node.handleExchange(request, CLOCK.now());
+      response.tracksVersions = false;
+      response.versions = [];
+      response.versionRevision = 0n;
+      response.confirmationAgeMs = 0;
+      return response;
+    },
+  });
+}
+
+/** The log of a leader that a majority confirmed at its start and not since. */
+class UnconfirmedLog extends InMemoryLog {
+  private readonly _confirmedAt = CLOCK.now();
+
+  public override getConfirmedAt(): number {
+    return this._confirmedAt;
   }
 }
 
@@ -287,4 +330,93 @@
     );
     expect(third.node.listKnownAddresses()).toContain('leader');
   });
+
+  describe('software versions of streams', () => {
+    const setVersionBase = create(FleetCommandSchema, {
+      body: { case: 'setVersionBase', value: { service: 'lace', version: 'v1' } },
+    });
+
+    it('are found at any process, and are the base version where no other one is recorded', async () => {
+      const leader = fleet.start('leader', ['leader'], true);
+      const first = fleet.start('entry-1', ['leader']);
+      const second = fleet.start('entry-2', ['leader']);
+      const { signal } = fleet.stop;
+      leader.node.announce(buildTarget({ softwareVersion: 'v1' }), CLOCK.now());
+      await first.node.submit(setVersionBase, signal);
+      await waitUntil('the entry knows the base', () => {
+        const known = first.view.getVersionBase('lace', CLOCK.now());
+        return known?.base === 'v1' && known.isUniform;
+      });
+      expect(first.origins.needsRecord('a', 'lace', 'v1', CLOCK.now())).toBe(false);
+      expect(await first.origins.record('b', 1, 'lace', 'v2', signal)).toBe(true);
+      for (const { origins } of [leader, first, second]) {
+        expect(
+          await Promise.all(['a', 'b'].map((id) => origins.find(id, 'lace', signal, 1_000))),
+        ).toEqual([
+          { kind: 'version', version: 'v1' },
+          { kind: 'version', version: 'v2' },
+        ]);
+      }
+      await waitUntil('the entry knows of the record', () => {
+        return second.view.getVersionBase('lace', CLOCK.now())?.isUniform === false;
+      });
+    });
+
+    it('are as recorded under the next leader', async () => {
+      const states: FleetState[] = [];
+      const createLog = (state: FleetState): IReplicatedLog => {
+        states.push(state);
+        return new InMemoryLog(state, CLOCK, 'leader');
+      };
+      const former = fleet.start('leader', ['leader', 'next'], true, createLog);
+      const entry = fleet.start('entry', ['leader', 'next']);
+      const { signal } = fleet.stop;
+      expect(await entry.origins.record('b', 1, 'lace', 'v2', signal)).toBe(true);
+      former.node.setMember(undefined);
+      const next = fleet.start('next', ['leader', 'next'], true, createLog);
+      const [before, after] = states;
+      after?.restore(before?.snapshot() ?? new Uint8Array());
+      await waitUntil('the next one leads', () => entry.node.leader === 'next');
+      await next.node.submit(setVersionBase, signal);
+      expect(await entry.origins.find('b', 'lace', signal, 1_000)).toEqual({
+        kind: 'version',
+        version: 'v2',
+      });
+    });
+
+    // It may have been replaced by a leader that has other records.
+    it('are unsure at a leader that no majority confirms after the call', async () => {
+      const createLog = (state: FleetState): IReplicatedLog =>
+        new UnconfirmedLog(state, CLOCK, 'leader');
+      const leader = fleet.start('leader', ['leader'], true, createLog);
+      await leader.node.submit(setVersionBase, fleet.stop.signal);
+      const outcome = await leader.origins.find('a', 'lace', fleet.stop.signal, 500);
+      expect(outcome.kind).toBe('unsure');
+    });
+
+    it('are unsure without a base version of the service, and without a leader', async () => {
+      fleet.start('leader', ['leader'], true);
+      const entry = fleet.start('entry', ['leader']);
+      const alone = fleet.start('alone', ['nobody']);
+      for (const { origins } of [entry, alone]) {
+        const outcome = await origins.find('a', 'lace', fleet.stop.signal, 300);
+        expect(outcome.kind).toBe('unsure');
+      }
+      expect(entry.view.getVersionBase('other', CLOCK.now())).toBeUndefined();
+    });
+
+    // An older leader acknowledges commands that it does not know, so a record must not go as one.
+    it('are neither recorded nor known under a leader of an older build', async () => {
+      fleet.oldBuilds.add('leader');
+      fleet.start('leader', ['leader'], true);
+      const entry = fleet.start('entry', ['leader']);
+      await waitUntil('the entry has exchanged', () => entry.view.epoch !== '');
+      expect(entry.origins.needsRecord('a', 'lace', 'v2', CLOCK.now())).toBe(false);
+      const aborted = AbortSignal.timeout(300);
+      expect(await entry.origins.record('a', 1, 'lace', 'v2', aborted)).toBe(false);
+      const outcome = await entry.origins.find('a', 'lace', fleet.stop.signal, 300);
+      expect(outcome.kind).toBe('unsure');
+      expect(entry.view.getVersionBase('lace', CLOCK.now())).toBeUndefined();
+    });
+  });
 });
--- a/src/fleet/FleetState.test.ts
+++ b/src/fleet/FleetState.test.ts
@@ -4,7 +4,14 @@
  */
 import { create, toBinary } from '@bufbuild/protobuf';
 import { describe, expect, it } from 'vitest';
-import { FleetCommandSchema, type FleetCommand } from '../gen/redwingwharf/v1/fleet_pb.js';
+import {
+  FleetCommandSchema,
+  FleetSnapshotSchema,
+  ForgetStreamsSchema,
+  ServiceVersionSchema,
+  StreamRecordsSchema,
+  type FleetCommand,
+} from '../gen/redwingwharf/v1/fleet_pb.js';
 import { FleetState } from './FleetState.js';
 
 function putDocument(version: number, text: string): FleetCommand {
@@ -65,6 +72,43 @@
     expect(copy.snapshot()).toEqual(state.snapshot());
   });
 
+  // After a kill of all processes the disks of the members are all that tells which version began a stream.
+  it('restores base versions and records of streams from a snapshot', () => {
+    const state = new FleetState();
+    const commands: FleetCommand['body'][] = [
+      {
+        case: 'setVersionBase',
+        value: create(ServiceVersionSchema, { service: 'lace', version: 'v1' }),
+      },
+      {
+        case: 'recordStreams',
+        value: create(StreamRecordsSchema, {
+          versions: [{ service: 'lace', version: 'v2' }],
+          streams: [{ key: 5n, attempt: 1 }],
+        }),
+      },
+      { case: 'recordStreams', value: create(StreamRecordsSchema) },
+      { case: 'forgetStreams', value: create(ForgetStreamsSchema, { upTo: 0n }) },
+    ];
+    apply(state, ...commands.map((body) => create(FleetCommandSchema, { body })));
+    const copy = new FleetState();
+    copy.restore(state.snapshot());
+    expect([...copy.versionBases]).toEqual([['lace', 'v1']]);
+    expect(copy.streams.find(5n)).toMatchObject({ service: 'lace', version: 'v2' });
+    expect(copy.streams.sequence).toBe(2);
+    expect(copy.snapshot()).toEqual(state.snapshot());
+    const forget = create(ForgetStreamsSchema, { upTo: 1n });
+    apply(copy, create(FleetCommandSchema, { body: { case: 'forgetStreams', value: forget } }));
+    expect(copy.streams.find(5n)).toBeUndefined();
+  });
+
+  it('has no records after the snapshot of an older build', () => {
+    const state = new FleetState();
+    state.restore(toBinary(FleetSnapshotSchema, create(FleetSnapshotSchema)));
+    expect([...state.versionBases]).toEqual([]);
+    expect(state.streams.size).toBe(0);
+  });
+
   it('ignores bytes that are not a command', () => {
     const state = new FleetState();
     state.apply(new Uint8Array([255, 255, 255]));
--- a/src/run/MemberHost.test.ts
+++ b/src/run/MemberHost.test.ts
@@ -82,7 +82,7 @@
   it('saves a quarantine, and the limits of targets with it, at once', async () => {
     const cache = new RecordingCache();
     await runMember(cache, async () => {
-      cache.targets = [buildTarget({ rateLimit: 2 })];
+      cache.targets = [buildTarget({ rateLimit: 2, softwareVersion: 'v1' })];
       cache.suspects = [{ parts: [7], quarantined: true }];
       cache.fireChange();
       await delay(500);
@@ -90,6 +90,6 @@
     const restored = new RecordingCache();
     await runMember(restored, () => Promise.resolve());
     expect(restored.suspects).toMatchObject([{ parts: [7], quarantined: true }]);
-    expect(restored.targets).toMatchObject([{ id: 'i-1', rateLimit: 2 }]);
+    expect(restored.targets).toMatchObject([{ id: 'i-1', rateLimit: 2, softwareVersion: 'v1' }]);
   });
 });
