Shorten the time for which a service counts as uniform

The first streams of a new version, and all of them under a new leader during a release, wait for the end of this time. 0.5 s covers an exchange and the leader's last confirmation; an entry that exchanges less often asks the leader for the few streams that are taken up again.

--- a/src/fleet/SoftwareVersions.ts
+++ b/src/fleet/SoftwareVersions.ts
@@ -5,7 +5,7 @@
  * Time for which a process may rely on a confirmed statement that a service is uniform. The first stream of
  * another version starts only after that.
  */
-export const UNIFORMITY_TRUST_MS = 800;
+export const UNIFORMITY_TRUST_MS = 500;
 
 /** Time for which a process may begin streams without a record after a confirmed statement of the base. */
 export const BASE_TRUST_MS = 14_000;
--- a/src/fleet/StreamOriginsHarness.ts
+++ b/src/fleet/StreamOriginsHarness.ts
@@ -350,7 +350,7 @@
       if (entry.leader !== undefined && entry.leader.getLeading(now) === undefined) {
         entry.leader = this.leader;
       }
-      if ((this._ticks + i) % 3 === 0) {
+      if ((this._ticks + i) % 2 === 0) {
         entry.exchange();
       }
     }
