Join the records of streams of several entries at the leader

The leader gathers records for 4 ms. A rejected call of a batch counts as a failure that is repeated, instead of ending the process.

--- a/src/fleet/CallBatcher.test.ts
+++ b/src/fleet/CallBatcher.test.ts
@@ -45,6 +45,17 @@
     expect(await Promise.all(calls)).toEqual([1, 2].map((result) => ({ kind: 'done', result })));
   });
 
+  it('repeats what was rejected', async () => {
+    let sent = 0;
+    const batcher = new CallBatcher<number, number>(8, 10, (inputs) => {
+      sent += 1;
+      return sent === 1 ? Promise.reject(new Error('invalid')) : Promise.resolve(inputs);
+    });
+    const call = batcher.call(1, NEVER);
+    await vi.advanceTimersByTimeAsync(500);
+    expect(await call).toEqual({ kind: 'done', result: 1 });
+  });
+
   it('gives up when the caller does, with the last reason', async () => {
     let sent = 0;
     const batcher = new CallBatcher<number, number>(8, 10, () => {
--- a/src/fleet/CallBatcher.ts
+++ b/src/fleet/CallBatcher.ts
@@ -1,4 +1,5 @@
 /** Joins calls that come within a short time into one, and repeats those that fail. */
+import { describeError } from '../common/Log.js';
 import { addJitter, isAborted, sleep } from '../common/Tasks.js';
 
 /** Mean delay before calls that failed are sent again; jitter is added. */
@@ -28,8 +29,8 @@
   private _isScheduled = false;
 
   /**
-   * `_send` returns for each input its result, or the reason why it must be sent again; or one reason for all. It
-   * must not reject.
+   * `_send` returns for each input its result, or the reason why it must be sent again; or one reason for all. A
+   * rejection counts as such a reason.
    */
   constructor(
     private readonly _delayMs: number,
@@ -82,7 +83,7 @@
     if (items.length === 0) {
       return;
     }
-    const results = await this._send(items.map(({ input }) => input));
+    const results = await this._trySend(items.map(({ input }) => input));
     const failed: IBatchItem<I, R>[] = [];
     for (const [i, item] of items.entries()) {
       const result = typeof results === 'string' ? results : results[i];
@@ -98,4 +99,12 @@
       this._enqueue(failed, this._delayMs);
     }
   }
+
+  private async _trySend(inputs: readonly I[]): Promise<readonly (R | string)[] | string> {
+    try {
+      return await this._send(inputs);
+    } catch (error) {
+      return describeError(error);
+    }
+  }
 }
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -284,7 +284,7 @@
           ? create(SubmitResponseSchema, { reason: 'the command is missing' })
           : this._commit(request.command, context.signal),
       readDocument: (_request, context) => this._readConfirmed(context.signal),
-      recordStreams: (request, context) => this._origins.recordStreams(request, context.signal),
+      recordStreams: (request) => this._origins.recordStreams(request),
       findStreamOrigins: (request, context) =>
         this._origins.findStreamOrigins(request, context.signal),
     });
@@ -376,7 +376,7 @@
     return this._callLeader(signal, async (client, limited) => {
       const reply =
         client === undefined
-          ? await this._origins.recordStreams(records, limited)
+          ? await this._origins.recordStreams(records)
           : await client.recordStreams(records, { signal: limited });
       return reply.committed ? reply : reply.reason;
     });
--- a/src/fleet/OriginCalls.ts
+++ b/src/fleet/OriginCalls.ts
@@ -1,11 +1,14 @@
 /** Answers calls about the software versions of streams; acts on the leader only. */
 import { create } from '@bufbuild/protobuf';
 import type { IClock } from '../common/Clock.js';
+import { sleep } from '../common/Tasks.js';
 import {
   FindStreamOriginsResponseSchema,
   FleetCommandSchema,
   RecordStreamsResponseSchema,
   ServiceVersionSchema,
+  StreamRecordSchema,
+  StreamRecordsSchema,
   VersionReportSchema,
   type ExchangeRequest,
   type ExchangeResponse,
@@ -20,6 +23,12 @@
 import type { FleetState } from './FleetState.js';
 import { UNIFORMITY_TRUST_MS } from './SoftwareVersions.js';
 
+/** Time in which records of several processes gather for one command. */
+const JOIN_MS = 4;
+
+/** Records of one command, but for those of the call that exceeds this. */
+const MAX_JOINED_STREAMS = 4_000;
+
 const NOT_LEADING_REASON = 'this process does not lead';
 
 /** The hub of a leader and its replicated state. */
@@ -41,6 +50,9 @@
 
 /** The leader's part of recording streams and of finding their versions. */
 export class OriginCalls {
+  /** Records of calls that wait for their common command. */
+  private _joined:
+    { readonly records: StreamRecords; readonly response: Promise<SubmitResponse> } | undefined;
   private _observed: { readonly hub: FleetHub; readonly revision: string } | undefined;
 
   constructor(
@@ -65,15 +77,8 @@
   }
 
   /** Records streams, and tells how long their first events must wait beyond the commit. */
-  public async recordStreams(
-    records: StreamRecords,
-    signal: AbortSignal,
-  ): Promise<RecordStreamsResponse> {
-    const body = { case: 'recordStreams', value: records } as const;
-    const { committed, reason } = await this._leader.commit(
-      create(FleetCommandSchema, { body }),
-      signal,
-    );
+  public async recordStreams(records: StreamRecords): Promise<RecordStreamsResponse> {
+    const { committed, reason } = await this._commitJoined(records);
     if (!committed) {
       return create(RecordStreamsResponseSchema, { reason });
     }
@@ -118,6 +123,36 @@
     return response;
   }
 
+  /** Commits records of several calls with one command, since each command brings the next snapshot closer. */
+  private async _commitJoined({ versions, streams }: StreamRecords): Promise<SubmitResponse> {
+    if (this._joined === undefined || this._joined.records.streams.length >= MAX_JOINED_STREAMS) {
+      const records = create(StreamRecordsSchema);
+      this._joined = { records, response: this._commitLater(records) };
+    }
+    const { records, response } = this._joined;
+    const indexes = versions.map((origin) => {
+      const index = records.versions.findIndex(
+        ({ service, version }) => service === origin.service && version === origin.version,
+      );
+      return index >= 0 ? index : records.versions.push(origin) - 1;
+    });
+    for (const stream of streams) {
+      const version = indexes[stream.version];
+      if (version !== undefined) {
+        records.streams.push(create(StreamRecordSchema, { ...stream, version }));
+      }
+    }
+    return response;
+  }
+
+  private async _commitLater(records: StreamRecords): Promise<SubmitResponse> {
+    const unlimited = new AbortController().signal;
+    await sleep(JOIN_MS, unlimited);
+    this._joined = this._joined?.records === records ? undefined : this._joined;
+    const body = { case: 'recordStreams', value: records } as const;
+    return this._leader.commit(create(FleetCommandSchema, { body }), unlimited);
+  }
+
   /** Compares targets and state, unless neither has changed since the last time. */
   private _observe({ hub, state }: ILeading, now: number): void {
     const revision = `${hub.targetRevision} ${state.streams.revision} ${JSON.stringify([...state.versionBases])}`;
--- a/src/fleet/StreamOrigins.test.ts
+++ b/src/fleet/StreamOrigins.test.ts
@@ -140,6 +140,23 @@
     expect(fleet.streams).toHaveLength(1);
   });
 
+  // With a command for each stream, the members would write snapshots all the time during a release.
+  it('commits the records of several entries with one command', async () => {
+    const fleet = new StreamFleet(3, CLOCK);
+    const targets = ['v2', 'v3', 'v2'].map((version, i) => fleet.startTarget(version, i));
+    await fleet.tick();
+    for (const [i, target] of targets.entries()) {
+      void fleet.sendRequest(getEntry(fleet, i), [target]);
+    }
+    await runFleet(fleet, 1_000);
+    expect(fleet.leader.state.streams.sequence).toBe(1);
+    const found = await fleet.findVersions(fleet.streams);
+    expect(fleet.streams.map(({ id }) => found.get(id))).toEqual(
+      fleet.streams.map(({ version }) => version),
+    );
+    expect(found.size).toBe(3);
+  });
+
   // The first attempt's record would else stand for the stream that the second one brought.
   it('records an attempt at the base version after one at another version', async () => {
     const fleet = new StreamFleet(1, CLOCK);
--- a/src/fleet/StreamOriginsHarness.ts
+++ b/src/fleet/StreamOriginsHarness.ts
@@ -199,10 +199,10 @@
     const fate = this._takeFate();
     if (fate === 'late') {
       const copy = create(StreamRecordsSchema, records);
-      setTimeout(() => void this.leader?.calls.recordStreams(copy, NEVER), 700);
+      setTimeout(() => void this.leader?.calls.recordStreams(copy), 700);
       return 'timeout';
     }
-    const reply = await this.leader?.calls.recordStreams(records, NEVER);
+    const reply = await this.leader?.calls.recordStreams(records);
     if (reply === undefined || fate === 'answer_lost') {
       return 'timeout';
     }
