Name no base version while a change of it may still be committed

What callers could have seen: a stream of the former base attributed to the new one. A leader whose proposal had no outcome yet named the former base again as soon as one of its targets came back; entries then began streams without records, and the proposal could still be committed after that. From the proposal on the hub names no base until a later command of its own is committed.

--- a/src/fleet/VersionBases.ts
+++ b/src/fleet/VersionBases.ts
@@ -44,6 +44,8 @@
   private _revision = 1;
   private _observedAt: number;
   private _oldEntrySeenAt = Number.NEGATIVE_INFINITY;
+  /** Services for which a command was proposed that may be committed at any time. */
+  private readonly _changing = new Set<string>();
 
   constructor(private readonly _startedAt: number) {
     this._observedAt = _startedAt;
@@ -63,6 +65,22 @@
     this._oldEntrySeenAt = now;
   }
 
+  /** Services of which a proposed base is neither committed nor lost for certain. */
+  public get changing(): ReadonlySet<string> {
+    return this._changing;
+  }
+
+  /** Called before a base is proposed. From then on the present base is not named to any process. */
+  public beginChange(service: string): void {
+    this._changing.add(service);
+    this._refreshReports();
+  }
+
+  /** Called when the last command that was proposed for the service is committed. */
+  public endChange(service: string): void {
+    this._changing.delete(service);
+  }
+
   /** Compares the targets with the replicated state. */
   public observe(targets: readonly TargetRecord[], state: IVersionState, now: number): void {
     const isInterrupted = now - this._observedAt > MAX_OBSERVATION_GAP_MS;
@@ -75,7 +93,10 @@
       const readyCounts = counts.get(service) ?? new Map<string, number>();
       const hasBase = base !== undefined && readyCounts.has(base);
       const isUniform =
-        hasBase && readyCounts.size === 1 && !state.streams.hasOtherVersion(service, base);
+        hasBase &&
+        readyCounts.size === 1 &&
+        !this._changing.has(service) &&
+        !state.streams.hasOtherVersion(service, base);
       const isContinued = previous?.base === base && !isInterrupted;
       services.set(service, {
         base,
@@ -158,7 +179,7 @@
   private _refreshReports(): void {
     const reports = [...this._services].map(([service, { base, absentSince, mixedSince }]) => ({
       service,
-      base: absentSince === undefined ? (base ?? '') : '',
+      base: absentSince === undefined && !this._changing.has(service) ? (base ?? '') : '',
       isUniform: mixedSince === undefined,
     }));
     const fingerprint = JSON.stringify(reports);
--- a/src/fleet/VersionRecorder.ts
+++ b/src/fleet/VersionRecorder.ts
@@ -6,6 +6,7 @@
 import { FleetCommandSchema } from '../gen/redwingwharf/v1/fleet_pb.js';
 import type { FleetHub } from './FleetHub.js';
 import type { FleetNode, IFleetMember } from './FleetNode.js';
+import type { FleetState } from './FleetState.js';
 import type { FleetView } from './FleetView.js';
 
 /** Interval between two observations of the targets. */
@@ -55,20 +56,43 @@
     }
     this._rebaseDelayMs = Math.max(this._rebaseDelayMs, this._node.getRebaseDelayMs());
     hub.versions.observe(hub.listTargets(), state, now);
-    const services = this._view.table?.configuration.services.map(({ name }) => name) ?? [];
-    for (const value of hub.versions.decideChanges(new Set(services), this._rebaseDelayMs, now)) {
-      this._log.info('base version changed', {
-        ...value,
-        former: state.versionBases.get(value.service),
-      });
-      await this._propose({ case: 'setVersionBase', value }, signal);
-    }
+    await this._commitBases(hub, state, now, signal);
     const upTo = this._findExpiredSequence(hub, state.streams.sequence, now);
     if (upTo !== undefined && state.streams.canForget(upTo)) {
       await this._propose({ case: 'forgetStreams', value: { upTo: BigInt(upTo) } }, signal);
     }
   }
 
+  private async _commitBases(
+    hub: FleetHub,
+    state: FleetState,
+    now: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { versions } = hub;
+    const services = this._view.table?.configuration.services.map(({ name }) => name) ?? [];
+    const changes = versions.decideChanges(new Set(services), this._rebaseDelayMs, now);
+    // A command whose outcome is unknown may still be committed, until a later one is.
+    const unsettled = [...versions.changing].filter(
+      (service) => !changes.some((change) => change.service === service),
+    );
+    const repeated = unsettled.flatMap((service) => {
+      const version = state.versionBases.get(service);
+      return version === undefined ? [] : [{ service, version }];
+    });
+    const proposed = [...changes, ...repeated];
+    for (const { service, version } of proposed) {
+      const former = state.versionBases.get(service);
+      this._log.info('base version proposed', { service, version, former });
+      versions.beginChange(service);
+    }
+    for (const value of proposed) {
+      if (await this._propose({ case: 'setVersionBase', value }, signal)) {
+        versions.endChange(value.service);
+      }
+    }
+  }
+
   /** Number of the last command whose records are older than the delay; undefined if none is known to be. */
   private _findExpiredSequence(hub: FleetHub, sequence: number, now: number): number | undefined {
     if (this._hub !== hub) {
@@ -86,10 +110,12 @@
     return last?.sequence;
   }
 
-  private async _propose(body: CommandBody, signal: AbortSignal): Promise<void> {
+  /** True if the command is committed; otherwise its outcome is unknown. */
+  private async _propose(body: CommandBody, signal: AbortSignal): Promise<boolean> {
     const command = toBinary(FleetCommandSchema, create(FleetCommandSchema, { body }));
-    await runWithTimeout(signal, COMMAND_TIMEOUT_MS, async (limited) =>
+    const result = await runWithTimeout(signal, COMMAND_TIMEOUT_MS, async (limited) =>
       this._getMember()?.log.propose(command, limited),
     );
+    return result?.ok === true;
   }
 }
