--- a/src/gateway/Fixtures.ts
+++ b/src/gateway/Fixtures.ts
@@ -245,6 +245,7 @@
       lengthHint: undefined,
       parts: [],
       resumeAfter: undefined,
+      resumes: undefined,
       arrivedAt: clock.now(),
       signal: new AbortController().signal,
       hashContent: () => 1,
