Go on with a stream only at the software version that began it

Callers got streams of status 200 whose first part was written by one software version of an engine and the rest by another, within one response (the router resumed a broken stream at any engine) or over two attempts (a client took its stream up at any entry, also after a stop of all).

Cause: no process knew the software version of a target, so no way to a target asked for it. The class of fault: state that a repetition depends on is not part of what the repetition is given.

Change: StreamBinding holds for each resumable stream the version that brought its first event. TargetSelector, through which every way to a target leads, leaves out the others: for a repetition, a second attempt beside a silent target, a stream that is resumed within a response or by the client. The version of a stream that a client takes up comes from the entry's memory, from the base version while the service is uniform, or from the leader; while none can tell, the request is refused as not run, and at once if no target has the version. Events of a target that is not at the base version are held until its record is durable. A stream that has brought no event is bound to nothing. While the hub is silent, new streams prefer the base version, which needs no record. Streams of one client are assigned to the services of a split route by the id of the stream.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -57,6 +57,14 @@
   lastEventId: number | undefined;
 }
 
+/** Events of a stream whose version is not recorded yet. */
+interface IHeldEvents {
+  readonly chunks: Uint8Array[];
+  lastId: number | undefined;
+  /** True once the whole response has been received. */
+  hasEnded: boolean;
+}
+
 export interface IAttemptOptions {
   readonly target: TargetRecord;
   readonly state: ITargetState;
@@ -74,6 +82,8 @@
   readonly isLongStream: boolean;
   /** Whether a response with this error status may be discarded, as another target may bring a better one. */
   readonly mayReplaceError: (status: number) => boolean;
+  /** Resolves with true once the first event of the stream may be relayed; undefined if it may be at once. */
+  readonly recorded: Promise<boolean> | undefined;
   /** Called before each write to the client. */
   readonly onRelay: () => void;
   /** Called at intervals while the target sends nothing, though it should. */
@@ -147,6 +157,8 @@
   private _resumedAt = Number.NEGATIVE_INFINITY;
   private _settleTimer: NodeJS.Timeout | undefined;
   private _isSettled = false;
+  /** Events that may not be relayed yet; undefined once they may. */
+  private _held: IHeldEvents | undefined;
 
   constructor(
     private readonly _context: IAttemptContext<T>,
@@ -158,6 +170,10 @@
     this._finished = new Promise((resolve) => {
       this._finish = resolve;
     });
+    if (_options.recorded !== undefined) {
+      this._held = { chunks: [], lastId: undefined, hasEnded: false };
+      void this._relayHeld(_options.recorded);
+    }
   }
 
   /** Load that the target reported in the head of its response. */
@@ -382,17 +398,46 @@
     const { bytes, lastId } = this._framer.push(chunk);
     if (bytes.length > 0) {
       this._recordFirstByte();
-      this._startSink();
-      this._write(bytes);
-      TEST_ONLY: if (isMechanismDisabled('event-number')) return;
-      const { position } = this._options;
-      position.lastEventId = lastId ?? position.lastEventId;
+      this._relayOrHold(bytes, lastId);
     }
     if (this._framer.isOverlong) {
       this._end({ kind: 'failed', reason: `an event exceeds ${MAX_EVENT_BYTES} bytes` });
     }
   }
 
+  private _relayOrHold(bytes: Uint8Array, lastId: number | undefined): void {
+    if (this._held !== undefined) {
+      this._held.chunks.push(bytes);
+      this._held.lastId = lastId ?? this._held.lastId;
+      this._exchange?.pause();
+      return;
+    }
+    this._startSink();
+    this._write(bytes);
+    TEST_ONLY: if (isMechanismDisabled('event-number')) return;
+    const { position } = this._options;
+    position.lastEventId = lastId ?? position.lastEventId;
+  }
+
+  /** Relays what was held once the version of the stream is recorded. */
+  private async _relayHeld(recorded: Promise<boolean>): Promise<void> {
+    const isRecorded = await recorded;
+    const held = this._held;
+    this._held = undefined;
+    if (!isRecorded || held === undefined || this._hasEnded) {
+      return;
+    }
+    if (held.chunks.length > 0) {
+      this._relayOrHold(Buffer.concat(held.chunks), held.lastId);
+      if (!this._isPaused) {
+        this._exchange?.resume();
+      }
+    }
+    if (held.hasEnded) {
+      this._handleEnd();
+    }
+  }
+
   private _discard(chunk: Buffer): void {
     this._discardedBytes += chunk.length;
     if (this._discardedBytes > MAX_DISCARDED_BYTES) {
@@ -404,6 +449,10 @@
     if (this._hasEnded) {
       return;
     }
+    if (this._held !== undefined && this._isSuccess() && !this._isDiscarded) {
+      this._held.hasEnded = true;
+      return;
+    }
     if (this._isDiscarded) {
       this._hasEnded = true;
       this._finish(this._describeDiscarded());
--- a/src/gateway/AttemptRunner.ts
+++ b/src/gateway/AttemptRunner.ts
@@ -1,5 +1,6 @@
 /** Runs one attempt of a call at a target, and records what its end tells of the target. */
 import { getHeldVersion } from '../fleet/HeldWeights.js';
+import { getSoftwareVersion } from '../fleet/SoftwareVersions.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { isMechanismDisabled } from '../common/TestSwitches.js';
 import { Attempt, type AttemptOutcome, type ITargetNotice } from './Attempt.js';
@@ -16,6 +17,7 @@
 import type { IPlacementRequest } from './PlacementRequest.js';
 import type { PromptSource } from './PromptSources.js';
 import type { StoreIndex } from './StoreIndex.js';
+import { getStreamId } from './StreamBinding.js';
 import {
   LONG_STREAM_TOKENS,
   recordBusy,
@@ -66,6 +68,9 @@
     const state = states.ensure(target, clock.now());
     const startedAt = clock.now();
     limits.take(target, startedAt);
+    const { binding } = progress;
+    progress.attemptVersion = getSoftwareVersion(target);
+    const ended = new AbortController();
     const attempt = new Attempt<T>(this._context, call, sink, {
       target,
       state,
@@ -79,8 +84,10 @@
       mayReplaceError: (status) =>
         race.isContested ||
         (status >= MIN_SERVER_ERROR_STATUS && route.kind === 'safe' && number < route.maxAttempts),
+      recorded: binding?.recordAttempt(target, startedAt, ended.signal),
       onRelay: () => {
         race.handleRelay(attempt);
+        binding?.bind(target, clock.now());
       },
       onSilent: () => {
         race.handleSilence();
@@ -112,6 +119,7 @@
     } finally {
       this._running.delete(attempt);
       race.handleEnd(attempt);
+      ended.abort();
       state.suspects -= suspects;
     }
     if (outcome.kind !== 'not_run') {
@@ -125,6 +133,8 @@
       request: call.id,
       route: route.name,
       target: target.id,
+      software: target.softwareVersion,
+      stream: binding && getStreamId(call),
       attempt: number,
       outcome: outcome.kind,
       reason: outcome.kind === 'answered' ? undefined : outcome.reason,
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -3,6 +3,7 @@
 import { isMechanismDisabled } from '../common/TestSwitches.js';
 import type { RouteTable } from '../fleet/RouteTable.js';
 import type { IClientAccount, IRoute, IService } from '../fleet/Types.js';
+import { getSoftwareVersion } from '../fleet/SoftwareVersions.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { hashText } from '../policy/TargetTable.js';
 import type { AttemptOutcome } from './Attempt.js';
@@ -19,6 +20,7 @@
 import { decideOverload } from './Overload.js';
 import type { IPlacement } from './Placement.js';
 import type { IPlacementRequest } from './PlacementRequest.js';
+import { createStreamBinding, getStreamId } from './StreamBinding.js';
 import { TargetSelector, type TargetChoice } from './TargetSelector.js';
 import { getPauseMs } from './TargetStates.js';
 import { decideTargetWait } from './TargetWait.js';
@@ -39,6 +41,12 @@
 /** Retry-After of a request that would crash its target: a quarantine lasts for minutes. */
 const QUARANTINE_RETRY_AFTER_MS = 60_000;
 
+/** Retry-After of a stream whose origin is not known: a new leader is elected in this time. */
+const ORIGIN_UNKNOWN_RETRY_AFTER_MS = 1_000;
+
+/** Retry-After of a stream of which no target has the version; one that restarts comes back within this time. */
+const VERSION_GONE_RETRY_AFTER_MS = 5_000;
+
 /** Lower bound of every Retry-After, so that clients do not retry in a tight loop. */
 const MIN_RETRY_AFTER_MS = 50;
 
@@ -85,9 +93,13 @@
       lastEventId: call.resumeAfter,
       mayHaveRun: false,
       mayRepeat: true,
+      binding: createStreamBinding(this._context, call, admitted.route, admitted.service),
+      attemptVersion: undefined,
       waitUntil: undefined,
     };
-    const isQuotaSpent = await this._runAttempts(call, sink, admitted, progress);
+    const isQuotaSpent =
+      (await this._bindResumed(call, sink, admitted, progress)) &&
+      (await this._runAttempts(call, sink, admitted, progress));
     if (!isQuotaSpent && admitted.account !== undefined) {
       const { account, tokens, chargedAt } = admitted;
       this._context.wallet.refund(account.name, tokens, chargedAt);
@@ -117,7 +129,7 @@
     const admitted = {
       table,
       route,
-      service: pickService(table, route, call.id),
+      service: pickService(table, route, getStreamId(call)),
       account: payer,
       tokens,
       deadlineAt: call.arrivedAt + limitMs,
@@ -179,7 +191,7 @@
       const request = this._describeRequest(call, admitted);
       const choice = this._chooseTarget(admitted, request, standing, progress, now);
       if (choice.kind === 'none') {
-        this._finishUnanswered(call, sink, progress, 'no_target');
+        this._finishUnanswered(call, sink, progress, this._explainNoTarget(admitted, progress));
         return progress.mayHaveRun;
       }
       if (choice.kind === 'closed') {
@@ -211,16 +223,54 @@
     }
   }
 
+  /** Finds the software version at which a stream that the client takes up must go on; false if it is refused. */
+  private async _bindResumed(
+    call: T,
+    sink: IAnswerSink,
+    { route, service, deadlineAt }: IAdmittedCall,
+    { binding }: ICallProgress,
+  ): Promise<boolean> {
+    if (binding === undefined || call.resumeAfter === undefined) {
+      return true;
+    }
+    const now = this._context.clock.now();
+    const timeoutMs = Math.min(route.latencyObjectiveMs, deadlineAt - now - MIN_ATTEMPT_MS);
+    const reason = await binding.resolve(timeoutMs, now, call.signal);
+    if (reason === undefined) {
+      return true;
+    }
+    const detail = { service: service.name, resumes: call.resumes, why: reason };
+    this._refuse(call, sink, 503, 'origin_unknown', ORIGIN_UNKNOWN_RETRY_AFTER_MS, detail);
+    return false;
+  }
+
+  private _explainNoTarget(
+    { service }: IAdmittedCall,
+    { binding, tried }: ICallProgress,
+  ): RefusalReason {
+    const version = binding?.version;
+    const targets = this._context.view.listTargets(service.name);
+    const isGone =
+      version !== undefined &&
+      tried.size === 0 &&
+      targets.length > 0 &&
+      !targets.some((target) => getSoftwareVersion(target) === version);
+    return isGone ? 'version_gone' : 'no_target';
+  }
+
   private _chooseTarget(
     admitted: IAdmittedCall,
     request: IPlacementRequest,
     standing: QuarantineStanding,
-    { tried }: ICallProgress,
+    { tried, binding }: ICallProgress,
     now: number,
+    requiredVersion?: string,
   ): TargetChoice {
     const isSuspect = standing.kind === 'suspect';
+    const chosen = binding?.chooseVersions(now);
+    const versions = chosen && { ...chosen, required: chosen.required ?? requiredVersion };
     return this._selector.choose(
-      { service: admitted.service.name, request, tried, isSuspect },
+      { service: admitted.service.name, request, tried, isSuspect, versions },
       now,
     );
   }
@@ -248,7 +298,15 @@
       return undefined;
     }
     const request = this._describeRequest(call, admitted);
-    const choice = this._chooseTarget(admitted, request, standing, progress, now);
+    // The record of an attempt that still runs must hold, so that no other version is tried beside it.
+    const choice = this._chooseTarget(
+      admitted,
+      request,
+      standing,
+      progress,
+      now,
+      progress.attemptVersion,
+    );
     switch (choice.kind) {
       case 'none':
         return undefined;
@@ -459,9 +517,7 @@
     } else if (progress.mayHaveRun) {
       this._refuse(call, sink, 502, 'failed', undefined);
     } else {
-      const retryMs =
-        reason === 'no_target' ? NOT_READY_RETRY_AFTER_MS : TARGETS_BUSY_RETRY_AFTER_MS;
-      this._refuse(call, sink, 503, reason, retryMs);
+      this._refuse(call, sink, 503, reason, getRetryAfterMs(reason));
     }
   }
 
@@ -514,6 +570,13 @@
   }
 }
 
+function getRetryAfterMs(reason: RefusalReason): number {
+  if (reason === 'no_target') {
+    return NOT_READY_RETRY_AFTER_MS;
+  }
+  return reason === 'version_gone' ? VERSION_GONE_RETRY_AFTER_MS : TARGETS_BUSY_RETRY_AFTER_MS;
+}
+
 /** Quota tokens of a call; the account's default if the request states no token counts. */
 function countTokens(call: ICall, account: IClientAccount | undefined): number {
   return call.promptTokens === undefined && call.outputTokens === undefined
--- a/src/gateway/CallTypes.ts
+++ b/src/gateway/CallTypes.ts
@@ -11,6 +11,7 @@
 import type { CrashQuarantine, QuarantineStanding } from './CrashQuarantine.js';
 import type { IPlacement } from './Placement.js';
 import type { IPlacementRequest } from './PlacementRequest.js';
+import type { IStreamBindingContext, StreamBinding } from './StreamBinding.js';
 import type { ITargetSelectorContext } from './TargetSelector.js';
 import type { ICall, ITargetClient } from './Types.js';
 
@@ -18,7 +19,8 @@
 const LOWEST_PRIORITY = 9;
 
 /** Dependencies of the calls, shared by all of them. */
-export interface ICallContext<T extends ICall> extends ITargetSelectorContext {
+export interface ICallContext<T extends ICall>
+  extends ITargetSelectorContext, IStreamBindingContext {
   readonly node: Pick<FleetNode, 'requestLeases' | 'requestExchange'>;
   readonly wallet: QuotaWallet;
   readonly budget: SharedRetryBudget;
@@ -56,6 +58,10 @@
   mayHaveRun: boolean;
   /** False once the request has probably crashed a target. */
   mayRepeat: boolean;
+  /** Undefined unless the response is a stream that may be resumed. */
+  readonly binding: StreamBinding | undefined;
+  /** Software version of the target of the last attempt. */
+  attemptVersion: string | undefined;
   /** Time until which the request may wait for a target; undefined until it has to. */
   waitUntil: number | undefined;
 }
--- a/src/gateway/Fixtures.ts
+++ b/src/gateway/Fixtures.ts
@@ -18,6 +18,7 @@
 import { CallRunner } from './CallRunner.js';
 import { Placement } from './Placement.js';
 import { CrashQuarantine } from './CrashQuarantine.js';
+import type { IStreamOrigins } from './StreamBinding.js';
 import { StoreIndex } from './StoreIndex.js';
 import { TargetLimits } from './TargetLimits.js';
 import { TargetStates } from './TargetStates.js';
@@ -162,6 +163,9 @@
   readonly born?: number;
   readonly limits?: TargetLimits;
   readonly states?: TargetStates;
+  /** Software versions of the targets in order; the default is v1. */
+  readonly software?: readonly string[];
+  readonly origins?: IStreamOrigins;
   /** Sends the requests; the default runs the scripts. */
   readonly client?: ScriptedTargetClient;
   /** Receives the response; the default takes all bytes at once. */
@@ -184,6 +188,61 @@
   });
 }
 
+export interface IRecord {
+  readonly attemptId: string;
+  readonly attempt: number;
+  readonly version: string;
+}
+
+/** Origins at a leader that takes a time for each record and answers look-ups from a list. */
+export class ScriptedOrigins implements IStreamOrigins {
+  public readonly records: IRecord[] = [];
+  public readonly served = new Map<string, string>();
+  public lookups = 0;
+
+  constructor(
+    private readonly _base: string,
+    private readonly _known: ReadonlyMap<string, string> | undefined,
+    private readonly _recordMs = 20,
+  ) {}
+
+  public needsRecord(attemptId: string, _service: string, version: string): boolean {
+    return version !== this._base || this.records.some((item) => item.attemptId === attemptId);
+  }
+
+  public record(
+    attemptId: string,
+    attempt: number,
+    _service: string,
+    version: string,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    this.records.push({ attemptId, attempt, version });
+    return new Promise((resolve) => {
+      setTimeout(() => {
+        resolve(!signal.aborted);
+      }, this._recordMs);
+    });
+  }
+
+  public find(attemptId: string): ReturnType<IStreamOrigins['find']> {
+    this.lookups += 1;
+    return Promise.resolve(
+      this._known === undefined
+        ? { kind: 'unsure', reason: 'no leader' }
+        : { kind: 'version', version: this._known.get(attemptId) ?? this._base },
+    );
+  }
+
+  public keepServed(attemptId: string, version: string): void {
+    this.served.set(attemptId, version);
+  }
+
+  public getServed(attemptId: string): string | undefined {
+    return this.served.get(attemptId);
+  }
+}
+
 export async function runCall(scripts: TargetScript[], setup: ISetup = {}): Promise<IRunResult> {
   const clock = new MonotonicClock();
   const configuration = buildConfiguration({
@@ -197,7 +256,15 @@
   for (let i = 0; i < (setup.targets ?? 3); i += 1) {
     const models = [{ name: 'm', version: BigInt(setup.held?.[i] ?? 1) }];
     const born = setup.born ?? 1_000;
-    view.applyTarget(buildTarget({ id: `i-${i}`, address: `10.1.0.${i}:8000`, models, born }));
+    view.applyTarget(
+      buildTarget({
+        id: `i-${i}`,
+        address: `10.1.0.${i}:8000`,
+        models,
+        born,
+        softwareVersion: setup.software?.[i] ?? 'v1',
+      }),
+    );
   }
   if (setup.named !== undefined) {
     view.weights.record('m', setup.named.version, clock.now() - setup.named.knownMs);
@@ -223,6 +290,7 @@
     limits: setup.limits ?? buildLimits(view),
     placement: new Placement('zg-a'),
     quarantine: setup.quarantine ?? new CrashQuarantine(),
+    origins: setup.origins ?? new ScriptedOrigins('v1', new Map()),
     store: new StoreIndex(view, () => Promise.reject(new Error('no store')), clock, SILENT_LOG),
     client: targets,
     clock,
--- /dev/null
+++ b/src/gateway/StreamVersions.test.ts
@@ -0,0 +1,202 @@
+/**
+ * Load pattern: targets of several software versions serve side by side while streams break and clients take them up.
+ * Guards against a stream that is joined from the text of two versions.
+ */
+import { describe, expect, it } from 'vitest';
+import {
+  OK_HEAD,
+  ScriptedOrigins,
+  breakStream,
+  refuseConnection,
+  resetAfterSend,
+  runCall,
+  streamEvents,
+  type TargetScript,
+} from './Fixtures.js';
+
+const CALL = { deadlineMs: 2_000 };
+const TAKE_UP = { ...CALL, id: 'r2', resumeAfter: 2, resumes: 'r1' };
+
+const resumeStream: TargetScript = (listener, dispatch) => {
+  listener.onHead(OK_HEAD);
+  listener.onData(streamEvents((dispatch.resumeAfter ?? 0) + 1, 5));
+  listener.onEnd();
+};
+
+describe('a stream whose target breaks', () => {
+  it('goes on at a target of the version that began it', async () => {
+    const { sink, targets } = await runCall([breakStream, resumeStream], {
+      call: CALL,
+      software: ['v1', 'v2', 'v1'],
+    });
+    expect(new Set(targets.sent.map(({ target }) => target))).toEqual(new Set(['i-0', 'i-2']));
+    expect(sink).toMatchObject({ ending: 'end', body: streamEvents(1, 5).toString() });
+  });
+
+  it.each(['v2', ''])(
+    'is cut if all other targets have another version (%j) and is not joined from two',
+    async (other) => {
+      const { sink, targets } = await runCall([breakStream, resumeStream], {
+        call: CALL,
+        software: ['v1', other, other],
+      });
+      expect(targets.sent).toHaveLength(1);
+      expect(sink).toMatchObject({ ending: 'cut', body: streamEvents(1, 2).toString() });
+    },
+  );
+
+  // Guards against a request that is given up although nothing of it binds it to a version.
+  it.each([
+    ['breaks', resetAfterSend],
+    ['cannot be reached', refuseConnection],
+  ])('begins at another version if its target %s before the first event', async (_name, first) => {
+    const { sink, targets } = await runCall([first, resumeStream], {
+      call: CALL,
+      targets: 2,
+      software: ['v1', 'v2'],
+    });
+    expect(targets.sent).toHaveLength(2);
+    expect(sink).toMatchObject({ ending: 'end', body: streamEvents(1, 5).toString() });
+  });
+
+  // Guards against a second attempt beside a silent target that changes the recorded version of the stream.
+  it('is not tried at another version while its silent target may still begin it', async () => {
+    const beginLate: TargetScript = (listener, dispatch, signal) => {
+      setTimeout(() => {
+        if (!signal.aborted) {
+          resumeStream(listener, dispatch, signal);
+        }
+      }, 1_600);
+    };
+    const { sink, targets } = await runCall([beginLate, resumeStream], {
+      call: { deadlineMs: 3_000 },
+      targets: 2,
+      software: ['v1', 'v2'],
+    });
+    expect(targets.sent).toHaveLength(1);
+    expect(sink).toMatchObject({ ending: 'end', body: streamEvents(1, 5).toString() });
+  });
+
+  it('of a route that may not be resumed goes nowhere', async () => {
+    const { targets } = await runCall([breakStream, resumeStream], {
+      call: CALL,
+      route: { isResumable: false },
+    });
+    expect(targets.sent).toHaveLength(1);
+  });
+});
+
+describe('a stream that a client takes up', () => {
+  const software = ['v1', 'v2', 'v2'];
+
+  it.each([
+    ['v1', ['i-0']],
+    ['v2', ['i-1', 'i-2']],
+  ])('goes on at %s, which began it', async (version, ids) => {
+    const origins = new ScriptedOrigins('v1', new Map([['r1', version]]));
+    const { sink, targets } = await runCall([resumeStream], { call: TAKE_UP, software, origins });
+    expect(ids).toContain(targets.sent[0]?.target);
+    expect(sink).toMatchObject({ ending: 'end', body: streamEvents(3, 5).toString() });
+  });
+
+  // Guards against a look-up of each stream by the process that has served it.
+  it('is found in the memory of the process that served it', async () => {
+    const origins = new ScriptedOrigins('v2', undefined);
+    await runCall([breakStream], {
+      call: { ...CALL, id: 'r1' },
+      targets: 1,
+      software: ['v2'],
+      origins,
+    });
+    const { targets } = await runCall([resumeStream], { call: TAKE_UP, software, origins });
+    expect(['i-1', 'i-2']).toContain(targets.sent[0]?.target);
+    expect(origins.lookups).toBe(0);
+  });
+
+  it('is refused as not run while its version cannot be known', async () => {
+    const origins = new ScriptedOrigins('v1', undefined);
+    const { sink, targets } = await runCall([resumeStream], { call: TAKE_UP, software, origins });
+    expect(targets.sent).toHaveLength(0);
+    expect(sink).toMatchObject({ status: 503, ending: 'refuse' });
+    expect(sink.retryAfterMs).toBeGreaterThanOrEqual(1_000);
+  });
+
+  it('is refused at once if its version is gone', async () => {
+    const origins = new ScriptedOrigins('v1', new Map([['r1', 'v0']]));
+    const { sink, targets } = await runCall([resumeStream], { call: TAKE_UP, software, origins });
+    expect(targets.sent).toHaveLength(0);
+    expect(sink).toMatchObject({ status: 503, retryAfterMs: 5_000 });
+  });
+
+  it('is refused if the client does not name it and two versions may serve', async () => {
+    const origins = new ScriptedOrigins('v1', new Map());
+    const call = { ...TAKE_UP, resumes: undefined };
+    const { sink, targets } = await runCall([resumeStream], { call, software, origins });
+    expect(targets.sent).toHaveLength(0);
+    expect(sink.status).toBe(503);
+  });
+
+  it('breaks again and still goes on at the version that began it', async () => {
+    const breakAgain: TargetScript = (listener) => {
+      listener.onHead(OK_HEAD);
+      listener.onData(streamEvents(3, 3));
+      listener.onError('reset', true);
+    };
+    const origins = new ScriptedOrigins('v1', new Map([['r1', 'v2']]));
+    const { sink, targets } = await runCall([breakAgain, resumeStream], {
+      call: TAKE_UP,
+      software,
+      origins,
+    });
+    expect(targets.sent.map(({ target }) => target).sort()).toEqual(['i-1', 'i-2']);
+    expect(sink).toMatchObject({ ending: 'end', body: streamEvents(3, 5).toString() });
+  });
+});
+
+describe('the record of a stream', () => {
+  it('is not needed at the base version', async () => {
+    const origins = new ScriptedOrigins('v1', new Map());
+    await runCall([resumeStream], { call: CALL, targets: 1, origins });
+    expect(origins.records).toEqual([]);
+  });
+
+  // Guards against an event that is relayed before its version is durable: a stop of all processes would forget it.
+  it('is durable before the first event is relayed', async () => {
+    const origins = new ScriptedOrigins('v1', new Map(), 200);
+    const startedAt = performance.now();
+    const { sink } = await runCall([resumeStream], {
+      call: CALL,
+      targets: 1,
+      software: ['v2'],
+      origins,
+    });
+    expect(performance.now() - startedAt).toBeGreaterThanOrEqual(190);
+    expect(origins.records).toEqual([{ attemptId: 'r1', attempt: 1, version: 'v2' }]);
+    expect(sink).toMatchObject({ ending: 'end', body: streamEvents(1, 5).toString() });
+  });
+
+  it('leaves no event behind if the stream breaks before it is durable', async () => {
+    const origins = new ScriptedOrigins('v1', new Map(), 100);
+    const { sink } = await runCall([breakStream, resumeStream], {
+      call: CALL,
+      targets: 2,
+      software: ['v2', 'v1'],
+      origins,
+    });
+    expect(sink).toMatchObject({ ending: 'end', body: streamEvents(1, 5).toString() });
+  });
+
+  // Guards against the record of a target that broke, which would stand for the version that began the stream.
+  it('is replaced when the stream begins at another version', async () => {
+    const origins = new ScriptedOrigins('v1', new Map());
+    await runCall([resetAfterSend, resumeStream], {
+      call: CALL,
+      targets: 2,
+      software: ['v2', 'v1'],
+      origins,
+    });
+    const records = origins.records.map(({ attempt, version }) => `${attempt} ${version}`);
+    expect(records).toEqual(['1 v2', '2 v1']);
+    expect(origins.served.get('r1')).toBe('v1');
+  });
+});
--- a/src/gateway/TargetSelector.ts
+++ b/src/gateway/TargetSelector.ts
@@ -1,10 +1,12 @@
 /** Chooses the target of a request among those of its service that may be sent one. */
 import type { FleetView } from '../fleet/FleetView.js';
 import { getHeldVersion } from '../fleet/HeldWeights.js';
+import { getSoftwareVersion } from '../fleet/SoftwareVersions.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import type { IPlacement, Placement } from './Placement.js';
 import type { IPlacementRequest, IPlacementTarget } from './PlacementRequest.js';
 import type { StoreIndex } from './StoreIndex.js';
+import type { IVersionChoice } from './StreamBinding.js';
 import type { TargetLimits } from './TargetLimits.js';
 import { getPauseMs, type TargetStates } from './TargetStates.js';
 
@@ -27,6 +29,8 @@
   readonly tried: ReadonlySet<string>;
   /** Whether the request, or a part of its prompt, may have crashed a target. */
   readonly isSuspect: boolean;
+  /** Software versions that the request may be sent to; undefined: all. */
+  readonly versions: IVersionChoice | undefined;
 }
 
 /** Where a request can be sent now. */
@@ -41,7 +45,7 @@
  * streams.
  *
  * @example
- * const choice = selector.choose({ service: 'lace', request, tried, isSuspect: false }, now);
+ * const choice = selector.choose({ service: 'lace', request, tried, isSuspect: false, versions: undefined }, now);
  */
 export class TargetSelector {
   constructor(private readonly _context: ITargetSelectorContext) {}
@@ -52,7 +56,7 @@
    */
   public choose(selection: ISelection, now: number): TargetChoice {
     const { limits, placement, store } = this._context;
-    const { request, isSuspect } = selection;
+    const { request, isSuspect, versions } = selection;
     const targets = this._listCandidates(selection, now);
     const isCool = ({ state }: IPlacementTarget): boolean => now >= state.cooldownUntil;
     const isOpen = ({ record, state }: IPlacementTarget): boolean =>
@@ -72,7 +76,9 @@
         limits.recordLacking(wanted.target);
       }
     }
-    const available = filterPreferred(open, isCool);
+    const isPreferred = ({ record }: IPlacementTarget): boolean =>
+      versions?.preferred === undefined || getSoftwareVersion(record) === versions.preferred;
+    const available = filterPreferred(filterPreferred(open, isCool), isPreferred);
     // A crash then tells which of the suspects is to blame, and breaks no other one.
     const apart = isSuspect
       ? filterPreferred(available, ({ state }) => state.suspects === 0)
@@ -91,7 +97,7 @@
   }
 
   private _listCandidates(
-    { service, request, tried }: ISelection,
+    { service, request, tried, versions }: ISelection,
     now: number,
   ): readonly IPlacementTarget[] {
     const { view, states } = this._context;
@@ -99,7 +105,9 @@
     return untried.flatMap((record): IPlacementTarget[] => {
       const weightsUsableMs = this._getWeightsUsableMs(request.model, record, now);
       const state = states.ensure(record, now);
-      if (weightsUsableMs <= 0 || state.isLeaving) {
+      const isOtherVersion =
+        versions?.required !== undefined && getSoftwareVersion(record) !== versions.required;
+      if (weightsUsableMs <= 0 || state.isLeaving || isOtherVersion) {
         return [];
       }
       const { open: othersOpen, pendingTokens } = view.getRemoteWork(record.id);
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -53,6 +53,10 @@
   /** All targets name limits on the requests a second that they take, or want none for a time. */
   | 'limited'
   | 'quarantined'
+  /** The software version that began a stream is not known now. */
+  | 'origin_unknown'
+  /** No target has the software version that began the stream. */
+  | 'version_gone'
   | 'not_run'
   | 'failed'
   | 'time_limit'
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -145,6 +145,7 @@
       placement,
       quarantine,
       store: this._storeIndex,
+      origins: this.origins,
       client: adapters.targetClient,
       clock,
       metrics,
