Resume a stream under the configuration that is in force now

Callers of a target with a sidecar lost their stream (`stream_broken`) when its connection broke after a change of their client account or of the service, though the engine still generated it.

Cause: each attempt to resume sent the ticket of the first dispatch. The sidecar compares its revision with the items in its own copy, refuses an older one as OLD_REVISION, and the relay gave the stream up after any refusal but TARGET_DOWN.

Change: each attempt names the present revision and the time that is left. If the sidecar knows a newer configuration, the entry reads it and tries again.

Ruled out: to let the gate skip the check for resumed streams; an account that may no longer use the service would go on.

--- a/src/entry/EdgeStreams.test.ts
+++ b/src/entry/EdgeStreams.test.ts
@@ -88,6 +88,17 @@
     expectComplete(await text, 200);
   });
 
+  // Guards against a stream that is lost because its configuration has changed since it began.
+  it('resumes after a change of the configuration', async () => {
+    const response = await openStream(200);
+    const text = response.body.text();
+    const engine = await awaitBusyEngine();
+    await harness.addAccount('pag', 2e8);
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    engine.cutConnections();
+    expectComplete(await text, 200);
+  });
+
   it('is cancelled at the engine when the caller disconnects, so that no work is wasted', async () => {
     const response = await openStream(100_000);
     const { engine } = await awaitBusyEngine();
--- a/src/entry/StreamRelay.ts
+++ b/src/entry/StreamRelay.ts
@@ -1,10 +1,11 @@
 /** Last stage of the request pipeline for streams: relays the events and resumes a broken stream. */
+import { create } from '@bufbuild/protobuf';
 import type { ServerResponse } from 'node:http';
 import type { AnswerBody } from '../common/HttpAnswer.js';
 import { addJitter, sleep } from '../common/Tasks.js';
 import { isMechanismDisabled } from '../common/TestSwitches.js';
-import { RefusalReason } from '../gen/redwingwharf/v1/control_pb.js';
-import type { DispatchClient, DispatchOutcome } from './DispatchClient.js';
+import { RefusalReason, TicketSchema } from '../gen/redwingwharf/v1/control_pb.js';
+import type { DispatchClient, DispatchOutcome, IDispatch } from './DispatchClient.js';
 import type { IAnsweredDispatch } from './Dispatcher.js';
 import { createFailure, formatFailure, type IHttpFailure } from './Failures.js';
 import type { OpenRequests } from './OpenRequests.js';
@@ -160,7 +161,8 @@
         return undefined;
       }
       const lastId = this._scanner.lastEventId;
-      const outcome = await this._client.resume(dispatched.dispatch, streamId, lastId);
+      const dispatch = this._renewTicket(dispatched.dispatch);
+      const outcome = await this._client.resume(dispatch, streamId, lastId);
       this._services.decisions.record(requestId, 'resumed', {
         target: dispatched.choice.view.id,
         lastEventId: lastId,
@@ -174,13 +176,33 @@
         outcome.response.body.destroy();
         return undefined;
       }
-      if (outcome.kind === 'not_run' && outcome.reason !== RefusalReason.TARGET_DOWN) {
+      if (outcome.kind === 'not_run' && !(await this._mayResumeLater(outcome.reason))) {
         return undefined;
       }
     }
     return undefined;
   }
 
+  /** The configuration may have changed since the stream began, which is no reason to refuse the rest of it. */
+  private _renewTicket(dispatch: IDispatch): IDispatch {
+    const { clock, feed } = this._services;
+    const deadlineMs = Math.max(1, Math.round(this._context.open.deadlineAt - clock.now()));
+    const revision = BigInt(feed.revision);
+    return {
+      ...dispatch,
+      ticket: create(TicketSchema, { ...dispatch.ticket, revision, deadlineMs }),
+    };
+  }
+
+  /** Whether a stream may be resumed after a refusal for this reason. */
+  private async _mayResumeLater(reason: RefusalReason): Promise<boolean> {
+    if (reason === RefusalReason.OLD_REVISION) {
+      await this._services.feedSync.syncOnce(this._context.open.signal).catch(() => undefined);
+      return true;
+    }
+    return reason === RefusalReason.TARGET_DOWN;
+  }
+
   /** Ends the response with an error event; without a failure, it leaves the response as it is. */
   private _endEarly(failure: IHttpFailure | undefined): RelayResult {
     const { response, requestId } = this._context;
