Count only resets of the connection that carries an answer

Callers lost whole answers: status 502, a cut, or one run more. An answer without length that was complete counted as reset if any other connection to the same target had been reset since its head: by a crash of another request, or by the target because it had too many connections.

Cause: ResetDetector counted the resets of all connections of a pool together, as undici does not say on which one an answer arrives. A sound run was given up for what happened to another one.

Change: the listener of each connection notes when it is read. undici passes on the head of an answer while it reads, so that the watch over the answer holds for that connection. Only a connection with such an answer is probed at its end.

Ruled out: one agent for each request; new connections to targets are limited.

--- a/src/common/ResetDetector.ts
+++ b/src/common/ResetDetector.ts
@@ -36,9 +36,16 @@
   cancel(): void;
 }
 
+/** What is known of one connection. */
+interface IConnection {
+  resetCount: number;
+  /** Answers on it that are being watched. */
+  watchCount: number;
+}
+
 /**
- * Connector for the connections to one server, and the watch over its answers. A reset of any connection counts against
- * all answers that are being watched, as undici does not tell on which connection an answer arrives.
+ * Connector for the connections to one server or several, and the watch over their answers. undici does not tell on which
+ * connection an answer arrives, but it passes on the head of an answer while it reads that connection.
  *
  * @example
  * const detector = new ResetDetector(1_000);
@@ -47,8 +54,8 @@
  */
 export class ResetDetector {
   private readonly _connect: buildConnector.connector;
-  private _resetCount = 0;
-  private _watchCount = 0;
+  /** The connection that is being read, or was last. */
+  private _readConnection: IConnection = { resetCount: 0, watchCount: 0 };
 
   /** @param connectTimeoutMs time limit of a connection attempt in milliseconds */
   constructor(connectTimeoutMs: number) {
@@ -59,14 +66,18 @@
   public readonly connect: buildConnector.connector = (options, callback) => {
     this._connect(options, (...result) => {
       const [, socket] = result;
+      const connection: IConnection = { resetCount: 0, watchCount: 0 };
       const countReset = (error: Error | null | undefined): void => {
         if (RESET_CODES.has((error as NodeJS.ErrnoException | null)?.code)) {
-          this._resetCount += 1;
+          connection.resetCount += 1;
         }
       };
       socket?.prependListener('error', countReset);
+      socket?.prependListener('readable', () => {
+        this._readConnection = connection;
+      });
       socket?.prependListener('end', () => {
-        if (this._watchCount > 0) {
+        if (connection.watchCount > 0) {
           socket.write('\r\n', countReset);
         }
       });
@@ -86,19 +97,19 @@
     });
   }
 
-  /** Begins with the head of an answer. */
+  /** Begins with the head of an answer; must be called when undici passes it on. */
   public watch(): IResetWatch {
-    const resetCountAtStart = this._resetCount;
-    this._watchCount += 1;
+    const connection = this._readConnection;
+    connection.watchCount += 1;
     return {
       finish: (onResult) => {
         setTimeout(() => {
-          this._watchCount -= 1;
-          onResult(this._resetCount > resetCountAtStart);
+          connection.watchCount -= 1;
+          onResult(connection.resetCount > 0);
         }, RESET_DETECTION_DELAY_MS);
       },
       cancel: () => {
-        this._watchCount -= 1;
+        connection.watchCount -= 1;
       },
     };
   }
