--- a/src/gateway/AttemptRace.test.ts
+++ b/src/gateway/AttemptRace.test.ts
@@ -2,8 +2,10 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { sleep } from '../common/Tasks.js';
 import { buildTarget } from '../fleet/Fixtures.js';
+import { SharedRetryBudget } from '../fleet/SharedRetryBudget.js';
 import type { IRoute } from '../fleet/Types.js';
 import {
+  breakStream,
   OK_HEAD,
   RecordingSink,
   resetAfterSend,
@@ -228,4 +230,20 @@
     expect(check.mock.results.some(({ type }) => type === 'throw')).toBe(true);
     expect(sink).toMatchObject({ endings: ['end'], body: WHOLE_STREAM });
   });
+
+  // Guards against streams of a service that are cut because its requests count for another service of their route.
+  it('are paid from the budget of the service that runs the request', async () => {
+    const budget = new SharedRetryBudget({ ratio: 0.2, slack: 0, windowMs: 10_000 });
+    const shares = [
+      { service: 'orders', weight: 0 },
+      { service: 'lace', weight: 1 },
+    ];
+    const setup = { targets: 2, route: { shares }, budget };
+    for (let i = 0; i < 20; i += 1) {
+      const running = runCall([resumeStream], { call: CALL, ...setup });
+      await Promise.all([running, vi.advanceTimersByTimeAsync(50)]);
+    }
+    const { sink } = await run([breakStream, resumeStream], setup);
+    expect(sink).toMatchObject({ endings: ['end'], body: WHOLE_STREAM });
+  });
 });
