Test overlapping attempts with targets that close and a spent retry budget

The random orders now contain targets that leave or want no requests for a time, and budgets that allow no or one repetition. A further test shows that a silent target's stream goes on as soon as a closed target takes requests again.

--- a/src/gateway/AttemptRace.test.ts
+++ b/src/gateway/AttemptRace.test.ts
@@ -18,7 +18,7 @@
   type TargetScript,
 } from './Fixtures.js';
 import { TargetLimits } from './TargetLimits.js';
-import { TargetStates } from './TargetStates.js';
+import { recordPause, TargetStates } from './TargetStates.js';
 import type { ITargetExchange } from './Types.js';
 
 const CALL = { deadlineMs: 6_000 };
@@ -246,4 +246,17 @@
     const { sink } = await run([breakStream, resumeStream], setup);
     expect(sink).toMatchObject({ endings: ['end'], body: WHOLE_STREAM });
   });
+
+  // Guards against a stream that waits for a host that has failed, since the other target was closed when it fell silent.
+  it('begin as soon as another target takes requests again', async () => {
+    const states = new TargetStates();
+    recordPause(states.ensure(buildTarget({ id: 'i-1', born: 1_000 }), 0), 2_000, 0);
+    const fallSilent: TargetScript = (listener) => {
+      listener.onHead(OK_HEAD);
+      listener.onData(streamEvents(1, 2));
+    };
+    const { sink, targets } = await run([fallSilent, resumeStream], { targets: 2, states });
+    expect(targets.sent.map(({ target }) => target)).toEqual(['i-0', 'i-1']);
+    expect(sink).toMatchObject({ endings: ['end'], body: WHOLE_STREAM });
+  });
 });
--- a/src/gateway/OverlappingAttempts.test.ts
+++ b/src/gateway/OverlappingAttempts.test.ts
@@ -18,7 +18,7 @@
   ScriptedTargetClient,
   streamEvents,
 } from './Fixtures.js';
-import { TargetStates } from './TargetStates.js';
+import { recordPause, TargetStates } from './TargetStates.js';
 import { BodyFraming, type ICall, type IDispatch, type ITargetListener } from './Types.js';
 
 const EVENT_COUNT = 4;
@@ -42,6 +42,14 @@
   readonly probe: { readonly ms: number; readonly isListening: boolean };
   /** Each write after which the client reads nothing for a time. */
   readonly slow: { readonly every: number; readonly ms: number };
+  /** Times at which a target leaves, or wants no requests for a time. */
+  readonly wishes: readonly {
+    readonly afterMs: number;
+    readonly target: number;
+    readonly pauseMs: number | undefined;
+  }[];
+  /** Repetitions that the retry budget allows beyond its ratio, before its safety factor. */
+  readonly retrySlack: number;
   readonly leaveAfterMs: number | undefined;
   readonly quarantineAfterMs: number | undefined;
 }
@@ -365,6 +373,15 @@
   }),
   probe: fc.record({ ms: fc.nat(400), isListening: fc.boolean() }),
   slow: fc.record({ every: fc.nat(3), ms: fc.nat(1_500) }),
+  wishes: fc.array(
+    fc.record({
+      afterMs: fc.nat(DEADLINE_MS),
+      target: fc.nat(TARGET_COUNT - 1),
+      pauseMs: fc.option(fc.nat(2_000), { nil: undefined }),
+    }),
+    { maxLength: 2 },
+  ),
+  retrySlack: fc.constantFrom(0, 2, 60, 60),
   leaveAfterMs: fc.option(fc.nat(DEADLINE_MS), { nil: undefined, freq: 5 }),
   quarantineAfterMs: fc.option(fc.nat(DEADLINE_MS), { nil: undefined, freq: 6 }),
 });
@@ -400,6 +417,17 @@
       quarantine.applySuspects([{ parts, quarantined: true }], performance.now());
     }, scenario.quarantineAfterMs);
   }
+  for (const { afterMs, target, pauseMs } of scenario.wishes) {
+    setTimeout(() => {
+      const now = performance.now();
+      const state = states.ensure(buildTarget({ id: `i-${target}`, born: 1_000 }), now);
+      if (pauseMs === undefined) {
+        state.isLeaving = true;
+      } else {
+        recordPause(state, pauseMs, now);
+      }
+    }, afterMs);
+  }
   let isSettled = false;
   const running = runCall([], {
     call: {
@@ -413,6 +441,7 @@
     sink,
     states,
     quarantine,
+    retrySlack: scenario.retrySlack,
   }).then(() => {
     isSettled = true;
   });
