Take only a refused connection as the end of a target with a sidecar

Callers lost whole answers that end with their connection: the target accepted no connection within the time limit, or the probe failed for another reason, such as a lack of ports.

Cause: after such an answer ResetDetector.probe connects once more, and took any error for the end of the target. The entries' own probe (TargetClient) counts a refused connection only.

Change: both probes agree. What is not known is no reason to give an answer up.

--- a/src/common/ResetDetector.test.ts
+++ b/src/common/ResetDetector.test.ts
@@ -68,4 +68,18 @@
     sockets[1]?.end('part two');
     expect(await kept).toBe('part one,part two');
   });
+
+  // Guards against an answer that is lost because a probe of its server fails for another reason.
+  it('takes only a refused connection as the end of a server', async () => {
+    const probe = (origin: string): Promise<boolean> =>
+      new Promise((resolve) => {
+        new ResetDetector(1_000).probe(origin, resolve);
+      });
+    const { port } = server.address() as AddressInfo;
+    expect(await probe(`http://127.0.0.1:${port}`)).toBe(true);
+    // The server accepts the connection, but the TLS handshake fails.
+    expect(await probe(`https://127.0.0.1:${port}`)).toBe(true);
+    server.close();
+    expect(await probe(`http://127.0.0.1:${port}`)).toBe(false);
+  });
 });
--- a/src/common/ResetDetector.ts
+++ b/src/common/ResetDetector.ts
@@ -68,7 +68,7 @@
       const [, socket] = result;
       const connection: IConnection = { resetCount: 0, watchCount: 0 };
       const countReset = (error: Error | null | undefined): void => {
-        if (RESET_CODES.has((error as NodeJS.ErrnoException | null)?.code)) {
+        if (RESET_CODES.has(getErrorCode(error))) {
           connection.resetCount += 1;
         }
       };
@@ -86,14 +86,14 @@
   };
 
   /**
-   * Calls back whether a server still accepts connections. If not, it has ended, and its answers that ended with the close
-   * of their connection are probably incomplete.
+   * Calls back whether a server still accepts connections; true also if that is not known. If it refuses them, it has
+   * ended, and its answers that ended with the close of their connection are probably incomplete.
    */
   public probe(origin: string, onResult: (isAccepting: boolean) => void): void {
     const { hostname, port, protocol } = new URL(origin);
     this._connect({ hostname, port, protocol }, (error, socket) => {
       socket?.destroy();
-      onResult(error === null);
+      onResult(getErrorCode(error) !== 'ECONNREFUSED');
     });
   }
 
@@ -114,3 +114,7 @@
     };
   }
 }
+
+function getErrorCode(error: Error | null | undefined): string | undefined {
+  return (error as NodeJS.ErrnoException | null | undefined)?.code;
+}
