--- a/src/gateway/AttemptRace.test.ts
+++ b/src/gateway/AttemptRace.test.ts
@@ -2,7 +2,10 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { sleep } from '../common/Tasks.js';
 import { buildTarget } from '../fleet/Fixtures.js';
+import { SharedRetryBudget } from '../fleet/SharedRetryBudget.js';
+import type { IRoute } from '../fleet/Types.js';
 import {
+  breakStream,
   OK_HEAD,
   RecordingSink,
   resetAfterSend,
@@ -15,7 +18,7 @@
   type TargetScript,
 } from './Fixtures.js';
 import { TargetLimits } from './TargetLimits.js';
-import { TargetStates } from './TargetStates.js';
+import { recordPause, TargetStates } from './TargetStates.js';
 import type { ITargetExchange } from './Types.js';
 
 const CALL = { deadlineMs: 6_000 };
@@ -30,6 +33,13 @@
   listener.onEnd();
 };
 
+const rejectPrompt: TargetScript = (listener) => {
+  listener.onHead({ ...OK_HEAD, status: 400 });
+  listener.onData(Buffer.from('bad '));
+  listener.onData(Buffer.from('prompt'));
+  listener.onEnd();
+};
+
 /** Sends two events, and the others after a pause unless the request is aborted. */
 function pauseInStream(pauseMs: number): TargetScript {
   return (listener, _dispatch, signal) => {
@@ -105,6 +115,38 @@
     expect(sink).toMatchObject({ endings: ['end'], body: WHOLE_STREAM });
   });
 
+  // Guards against an error response that is lost though the other target never answers.
+  it.each<[string, IRoute['kind'], TargetScript]>([
+    ['has failed', 'streaming', sendNothing],
+    ['has failed', 'safe', sendNothing],
+    [
+      'breaks later',
+      'streaming',
+      (listener): void => {
+        setTimeout(() => {
+          listener.onError('reset', true);
+        }, 2_500);
+      },
+    ],
+  ])('bring the error of one if the other target %s (%s)', async (_name, kind, other) => {
+    const setup = { targets: 2, route: { kind, maxAttempts: 2 } };
+    const { sink } = await run([other, rejectPrompt], setup);
+    expect(sink).toMatchObject({ status: 400, endings: ['end'], body: 'bad prompt' });
+  });
+
+  // Guards against a sound target that is given up for the error of another one.
+  it('bring the answer of one if the other target fails before', async () => {
+    const answerLate: TargetScript = (listener, dispatch, signal) => {
+      setTimeout(() => {
+        if (!signal.aborted) {
+          resumeStream(listener, dispatch, signal);
+        }
+      }, 2_500);
+    };
+    const { sink } = await run([answerLate, rejectPrompt], { targets: 2 });
+    expect(sink).toMatchObject({ status: 200, endings: ['end'], body: WHOLE_STREAM });
+  });
+
   // Guards against a response that joins the error of one target and the events of another.
   it.each<[string, TargetScript]>([
     ['falls silent', (): void => undefined],
@@ -188,4 +230,33 @@
     expect(check.mock.results.some(({ type }) => type === 'throw')).toBe(true);
     expect(sink).toMatchObject({ endings: ['end'], body: WHOLE_STREAM });
   });
+
+  // Guards against streams of a service that are cut because its requests count for another service of their route.
+  it('are paid from the budget of the service that runs the request', async () => {
+    const budget = new SharedRetryBudget({ ratio: 0.2, slack: 0, windowMs: 10_000 });
+    const shares = [
+      { service: 'orders', weight: 0 },
+      { service: 'lace', weight: 1 },
+    ];
+    const setup = { targets: 2, route: { shares }, budget };
+    for (let i = 0; i < 20; i += 1) {
+      const running = runCall([resumeStream], { call: CALL, ...setup });
+      await Promise.all([running, vi.advanceTimersByTimeAsync(50)]);
+    }
+    const { sink } = await run([breakStream, resumeStream], setup);
+    expect(sink).toMatchObject({ endings: ['end'], body: WHOLE_STREAM });
+  });
+
+  // Guards against a stream that waits for a host that has failed, since the other target was closed when it fell silent.
+  it('begin as soon as another target takes requests again', async () => {
+    const states = new TargetStates();
+    recordPause(states.ensure(buildTarget({ id: 'i-1', born: 1_000 }), 0), 2_000, 0);
+    const fallSilent: TargetScript = (listener) => {
+      listener.onHead(OK_HEAD);
+      listener.onData(streamEvents(1, 2));
+    };
+    const { sink, targets } = await run([fallSilent, resumeStream], { targets: 2, states });
+    expect(targets.sent.map(({ target }) => target)).toEqual(['i-0', 'i-1']);
+    expect(sink).toMatchObject({ endings: ['end'], body: WHOLE_STREAM });
+  });
 });
