Do not count a target as silent while its events are held

A stream at a software version that has to be recorded was sent to a second target of that version, and its sound target got a cooldown, when the record took more than a second, as during the election of a leader.

Cause: the entry holds the events and pauses the target until the record is durable, and the check for silence counted the time of that pause.

Change: an attempt that holds events is not silent.

Ruled out: to try a target of the base version, which needs no record: the record of the attempt that runs must hold.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -226,10 +226,16 @@
       !this._hasEnded &&
       !this._isPaused &&
       !this._isDeferred &&
+      !this._isHolding &&
       isSilent(view, this._context.clock.now())
     );
   }
 
+  /** True while events wait for the record of their version; the target is paused then. */
+  private get _isHolding(): boolean {
+    return this._held !== undefined && this._held.chunks.length > 0;
+  }
+
   public get isDeferred(): boolean {
     return this._isDeferred;
   }
--- a/src/gateway/AttemptRace.test.ts
+++ b/src/gateway/AttemptRace.test.ts
@@ -10,6 +10,7 @@
   RecordingSink,
   resetAfterSend,
   runCall,
+  ScriptedOrigins,
   ScriptedTargetClient,
   sendNothing,
   streamEvents,
@@ -259,4 +260,13 @@
     expect(targets.sent.map(({ target }) => target)).toEqual(['i-0', 'i-1']);
     expect(sink).toMatchObject({ endings: ['end'], body: WHOLE_STREAM });
   });
+
+  // Guards against a sound target that counts as silent because the entry does not relay its events yet.
+  it('do not begin while the version of a stream is recorded', async () => {
+    const origins = new ScriptedOrigins('v1', new Map(), 2_000);
+    const setup = { targets: 2, software: ['v2', 'v2'], origins };
+    const { sink, targets } = await run([resumeStream], setup);
+    expect(targets.sent).toHaveLength(1);
+    expect(sink).toMatchObject({ endings: ['end'], body: WHOLE_STREAM });
+  });
 });
