Refuse to go on with a stream of another service

A client that took up a stream after its route had moved to another service got the text of two services in one stream.

Cause: the memory of an entry and the records hold the version that began a stream; the service it belongs to was not compared, so a version of the same name at the other service counted as the one that began it.

Change: both name the service; for another one the stream has no version, so that the request is refused at once as not run. Streams of the base version have no record, so one that another entry served is still not told apart (postmortem).

--- a/src/fleet/StreamOrigins.test.ts
+++ b/src/fleet/StreamOrigins.test.ts
@@ -2,8 +2,15 @@
  * Guards against streams that go on at a software version that did not begin them: streams that are attributed to
  * the base version though another one began them, and answers of processes that cannot know.
  */
+import { create } from '@bufbuild/protobuf';
 import fc from 'fast-check';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { SILENT_LOG } from '../common/Log.js';
+import { Ok } from '../common/Result.js';
+import { FindStreamOriginsResponseSchema } from '../gen/redwingwharf/v1/fleet_pb.js';
+import { buildConfiguration } from './Fixtures.js';
+import { FleetView } from './FleetView.js';
+import { StreamOrigins } from './StreamOrigins.js';
 import {
   SERVICE,
   StreamFleet,
@@ -300,3 +307,28 @@
     },
   );
 });
+
+describe('an entry that is asked for a stream of another service', () => {
+  // Guards against the text of two services in one stream after a route has moved.
+  it('knows no version of this service that began it, by its memory and by the leader', async () => {
+    const reply = create(FindStreamOriginsResponseSchema, {
+      versions: [{ service: 'lace', version: 'v2' }],
+      origins: [1],
+      bases: [{ service: 'orders', version: 'v1' }],
+    });
+    const origins = new StreamOrigins(
+      {
+        recordStreams: () => Promise.resolve('no leader'),
+        findStreamOrigins: () => Promise.resolve(reply),
+      },
+      new FleetView(() => Ok(buildConfiguration()), SILENT_LOG),
+    );
+    origins.keepServed('a1', 'lace', 'v2', 0);
+    expect(origins.getServed('a1', 'lace', 10)).toBe('v2');
+    expect(origins.getServed('a1', 'orders', 10)).toBe('');
+    const { signal } = new AbortController();
+    const found = origins.find('a2', 'orders', signal, 500);
+    await vi.advanceTimersByTimeAsync(50);
+    expect(await found).toEqual({ kind: 'version', version: '' });
+  });
+});
--- a/src/fleet/StreamOrigins.ts
+++ b/src/fleet/StreamOrigins.ts
@@ -18,7 +18,10 @@
 const MAX_REMEMBERED_STREAMS = 8_192;
 const REMEMBER_MS = 60_000;
 
-/** The software version that began a stream; empty if no version that is known did. */
+/** Stands for a version that no target has. */
+const NO_VERSION = '';
+
+/** The software version that began a stream; `NO_VERSION` if none of the service did. */
 export type OriginOutcome =
   | { readonly kind: 'version'; readonly version: string }
   | { readonly kind: 'unsure'; readonly reason: string };
@@ -36,6 +39,7 @@
 }
 
 interface IRememberedStream {
+  readonly service: string;
   readonly version: string;
   readonly at: number;
 }
@@ -120,16 +124,22 @@
   }
 
   /** Remembers the version of a stream of which this process has sent the first event to its client. */
-  public keepServed(attemptId: string, version: string, now: number): void {
+  public keepServed(attemptId: string, service: string, version: string, now: number): void {
     this._remembered.delete(attemptId);
-    this._remembered.set(attemptId, { version, at: now });
+    this._remembered.set(attemptId, { service, version, at: now });
     dropOldest(this._remembered, MAX_REMEMBERED_STREAMS);
   }
 
-  /** The version of a stream that this process has served lately; undefined if it knows of none. */
-  public getServed(attemptId: string, now: number): string | undefined {
+  /**
+   * The version of a stream that this process has served lately, `NO_VERSION` if another service did; undefined if
+   * it knows of none.
+   */
+  public getServed(attemptId: string, service: string, now: number): string | undefined {
     const stream = this._remembered.get(attemptId);
-    return stream === undefined || now - stream.at > REMEMBER_MS ? undefined : stream.version;
+    if (stream === undefined || now - stream.at > REMEMBER_MS) {
+      return undefined;
+    }
+    return stream.service === service ? stream.version : NO_VERSION;
   }
 }
 
@@ -170,7 +180,10 @@
   }
   const bases = new Map(reply.bases.map(({ service, version }) => [service, version]));
   return inputs.map(({ service }, i) => {
-    const version = reply.versions[(reply.origins[i] ?? 0) - 1]?.version ?? bases.get(service);
+    const origin = reply.versions[(reply.origins[i] ?? 0) - 1];
+    // The route may lead to another service since.
+    const isOther = origin !== undefined && origin.service !== service;
+    const version = isOther ? NO_VERSION : (origin?.version ?? bases.get(service));
     return version === undefined
       ? 'the leader cannot tell the base version of the service'
       : { kind: 'version', version };
--- a/src/gateway/Fixtures.ts
+++ b/src/gateway/Fixtures.ts
@@ -145,6 +145,8 @@
   readonly route?: Partial<IRoute>;
   readonly call?: Partial<ICall>;
   readonly targets?: number;
+  /** Service of the targets; the default is that of the route. */
+  readonly service?: string;
   /** True if the process has not received a configuration yet. */
   readonly isUnconfigured?: boolean;
   /** Version named for the model, and how long ago this entry learned of it. */
@@ -200,6 +202,7 @@
 export class ScriptedOrigins implements IStreamOrigins {
   public readonly records: IRecord[] = [];
   public readonly served = new Map<string, string>();
+  private readonly _services = new Map<string, string>();
   public lookups = 0;
 
   constructor(
@@ -236,12 +239,14 @@
     );
   }
 
-  public keepServed(attemptId: string, version: string): void {
+  public keepServed(attemptId: string, service: string, version: string): void {
     this.served.set(attemptId, version);
+    this._services.set(attemptId, service);
   }
 
-  public getServed(attemptId: string): string | undefined {
-    return this.served.get(attemptId);
+  public getServed(attemptId: string, service: string): string | undefined {
+    const isOther = (this._services.get(attemptId) ?? service) !== service;
+    return isOther ? '' : this.served.get(attemptId);
   }
 }
 
@@ -261,6 +266,7 @@
     view.applyTarget(
       buildTarget({
         id: `i-${i}`,
+        service: setup.service ?? 'lace',
         address: `10.1.0.${i}:8000`,
         models,
         born,
--- a/src/gateway/StreamBinding.ts
+++ b/src/gateway/StreamBinding.ts
@@ -68,7 +68,7 @@
   ): Promise<string | undefined> {
     const { view, origins } = this._context;
     const base = view.getVersionBase(this._service, now);
-    this._version = this._isNamed ? origins.getServed(this._id, now) : undefined;
+    this._version = this._isNamed ? origins.getServed(this._id, this._service, now) : undefined;
     if (this._version === undefined && base?.isUniform === true) {
       this._version = base.base;
     }
@@ -84,7 +84,7 @@
         return origin.reason;
       case 'version':
         this._version = origin.version;
-        origins.keepServed(this._id, origin.version, now);
+        origins.keepServed(this._id, this._service, origin.version, now);
         return undefined;
     }
   }
@@ -128,7 +128,7 @@
   public bind(target: TargetRecord, now: number): void {
     if (this._version === undefined) {
       this._version = getSoftwareVersion(target);
-      this._context.origins.keepServed(this._id, this._version, now);
+      this._context.origins.keepServed(this._id, this._service, this._version, now);
     }
   }
 
--- a/src/gateway/StreamVersions.test.ts
+++ b/src/gateway/StreamVersions.test.ts
@@ -136,6 +136,20 @@
     expect(sink.status).toBe(503);
   });
 
+  // Guards against the text of another service after a change of the configuration.
+  it('is refused if its route leads to another service now', async () => {
+    const origins = new ScriptedOrigins('v1', new Map());
+    await runCall([breakStream], { call: { ...CALL, id: 'r1' }, targets: 1, origins });
+    const { sink, targets } = await runCall([resumeStream], {
+      call: TAKE_UP,
+      route: { shares: [{ service: 'orders', weight: 1 }] },
+      service: 'orders',
+      origins,
+    });
+    expect(targets.sent).toHaveLength(0);
+    expect(sink).toMatchObject({ status: 503, ending: 'refuse' });
+  });
+
   it('breaks again and still goes on at the version that began it', async () => {
     const breakAgain: TargetScript = (listener) => {
       listener.onHead(OK_HEAD);
