Take no target for silent while its first event waits for the record

Callers saw streams at targets of a version other than the base computed twice while no leader was known: a target whose first event is held is paused, so it sends nothing, and after 1 s it counted as silent. It got a cooldown, as did each target of that version one after the other, and a second target was sent the same request, out of the retry budget.

Cause: Attempt.isSilent left out targets that are paused because the client reads too slowly, but not those whose events are held for the record.

Change: an attempt that holds events is not silent, and the silence of its target counts from the time at which they are relayed. A target that has sent no complete event is still judged as before.

Ruled out: to set the flag of a pause by the client, since its end would then resume a target whose client is not ready.

Run: the new test in StreamVersions.test.ts failed before in both cases, the target that sends on and the one that has sent all: 'expected [...] to have a length of 1 but got 2'.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -153,7 +153,7 @@
   private _discardedBytes = 0;
   private _discardTimer: NodeJS.Timeout | undefined;
   private _isPaused = false;
-  /** When the target was last resumed after a pause. */
+  /** When the target was last resumed after a pause or after events of it were held. */
   private _resumedAt = Number.NEGATIVE_INFINITY;
   private _settleTimer: NodeJS.Timeout | undefined;
   private _isSettled = false;
@@ -212,10 +212,11 @@
       sentAt: this._sentAt,
       expectedMs,
       lastByteAt: this._lastByteAt > 0 ? this._lastByteAt : undefined,
-      // While the client read nothing, the target could send nothing.
+      // While nothing was read, the target could send nothing.
       lastActivityAt: Math.max(state.lastActivityAt, this._resumedAt),
     };
-    return !this._hasEnded && !this._isPaused && isSilent(view, this._context.clock.now());
+    const isWaiting = this._isPaused || this._isHolding();
+    return !this._hasEnded && !isWaiting && isSilent(view, this._context.clock.now());
   }
 
   /** Sends the request and waits until the attempt has ended. */
@@ -419,10 +420,18 @@
     position.lastEventId = lastId ?? position.lastEventId;
   }
 
+  /** True while the target has sent what may not be relayed yet, and is paused or has ended its response. */
+  private _isHolding(): boolean {
+    return this._held !== undefined && (this._held.chunks.length > 0 || this._held.hasEnded);
+  }
+
   /** Relays what was held once the version of the stream is recorded. */
   private async _relayHeld(recorded: Promise<boolean>): Promise<void> {
     const isRecorded = await recorded;
     const held = this._held;
+    if (this._isHolding()) {
+      this._resumedAt = this._context.clock.now();
+    }
     this._held = undefined;
     if (!isRecorded || held === undefined || this._hasEnded) {
       return;
--- a/src/gateway/StreamVersions.test.ts
+++ b/src/gateway/StreamVersions.test.ts
@@ -3,6 +3,7 @@
  * Guards against a stream that is joined from the text of two versions.
  */
 import { describe, expect, it } from 'vitest';
+import { buildTarget } from '../fleet/Fixtures.js';
 import {
   OK_HEAD,
   ScriptedOrigins,
@@ -13,6 +14,7 @@
   streamEvents,
   type TargetScript,
 } from './Fixtures.js';
+import { TargetStates } from './TargetStates.js';
 
 const CALL = { deadlineMs: 2_000 };
 const TAKE_UP = { ...CALL, id: 'r2', resumeAfter: 2, resumes: 'r1' };
@@ -186,6 +188,46 @@
     expect(sink).toMatchObject({ ending: 'end', body: streamEvents(1, 5).toString() });
   });
 
+  // Guards against a target that is taken for failed, and a second one that computes the same, while no leader is known.
+  it.each([
+    ['sends on', false],
+    ['has sent all', true],
+  ])(
+    'keeps its target from no request while it is pending (the target %s)',
+    async (_name, ends) => {
+      const states = new TargetStates();
+      let cooldowns: readonly number[] = [];
+      setTimeout(() => {
+        cooldowns = ['i-0', 'i-1'].map((id) => {
+          const target = buildTarget({ id, born: 1_000 });
+          return states.ensure(target, performance.now()).cooldownUntil;
+        });
+      }, 1_800);
+      const begin: TargetScript = (listener) => {
+        listener.onHead(OK_HEAD);
+        listener.onData(streamEvents(1, 3));
+        if (ends) {
+          listener.onEnd();
+        } else {
+          setTimeout(() => {
+            listener.onData(streamEvents(4, 5));
+            listener.onEnd();
+          }, 2_600);
+        }
+      };
+      const { sink, targets } = await runCall([begin, resumeStream], {
+        call: { deadlineMs: 4_000 },
+        targets: 2,
+        software: ['v2', 'v2'],
+        origins: new ScriptedOrigins('v1', new Map(), 2_000),
+        states,
+      });
+      expect(targets.sent).toHaveLength(1);
+      expect(cooldowns).toEqual([0, 0]);
+      expect(sink).toMatchObject({ ending: 'end', body: streamEvents(1, ends ? 3 : 5).toString() });
+    },
+  );
+
   // Guards against the record of a target that broke, which would stand for the version that began the stream.
   it('is replaced when the stream begins at another version', async () => {
     const origins = new ScriptedOrigins('v1', new Map());
