--- a/src/gateway/Fixtures.ts
+++ b/src/gateway/Fixtures.ts
@@ -172,6 +172,8 @@
   readonly sink?: RecordingSink;
   /** Repetitions that the retry budget allows beyond its ratio; the default is 60. */
   readonly retrySlack?: number;
+  /** Changes what the process knows before the call arrives. */
+  readonly prepareView?: (view: FleetView) => void;
   readonly queued?: { readonly target: string; readonly pendingTokens: number };
 }
 
@@ -274,6 +276,7 @@
     const work = [{ id, open: 20, pendingTokens }];
     view.applyResponse(create(ExchangeResponseSchema, { work }), clock.now());
   }
+  setup.prepareView?.(view);
   const targets =
     setup.client ??
     new ScriptedTargetClient(scripts, setup.hasCrashed !== true, setup.sendError, setup.probeMs);
