Test errors and deadlines of calls whose record is pending

Nothing showed that an error of a target is relayed at once while the version of the stream is not recorded, nor that events which are held for a record that comes after the deadline are dropped.

--- a/src/gateway/StreamVersions.test.ts
+++ b/src/gateway/StreamVersions.test.ts
@@ -3,6 +3,7 @@
  * Guards against a stream that is joined from the text of two versions.
  */
 import { describe, expect, it } from 'vitest';
+import { sleep } from '../common/Tasks.js';
 import { buildTarget } from '../fleet/Fixtures.js';
 import {
   OK_HEAD,
@@ -228,6 +229,37 @@
     },
   );
 
+  // Guards against an error of a target that a client gets late or not at all, while no leader is known.
+  it('does not delay an error of its target', async () => {
+    const failAtOnce: TargetScript = (listener) => {
+      listener.onHead({ ...OK_HEAD, status: 400 });
+      listener.onData(Buffer.from('bad'));
+      listener.onEnd();
+    };
+    const startedAt = performance.now();
+    const { sink } = await runCall([failAtOnce], {
+      call: CALL,
+      targets: 1,
+      software: ['v2'],
+      origins: new ScriptedOrigins('v1', new Map(), 1_000),
+    });
+    expect(performance.now() - startedAt).toBeLessThan(500);
+    expect(sink).toMatchObject({ status: 400, ending: 'end', body: 'bad' });
+  });
+
+  // Guards against events that reach a client after the end of its response.
+  it('that never becomes durable lets no event through, and the call ends at its deadline', async () => {
+    const origins = new ScriptedOrigins('v1', new Map(), 1_500);
+    const { sink } = await runCall([resumeStream], {
+      call: { deadlineMs: 300 },
+      targets: 1,
+      software: ['v2'],
+      origins,
+    });
+    await sleep(1_400);
+    expect(sink).toMatchObject({ status: 504, endings: ['refuse'], body: '' });
+  });
+
   // Guards against the record of a target that broke, which would stand for the version that began the stream.
   it('is replaced when the stream begins at another version', async () => {
     const origins = new ScriptedOrigins('v1', new Map());
