--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -160,7 +160,7 @@
   private _discardedBytes = 0;
   private _discardTimer: NodeJS.Timeout | undefined;
   private _isPaused = false;
-  /** When the target was last resumed after a pause. */
+  /** When the target was last resumed after a pause or after events of it were held. */
   private _resumedAt = Number.NEGATIVE_INFINITY;
   private _settleTimer: NodeJS.Timeout | undefined;
   private _isSettled = false;
@@ -219,7 +219,7 @@
       sentAt: this._sentAt,
       expectedMs,
       lastByteAt: this._lastByteAt > 0 ? this._lastByteAt : undefined,
-      // While the client read nothing, the target could send nothing.
+      // While nothing was read, the target could send nothing.
       lastActivityAt: Math.max(state.lastActivityAt, this._resumedAt),
     };
     return (
@@ -231,9 +231,9 @@
     );
   }
 
-  /** True while events wait for the record of their version; the target is paused then. */
+  /** True while the target has sent what may not be relayed yet, and is paused or has ended its response. */
   private get _isHolding(): boolean {
-    return this._held !== undefined && this._held.chunks.length > 0;
+    return this._held !== undefined && (this._held.chunks.length > 0 || this._held.hasEnded);
   }
 
   public get isDeferred(): boolean {
@@ -459,6 +459,9 @@
   private async _relayHeld(recorded: Promise<boolean>): Promise<void> {
     const isRecorded = await recorded;
     const held = this._held;
+    if (this._isHolding) {
+      this._resumedAt = this._context.clock.now();
+    }
     this._held = undefined;
     if (!isRecorded || held === undefined || this._hasEnded) {
       return;
--- a/src/gateway/Fixtures.ts
+++ b/src/gateway/Fixtures.ts
@@ -176,6 +176,8 @@
   readonly retrySlack?: number;
   /** Shared by several calls; the default is a new one. */
   readonly budget?: SharedRetryBudget;
+  /** Changes what the process knows before the call arrives. */
+  readonly prepareView?: (view: FleetView) => void;
   readonly queued?: { readonly target: string; readonly pendingTokens: number };
 }
 
@@ -282,6 +284,7 @@
     const work = [{ id, open: 20, pendingTokens }];
     view.applyResponse(create(ExchangeResponseSchema, { work }), clock.now());
   }
+  setup.prepareView?.(view);
   const targets =
     setup.client ??
     new ScriptedTargetClient(scripts, setup.hasCrashed !== true, setup.sendError, setup.probeMs);
--- a/src/gateway/StreamVersions.test.ts
+++ b/src/gateway/StreamVersions.test.ts
@@ -3,6 +3,8 @@
  * Guards against a stream that is joined from the text of two versions.
  */
 import { describe, expect, it } from 'vitest';
+import { sleep } from '../common/Tasks.js';
+import { buildTarget } from '../fleet/Fixtures.js';
 import {
   OK_HEAD,
   ScriptedOrigins,
@@ -13,6 +15,7 @@
   streamEvents,
   type TargetScript,
 } from './Fixtures.js';
+import { TargetStates } from './TargetStates.js';
 
 const CALL = { deadlineMs: 2_000 };
 const TAKE_UP = { ...CALL, id: 'r2', resumeAfter: 2, resumes: 'r1' };
@@ -200,6 +203,77 @@
     expect(sink).toMatchObject({ ending: 'end', body: streamEvents(1, 5).toString() });
   });
 
+  // Guards against a target that is taken for failed, and a second one that computes the same, while no leader is known.
+  it.each([
+    ['sends on', false],
+    ['has sent all', true],
+  ])(
+    'keeps its target from no request while it is pending (the target %s)',
+    async (_name, ends) => {
+      const states = new TargetStates();
+      let cooldowns: readonly number[] = [];
+      setTimeout(() => {
+        cooldowns = ['i-0', 'i-1'].map((id) => {
+          const target = buildTarget({ id, born: 1_000 });
+          return states.ensure(target, performance.now()).cooldownUntil;
+        });
+      }, 1_800);
+      const begin: TargetScript = (listener) => {
+        listener.onHead(OK_HEAD);
+        listener.onData(streamEvents(1, 3));
+        if (ends) {
+          listener.onEnd();
+        } else {
+          setTimeout(() => {
+            listener.onData(streamEvents(4, 5));
+            listener.onEnd();
+          }, 2_600);
+        }
+      };
+      const { sink, targets } = await runCall([begin, resumeStream], {
+        call: { deadlineMs: 4_000 },
+        targets: 2,
+        software: ['v2', 'v2'],
+        origins: new ScriptedOrigins('v1', new Map(), 2_000),
+        states,
+      });
+      expect(targets.sent).toHaveLength(1);
+      expect(cooldowns).toEqual([0, 0]);
+      expect(sink).toMatchObject({ ending: 'end', body: streamEvents(1, ends ? 3 : 5).toString() });
+    },
+  );
+
+  // Guards against an error of a target that a client gets late or not at all, while no leader is known.
+  it('does not delay an error of its target', async () => {
+    const failAtOnce: TargetScript = (listener) => {
+      listener.onHead({ ...OK_HEAD, status: 400 });
+      listener.onData(Buffer.from('bad'));
+      listener.onEnd();
+    };
+    const startedAt = performance.now();
+    const { sink } = await runCall([failAtOnce], {
+      call: CALL,
+      targets: 1,
+      software: ['v2'],
+      origins: new ScriptedOrigins('v1', new Map(), 1_000),
+    });
+    expect(performance.now() - startedAt).toBeLessThan(500);
+    expect(sink).toMatchObject({ status: 400, ending: 'end', body: 'bad' });
+  });
+
+  // Guards against events that reach a client after the end of its response.
+  it('that never becomes durable lets no event through, and the call ends at its deadline', async () => {
+    const origins = new ScriptedOrigins('v1', new Map(), 1_500);
+    const { sink } = await runCall([resumeStream], {
+      call: { deadlineMs: 300 },
+      targets: 1,
+      software: ['v2'],
+      origins,
+    });
+    await sleep(1_400);
+    expect(sink).toMatchObject({ status: 504, endings: ['refuse'], body: '' });
+  });
+
   // Guards against the record of a target that broke, which would stand for the version that began the stream.
   it('is replaced when the stream begins at another version', async () => {
     const origins = new ScriptedOrigins('v1', new Map());
