Drop unusable targets that other processes or the disk name

What callers saw: as long as one process of an earlier version runs, or after an update that keeps the disks, the record of a target with a port or an octet out of range still reached every entry, and requests to its service failed.

Cause: only the decoder of heartbeats checked addresses. A record also comes with an exchange, to the hub or from it, and from the file of saved targets.

Change: FleetView and FleetHub check each record where they store it, so that this covers announcements, both directions of an exchange, the start of a hub and the restore from disk. A target that is known stays as it is when a later record of it is dropped.

Ruled out: other ways into the view or the hub. setLoadState, setWeights and the limits change records that are there already.

Run: npx vitest run src/fleet/FleetHub.test.ts src/fleet/FleetView.test.ts. Before the change the five new tests failed, for example with "expected [ {...}, {...} ] to match object [ { id: 'i-1', sequence: 1n } ]"; after it they pass, and all 260 of src/fleet, src/gateway and src/run.

--- a/src/fleet/FleetHub.test.ts
+++ b/src/fleet/FleetHub.test.ts
@@ -51,6 +51,21 @@
     expect(getTarget(hub)?.phase).toBe(TargetPhase.DRAINING);
   });
 
+  // An older process still accepts such an announcement; passed on, it would be chosen for requests by all entries.
+  it.each(['10.1.0.1:99999', '10.1.0.1:0', '300.1.0.1:8000'])(
+    'ignores an announcement from another process with the address %s',
+    (address) => {
+      const hub = createHub();
+      hub.announce(buildTarget(), 0);
+      const announced = [
+        buildTarget({ sequence: 2n, address }),
+        buildTarget({ id: 'i-odd', born: 2_000, address }),
+      ];
+      hub.applyReport(buildReport({ announced }), 10);
+      expect(hub.listTargets()).toMatchObject([{ id: 'i-1', sequence: 1n }]);
+    },
+  );
+
   it('keeps a target gone until it restarts under the same id', () => {
     const hub = createHub();
     hub.announce(buildTarget({ phase: TargetPhase.GONE, sequence: 5n }), 0);
--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -22,6 +22,7 @@
 import { FORGET_WINDOWS, type IQuotaTerms } from './QuotaRule.js';
 import { RecentReadings, type IReadingDelta } from './RecentReadings.js';
 import { setRateLimit, TargetRateLimits } from './TargetRateLimits.js';
+import { checkTarget } from './TargetCheck.js';
 import { needsPropagation, isLater } from './TargetOrder.js';
 import { WorkTotals } from './WorkTotals.js';
 
@@ -152,8 +153,13 @@
     }
   }
 
-  /** Stores an announcement; false if it is not later than the stored one of the same target. */
+  /** Stores an announcement; false if it names no usable target or is not later than the stored one. */
   public announce(record: TargetRecord, now: number): boolean {
+    const problem = checkTarget(record);
+    if (problem !== undefined) {
+      this._options.log.warn('target ignored', { target: record.id, reason: problem });
+      return false;
+    }
     const existing = this._targets.get(record.id);
     const seenAt = now - record.ageMs;
     if (now - this._startedAt < LOAD_HANDOVER_MS && (record.loading || record.preparing)) {
--- a/src/fleet/FleetView.test.ts
+++ b/src/fleet/FleetView.test.ts
@@ -49,4 +49,20 @@
     const view = createView({ sequence: 9n, phase: TargetPhase.GONE }, { sequence: 8n });
     expect(view.getTarget('i-1')?.phase).toBe(TargetPhase.GONE);
   });
+
+  // A hub, or the process that saved its targets before an update, may be of a version that accepted such a record.
+  it('drops a record that names no usable target, wherever it comes from', () => {
+    const odd = { id: 'i-odd', address: '10.1.0.1:99999' };
+    const view = createView(odd, odd);
+    view.applyTarget(buildTarget(odd));
+    view.applyHubTarget(buildTarget(odd));
+    expect(view.listRecords()).toEqual([]);
+  });
+
+  it('keeps a target when a later record of it names no usable one', () => {
+    const view = createView({}, { sequence: 2n, address: '10.1.0.1:0' });
+    view.applyHubTarget(buildTarget({ sequence: 0n, address: '10.1.0.1:0', loading: true }));
+    expect(view.getTarget('i-1')).toMatchObject({ sequence: 1n, loading: false });
+    expect(view.listTargets('lace')).toHaveLength(1);
+  });
 });
--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -10,6 +10,7 @@
   type TargetWork,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { RouteTable } from './RouteTable.js';
+import { checkTarget } from './TargetCheck.js';
 import { isLater } from './TargetOrder.js';
 import { setRateLimit } from './TargetRateLimits.js';
 import type { DocumentDecoder } from './Types.js';
@@ -132,6 +133,9 @@
    * then only what the hub added is new.
    */
   public applyHubTarget(record: TargetRecord): void {
+    if (!this._isUsable(record)) {
+      return;
+    }
     const existing = this._targets.get(record.id);
     const previousLimit = existing?.rateLimit;
     if (existing?.born === record.born && isLater(existing, record)) {
@@ -145,8 +149,11 @@
     }
   }
 
-  /** Applies a target's record; ignored if a later one is known. */
+  /** Applies a target's record; ignored if a later one is known, or if it names no usable target. */
   public applyTarget(record: TargetRecord): void {
+    if (!this._isUsable(record)) {
+      return;
+    }
     const existing = this._targets.get(record.id);
     const isSameIncarnation = existing?.born === record.born;
     if (existing !== undefined && isLater(existing, record)) {
@@ -184,6 +191,14 @@
     return [...this._targets.values()];
   }
 
+  private _isUsable(record: TargetRecord): boolean {
+    const problem = checkTarget(record);
+    if (problem !== undefined) {
+      this._log.warn('target ignored', { target: record.id, reason: problem });
+    }
+    return problem === undefined;
+  }
+
   private _refreshService(service: string): void {
     const ready = [...this._targets.values()].filter(
       (record) => record.service === service && isReady(record),
