Refuse start times that outlast every true one

The hub passes the record on, and members save it.

Change: a start time is a whole number of milliseconds from 1970 to 2100.

Ruled out: a comparison with the time of day, as the clocks of machines may jump. Sequence numbers: any whole number may be one.

--- a/src/fleet/TargetCheck.test.ts
+++ b/src/fleet/TargetCheck.test.ts
@@ -1,4 +1,4 @@
-/** Guards against records that make requests fail, or that take memory in all processes. */
+/** Guards against records that make requests fail, that displace sound targets, or that take memory in all processes. */
 import { describe, expect, it } from 'vitest';
 import { buildTarget } from './Fixtures.js';
 import { checkTarget } from './TargetCheck.js';
@@ -27,6 +27,11 @@
     ['with a lone surrogate, which another process reads as another name', { service: '\ud800' }],
     ['with a control character in a name', { dataCentre: 'zg\u0000a' }],
     ['with more models than an engine has', { models: Array.from({ length: 257 }, () => MODEL) }],
+    ['that starts so late that no true start displaces it', { born: Number.MAX_SAFE_INTEGER }],
+    ['that starts at an infinite time', { born: Number.POSITIVE_INFINITY }],
+    ['that starts at no time', { born: Number.NaN }],
+    ['that starts before all time', { born: -1 }],
+    ['that starts at a fraction of a millisecond', { born: 1.5 }],
     ['with a port out of range', { address: '10.1.0.1:65536' }],
     ['with an octet out of range', { address: '10.1.0.256:80' }],
     ['with two ports', { address: '10.1.0.1:80:80' }],
--- a/src/fleet/TargetCheck.ts
+++ b/src/fleet/TargetCheck.ts
@@ -11,6 +11,9 @@
 /** No control characters, and no lone surrogates, which are another name once they have been encoded. */
 const NAME = /^[^\p{Cc}\p{Cs}]{1,256}$/u;
 
+/** A later time is no start time. It would outlast each true one of the target, or of another at its address. */
+const MAX_START_TIME = Date.UTC(2100, 0);
+
 /**
  * Describes why a record names no usable target; undefined if it does. Every record is checked where it enters the
  * process: from a target, from another process, which may be of an older version, and from disk.
@@ -19,7 +22,7 @@
  * if (checkTarget(record) !== undefined) { return; }
  */
 export function checkTarget(record: TargetRecord): string | undefined {
-  const { id, service, dataCentre, address, models } = record;
+  const { id, service, dataCentre, address, models, born } = record;
   if (!ID.test(id)) {
     return 'its id is empty, too long or cannot be sent in a header';
   }
@@ -29,8 +32,16 @@
   if (![service, dataCentre, ...models.map(({ name }) => name)].every((name) => NAME.test(name))) {
     return 'a name is empty, too long or has control characters';
   }
+  if (!isStartTime(born)) {
+    return `it started at ${born}, which is no time in whole milliseconds`;
+  }
   if (!isUsableAddress(address)) {
     return 'its address is not an IPv4 address with a port from 1 to 65535';
   }
   return undefined;
 }
+
+/** True for a start time of a target in whole Unix milliseconds, and for 0, as targets without one have. */
+export function isStartTime(value: number): boolean {
+  return Number.isInteger(value) && value >= 0 && value <= MAX_START_TIME;
+}
