Start a task again that an exception ended

What callers saw: nothing yet. An exception anywhere in an exchange, in a round of the weights rollout or in a record of spending ended that task of the process for good: it went on serving, but no longer followed the others, or led without acting.

Cause: FleetProcess logged the failure of a task and left it at that. An exception while the request of an exchange is built also left its report of quotas in flight, so that no later one would have named any.

Change: a task that failed starts again after a short delay. The tasks are loops over state that outlives them. The request is built where the report is ended in any case. The exit code no longer says that a task failed: the main program ends with 0 after a stop that was requested, whatever it is.

Ruled out: a restart of the process, which would break the streams of its clients.

Run: npx vitest run src/run src/fleet/FleetNode.test.ts. Before the change the new test failed with "timed out waiting until the configuration is in force"; after it all pass.

--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -560,10 +560,10 @@
 
   private _exchangeLocally(now: number): void {
     const quotas = this._leases.beginReport(this._listLimitedAccounts(), now);
-    const request = this._buildRequest(now, quotas);
     const waiters = this._exchangeWaiters;
     this._exchangeWaiters = [];
     try {
+      const request = this._buildRequest(now, quotas);
       this._applyResponse(this.handleExchange(request, now), request, waiters, now, now);
     } finally {
       quotas.end();
@@ -640,8 +640,8 @@
     this._exchangeWaiters = [];
     const sentAt = this._clock.now();
     const quotas = this._leases.beginReport(this._listLimitedAccounts(), sentAt);
-    const request = this._buildRequest(sentAt, quotas);
     try {
+      const request = this._buildRequest(sentAt, quotas);
       const answer = await runWithTimeout(signal, EXCHANGE_TIMEOUT_MS, (limited) =>
         this._rpc.get(FleetService, address).exchange(request, { signal: limited }),
       );
--- /dev/null
+++ b/src/run/FleetProcess.test.ts
@@ -0,0 +1,84 @@
+/** Guards against a process that no longer follows the others, or no longer acts as the leader, after an exception. */
+import { create } from '@bufbuild/protobuf';
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { findFreePorts } from '../../tools/harness/Ports.js';
+import { SILENT_LOG } from '../common/Log.js';
+import { Ok } from '../common/Result.js';
+import { waitUntil } from '../consensus/TestCluster.js';
+import { buildConfiguration } from '../fleet/Fixtures.js';
+import type { DocumentDecoder } from '../fleet/Types.js';
+import type { ICall } from '../gateway/Types.js';
+import { FleetCommandSchema } from '../gen/redwingwharf/v1/fleet_pb.js';
+import { FleetProcess } from './FleetProcess.js';
+
+let folder = '';
+let fleetProcess: FleetProcess<ICall> | undefined;
+
+beforeEach(async () => {
+  folder = await mkdtemp(join(tmpdir(), 'redwingwharf-process-'));
+});
+
+afterEach(async () => {
+  await fleetProcess?.stop();
+  await rm(folder, { recursive: true, force: true });
+});
+
+/** Starts the only process of a deployment and waits until it leads. */
+async function startProcess(decodeDocument: DocumentDecoder): Promise<FleetProcess<ICall>> {
+  const [port] = await findFreePorts(1);
+  const address = `127.0.0.1:${port}`;
+  const started = new FleetProcess<ICall>(
+    {
+      dataCentre: 'zg-a',
+      internalAddress: address,
+      seeds: [address],
+      clusterSecret: 'secret',
+      takesRequests: true,
+      member: { dataFolder: folder, mayBootstrap: true, toleratedLosses: 0 },
+      announceIntervalMs: 1_200,
+      quota: { windowMs: 8_000, excessRatio: 0, toleranceTokens: 0 },
+      leaseMs: 3_000,
+      weightsRolloutLimitMs: 10_000,
+      retryBudget: { ratio: 0.2, slack: 60, windowMs: 10_000 },
+    },
+    {
+      decodeDocument,
+      targetClient: {
+        send: () => {
+          throw new Error('there is no target');
+        },
+        probe: () => Promise.resolve(true),
+      },
+      engineClient: {
+        fetchReport: () => Promise.reject(new Error('there is no target')),
+        sendOrder: () => Promise.reject(new Error('there is no target')),
+      },
+      pollStore: () => Promise.reject(new Error('there is no store')),
+    },
+    SILENT_LOG,
+  );
+  fleetProcess = started;
+  await started.start();
+  await waitUntil('the process leads', () => started.view.epoch !== '');
+  return started;
+}
+
+describe('FleetProcess', () => {
+  it('goes on exchanging after an exception within an exchange', async () => {
+    let failures = 0;
+    const { node, view } = await startProcess(() => {
+      failures += 1;
+      if (failures === 1) {
+        throw new RangeError('an exception of a listener');
+      }
+      return Ok(buildConfiguration());
+    });
+    const body = { case: 'putDocument', value: { version: 7n } } as const;
+    await node.submit(create(FleetCommandSchema, { body }), new AbortController().signal);
+    await waitUntil('the configuration is in force', () => view.documentVersion === 7);
+    expect(failures).toBe(2);
+  });
+});
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -5,6 +5,7 @@
 import { describeError, type ILog } from '../common/Log.js';
 import { Metrics } from '../common/Metrics.js';
 import { RpcClients } from '../common/Rpc.js';
+import { runPeriodically } from '../common/Tasks.js';
 import { FleetNode, type IFleetMember } from '../fleet/FleetNode.js';
 import { FleetView } from '../fleet/FleetView.js';
 import type { IQuotaTerms } from '../fleet/QuotaRule.js';
@@ -29,6 +30,9 @@
 /** Covers the time until a named version reaches the leader, and the cancellation of a request the engine. */
 const WEIGHTS_LIMIT_MARGIN_MS = 600;
 
+/** Mean delay before a task that failed starts again; jitter is added. */
+const TASK_RESTART_DELAY_MS = 200;
+
 export interface IFleetProcessOptions {
   readonly dataCentre: string;
   /** Address for calls between the processes; also identifies this process. */
@@ -181,28 +185,33 @@
     this._server = this._createServer();
   }
 
-  /** Starts the tasks of this process. A task that fails is logged and makes the exit code 1. */
+  /** Starts the tasks of this process. A task that fails is logged and starts again, with the state that it had. */
   public async start(): Promise<void> {
     await this._server.listen();
-    const { signal } = this._stop;
     const tasks = [
-      this.node.run(signal),
-      this.node.runMembershipNotices(signal),
-      this._spendingRecorder.run(signal),
-      this._rollout.run(signal),
+      (signal: AbortSignal) => this.node.run(signal),
+      (signal: AbortSignal) => this.node.runMembershipNotices(signal),
+      (signal: AbortSignal) => this._spendingRecorder.run(signal),
+      (signal: AbortSignal) => this._rollout.run(signal),
     ];
-    if (this._memberHost !== undefined) {
-      tasks.push(this._memberHost.run(signal));
+    const { _memberHost: memberHost } = this;
+    if (memberHost !== undefined) {
+      tasks.push((signal) => memberHost.run(signal));
     }
     if (this._options.takesRequests) {
-      tasks.push(this._storeIndex.run(signal));
+      tasks.push((signal) => this._storeIndex.run(signal));
     }
-    for (const task of tasks) {
+    const { signal } = this._stop;
+    for (const runTask of tasks) {
       this._tasks.push(
-        task.catch((error: unknown) => {
-          this._log.error('task failed', { reason: describeError(error) });
-          process.exitCode = 1;
-        }),
+        runPeriodically(
+          TASK_RESTART_DELAY_MS,
+          signal,
+          () => runTask(signal),
+          (error) => {
+            this._log.error('task failed', { reason: describeError(error) });
+          },
+        ),
       );
     }
   }
