Keep the numbers of exchanges within their 32-bit fields

What callers saw: nothing yet. 49.7 days after the leader had learned of the last named weights, none of its answers could be encoded, so that no process followed it. The same held for an entry with a request, or a leader with the sum of several, that names more tokens than 32 bits hold, and after 49.7 days without spending the leader recorded none any more.

Cause: sums and times were written to fields of type uint32 as they were. A message with a number out of its range cannot be encoded at all.

Change: what fills such a field with a sum or a time is rounded to what the field holds.

Ruled out: fields that are filled from counts of objects in memory, or with numbers that came in such a field.

Run: npx vitest run src/fleet/FleetNode.test.ts src/fleet/FleetHub.test.ts src/gateway/TargetStates.test.ts src/fleet/SpendingRecorder.test.ts.

--- a/src/fleet/FleetHub.test.ts
+++ b/src/fleet/FleetHub.test.ts
@@ -1,9 +1,10 @@
 /** Guards against targets that count as ready though they are gone, and the reverse. */
-import { create, type MessageInitShape } from '@bufbuild/protobuf';
+import { create, fromBinary, toBinary, type MessageInitShape } from '@bufbuild/protobuf';
 import { describe, expect, it } from 'vitest';
 import { SILENT_LOG } from '../common/Log.js';
 import {
   ExchangeRequestSchema,
+  ExchangeResponseSchema,
   TargetPhase,
   type ExchangeRequest,
   type TargetRecord,
@@ -125,6 +126,28 @@
     expect(hub.countLongStreams('i-1')).toBe(3);
   });
 
+  // An answer that cannot be encoded reaches no process.
+  it('reports work, waits for tokens and waits for permits that fit a message, however large they are', () => {
+    const hub = createHub();
+    const work = [{ id: 'i-1', open: 2, pendingTokens: 2 ** 32 - 1, longStreams: 1 }];
+    for (const node of ['n1', 'n2', 'n3']) {
+      hub.applyReport(buildReport({ node, work }), 0);
+    }
+    hub.announce(buildTarget({ rateLimit: 0 }), 0);
+    hub.setLimits(new Map([['pag', 1]]), 0);
+    const quotas = [{ clientAccount: 'pag', held: 0, wanted: 1e300, spent: 0, total: 0 }];
+    const run = { node: 'n1', incarnation: 'a', reportSequence: 1n };
+    const response = create(ExchangeResponseSchema, {
+      work: hub.sumWorkOfOthers('n1'),
+      grants: hub.grantLeases({ ...run, quotas }, 0),
+      permits: hub.grantPermits('n1', [{ target: 'i-1', requests: 2 ** 32 - 1 }], 0),
+    });
+    expect(fromBinary(ExchangeResponseSchema, toBinary(ExchangeResponseSchema, response))).toEqual(
+      response,
+    );
+    expect(response.work[0]?.pendingTokens).toBe(2 ** 32 - 1);
+  });
+
   it('no longer counts the work of a process that has stopped reporting', () => {
     const hub = createHub();
     const work = [{ id: 'i-1', open: 2, pendingTokens: 100, longStreams: 1 }];
--- a/src/fleet/FleetNode.test.ts
+++ b/src/fleet/FleetNode.test.ts
@@ -225,6 +225,16 @@
     expect(Math.abs(entryLearnedAt - learnedAt)).toBeLessThan(100);
   });
 
+  // From then on no answer of the leader could be encoded, so that no process followed it.
+  it('goes on answering 50 days after weights were named', async () => {
+    const leader = fleet.start('leader', ['leader'], true);
+    leader.view.weights.record('m', 2, CLOCK.now() - 50 * 24 * 3_600_000);
+    const body = { case: 'nameWeights', value: { model: 'm', version: 2n } } as const;
+    await leader.node.submit(create(FleetCommandSchema, { body }), fleet.stop.signal);
+    const entry = fleet.start('entry', ['leader']);
+    await waitUntil('the entry knows of it', () => entry.view.weights.getNewest('m') === 2);
+  });
+
   it('quarantines a part at all processes that crashed targets of two of them', async () => {
     const leader = fleet.start('leader', ['leader'], true);
     const first = fleet.start('entry-1', ['leader']);
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -6,6 +6,7 @@
 import { describeError, type ILog } from '../common/Log.js';
 import type { RpcClients } from '../common/Rpc.js';
 import { addJitter, isAborted, runWithTimeout, sleep } from '../common/Tasks.js';
+import { clampToUint32 } from '../common/Uint32.js';
 import type { IConsensusStatus, IReplicatedLog } from '../consensus/Types.js';
 import {
   ExchangeRequestSchema,
@@ -432,7 +433,7 @@
     response.weights = state.weights.map(({ model, version }) => {
       const learnedAt = this._view.weights.getNewestLearnedAt(model) ?? now;
       const isKnown = this._view.weights.getNewest(model) === Number(version);
-      const ageMs = isKnown ? Math.round(now - learnedAt) : 0;
+      const ageMs = clampToUint32(isKnown ? now - learnedAt : 0);
       return create(NamedWeightsSchema, { model, version, ageMs });
     });
     response.work = hub.sumWorkOfOthers(request.node);
@@ -541,7 +542,7 @@
       documentVersion: BigInt(this._view.documentVersion),
       announced: announced.map((record) => ({
         ...record,
-        ageMs: Math.round(now - (this._pendingSince.get(record.id) ?? now)),
+        ageMs: clampToUint32(now - (this._pendingSince.get(record.id) ?? now)),
       })),
       work: [...this._workSource.listWork()],
       quotas: quotas.lines.map((line) => create(QuotaReportSchema, line)),
--- a/src/fleet/QuotaPool.ts
+++ b/src/fleet/QuotaPool.ts
@@ -3,6 +3,7 @@
  * what it has spent within the sliding window never exceeds it. The sum of all leases never exceeds the limit,
  * so neither does what all entries spend within any window, also while they cannot reach the hub.
  */
+import { clampToUint32 } from '../common/Uint32.js';
 import { applySurvivors, computeWithheld, type QuotaRecovery } from './QuotaRecovery.js';
 import { FORGET_WINDOWS } from './QuotaRule.js';
 
@@ -126,7 +127,9 @@
     });
     const shortfall = usage.spent + usage.wanted - lease;
     const waitMs =
-      shortfall >= 1 ? Math.ceil((shortfall / Math.max(1, this._limit)) * this._windowMs) : 0;
+      shortfall >= 1
+        ? clampToUint32(Math.ceil((shortfall / Math.max(1, this._limit)) * this._windowMs))
+        : 0;
     return { lease, waitMs };
   }
 
--- a/src/fleet/SpendingRecorder.ts
+++ b/src/fleet/SpendingRecorder.ts
@@ -2,6 +2,7 @@
 import { create, toBinary, type MessageInitShape } from '@bufbuild/protobuf';
 import type { IClock } from '../common/Clock.js';
 import { isAborted, runWithTimeout, sleep } from '../common/Tasks.js';
+import { clampToUint32 } from '../common/Uint32.js';
 import type { IReplicatedLog } from '../consensus/Types.js';
 import { FleetCommandSchema, type SpendingRecordSchema } from '../gen/redwingwharf/v1/fleet_pb.js';
 import type { FleetHub } from './FleetHub.js';
@@ -46,7 +47,7 @@
     }
     const record = {
       accounts,
-      intervalMs: this._last?.hub === hub ? Math.round(now - this._last.at) : 0,
+      intervalMs: this._last?.hub === hub ? clampToUint32(now - this._last.at) : 0,
       maxLagMs: this._node.getPropagationMs() + 2 * RECORD_INTERVAL_MS,
     };
     if (await this._propose(record, signal)) {
--- a/src/fleet/TargetRateLimits.ts
+++ b/src/fleet/TargetRateLimits.ts
@@ -2,6 +2,7 @@
  * The leader's part of the limits that targets name: it issues permits at the named rate to all processes together.
  * Which limit is in force is part of the target's record.
  */
+import { clampToUint32 } from '../common/Uint32.js';
 import type {
   PermitDemand,
   PermitGrant,
@@ -100,7 +101,7 @@
     }
     this._setDemand(state, node, requests - permits);
     const waitMs = state.nextAt - now + (state.totalDemand - 1) * intervalMs;
-    return { target: id, born, permits, waitMs: Math.max(0, Math.round(waitMs)) };
+    return { target: id, born, permits, waitMs: clampToUint32(waitMs) };
   }
 
   /** Drops the demand of a process that has stopped, or that demands no more of any target but these. */
--- a/src/fleet/WorkTotals.ts
+++ b/src/fleet/WorkTotals.ts
@@ -1,5 +1,6 @@
 /** Running totals of the work that all processes report for each target. */
 import { create } from '@bufbuild/protobuf';
+import { clampToUint32 } from '../common/Uint32.js';
 import { TargetWorkSchema, type TargetWork } from '../gen/redwingwharf/v1/fleet_pb.js';
 
 interface ITotal {
@@ -38,7 +39,14 @@
       if (open > 0) {
         const pendingTokens = total.pendingTokens - excluded.pendingTokens;
         const longStreams = total.longStreams - excluded.longStreams;
-        sums.push(create(TargetWorkSchema, { id, open, pendingTokens, longStreams }));
+        sums.push(
+          create(TargetWorkSchema, {
+            id,
+            open: clampToUint32(open),
+            pendingTokens: clampToUint32(pendingTokens),
+            longStreams: clampToUint32(longStreams),
+          }),
+        );
       }
     }
     return sums;
--- a/src/gateway/TargetLimits.ts
+++ b/src/gateway/TargetLimits.ts
@@ -5,6 +5,7 @@
 import { create } from '@bufbuild/protobuf';
 import { isMechanismDisabled } from '../common/TestSwitches.js';
 import { sleep } from '../common/Tasks.js';
+import { clampToUint32 } from '../common/Uint32.js';
 import type { IRateLimitReports, IRateLimitSource } from '../fleet/FleetNode.js';
 import { computePermitInterval } from '../fleet/TargetRateLimits.js';
 import {
@@ -216,7 +217,7 @@
       }
       state.lastReported = observation;
       const { perSecond, at } = observation;
-      const ageMs = Math.max(0, Math.round(now - at));
+      const ageMs = clampToUint32(now - at);
       const limit = perSecond === undefined ? {} : { perSecond };
       return [create(RateLimitReportSchema, { target, born, ageMs, ...limit })];
     });
--- a/src/gateway/TargetStates.test.ts
+++ b/src/gateway/TargetStates.test.ts
@@ -1,7 +1,9 @@
 /** Guards against requests to a target that wants none, and against a rush to one that takes requests again. */
+import { create, toBinary } from '@bufbuild/protobuf';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { buildTarget } from '../fleet/Fixtures.js';
+import { TargetWorkSchema } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { getPauseMs, recordPause, TargetStates, type ITargetState } from './TargetStates.js';
 
 function createState(): ITargetState {
@@ -50,3 +52,15 @@
     expect(getPauseMs(states.ensure(buildTarget({ born: 2 }), 10), 10)).toBe(0);
   });
 });
+
+describe('the open requests that are reported', () => {
+  // With a number that does not fit its field, no exchange of the process could be encoded.
+  it('fit a message, also where the sum of their tokens does not', () => {
+    for (const pendingTokens of [2 ** 40, -500, Number.NaN, 0.5]) {
+      const states = new TargetStates();
+      Object.assign(states.ensure(buildTarget(), 0), { open: 1, pendingTokens });
+      const [work] = states.listOpen();
+      expect(() => toBinary(TargetWorkSchema, create(TargetWorkSchema, work))).not.toThrow();
+    }
+  });
+});
--- a/src/gateway/TargetStates.ts
+++ b/src/gateway/TargetStates.ts
@@ -1,4 +1,5 @@
 /** Per-target state of this entry: requests in progress, failures, cooldown, response times and load. */
+import { clampToUint32 } from '../common/Uint32.js';
 import type { TargetRecord, TargetWork } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { hashText } from '../policy/TargetTable.js';
 import type { IReportedLoad } from './Types.js';
@@ -107,8 +108,8 @@
       .map(([id, { open, pendingTokens, longStreams }]) => ({
         id,
         open,
-        pendingTokens,
-        longStreams,
+        pendingTokens: clampToUint32(pendingTokens),
+        longStreams: clampToUint32(longStreams),
       }));
   }
 
