Keep the ceilings of client accounts in a map

What callers saw: nothing yet. A client account whose name is that of a property which every object inherits, such as "constructor", had a function as its recorded ceiling, with which no lease can be computed.

Cause: the ceilings were kept in an object literal.

Change: they are kept in a map.

Run: npx vitest run src/fleet/FleetState.test.ts. Before the change the three new cases failed, for example with "expected [Function Object] to be +0"; after it all 8 tests pass.

--- a/src/fleet/FleetState.test.ts
+++ b/src/fleet/FleetState.test.ts
@@ -22,6 +22,12 @@
   });
 }
 
+function recordSpending(clientAccount: string, ceiling: number): FleetCommand {
+  return create(FleetCommandSchema, {
+    body: { case: 'recordSpending', value: { accounts: [{ clientAccount, ceiling }] } },
+  });
+}
+
 function apply(state: FleetState, ...commands: readonly FleetCommand[]): void {
   for (const command of commands) {
     state.apply(toBinary(FleetCommandSchema, command));
@@ -65,6 +71,23 @@
     expect(copy.snapshot()).toEqual(state.snapshot());
   });
 
+  // The ceiling was a function, and with it every lease of the client account was no number.
+  it.each(['constructor', 'toString', '__proto__'])(
+    'has no ceiling of a client account %s before one is recorded',
+    (clientAccount) => {
+      const state = new FleetState();
+      expect(state.getCeiling(clientAccount)).toBe(0);
+      apply(state, recordSpending(clientAccount, 500));
+      expect(state.getCeiling(clientAccount)).toBe(500);
+      const copy = new FleetState();
+      expect(copy.getCeiling(clientAccount)).toBe(0);
+      copy.restore(state.snapshot());
+      expect(copy.spending).toEqual(state.spending);
+      expect(copy.snapshot()).toEqual(state.snapshot());
+      expect(copy.getCeiling(clientAccount)).toBe(500);
+    },
+  );
+
   it('ignores bytes that are not a command', () => {
     const state = new FleetState();
     state.apply(new Uint8Array([255, 255, 255]));
--- a/src/fleet/FleetState.ts
+++ b/src/fleet/FleetState.ts
@@ -36,7 +36,7 @@
   private _document: FleetDocument | undefined;
   private _spending: readonly SpendingRecord[] = [];
   /** Last recorded ceiling of the leases of each client account. */
-  private _ceilings: Record<string, number> = {};
+  private readonly _ceilings = new Map<string, number>();
 
   /** Fires after a command that changed the state, and after a restore. */
   public readonly onChange = this._changes.onFire;
@@ -57,7 +57,7 @@
 
   /** Most tokens of a client account that may be leased; 0 if none ever were. */
   public getCeiling(clientAccount: string): number {
-    return this._ceilings[clientAccount] ?? 0;
+    return this._ceilings.get(clientAccount) ?? 0;
   }
 
   public apply(command: Uint8Array): Uint8Array {
@@ -83,7 +83,7 @@
     const snapshot = create(FleetSnapshotSchema, {
       weights: [...this._weights.values()],
       spending: [...this._spending],
-      ceilings: this._ceilings,
+      ceilings: Object.fromEntries(this._ceilings),
     });
     if (this._document !== undefined) {
       snapshot.document = this._document;
@@ -95,7 +95,10 @@
     const snapshot = fromBinary(FleetSnapshotSchema, new Uint8Array(bytes));
     this._document = snapshot.document;
     this._spending = snapshot.spending;
-    this._ceilings = snapshot.ceilings;
+    this._ceilings.clear();
+    for (const [clientAccount, ceiling] of Object.entries(snapshot.ceilings)) {
+      this._ceilings.set(clientAccount, ceiling);
+    }
     this._weights.clear();
     for (const weights of snapshot.weights) {
       this._weights.set(weights.model, weights);
@@ -106,7 +109,7 @@
   private _recordSpending(record: SpendingRecord): void {
     this._spending = [...this._spending, record].slice(-MAX_SPENDING_RECORDS);
     for (const { clientAccount, ceiling } of record.accounts) {
-      this._ceilings[clientAccount] = ceiling;
+      this._ceilings.set(clientAccount, ceiling);
     }
   }
 
