--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -149,6 +149,22 @@
     }
   }
 
+  /**
+   * Target of a configured service whose id or address an announcement of a service that is not configured has;
+   * undefined if there is none. Applied, the announcement would put that target out of use.
+   */
+  public findDisplacedTarget(record: TargetRecord): TargetRecord | undefined {
+    if (this._table === undefined || this._table.getService(record.service) !== undefined) {
+      return undefined;
+    }
+    return [...this._targets.values()].find(
+      ({ id, address, phase, service }) =>
+        (id === record.id || address === record.address) &&
+        phase !== TargetPhase.GONE &&
+        this._table?.getService(service) !== undefined,
+    );
+  }
+
   /** Applies a target's record; ignored if a later one is known, or if it names no usable target. */
   public applyTarget(record: TargetRecord): void {
     if (!this._isUsable(record)) {
