Test that no unusable target is restored from disk

A process of an earlier version saved such targets. The test writes a file with a port, an octet, a start time and an id out of range and with an unknown phase, and starts a process on it.

Run: npx vitest run src/run/FleetProcess.test.ts: both tests pass. With a check that accepts every record the new one fails with "expected [ 'i-port', 'i-host', 'i-late', …(2) ] to deeply equal [ 'i-sound' ]".

--- a/src/run/FleetProcess.test.ts
+++ b/src/run/FleetProcess.test.ts
@@ -1,5 +1,5 @@
 /** Guards against a process that no longer follows the others, or no longer acts as the leader, after an exception. */
-import { create } from '@bufbuild/protobuf';
+import { create, toBinary } from '@bufbuild/protobuf';
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -8,10 +8,11 @@
 import { SILENT_LOG } from '../common/Log.js';
 import { Ok } from '../common/Result.js';
 import { waitUntil } from '../consensus/TestCluster.js';
-import { buildConfiguration } from '../fleet/Fixtures.js';
+import { buildConfiguration, buildTarget } from '../fleet/Fixtures.js';
 import type { DocumentDecoder } from '../fleet/Types.js';
 import type { ICall } from '../gateway/Types.js';
-import { FleetCommandSchema } from '../gen/redwingwharf/v1/fleet_pb.js';
+import { FleetCommandSchema, TargetListSchema } from '../gen/redwingwharf/v1/fleet_pb.js';
+import { DataDirectory } from '../storage/DataDirectory.js';
 import { FleetProcess } from './FleetProcess.js';
 
 let folder = '';
@@ -26,10 +27,16 @@
   await rm(folder, { recursive: true, force: true });
 });
 
-/** Starts the only process of a deployment and waits until it leads. */
-async function startProcess(decodeDocument: DocumentDecoder): Promise<FleetProcess<ICall>> {
+async function findAddress(): Promise<string> {
   const [port] = await findFreePorts(1);
-  const address = `127.0.0.1:${port}`;
+  return `127.0.0.1:${port}`;
+}
+
+/** Starts the only process of a deployment and waits until it leads. */
+async function startProcess(
+  decodeDocument: DocumentDecoder,
+  address: string,
+): Promise<FleetProcess<ICall>> {
   const started = new FleetProcess<ICall>(
     {
       dataCentre: 'zg-a',
@@ -69,16 +76,41 @@
 describe('FleetProcess', () => {
   it('goes on exchanging after an exception within an exchange', async () => {
     let failures = 0;
-    const { node, view } = await startProcess(() => {
-      failures += 1;
-      if (failures === 1) {
-        throw new RangeError('an exception of a listener');
-      }
-      return Ok(buildConfiguration());
-    });
+    const { node, view } = await startProcess(
+      () => {
+        failures += 1;
+        if (failures === 1) {
+          throw new RangeError('an exception of a listener');
+        }
+        return Ok(buildConfiguration());
+      },
+      await findAddress(),
+    );
     const body = { case: 'putDocument', value: { version: 7n } } as const;
     await node.submit(create(FleetCommandSchema, { body }), new AbortController().signal);
     await waitUntil('the configuration is in force', () => view.documentVersion === 7);
     expect(failures).toBe(2);
   });
+
+  // A process of an earlier version accepted such records and saved them.
+  it('restores the usable ones of the targets that were saved before a restart', async () => {
+    const address = await findAddress();
+    await (await startProcess(() => Ok(buildConfiguration()), address)).stop();
+    const targets = [
+      buildTarget({ id: 'i-port', address: '10.1.0.2:99999' }),
+      buildTarget({ id: 'i-host', address: '300.1.0.2:8000' }),
+      buildTarget({ id: 'i-late', address: '10.1.0.3:8000', born: Number.POSITIVE_INFINITY }),
+      buildTarget({ id: 'i-\n', address: '10.1.0.4:8000' }),
+      buildTarget({ id: 'i-phase', address: '10.1.0.5:8000', phase: 7 as never }),
+      buildTarget({ id: 'i-sound' }),
+    ];
+    const list = create(TargetListSchema, { targets });
+    const directory = await DataDirectory.open(folder, true);
+    await directory.replace('targets', toBinary(TargetListSchema, list));
+    await directory.close();
+    const { view } = await startProcess(() => Ok(buildConfiguration()), address);
+    expect(view.listTargets('lace').map(({ id }) => id)).toEqual(['i-sound']);
+    await waitUntil('the leader knows the target', () => view.revision > 0);
+    expect(view.listRecords().map(({ id }) => id)).toEqual(['i-phase', 'i-sound']);
+  });
 });
