--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -11,6 +11,7 @@
 } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { RouteTable } from './RouteTable.js';
 import { KnownVersions, type IVersionBase } from './KnownVersions.js';
+import { checkTarget } from './TargetCheck.js';
 import { isLater, keepSoftwareVersion } from './TargetOrder.js';
 import { setRateLimit } from './TargetRateLimits.js';
 import type { DocumentDecoder } from './Types.js';
@@ -144,6 +145,9 @@
    * then only what the hub added is new.
    */
   public applyHubTarget(record: TargetRecord): void {
+    if (!this._isUsable(record)) {
+      return;
+    }
     const existing = this._targets.get(record.id);
     const previousLimit = existing?.rateLimit;
     if (existing?.born === record.born && isLater(existing, record)) {
@@ -157,8 +161,27 @@
     }
   }
 
-  /** Applies a target's record; ignored if a later one is known. */
+  /**
+   * Target of a configured service whose id or address an announcement of a service that is not configured has;
+   * undefined if there is none. Applied, the announcement would put that target out of use.
+   */
+  public findDisplacedTarget(record: TargetRecord): TargetRecord | undefined {
+    if (this._table === undefined || this._table.getService(record.service) !== undefined) {
+      return undefined;
+    }
+    return [...this._targets.values()].find(
+      ({ id, address, phase, service }) =>
+        (id === record.id || address === record.address) &&
+        phase !== TargetPhase.GONE &&
+        this._table?.getService(service) !== undefined,
+    );
+  }
+
+  /** Applies a target's record; ignored if a later one is known, or if it names no usable target. */
   public applyTarget(record: TargetRecord): void {
+    if (!this._isUsable(record)) {
+      return;
+    }
     const existing = this._targets.get(record.id);
     const isSameIncarnation = existing?.born === record.born;
     if (existing !== undefined && isLater(existing, record)) {
@@ -199,6 +222,14 @@
     return [...this._targets.values()];
   }
 
+  private _isUsable(record: TargetRecord): boolean {
+    const problem = checkTarget(record);
+    if (problem !== undefined) {
+      this._log.warn('target ignored', { target: record.id, reason: problem });
+    }
+    return problem === undefined;
+  }
+
   private _refreshService(service: string): void {
     const ready = [...this._targets.values()].filter(
       (record) => record.service === service && isReady(record),
