Keep the age of the leader's confirmation within its 32-bit field

What callers saw: where the leader is the only voter, and takes some milliseconds for the answer to an exchange, the process that asked gets none, and so does not follow the leader.

Cause: such a leader counts as confirmed at any time, also after the exchange arrived. The age of the confirmation was then negative, and the answer could not be encoded.

Change: the age is kept within its field too.

Ruled out: a negative age with more voters, as the second latest acknowledgement counts there and none arrives while an answer is being built; the other new 32-bit fields, which hold indexes, counts of attempts and a time that is rounded up and at least 0.

Run: npx vitest run src/fleet/FleetNode.test.ts. Before the change the new test failed with "timed out waiting until the entry has an answer of the hub"; after it all tests of the file pass.

--- a/src/fleet/FleetNode.test.ts
+++ b/src/fleet/FleetNode.test.ts
@@ -115,6 +115,17 @@
   }
 }
 
+/** The log of a leader that is the only voter, and so confirmed at any time, in a process that is slow. */
+class SlowLog extends InMemoryLog {
+  public override getConfirmedAt(): number {
+    const end = CLOCK.now() + 3;
+    while (CLOCK.now() < end) {
+      // The process does nothing else meanwhile.
+    }
+    return super.getConfirmedAt();
+  }
+}
+
 /** Serves the calls of a build that knows no software versions. */
 function registerOldRpc(router: ConnectRouter, node: FleetNode): void {
   router.service(FleetService, {
@@ -278,6 +289,13 @@
     await waitUntil('the entry knows of it', () => entry.view.weights.getNewest('m') === 2);
   });
 
+  // The confirmation was later than the arrival of the exchange, and no answer with a negative age could be encoded.
+  it('answers an exchange that it takes some milliseconds to answer', async () => {
+    fleet.start('leader', ['leader'], true, (state) => new SlowLog(state, CLOCK, 'leader'));
+    const entry = fleet.start('entry', ['leader']);
+    await waitUntil('the entry has an answer of the hub', () => entry.view.epoch !== '');
+  });
+
   it('quarantines a part at all processes that crashed targets of two of them', async () => {
     const leader = fleet.start('leader', ['leader'], true);
     const first = fleet.start('entry-1', ['leader']);
--- a/src/fleet/OriginCalls.ts
+++ b/src/fleet/OriginCalls.ts
@@ -2,6 +2,7 @@
 import { create } from '@bufbuild/protobuf';
 import type { IClock } from '../common/Clock.js';
 import { sleep } from '../common/Tasks.js';
+import { clampToUint32 } from '../common/Uint32.js';
 import {
   FindStreamOriginsResponseSchema,
   FleetCommandSchema,
@@ -73,7 +74,9 @@
     response.tracksVersions = true;
     response.versionRevision = BigInt(revision);
     response.versions = isKnown ? [] : reports.map((report) => create(VersionReportSchema, report));
-    response.confirmationAgeMs = Math.ceil(this._leader.getConfirmationAgeMs(now));
+    const ageMs = this._leader.getConfirmationAgeMs(now);
+    // A later confirmation than `now` is possible where the leader is the only voter.
+    response.confirmationAgeMs = clampToUint32(Math.ceil(ageMs));
   }
 
   /** Records streams, and tells how long their first events must wait beyond the commit. */
