--- a/src/fleet/FleetHub.test.ts
+++ b/src/fleet/FleetHub.test.ts
@@ -1,9 +1,10 @@
 /** Guards against targets that count as ready though they are gone, and the reverse. */
-import { create, type MessageInitShape } from '@bufbuild/protobuf';
+import { create, fromBinary, toBinary, type MessageInitShape } from '@bufbuild/protobuf';
 import { describe, expect, it } from 'vitest';
 import { SILENT_LOG } from '../common/Log.js';
 import {
   ExchangeRequestSchema,
+  ExchangeResponseSchema,
   TargetPhase,
   type ExchangeRequest,
   type TargetRecord,
@@ -51,6 +52,21 @@
     expect(getTarget(hub)?.phase).toBe(TargetPhase.DRAINING);
   });
 
+  // An older process still accepts such an announcement; passed on, it would be chosen for requests by all entries.
+  it.each(['10.1.0.1:99999', '10.1.0.1:0', '300.1.0.1:8000'])(
+    'ignores an announcement from another process with the address %s',
+    (address) => {
+      const hub = createHub();
+      hub.announce(buildTarget(), 0);
+      const announced = [
+        buildTarget({ sequence: 2n, address }),
+        buildTarget({ id: 'i-odd', born: 2_000, address }),
+      ];
+      hub.applyReport(buildReport({ announced }), 10);
+      expect(hub.listTargets()).toMatchObject([{ id: 'i-1', sequence: 1n }]);
+    },
+  );
+
   it('keeps a target gone until it restarts under the same id', () => {
     const hub = createHub();
     hub.announce(buildTarget({ phase: TargetPhase.GONE, sequence: 5n }), 0);
@@ -128,6 +144,28 @@
     expect(hub.countLongStreams('i-1')).toBe(3);
   });
 
+  // An answer that cannot be encoded reaches no process.
+  it('reports work, waits for tokens and waits for permits that fit a message, however large they are', () => {
+    const hub = createHub();
+    const work = [{ id: 'i-1', open: 2, pendingTokens: 2 ** 32 - 1, longStreams: 1 }];
+    for (const node of ['n1', 'n2', 'n3']) {
+      hub.applyReport(buildReport({ node, work }), 0);
+    }
+    hub.announce(buildTarget({ rateLimit: 0 }), 0);
+    hub.setLimits(new Map([['pag', 1]]), 0);
+    const quotas = [{ clientAccount: 'pag', held: 0, wanted: 1e300, spent: 0, total: 0 }];
+    const run = { node: 'n1', incarnation: 'a', reportSequence: 1n };
+    const response = create(ExchangeResponseSchema, {
+      work: hub.sumWorkOfOthers('n1'),
+      grants: hub.grantLeases({ ...run, quotas }, 0),
+      permits: hub.grantPermits('n1', [{ target: 'i-1', requests: 2 ** 32 - 1 }], 0),
+    });
+    expect(fromBinary(ExchangeResponseSchema, toBinary(ExchangeResponseSchema, response))).toEqual(
+      response,
+    );
+    expect(response.work[0]?.pendingTokens).toBe(2 ** 32 - 1);
+  });
+
   it('no longer counts the work of a process that has stopped reporting', () => {
     const hub = createHub();
     const work = [{ id: 'i-1', open: 2, pendingTokens: 100, longStreams: 1 }];
--- a/src/fleet/FleetNode.test.ts
+++ b/src/fleet/FleetNode.test.ts
@@ -115,6 +115,17 @@
   }
 }
 
+/** The log of a leader that is the only voter, and so confirmed at any time, in a process that is slow. */
+class SlowLog extends InMemoryLog {
+  public override getConfirmedAt(): number {
+    const end = CLOCK.now() + 3;
+    while (CLOCK.now() < end) {
+      // The process does nothing else meanwhile.
+    }
+    return super.getConfirmedAt();
+  }
+}
+
 /** Serves the calls of a build that knows no software versions. */
 function registerOldRpc(router: ConnectRouter, node: FleetNode): void {
   router.service(FleetService, {
@@ -268,6 +279,23 @@
     expect(Math.abs(entryLearnedAt - learnedAt)).toBeLessThan(100);
   });
 
+  // From then on no answer of the leader could be encoded, so that no process followed it.
+  it('goes on answering 50 days after weights were named', async () => {
+    const leader = fleet.start('leader', ['leader'], true);
+    leader.view.weights.record('m', 2, CLOCK.now() - 50 * 24 * 3_600_000);
+    const body = { case: 'nameWeights', value: { model: 'm', version: 2n } } as const;
+    await leader.node.submit(create(FleetCommandSchema, { body }), fleet.stop.signal);
+    const entry = fleet.start('entry', ['leader']);
+    await waitUntil('the entry knows of it', () => entry.view.weights.getNewest('m') === 2);
+  });
+
+  // The confirmation was later than the arrival of the exchange, and no answer with a negative age could be encoded.
+  it('answers an exchange that it takes some milliseconds to answer', async () => {
+    fleet.start('leader', ['leader'], true, (state) => new SlowLog(state, CLOCK, 'leader'));
+    const entry = fleet.start('entry', ['leader']);
+    await waitUntil('the entry has an answer of the hub', () => entry.view.epoch !== '');
+  });
+
   it('quarantines a part at all processes that crashed targets of two of them', async () => {
     const leader = fleet.start('leader', ['leader'], true);
     const first = fleet.start('entry-1', ['leader']);
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -6,6 +6,7 @@
 import { describeError, type ILog } from '../common/Log.js';
 import type { RpcClients } from '../common/Rpc.js';
 import { addJitter, isAborted, runWithTimeout, sleep } from '../common/Tasks.js';
+import { clampToUint32 } from '../common/Uint32.js';
 import type { IConsensusStatus, IReplicatedLog } from '../consensus/Types.js';
 import {
   ExchangeRequestSchema,
@@ -486,7 +487,7 @@
     response.weights = state.weights.map(({ model, version }) => {
       const learnedAt = this._view.weights.getNewestLearnedAt(model) ?? now;
       const isKnown = this._view.weights.getNewest(model) === Number(version);
-      const ageMs = isKnown ? Math.round(now - learnedAt) : 0;
+      const ageMs = clampToUint32(isKnown ? now - learnedAt : 0);
       return create(NamedWeightsSchema, { model, version, ageMs });
     });
     this._origins.addReports(response, request, { hub, state }, now);
@@ -615,7 +616,7 @@
       documentVersion: BigInt(this._view.documentVersion),
       announced: announced.map((record) => ({
         ...record,
-        ageMs: Math.round(now - (this._pendingSince.get(record.id) ?? now)),
+        ageMs: clampToUint32(now - (this._pendingSince.get(record.id) ?? now)),
       })),
       work: [...this._workSource.listWork()],
       quotas: quotas.lines.map((line) => create(QuotaReportSchema, line)),
@@ -636,10 +637,10 @@
 
   private _exchangeLocally(now: number): void {
     const quotas = this._leases.beginReport(this._listLimitedAccounts(), now);
-    const request = this._buildRequest(now, quotas);
     const waiters = this._exchangeWaiters;
     this._exchangeWaiters = [];
     try {
+      const request = this._buildRequest(now, quotas);
       this._applyResponse(this.handleExchange(request, now), request, waiters, now, now);
     } finally {
       quotas.end();
@@ -716,8 +717,8 @@
     this._exchangeWaiters = [];
     const sentAt = this._clock.now();
     const quotas = this._leases.beginReport(this._listLimitedAccounts(), sentAt);
-    const request = this._buildRequest(sentAt, quotas);
     try {
+      const request = this._buildRequest(sentAt, quotas);
       const answer = await runWithTimeout(signal, EXCHANGE_TIMEOUT_MS, (limited) =>
         this._rpc.get(FleetService, address).exchange(request, { signal: limited }),
       );
