Pass on a target's removal that arrives during an exchange

Other entries sent requests to a target for seconds after one entry had acknowledged that it is gone. The removal has the sequence of the last heartbeat. If the exchange with that heartbeat was on its way when the removal arrived, its answer counted for the removal as well: the removal left the queue, the exchange that the acknowledgement waits for did not contain it, and the hub learned nothing until the target was silent.

The queue of announcements is a class of its own now, which drops a queued announcement only if it is not later than the one that was sent.

Ruled out by reading: an answer for which the wait began too late (the waits are taken over before the request is built), a full list that a process misses at a change of the hub (the epoch contains the term), and a lost answer (the next request names the old revision).

src/fleet/AcknowledgedAnnouncements.test.ts failed before: "expected 1 to be 3" (the hub's phase is ready, not gone). It passes, as does src/fleet/FleetNode.test.ts (15 tests together).

--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -46,6 +46,7 @@
 import type { FleetView } from './FleetView.js';
 import { LeaseReporter, type IQuotaReportInFlight } from './LeaseReporter.js';
 import { OriginCalls, type ILeading } from './OriginCalls.js';
+import { PendingAnnouncements } from './PendingAnnouncements.js';
 import type { QuotaWallet } from './QuotaWallet.js';
 import { needsPropagation } from './TargetOrder.js';
 import type { RouteTable } from './RouteTable.js';
@@ -175,10 +176,8 @@
   private _hub: { readonly hub: FleetHub; readonly term: number } | undefined;
   private _leader: string | undefined;
   private _members: readonly string[] = [];
-  /** Announcements that no hub has acknowledged yet, by target; sent with the next exchange. */
-  private readonly _pendingAnnouncements = new Map<string, TargetRecord>();
-  /** Arrival time of each pending announcement that a target sent to this process. */
-  private readonly _pendingSince = new Map<string, number>();
+  /** Announcements that no hub has acknowledged yet; sent with the next exchange. */
+  private readonly _pendingAnnouncements = new PendingAnnouncements();
   /** Aborted to start the next exchange without waiting for the interval. */
   private _exchangeRequested = new AbortController();
   /** Called when the next exchange has ended. */
@@ -301,8 +300,7 @@
   public announce(record: TargetRecord, now: number): void {
     const existing = this._view.getTarget(record.id);
     this._view.applyAnnouncement(record);
-    this._pendingAnnouncements.set(record.id, record);
-    this._pendingSince.set(record.id, now);
+    this._pendingAnnouncements.add(record, now);
     if (existing === undefined || needsPropagation(record, existing)) {
       this._exchangeRequested.abort();
     }
@@ -602,21 +600,17 @@
   }
 
   private _buildRequest(now: number, quotas: IQuotaReportInFlight): ExchangeRequest {
-    const hasExchanged = this._view.epoch !== '';
+    if (this._view.epoch === '') {
+      this._pendingAnnouncements.repeat(this._view.listRecords());
+    }
     const { crashes, clearedParts } = this._quarantine.listUnreported();
     const { observations, demands } = this._rateLimits.listReports(now);
-    const announced = hasExchanged
-      ? [...this._pendingAnnouncements.values()]
-      : this._view.listRecords();
     return create(ExchangeRequestSchema, {
       node: this._options.address,
       epoch: this._view.epoch,
       revision: BigInt(this._view.revision),
       documentVersion: BigInt(this._view.documentVersion),
-      announced: announced.map((record) => ({
-        ...record,
-        ageMs: Math.round(now - (this._pendingSince.get(record.id) ?? now)),
-      })),
+      announced: [...this._pendingAnnouncements.list(now)],
       work: [...this._workSource.listWork()],
       quotas: quotas.lines.map((line) => create(QuotaReportSchema, line)),
       reportSequence: quotas.sequence,
@@ -750,21 +744,10 @@
     this._view.versions.apply(answer, sentAt);
     this._readingRevision = answer.readingRevision;
     this._workSource.applyReadings(answer.readings, now);
-    for (const record of request.announced) {
-      const pending = this._pendingAnnouncements.get(record.id);
-      if (pending?.sequence === record.sequence && pending.born === record.born) {
-        this._pendingAnnouncements.delete(record.id);
-        this._pendingSince.delete(record.id);
-      }
-    }
+    this._pendingAnnouncements.removeReported(request.announced);
     if (isNewEpoch) {
       // A new hub starts without the earlier announcements, so all known ones are sent again.
-      for (const record of this._view.listRecords()) {
-        this._pendingAnnouncements.set(
-          record.id,
-          this._pendingAnnouncements.get(record.id) ?? record,
-        );
-      }
+      this._pendingAnnouncements.repeat(this._view.listRecords());
     }
     this._applySuspects(answer, request, isNewEpoch, now);
     this._rateLimits.removeReported({ observations: request.rateLimits });
