Keep a queued announcement when an earlier one arrives late

Other entries sent requests to a target after one entry had acknowledged that it leaves or is gone. A heartbeat that arrives late replaced the later announcement in the queue for the hub, though the entry's own copy kept the later one. The exchange that the acknowledgement waits for then told the hub nothing new.

The queue keeps the later announcement, by the order that the view uses.

src/fleet/AcknowledgedAnnouncements.test.ts failed before for both phases: "expected 1 to be 2" and "expected 1 to be 3" (the hub's phase is ready, not draining or gone). It passes (3 tests).

--- a/src/fleet/AcknowledgedAnnouncements.test.ts
+++ b/src/fleet/AcknowledgedAnnouncements.test.ts
@@ -112,4 +112,17 @@
     expect(isConfirmed).toBe(true);
     expect(fleet.phase).toBe(TargetPhase.GONE);
   });
+
+  // The delayed heartbeat took the place of the later announcement, which so was never sent to the hub.
+  it.each([TargetPhase.DRAINING, TargetPhase.GONE])(
+    'reaches the hub if a delayed heartbeat arrives after it (phase %i)',
+    async (phase) => {
+      const isConfirmed = await fleet.announceDuringExchange((entry) => {
+        entry.announce(buildTarget({ sequence: 10n, phase }), CLOCK.now());
+        entry.announce(buildTarget({ sequence: 9n }), CLOCK.now());
+      });
+      expect(isConfirmed).toBe(true);
+      expect(fleet.phase).toBe(phase);
+    },
+  );
 });
--- a/src/fleet/PendingAnnouncements.ts
+++ b/src/fleet/PendingAnnouncements.ts
@@ -12,8 +12,12 @@
 export class PendingAnnouncements {
   private readonly _pending = new Map<string, IPendingAnnouncement>();
 
-  /** Queues an announcement that a target sent to this process. */
+  /** Queues an announcement that a target sent to this process; ignored if a later one of the target is queued. */
   public add(record: TargetRecord, now: number): void {
+    const pending = this._pending.get(record.id)?.record;
+    if (pending !== undefined && isLater(pending, record)) {
+      return;
+    }
     this._pending.set(record.id, { record, arrivedAt: now });
   }
 
