Believe a target that leaves also where it refuses as another one would

A process that had been told that a target leaves could send it a further request. A target refuses with 421 also if it holds other weights than the request expects, and what such an answer said of the target was ignored as a whole, as it may come from another target at the address.

The leaving in such an answer is recorded now. If it does come from another target, the one at which the request was directed has ended, so that leaving it out is right as well. A limit or a pause in such an answer is still ignored, as they would outlast a wrong attribution.

Ruled out by reading: a request that waits for a permit or a pause (it chooses its target anew), a second attempt beside a silent one (it is chosen by the same code), and a state that is dropped while an attempt still holds it (it stays while attempts are open).

src/gateway/CallRunner.test.ts "is believed in 'a refusal as another target'" failed before: one request was sent to the target. All 76 tests of the file pass.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -371,11 +371,14 @@
 
   /** A refusal or a failure may come from something in front of the target, so it does not tell of a limit's end. */
   private _handleNotice(head: ITargetHead): void {
+    const { isLeaving, pauseMs } = head;
     if (head.isOtherTarget) {
+      // The target itself refuses like this if it holds other weights; if it is another one, the target has ended.
+      const unknown = { rateLimit: { kind: 'unreadable' }, pauseMs: undefined } as const;
+      this._options.onNotice({ ...unknown, isLeaving }, this._sentAt);
       return;
     }
     const isSuccess = head.status < MIN_ERROR_STATUS;
-    const { isLeaving, pauseMs } = head;
     const rateLimit: RateLimitNotice =
       head.rateLimit.kind === 'unlimited' && !isSuccess ? { kind: 'unreadable' } : head.rateLimit;
     this._options.onNotice({ rateLimit, isLeaving, pauseMs }, this._sentAt);
--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -455,6 +455,11 @@
       { name: 'a success', head: { ...OK_HEAD, isLeaving: true } },
       { name: 'a refusal', head: { ...BUSY_HEAD, isLeaving: true } },
       { name: 'a refusal that names a time', head: { ...BUSY_HEAD, pauseMs: 60_000 } },
+      // A target that has just changed its weights refuses as another one would, and got the next request as well.
+      {
+        name: 'a refusal as another target',
+        head: { ...BUSY_HEAD, status: 421, isOtherTarget: true, isLeaving: true },
+      },
     ])('is believed in $name', async ({ head }) => {
       const states = new TargetStates();
       const answer: TargetScript = (listener) => {
