Send requests again to plain targets that were out of use

A plain target whose limit or pause had ended got no requests for as long as the others did not run short of slots. The time assumed for a request is the same for all plain services. Targets in use are corrected by what was measured, down to 0.7 of the assumed time; the correction of a target out of use decayed to 1. So it stayed dearer than all others, and a target that gets no requests brings no measurement that would change this.

Without samples the correction now decays to what is usual among the targets of the service. Engines keep 1, as their times come from their data sheet.

src/gateway/ReturningTargets.test.ts failed before at service times of 20 and 40 ms: a share of 0, where a fifth is due and a tenth is asked for. At 120 ms it passed before as well. It passes, as do Placement.test.ts and TargetStates.test.ts (26 tests together), and CallRunner, SilentTargets, TargetLimits, Overload, AttemptRace and Silence (128 tests).

--- a/src/gateway/TargetStates.ts
+++ b/src/gateway/TargetStates.ts
@@ -31,9 +31,17 @@
 const MIN_SLOWNESS = 0.7;
 const MAX_SLOWNESS = 4;
 
-/** Without new samples the slowness of a target decays towards 1 with this time constant. */
+/** Without new samples the slowness of a target decays towards the usual one with this time constant. */
 const SLOWNESS_TIME_CONSTANT_MS = 4_000;
 
+/**
+ * Slowness that is usual among the targets of a plain service. The time assumed for its requests is the same for all
+ * services; without this, a target without samples seems slower or faster than the others by what is assumed wrongly.
+ */
+interface IUsualSlowness {
+  value: number;
+}
+
 /** State of one incarnation of a target; a restart begins a new one. */
 export interface ITargetState {
   readonly born: number;
@@ -53,6 +61,8 @@
   /** Moving average of the ratio of actual to expected time to the first byte. */
   slowness: number;
   slownessUpdatedAt: number;
+  /** Undefined for an engine, whose expected times come from its data sheet. */
+  readonly usualSlowness: IUsualSlowness | undefined;
   /** Consecutive failures. */
   failures: number;
   cooldownUntil: number;
@@ -70,6 +80,8 @@
 /** Holds the state of each target by its id. */
 export class TargetStates {
   private readonly _states = new Map<string, ITargetState>();
+  /** By service. */
+  private readonly _usualSlowness = new Map<string, IUsualSlowness>();
 
   /** Returns the state of the target's current incarnation, and creates it if there is none. */
   public ensure(target: TargetRecord, now: number): ITargetState {
@@ -87,6 +99,8 @@
         suspects: 0,
         slowness: 1,
         slownessUpdatedAt: Number.NEGATIVE_INFINITY,
+        usualSlowness:
+          target.models.length > 0 ? undefined : this._ensureUsualSlowness(target.service),
         failures: 0,
         cooldownUntil: 0,
         pausedUntil: Number.NEGATIVE_INFINITY,
@@ -122,6 +136,12 @@
       this._states.delete(id);
     }
   }
+
+  private _ensureUsualSlowness(service: string): IUsualSlowness {
+    const usual = this._usualSlowness.get(service) ?? { value: 1 };
+    this._usualSlowness.set(service, usual);
+    return usual;
+  }
 }
 
 /** Resets the failure count and ends a cooldown. */
@@ -187,10 +207,9 @@
 
 /** Ratio of actual to expected time to the first byte, decayed to the given time; 1 is as expected. */
 export function getSlowness(state: ITargetState, now: number): number {
-  return (
-    1 +
-    (state.slowness - 1) * Math.exp(-(now - state.slownessUpdatedAt) / SLOWNESS_TIME_CONSTANT_MS)
-  );
+  const usual = state.usualSlowness?.value ?? 1;
+  const elapsedMs = now - state.slownessUpdatedAt;
+  return usual + (state.slowness - usual) * Math.exp(-elapsedMs / SLOWNESS_TIME_CONSTANT_MS);
 }
 
 /** Updates the slowness with the time to the first byte of one response. */
@@ -204,6 +223,10 @@
   const previous = getSlowness(state, now);
   state.slowness = previous + SLOWNESS_SMOOTHING_FACTOR * (ratio - previous);
   state.slownessUpdatedAt = now;
+  const { usualSlowness } = state;
+  if (usualSlowness !== undefined) {
+    usualSlowness.value += SLOWNESS_SMOOTHING_FACTOR * (ratio - usualSlowness.value);
+  }
 }
 
 export function recordLoad(state: ITargetState, load: IReportedLoad, now: number): void {
