Bound timers to what Node can wait

Node fires a timer over 2^31 - 1 ms at once. A request whose route and client both allow more than 24 days was therefore answered with 504 as soon as it was sent, although its target may have run it, and a look-up of a stream's origin with such a limit ended before its answer.

All timers of Tasks.ts and those of an attempt wait 2^31 - 1 ms at most. A request still ends after these 24.8 days.

Ruled out: refusing such a configuration, as the users' rules take it as valid.

Before the fix, the new tests failed: status 504 instead of 200 (with Node's TimeoutOverflowWarning), and 'expected true to be false' for a wait that was over at once.

--- a/src/common/Tasks.test.ts
+++ b/src/common/Tasks.test.ts
@@ -2,7 +2,13 @@
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
 import { describe, expect, it } from 'vitest';
-import { deriveTimeoutSignal, runPeriodically, runWithTimeout, sleep } from './Tasks.js';
+import {
+  createTimeoutSignal,
+  deriveTimeoutSignal,
+  runPeriodically,
+  runWithTimeout,
+  sleep,
+} from './Tasks.js';
 
 const SLEEP_MS = 10_000;
 
@@ -17,6 +23,20 @@
   });
 });
 
+// Guards against a wait that ends at once because Node's timers fire a time over 2^31 ms immediately.
+describe('a time longer than timers can wait', () => {
+  it('is not over at once', async () => {
+    const { signal } = new AbortController();
+    const limited = [createTimeoutSignal(3e9), deriveTimeoutSignal(signal, 3e9)];
+    const isOver = await runWithTimeout(signal, 3e9, async (inner) => {
+      await Promise.race([sleep(3e9, inner), new Promise((resolve) => setTimeout(resolve, 20))]);
+      return inner.aborted;
+    });
+    expect(isOver).toBe(false);
+    expect(limited.map(({ aborted }) => aborted)).toEqual([false, false]);
+  });
+});
+
 describe('runPeriodically', () => {
   it('continues after a failed step, so that one lost call does not end a task', async () => {
     const controller = new AbortController();
--- a/src/common/Tasks.ts
+++ b/src/common/Tasks.ts
@@ -1,5 +1,18 @@
 /** Timers, timeouts and periodic steps for tasks that run until a signal is aborted. */
 
+/** Longest time that a timer of Node can wait, in milliseconds; it fires a longer one at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
+/**
+ * Limits a time in milliseconds to what a timer can wait, some 24 days.
+ *
+ * @example
+ * const timer = setTimeout(expire, limitTimerMs(deadlineAt - now));
+ */
+export function limitTimerMs(ms: number): number {
+  return Math.min(MAX_TIMER_MS, ms);
+}
+
 /**
  * Waits `ms` milliseconds, or until one of the signals is aborted, whichever comes first. Resolves in
  * both cases.
@@ -19,7 +32,7 @@
       }
       resolve();
     };
-    const timer = setTimeout(finish, ms);
+    const timer = setTimeout(finish, limitTimerMs(ms));
     for (const signal of signals) {
       signal.addEventListener('abort', finish, { once: true });
     }
@@ -38,7 +51,7 @@
 
 /** Creates a signal that is aborted after `ms` milliseconds, rounded up: Node requires an integer. */
 export function createTimeoutSignal(ms: number): AbortSignal {
-  return AbortSignal.timeout(Math.max(0, Math.ceil(ms)));
+  return AbortSignal.timeout(Math.max(0, Math.ceil(limitTimerMs(ms))));
 }
 
 /**
@@ -53,7 +66,7 @@
     parent.removeEventListener('abort', abort);
     controller.abort();
   };
-  const timer = setTimeout(abort, ms).unref();
+  const timer = setTimeout(abort, limitTimerMs(ms)).unref();
   parent.addEventListener('abort', abort, { once: true });
   if (parent.aborted) {
     abort();
@@ -79,7 +92,7 @@
   const abort = (): void => {
     controller.abort();
   };
-  const timer = setTimeout(abort, ms);
+  const timer = setTimeout(abort, limitTimerMs(ms));
   parent.addEventListener('abort', abort, { once: true });
   if (parent.aborted) {
     abort();
--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -1,6 +1,7 @@
 /** Sends a request to one target and relays the response to the client. */
 import type { IClock } from '../common/Clock.js';
 import type { Metrics } from '../common/Metrics.js';
+import { limitTimerMs } from '../common/Tasks.js';
 import { isMechanismDisabled } from '../common/TestSwitches.js';
 import type { IRoute } from '../fleet/Types.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
@@ -232,7 +233,7 @@
       () => {
         this._end({ kind: 'ended', reason: 'time limit' });
       },
-      Math.max(0, remainingMs),
+      Math.max(0, limitTimerMs(remainingMs)),
     );
     const beginTimer = this._startBeginTimer();
     this._sentAt = clock.now();
@@ -306,7 +307,7 @@
       if (!this.hasFirstByte) {
         this._end({ kind: 'failed', reason: 'the weights expired before the first byte' });
       }
-    }, remainingMs);
+    }, limitTimerMs(remainingMs));
   }
 
   /** Ends the attempt and aborts the exchange with the target. */
--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -581,6 +581,20 @@
     expect(targets.aborted).toBe(1);
   });
 
+  // Guards against a request that ends at once because Node's timers fire a time over 2^31 ms immediately.
+  it('runs a request whose client and route both allow over 24 days', async () => {
+    const answerLater: TargetScript = (...args) => {
+      setTimeout(() => {
+        answerOk(...args);
+      }, 20);
+    };
+    const { sink } = await runCall([answerLater], {
+      route: { timeoutMs: 3e9 },
+      call: { deadlineMs: 3e9 },
+    });
+    expect(sink).toMatchObject({ status: 200, ending: 'end' });
+  });
+
   it('limits the deadline of a dispatch to the remaining time', async () => {
     const { targets } = await runCall([answerOk], { route: { timeoutMs: 200 } });
     expect(targets.sent[0]?.dispatch.deadlineMs).toBeLessThanOrEqual(200);
