Do not go on with a stream after an event without an id

A resumable stream that broke after events without ids went on at the next target from the last id, or from its beginning if there was none, and the client got the events after it twice. The request path now records whether the last event relayed has an id; if not, the stream is cut, and no second target is tried. Comments and blank lines are no events.

Ruled out: counting events, as the protocol resumes by id only.

Before the fix, the three new cases of 'cuts a broken stream' failed: two targets got the request instead of one. The case with a comment after an id passed before and after.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -5,7 +5,7 @@
 import { isMechanismDisabled } from '../common/TestSwitches.js';
 import type { IRoute } from '../fleet/Types.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
-import { EventFramer, MAX_EVENT_BYTES } from './EventFramer.js';
+import { hasUnnumberedEnd, EventFramer, MAX_EVENT_BYTES } from './EventFramer.js';
 import { isSilent } from './Silence.js';
 import {
   recordActivity,
@@ -56,6 +56,8 @@
   status: number | undefined;
   /** Id of the last event relayed to the client. */
   lastEventId: number | undefined;
+  /** True if the last event relayed has no id, so that the stream cannot go on after it. */
+  isUnnumbered: boolean;
 }
 
 /** Events of a stream whose version is not recorded yet. */
@@ -406,7 +408,7 @@
     }
   }
 
-  private _relayOrHold(bytes: Uint8Array, lastId: number | undefined): void {
+  private _relayOrHold(bytes: Buffer, lastId: number | undefined): void {
     if (this._held !== undefined) {
       this._held.chunks.push(bytes);
       this._held.lastId = lastId ?? this._held.lastId;
@@ -418,6 +420,8 @@
     TEST_ONLY: if (isMechanismDisabled('event-number')) return;
     const { position } = this._options;
     position.lastEventId = lastId ?? position.lastEventId;
+    position.isUnnumbered =
+      hasUnnumberedEnd(bytes) || (position.isUnnumbered && lastId === undefined);
   }
 
   /** Relays what was held once the version of the stream is recorded. */
--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -99,6 +99,38 @@
     expect(sink).toMatchObject({ body: streamEvents(1, 5).toString(), ending: 'end' });
   });
 
+  // Guards against events that come twice: without an id nothing tells the next target where to go on.
+  it.each([
+    ['no event has an id', 'data: a\n\ndata: b\n\n'],
+    ['the last event has no id', 'id: 1\ndata: a\n\ndata: b\n\n'],
+    [
+      'an event without id and a comment follow the last id',
+      'id: 1\ndata: a\n\ndata: b\n\n: c\n\n',
+    ],
+  ])('cuts a broken stream if %s', async (_case, events) => {
+    const failMidway: TargetScript = (listener) => {
+      listener.onHead(OK_HEAD);
+      listener.onData(Buffer.from(events));
+      listener.onError('reset', true);
+    };
+    const { sink, targets } = await runCall([failMidway, answerOk]);
+    expect(targets.sent).toHaveLength(1);
+    expect(sink).toMatchObject({ body: events, ending: 'cut' });
+  });
+
+  it('resumes a broken stream after an event with an id and a comment', async () => {
+    const failMidway: TargetScript = (listener) => {
+      listener.onHead(OK_HEAD);
+      listener.onData(Buffer.from('data: 0\n\n'));
+      listener.onData(streamEvents(1, 2));
+      listener.onData(Buffer.from(': ping\n\n'));
+      listener.onError('reset', true);
+    };
+    const { sink, targets } = await runCall([failMidway, answerOk]);
+    expect(targets.sent[1]?.dispatch.resumeAfter).toBe(2);
+    expect(sink.ending).toBe('end');
+  });
+
   it('aborts a broken stream if the route is not resumable', async () => {
     const failMidway: TargetScript = (listener) => {
       listener.onHead(OK_HEAD);
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -91,6 +91,7 @@
       unreachable: 0,
       status: undefined,
       lastEventId: call.resumeAfter,
+      isUnnumbered: false,
       mayHaveRun: false,
       mayRepeat: true,
       binding: createStreamBinding(this._context, call, admitted.route, admitted.service),
@@ -449,7 +450,8 @@
   ): boolean {
     // Only an event stream can be resumed. Parts of other responses, also of errors, must never be concatenated.
     const canContinue =
-      !sink.isStarted || (route.kind === 'streaming' && progress.status === STREAM_STATUS);
+      !sink.isStarted ||
+      (route.kind === 'streaming' && progress.status === STREAM_STATUS && !progress.isUnnumbered);
     const hasTime = !call.signal.aborted && deadlineAt - now >= MIN_ATTEMPT_MS;
     return canContinue && hasTime && progress.attempts < route.maxAttempts;
   }
--- a/src/gateway/CallTypes.ts
+++ b/src/gateway/CallTypes.ts
@@ -54,6 +54,8 @@
   status: number | undefined;
   /** Id of the last event relayed to the client. */
   lastEventId: number | undefined;
+  /** True if the last event relayed has no id, so that the stream cannot go on after it. */
+  isUnnumbered: boolean;
   /** True once a target may have run the request. */
   mayHaveRun: boolean;
   /** False once the request has probably crashed a target. */
--- a/src/gateway/EventFramer.ts
+++ b/src/gateway/EventFramer.ts
@@ -98,6 +98,21 @@
   return 0;
 }
 
+/** True if the last of these complete events has no numeric id, so that a stream cannot be resumed after it. */
+export function hasUnnumberedEnd(events: Buffer): boolean {
+  const text = events.toString('latin1');
+  let idAt = -1;
+  for (const match of text.matchAll(ID_FIELD)) {
+    idAt = match.index;
+  }
+  if (idAt < 0) {
+    return !NO_EVENT.test(text);
+  }
+  const rest = text.slice(idAt + 1);
+  const end = /\n\r?\n/.exec(rest);
+  return end !== null && !NO_EVENT.test(rest.slice(end.index + end[0].length));
+}
+
 function findLastId(bytes: Buffer): number | undefined {
   let last: number | undefined;
   for (const match of bytes.toString('latin1').matchAll(ID_FIELD)) {
