Take a log directory that cannot be read for no missing log

A member whose log directory could not be read (no file handle left, an error of the disk) took its log as missing and told the operator to start it with an empty data directory. That gives up a disk with acknowledged entries.

Ruled out: a vote under an old identity by this, as the state of the member is a file of its own.

Before the fix, the new test failed: 'promise resolved "false" instead of rejecting'.

--- a/src/storage/RecordLog.test.ts
+++ b/src/storage/RecordLog.test.ts
@@ -89,6 +89,14 @@
 }
 
 describe('RecordLog', () => {
+  // Guards against a log that counts as missing, so that the operator is told to empty the disk, as its directory cannot be read.
+  it('is not taken as missing if its directory cannot be read', async () => {
+    const path = join(directory, 'log');
+    await expect(RecordLog.isPresent(path)).resolves.toBe(false);
+    await writeFile(path, '');
+    await expect(RecordLog.isPresent(path)).rejects.toThrow('ENOTDIR');
+  });
+
   it('returns the appended records in order after a restart, across segments', async () => {
     await writeBatches([['a', 'b'], ['c'.repeat(200)], ['d']]);
     expect(await readAll()).toEqual(['a', 'b', 'c'.repeat(200), 'd']);
--- a/src/storage/RecordLog.ts
+++ b/src/storage/RecordLog.ts
@@ -9,7 +9,7 @@
 import { randomBytes } from 'node:crypto';
 import { mkdir, open, readdir, readFile, unlink, type FileHandle } from 'node:fs/promises';
 import { join } from 'node:path';
-import { replaceFile, syncDirectory, TEMPORARY_SUFFIX } from './Files.js';
+import { isMissingFileError, replaceFile, syncDirectory, TEMPORARY_SUFFIX } from './Files.js';
 import {
   decodeSegmentHeader,
   encodeRecordHeader,
@@ -88,9 +88,17 @@
     private readonly _segments: ISegment[],
   ) {}
 
-  /** True if a log was ever created in the directory. */
+  /** True if a log was ever created in the directory. Rejects if the directory exists and cannot be read. */
   public static async isPresent(directory: string): Promise<boolean> {
-    const names = await readdir(directory).catch(() => []);
+    let names: string[];
+    try {
+      names = await readdir(directory);
+    } catch (error) {
+      if (isMissingFileError(error)) {
+        return false;
+      }
+      throw error;
+    }
     return names.some((name) => name === SYNC_MARK_FILE || name.endsWith(SEGMENT_SUFFIX));
   }
 
