Count a request of a split route for the service that gets it

The retry budget counted each request for the first service of its route, and a retry for the service that was picked. On a split route the first service could thus get more retries than its own requests allow, and another one hardly any. The request is now counted for the service that was picked.

Ruled out: counting it for each service of the route. All of them together could then get more retries than the requests allow.

Before the fix, the new test failed: a retry at the service with no request was allowed ('expected true to be false').

--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -4,6 +4,7 @@
  */
 import { describe, expect, it } from 'vitest';
 import { buildTarget } from '../fleet/Fixtures.js';
+import { SharedRetryBudget } from '../fleet/SharedRetryBudget.js';
 import type { IRoute } from '../fleet/Types.js';
 import { CrashQuarantine } from './CrashQuarantine.js';
 import {
@@ -83,6 +84,19 @@
     expect(targets.sent).toHaveLength(2);
   });
 
+  // Guards against more retries at a service than its own requests allow, as a split route counted all for its first one.
+  it('counts a request of a split route for the service that gets it', async () => {
+    const budget = new SharedRetryBudget({ ratio: 1.5, slack: 0, windowMs: 10_000 });
+    const shares = [
+      { service: 'orders', weight: 0 },
+      { service: 'lace', weight: 1 },
+    ];
+    await runCall([answerOk], { budget, route: { shares } });
+    const now = performance.now();
+    expect(budget.trySpend('orders', 1, now)).toBe(false);
+    expect(budget.trySpend('lace', 1, now)).toBe(true);
+  });
+
   it('resumes a broken stream at another target after the last complete event', async () => {
     const failMidway: TargetScript = (listener) => {
       listener.onHead(OK_HEAD);
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -84,7 +84,7 @@
     if (admitted === undefined) {
       return;
     }
-    this._context.budget.recordRequest(getFirstServiceName(admitted.route), call.arrivedAt);
+    this._context.budget.recordRequest(admitted.service.name, call.arrivedAt);
     const progress: ICallProgress = {
       tried: new Set(),
       attempts: 0,
--- a/src/gateway/Fixtures.ts
+++ b/src/gateway/Fixtures.ts
@@ -172,6 +172,8 @@
   readonly sink?: RecordingSink;
   /** Repetitions that the retry budget allows beyond its ratio; the default is 60. */
   readonly retrySlack?: number;
+  /** Retry budget of several calls; the default is one of this call only. */
+  readonly budget?: SharedRetryBudget;
   readonly queued?: { readonly target: string; readonly pendingTokens: number };
 }
 
@@ -281,11 +283,9 @@
     view,
     node: { requestLeases: () => Promise.resolve(), requestExchange: () => undefined },
     wallet: new QuotaWallet(8_000),
-    budget: new SharedRetryBudget({
-      ratio: 0.2,
-      slack: setup.retrySlack ?? 60,
-      windowMs: 10_000,
-    }),
+    budget:
+      setup.budget ??
+      new SharedRetryBudget({ ratio: 0.2, slack: setup.retrySlack ?? 60, windowMs: 10_000 }),
     states: setup.states ?? new TargetStates(),
     limits: setup.limits ?? buildLimits(view),
     placement: new Placement('zg-a'),
