Deliver all chunks of an answer that ends while its reader pauses

An answer whose last chunks arrived before its reader was attached, and whose end came while the reader paused, was reported as complete without these chunks: a caller got a truncated answer, or a stream without its last events, that looked whole. The end of a complete body is now reported once the reader has all chunks; a pause holds also for a body that ended before its reader was attached. A body that is destroyed meanwhile still rejects.

Ruled out: the users' path (platform/TargetClient), which does not use this class.

Run: vitest src/common/HttpAnswer.test.ts and src/entry/EdgeStreams.test.ts, 17 passed. Before the fix, two of the three new tests failed: the reader got 'part 0;' of 50 parts, and a destroyed body resolved.

--- a/src/common/HttpAnswer.test.ts
+++ b/src/common/HttpAnswer.test.ts
@@ -4,11 +4,62 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { Agent } from 'undici';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { sendRequest, type IHttpAnswer } from './HttpAnswer.js';
+import { AnswerBody, sendRequest, type IHttpAnswer } from './HttpAnswer.js';
 import { ResetDetector } from './ResetDetector.js';
 
 const CHUNKS = Array.from({ length: 50 }, (_, index) => `part ${index};`);
 
+describe('AnswerBody', () => {
+  function createBody(): AnswerBody {
+    return new AnswerBody({
+      aborted: false,
+      paused: false,
+      reason: null,
+      pause: () => undefined,
+      resume: () => undefined,
+      abort: () => undefined,
+    });
+  }
+
+  // Guards against an answer that is taken as complete without its last chunks.
+  it.each(['before', 'after'])(
+    'delivers all chunks to a reader that is attached %s the end and pauses',
+    async (order) => {
+      const body = createBody();
+      CHUNKS.forEach((chunk) => {
+        body.push(Buffer.from(chunk));
+      });
+      if (order === 'after') {
+        body.finish(undefined);
+      }
+      let text = '';
+      const reading = body.read((chunk) => {
+        text += chunk.toString();
+        body.pause();
+        setImmediate(() => {
+          body.resume();
+        });
+      });
+      body.finish(undefined);
+      await reading;
+      expect(text).toBe(CHUNKS.join(''));
+    },
+  );
+
+  // Guards against a reader that waits forever for the end of an answer that it has given up.
+  it('rejects when it is destroyed while chunks of a complete answer wait', async () => {
+    const body = createBody();
+    body.push(Buffer.from('a'));
+    body.push(Buffer.from('b'));
+    const reading = body.read(() => {
+      body.pause();
+    });
+    body.finish(undefined);
+    body.destroy(new Error('given up'));
+    await expect(reading).rejects.toThrow('given up');
+  });
+});
+
 describe('sendRequest', () => {
   let server: Server;
   let agent: Agent;
--- a/src/common/HttpAnswer.ts
+++ b/src/common/HttpAnswer.ts
@@ -26,6 +26,7 @@
   private _onData: ((chunk: Buffer) => void) | undefined;
   private _onEnd: ((error: Error | undefined) => void) | undefined;
   private _end: { readonly error: Error | undefined } | undefined;
+  private _isEndReported = false;
   private _isPaused = false;
 
   constructor(private readonly _controller: Dispatcher.DispatchController) {}
@@ -47,14 +48,7 @@
           reject(error);
         }
       };
-      if (this._end === undefined) {
-        this.resume();
-        return;
-      }
-      if (this._end.error === undefined) {
-        this._deliverBuffered();
-      }
-      this._onEnd(this._end.error);
+      this.resume();
     });
   }
 
@@ -70,9 +64,10 @@
     while (this._bufferedChunks.length > 0 && this._canDeliver()) {
       this._deliver(this._bufferedChunks.shift());
     }
-    if (this._canDeliver()) {
+    if (this._canDeliver() && this._end === undefined) {
       this._controller.resume();
     }
+    this._reportEnd();
   }
 
   /** Discards the rest of the body and closes its connection; `read` rejects with the error. */
@@ -93,25 +88,27 @@
 
   /** Called by the connection at the end of the body, or with the error that ended it early. */
   public finish(error: Error | undefined): void {
-    if (this._end === undefined) {
+    if (this._end === undefined || (this._end.error === undefined && !this._isEndReported)) {
       this._end = { error };
-      this._onEnd?.(error);
     }
+    this._reportEnd();
   }
 
-  /** Delivers the chunks of an answer that was complete before its reader was attached. */
-  private _deliverBuffered(): void {
-    for (const chunk of this._bufferedChunks.splice(0)) {
-      this._onData?.(chunk);
+  /** Reports the end to the reader, that of a complete body once the reader has all chunks. */
+  private _reportEnd(): void {
+    const isDue = this._end?.error !== undefined || this._bufferedChunks.length === 0;
+    if (this._end !== undefined && this._onEnd !== undefined && isDue && !this._isEndReported) {
+      this._isEndReported = true;
+      this._onEnd(this._end.error);
     }
   }
 
   private _canDeliver(): boolean {
-    return !this._isPaused && this._end === undefined;
+    return !this._isPaused && this._end?.error === undefined;
   }
 
   private _deliver(chunk: Buffer | undefined): void {
-    if (this._end !== undefined || chunk === undefined) {
+    if (this._end?.error !== undefined || chunk === undefined) {
       return;
     }
     try {
