Start a failed task of a process again

A process whose task failed logged that and served on without it: without its exchanges with the leader it kept an old configuration, old targets and old limits until it was stopped, and said that it was ready. A failed task now starts again a second later. The exit code stays 1, as before.

Ruled out: ending the process. That cuts all open requests, and the next process has the same input.

No real input that makes a task fail is known.

--- a/src/common/Tasks.ts
+++ b/src/common/Tasks.ts
@@ -127,6 +127,30 @@
   }
 }
 
+/**
+ * Runs a task that lasts until the signal is aborted. A failure is passed to `report`, and the task starts again after
+ * `delayMs`, so that the process does not go on without it.
+ *
+ * @example
+ * await runRestarting((signal) => node.run(signal), 1_000, stop.signal, logFailure);
+ */
+export async function runRestarting(
+  task: (signal: AbortSignal) => Promise<void>,
+  delayMs: number,
+  signal: AbortSignal,
+  report: (error: unknown) => void,
+): Promise<void> {
+  while (!isAborted(signal)) {
+    try {
+      await task(signal);
+      return;
+    } catch (error) {
+      report(error);
+    }
+    await sleep(delayMs, signal);
+  }
+}
+
 /**
  * True if a task ends, also with a failure, within a time in milliseconds. The task goes on in any case.
  *
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -5,6 +5,7 @@
 import { describeError, type ILog } from '../common/Log.js';
 import { Metrics } from '../common/Metrics.js';
 import { RpcClients } from '../common/Rpc.js';
+import { runRestarting } from '../common/Tasks.js';
 import { FleetNode, type IFleetMember } from '../fleet/FleetNode.js';
 import { FleetView } from '../fleet/FleetView.js';
 import type { IQuotaTerms } from '../fleet/QuotaRule.js';
@@ -31,6 +32,13 @@
 /** Covers the time until a named version reaches the leader, and the cancellation of a request the engine. */
 const WEIGHTS_LIMIT_MARGIN_MS = 600;
 
+const TASK_RESTART_DELAY_MS = 1_000;
+
+/** Work of a process that lasts until the signal is aborted. */
+interface ITask {
+  run(signal: AbortSignal): Promise<void>;
+}
+
 export interface IFleetProcessOptions {
   readonly dataCentre: string;
   /** Address for calls between the processes; also identifies this process. */
@@ -194,29 +202,33 @@
     this._server = this._createServer();
   }
 
-  /** Starts the tasks of this process. A task that fails is logged and makes the exit code 1. */
+  /** Starts the tasks of this process. One that fails is logged, makes the exit code 1 and starts again. */
   public async start(): Promise<void> {
     await this._server.listen();
-    const { signal } = this._stop;
-    const tasks = [
-      this.node.run(signal),
-      this.node.runMembershipNotices(signal),
-      this._spendingRecorder.run(signal),
-      this._versionRecorder.run(signal),
-      this._rollout.run(signal),
+    const tasks: ITask[] = [
+      this.node,
+      { run: (signal) => this.node.runMembershipNotices(signal) },
+      this._spendingRecorder,
+      this._versionRecorder,
+      this._rollout,
     ];
     if (this._memberHost !== undefined) {
-      tasks.push(this._memberHost.run(signal));
+      tasks.push(this._memberHost);
     }
     if (this._options.takesRequests) {
-      tasks.push(this._storeIndex.run(signal));
+      tasks.push(this._storeIndex);
     }
     for (const task of tasks) {
       this._tasks.push(
-        task.catch((error: unknown) => {
-          this._log.error('task failed', { reason: describeError(error) });
-          process.exitCode = 1;
-        }),
+        runRestarting(
+          (signal) => task.run(signal),
+          TASK_RESTART_DELAY_MS,
+          this._stop.signal,
+          (error) => {
+            this._log.error('task failed', { reason: describeError(error) });
+            process.exitCode = 1;
+          },
+        ),
       );
     }
   }
