Log why a process has lost the leader

The line 'leader lost' always said that no leader answered; the error of the exchange was logged at debug level only, which no process writes. The line now names the process that was asked and its error, or that it does not lead.

Ruled out: a line for each failed exchange, which may be ten a second at each process.

--- a/src/fleet/FleetNode.test.ts
+++ b/src/fleet/FleetNode.test.ts
@@ -12,7 +12,7 @@
 import type { DescService } from '@bufbuild/protobuf';
 import { afterEach, describe, expect, it } from 'vitest';
 import { MonotonicClock } from '../common/Clock.js';
-import { SILENT_LOG } from '../common/Log.js';
+import { createLog as createTextLog, SILENT_LOG } from '../common/Log.js';
 import { Ok } from '../common/Result.js';
 import { InMemoryLog } from '../consensus/InMemoryLog.js';
 import { waitUntil } from '../consensus/TestCluster.js';
@@ -59,8 +59,14 @@
   public readonly stop = new AbortController();
   /** Addresses of processes of a build that knows no software versions. */
   public readonly oldBuilds = new Set<string>();
+  public readonly logLines: string[] = [];
   private readonly _nodes = new Map<string, FleetNode>();
 
+  /** Calls to the process are refused from now on. */
+  public refuseCalls(address: string): void {
+    this._nodes.delete(address);
+  }
+
   public get<T extends DescService>(service: T, address: string): Client<T> {
     const node = this._nodes.get(address);
     if (node === undefined) {
@@ -101,7 +107,7 @@
       rateLimits,
       this,
       CLOCK,
-      SILENT_LOG,
+      createTextLog(address, 'info', (line) => this.logLines.push(line)),
       seeds,
     );
     if (isLeader) {
@@ -313,6 +319,19 @@
     );
   });
 
+  // Guards against a process that serves on with old limits, and a log that does not tell why.
+  it('logs why it has lost the leader', async () => {
+    fleet.start('leader', [], true);
+    const { node } = fleet.start('entry', ['leader']);
+    await waitUntil('the leader is found', () => node.leader === 'leader');
+    const findLine = (message: string): string | undefined =>
+      fleet.logLines.find((line) => line.includes(message) && line.includes('entry'));
+    await waitUntil('the leader is reached', () => findLine('leader regained') !== undefined);
+    fleet.refuseCalls('leader');
+    await waitUntil('the leader is lost', () => findLine('leader lost') !== undefined);
+    expect(findLine('leader lost')).toContain('leader: connection refused');
+  });
+
   it('does not confirm an exchange without a leader', async () => {
     const entry = fleet.start('entry', ['nobody']);
     entry.node.announce(buildTarget(), CLOCK.now());
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -184,6 +184,8 @@
   /** Called when the next exchange has ended. */
   private _exchangeWaiters: (() => void)[] = [];
   private _isLeaderReachable = false;
+  /** Why the last exchange brought no answer of the leader, for the log. */
+  private _exchangeFailure = '';
   private readonly _incarnation = randomUUID().slice(0, 8);
   private readonly _leases: LeaseReporter;
   private readonly _origins: OriginCalls;
@@ -652,6 +654,7 @@
       this._exchangeLocally(now);
       return;
     }
+    this._exchangeFailure = 'no leader is known';
     const knownLeader = this._getKnownLeader();
     const isRemote = knownLeader !== undefined && knownLeader !== this._options.address;
     if (isRemote && (await this._exchangeWith(knownLeader, signal))) {
@@ -661,7 +664,7 @@
     if (foundLeader !== undefined && (await this._exchangeWith(foundLeader, signal))) {
       return;
     }
-    this._updateLeaderReachability(false, 'no leader answered');
+    this._updateLeaderReachability(false, this._exchangeFailure);
   }
 
   /** Searches for the leader; undefined if no asked process knows a leader other than this process. */
@@ -728,7 +731,9 @@
         return true;
       }
       this._leader = answer.leaderAddress === '' ? undefined : answer.leaderAddress;
+      this._exchangeFailure = `${address} does not lead`;
     } catch (error) {
+      this._exchangeFailure = `${address}: ${describeError(error)}`;
       this._log.debug('exchange failed', { address, reason: describeError(error) });
       this._leader = this._leader === address ? undefined : this._leader;
     } finally {
