Refuse requests that must wait for tokens after the exchanges have ended

A request that came while its process stopped, after the last exchange of grants, waited for tokens that nothing brings, and got its answer only at its deadline or when the caller left. It is now refused as not run at once, as the requests are that wait when the exchanges end.

Ruled out: the users' path, which does not use this class.

Before the fix, the new test failed: no answer within a second.

--- a/src/admission/Admitter.test.ts
+++ b/src/admission/Admitter.test.ts
@@ -88,4 +88,15 @@
     expect(admitted.err && admitted.val.kind).toBe('rate_limited');
     expect(performance.now() - startedAt).toBeLessThan(400);
   });
+
+  // Guards against a request that gets no answer because it comes while the process stops.
+  it('refuses a request that must wait after the exchanges have ended', async () => {
+    const admitter = createAdmitter(createControl(0, 0));
+    stop.abort();
+    await sleep(50);
+    const { signal } = new AbortController();
+    const ended = sleep(1_000).then(() => undefined);
+    const admitted = await Promise.race([admitter.admit('pag', 100, signal), ended]);
+    expect(admitted?.err && admitted.val.kind).toBe('control_unavailable');
+  });
 });
--- a/src/admission/Admitter.ts
+++ b/src/admission/Admitter.ts
@@ -51,6 +51,8 @@
   private readonly _waiters = new Map<string, IWaiter[]>();
   /** Aborted when a request begins to wait, to end the pause between exchanges. */
   private _pauseInterrupt = new AbortController();
+  /** True once nothing serves requests that wait. */
+  private _hasEnded = false;
 
   constructor(
     private readonly _wallet: GrantWallet,
@@ -67,6 +69,7 @@
       this._serveWaiters();
       await this._pause(signal);
     }
+    this._hasEnded = true;
     this._failWaiters();
   }
 
@@ -83,7 +86,7 @@
         return Ok(reservation);
       }
     }
-    return this._wait(account, tokens, signal);
+    return this._hasEnded ? Err(createUnavailableFailure()) : this._wait(account, tokens, signal);
   }
 
   /** Settles a reservation with the tokens that the request used. */
