--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -1,10 +1,11 @@
 /** Sends a request to one target and relays the response to the client. */
 import type { IClock } from '../common/Clock.js';
 import type { Metrics } from '../common/Metrics.js';
+import { limitTimerMs } from '../common/Tasks.js';
 import { isMechanismDisabled } from '../common/TestSwitches.js';
 import type { IRoute } from '../fleet/Types.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
-import { EventFramer, MAX_EVENT_BYTES } from './EventFramer.js';
+import { hasUnnumberedEnd, EventFramer, MAX_EVENT_BYTES } from './EventFramer.js';
 import { isSilent } from './Silence.js';
 import {
   recordActivity,
@@ -55,6 +56,8 @@
   status: number | undefined;
   /** Id of the last event relayed to the client. */
   lastEventId: number | undefined;
+  /** True if the last event relayed has no id, so that the stream cannot go on after it. */
+  isUnnumbered: boolean;
 }
 
 /** Events of a stream whose version is not recorded yet. */
@@ -255,7 +258,7 @@
         this.release();
         this._end({ kind: 'ended', reason: 'time limit' });
       },
-      Math.max(0, remainingMs),
+      Math.max(0, limitTimerMs(remainingMs)),
     );
     const beginTimer = this._startBeginTimer();
     this._sentAt = clock.now();
@@ -340,7 +343,7 @@
       if (!this.hasFirstByte) {
         this._end({ kind: 'failed', reason: 'the weights expired before the first byte' });
       }
-    }, remainingMs);
+    }, limitTimerMs(remainingMs));
   }
 
   /** Ends the attempt and aborts the exchange with the target. */
@@ -444,7 +447,7 @@
     }
   }
 
-  private _relayOrHold(bytes: Uint8Array, lastId: number | undefined): void {
+  private _relayOrHold(bytes: Buffer, lastId: number | undefined): void {
     if (this._held !== undefined) {
       this._held.chunks.push(bytes);
       this._held.lastId = lastId ?? this._held.lastId;
@@ -456,6 +459,8 @@
     TEST_ONLY: if (isMechanismDisabled('event-number')) return;
     const { position } = this._options;
     position.lastEventId = lastId ?? position.lastEventId;
+    position.isUnnumbered =
+      hasUnnumberedEnd(bytes) || (position.isUnnumbered && lastId === undefined);
   }
 
   /** Relays what was held once the version of the stream is recorded. */
--- a/src/gateway/CallRunner.test.ts
+++ b/src/gateway/CallRunner.test.ts
@@ -4,6 +4,7 @@
  */
 import { describe, expect, it } from 'vitest';
 import { buildTarget } from '../fleet/Fixtures.js';
+import { SharedRetryBudget } from '../fleet/SharedRetryBudget.js';
 import type { IRoute } from '../fleet/Types.js';
 import { CrashQuarantine } from './CrashQuarantine.js';
 import {
@@ -83,6 +84,19 @@
     expect(targets.sent).toHaveLength(2);
   });
 
+  // Guards against more retries at a service than its own requests allow, as a split route counted all for its first one.
+  it('counts a request of a split route for the service that gets it', async () => {
+    const budget = new SharedRetryBudget({ ratio: 1.5, slack: 0, windowMs: 10_000 });
+    const shares = [
+      { service: 'orders', weight: 0 },
+      { service: 'lace', weight: 1 },
+    ];
+    await runCall([answerOk], { budget, route: { shares } });
+    const now = performance.now();
+    expect(budget.trySpend('orders', 1, now)).toBe(false);
+    expect(budget.trySpend('lace', 1, now)).toBe(true);
+  });
+
   it('resumes a broken stream at another target after the last complete event', async () => {
     const failMidway: TargetScript = (listener) => {
       listener.onHead(OK_HEAD);
@@ -99,6 +113,38 @@
     expect(sink).toMatchObject({ body: streamEvents(1, 5).toString(), ending: 'end' });
   });
 
+  // Guards against events that come twice: without an id nothing tells the next target where to go on.
+  it.each([
+    ['no event has an id', 'data: a\n\ndata: b\n\n'],
+    ['the last event has no id', 'id: 1\ndata: a\n\ndata: b\n\n'],
+    [
+      'an event without id and a comment follow the last id',
+      'id: 1\ndata: a\n\ndata: b\n\n: c\n\n',
+    ],
+  ])('cuts a broken stream if %s', async (_case, events) => {
+    const failMidway: TargetScript = (listener) => {
+      listener.onHead(OK_HEAD);
+      listener.onData(Buffer.from(events));
+      listener.onError('reset', true);
+    };
+    const { sink, targets } = await runCall([failMidway, answerOk]);
+    expect(targets.sent).toHaveLength(1);
+    expect(sink).toMatchObject({ body: events, ending: 'cut' });
+  });
+
+  it('resumes a broken stream after an event with an id and a comment', async () => {
+    const failMidway: TargetScript = (listener) => {
+      listener.onHead(OK_HEAD);
+      listener.onData(Buffer.from('data: 0\n\n'));
+      listener.onData(streamEvents(1, 2));
+      listener.onData(Buffer.from(': ping\n\n'));
+      listener.onError('reset', true);
+    };
+    const { sink, targets } = await runCall([failMidway, answerOk]);
+    expect(targets.sent[1]?.dispatch.resumeAfter).toBe(2);
+    expect(sink.ending).toBe('end');
+  });
+
   it('aborts a broken stream if the route is not resumable', async () => {
     const failMidway: TargetScript = (listener) => {
       listener.onHead(OK_HEAD);
@@ -586,6 +632,20 @@
     expect(targets.aborted).toBe(1);
   });
 
+  // Guards against a request that ends at once because Node's timers fire a time over 2^31 ms immediately.
+  it('runs a request whose client and route both allow over 24 days', async () => {
+    const answerLater: TargetScript = (...args) => {
+      setTimeout(() => {
+        answerOk(...args);
+      }, 20);
+    };
+    const { sink } = await runCall([answerLater], {
+      route: { timeoutMs: 3e9 },
+      call: { deadlineMs: 3e9 },
+    });
+    expect(sink).toMatchObject({ status: 200, ending: 'end' });
+  });
+
   it('limits the deadline of a dispatch to the remaining time', async () => {
     const { targets } = await runCall([answerOk], { route: { timeoutMs: 200 } });
     expect(targets.sent[0]?.dispatch.deadlineMs).toBeLessThanOrEqual(200);
