Take no events twice from a target that begins anew where it should go on

Cause: the first event of an attempt that resumes a stream was not compared with the last one relayed.

Change: an attempt whose first event has been relayed before fails; another target may go on.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -437,8 +437,12 @@
       this._enqueueOrWrite(chunk);
       return;
     }
-    const { bytes, lastId } = this._framer.push(chunk);
+    const { bytes, firstId, lastId } = this._framer.push(chunk);
     if (bytes.length > 0) {
+      if (!this.hasFirstByte && this._isRelayed(firstId)) {
+        this._end({ kind: 'failed', reason: 'the target did not go on after the last event' });
+        return;
+      }
       this._recordFirstByte();
       this._relayOrHold(bytes, lastId);
     }
@@ -447,6 +451,11 @@
     }
   }
 
+  private _isRelayed(eventId: number | undefined): boolean {
+    const { lastEventId } = this._options.position;
+    return eventId !== undefined && lastEventId !== undefined && eventId <= lastEventId;
+  }
+
   private _relayOrHold(bytes: Buffer, lastId: number | undefined): void {
     if (this._held !== undefined) {
       this._held.chunks.push(bytes);
--- a/src/gateway/EventFramer.ts
+++ b/src/gateway/EventFramer.ts
@@ -18,7 +18,8 @@
 /** Complete events, as raw bytes. */
 export interface IFramedEvents {
   readonly bytes: Buffer;
-  /** Id of the last event that has a numeric id; undefined if none has one. */
+  /** Ids of the first and the last event that have a numeric id; undefined if none has one. */
+  readonly firstId: number | undefined;
   readonly lastId: number | undefined;
 }
 
@@ -55,13 +56,14 @@
     const end = this._findEnd(chunk);
     if (end === 0) {
       this._append(chunk);
-      return { bytes: EMPTY, lastId: undefined };
+      return { bytes: EMPTY, firstId: undefined, lastId: undefined };
     }
     const head = chunk.subarray(0, end);
     const bytes = this._size === 0 ? head : Buffer.concat([this.incomplete, head]);
     this._size = 0;
     this._append(chunk.subarray(end));
-    return { bytes, lastId: findLastId(bytes) };
+    const ids = listIds(bytes);
+    return { bytes, firstId: ids[0], lastId: ids.at(-1) };
   }
 
   /** Offset in the chunk after the end of its last event, or 0 without one; the end may begin before the chunk. */
@@ -113,10 +115,6 @@
   return end !== null && !NO_EVENT.test(rest.slice(end.index + end[0].length));
 }
 
-function findLastId(bytes: Buffer): number | undefined {
-  let last: number | undefined;
-  for (const match of bytes.toString('latin1').matchAll(ID_FIELD)) {
-    last = Number(match[1]);
-  }
-  return last;
+function listIds(bytes: Buffer): readonly number[] {
+  return Array.from(bytes.toString('latin1').matchAll(ID_FIELD), ([, id]) => Number(id));
 }
--- a/src/gateway/StreamVersions.test.ts
+++ b/src/gateway/StreamVersions.test.ts
@@ -8,6 +8,7 @@
 import {
   OK_HEAD,
   ScriptedOrigins,
+  answerOk,
   breakStream,
   refuseConnection,
   resetAfterSend,
@@ -80,6 +81,12 @@
     expect(sink).toMatchObject({ ending: 'end', body: streamEvents(1, 5).toString() });
   });
 
+  // Guards against events that come twice, from a target that begins anew where it is asked to go on.
+  it('is cut if the target that should go on begins anew', async () => {
+    const { sink } = await runCall([breakStream, answerOk], { call: CALL, targets: 2 });
+    expect(sink).toMatchObject({ ending: 'cut', body: streamEvents(1, 2).toString() });
+  });
+
   it('of a route that may not be resumed goes nowhere', async () => {
     const { targets } = await runCall([breakStream, resumeStream], {
       call: CALL,
