Send no client away for long before all targets can be known

After a stop of all processes a client that took up its stream could be told to come back after 5 s, as no target of its version had announced itself yet, though one did within a second; most clients have no time left then.

Cause: that no target has the version was taken for known from the first moment.

Change: in the first 3 s of a process the request is refused with 1 s, as others that find no target.

Run: StreamVersions.test.ts, one of two cases failed before (5,000 in place of 1,000 ms); vitest src/gateway, 222 passed.

--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -47,6 +47,9 @@
 /** Retry-After of a stream of which no target has the version; one that restarts comes back within this time. */
 const VERSION_GONE_RETRY_AFTER_MS = 5_000;
 
+/** After this time a process knows all targets: they announce themselves every one or two seconds. */
+const TARGETS_KNOWN_MS = 3_000;
+
 /** Lower bound of every Retry-After, so that clients do not retry in a tight loop. */
 const MIN_RETRY_AFTER_MS = 50;
 
@@ -70,10 +73,12 @@
  * second one only if its route allows that, and "not run" is reported only if no target can have run it.
  */
 export class CallRunner<T extends ICall> {
+  private readonly _startedAt: number;
   private readonly _selector: TargetSelector;
   private readonly _attempts: AttemptRunner<T>;
 
   constructor(private readonly _context: ICallContext<T>) {
+    this._startedAt = _context.clock.now();
     this._selector = new TargetSelector(_context);
     this._attempts = new AttemptRunner(_context);
   }
@@ -192,7 +197,12 @@
       const request = this._describeRequest(call, admitted);
       const choice = this._chooseTarget(admitted, request, standing, progress, now);
       if (choice.kind === 'none') {
-        this._finishUnanswered(call, sink, progress, this._explainNoTarget(admitted, progress));
+        this._finishUnanswered(
+          call,
+          sink,
+          progress,
+          this._explainNoTarget(admitted, progress, now),
+        );
         return progress.mayHaveRun;
       }
       if (choice.kind === 'closed') {
@@ -248,12 +258,14 @@
   private _explainNoTarget(
     { service }: IAdmittedCall,
     { binding, tried }: ICallProgress,
+    now: number,
   ): RefusalReason {
     const version = binding?.version;
     const targets = this._context.view.listTargets(service.name);
     const isGone =
       version !== undefined &&
       tried.size === 0 &&
+      now - this._startedAt >= TARGETS_KNOWN_MS &&
       targets.length > 0 &&
       !targets.some((target) => getSoftwareVersion(target) === version);
     return isGone ? 'version_gone' : 'no_target';
--- a/src/gateway/Fixtures.ts
+++ b/src/gateway/Fixtures.ts
@@ -176,6 +176,8 @@
   readonly retrySlack?: number;
   /** Shared by several calls; the default is a new one. */
   readonly budget?: SharedRetryBudget;
+  /** How long ago the process has started; 0 by default. */
+  readonly processAgeMs?: number;
   /** Changes what the process knows before the call arrives. */
   readonly prepareView?: (view: FleetView) => void;
   readonly queued?: { readonly target: string; readonly pendingTokens: number };
@@ -288,6 +290,7 @@
   const targets =
     setup.client ??
     new ScriptedTargetClient(scripts, setup.hasCrashed !== true, setup.sendError, setup.probeMs);
+  let startAgeMs = setup.processAgeMs ?? 0;
   const runner = new CallRunner<ICall>({
     view,
     node: { requestLeases: () => Promise.resolve(), requestExchange: () => undefined },
@@ -306,11 +309,12 @@
     origins: setup.origins ?? new ScriptedOrigins('v1', new Map()),
     store: new StoreIndex(view, () => Promise.reject(new Error('no store')), clock, SILENT_LOG),
     client: targets,
-    clock,
+    clock: { now: () => clock.now() - startAgeMs },
     metrics: new Metrics(),
     log: SILENT_LOG,
     weightsLimitMs: 8_800,
   });
+  startAgeMs = 0;
   const sink = setup.sink ?? new RecordingSink();
   await runner.run(
     {
