--- a/src/gateway/AttemptRace.test.ts
+++ b/src/gateway/AttemptRace.test.ts
@@ -9,6 +9,7 @@
   OK_HEAD,
   RecordingSink,
   resetAfterSend,
+  resumeStream,
   runCall,
   ScriptedOrigins,
   ScriptedTargetClient,
@@ -28,12 +29,6 @@
 /** Longer than any call of these tests. */
 const LIMIT_MS = 8_000;
 
-const resumeStream: TargetScript = (listener, dispatch) => {
-  listener.onHead(OK_HEAD);
-  listener.onData(streamEvents((dispatch.resumeAfter ?? 0) + 1, 5));
-  listener.onEnd();
-};
-
 const rejectPrompt: TargetScript = (listener) => {
   listener.onHead({ ...OK_HEAD, status: 400 });
   listener.onData(Buffer.from('bad '));
--- a/src/gateway/Fixtures.ts
+++ b/src/gateway/Fixtures.ts
@@ -351,6 +351,12 @@
   listener.onData(streamEvents(1, 3));
   listener.onEnd();
 };
+/** Goes on after the last event that the client has, up to the fifth. */
+export const resumeStream: TargetScript = (listener, dispatch) => {
+  listener.onHead(OK_HEAD);
+  listener.onData(streamEvents((dispatch.resumeAfter ?? 0) + 1, 5));
+  listener.onEnd();
+};
 export const refuseBusy: TargetScript = (listener) => {
   listener.onHead(BUSY_HEAD);
   listener.onEnd();
--- a/src/gateway/SilentTargets.test.ts
+++ b/src/gateway/SilentTargets.test.ts
@@ -10,6 +10,7 @@
   refuseBusy,
   refuseConnection,
   resetAfterSend,
+  resumeStream,
   runCall,
   sendNothing,
   streamEvents,
@@ -44,12 +45,6 @@
   listener.onData(streamEvents(1, 2));
 };
 
-const resumeStream: TargetScript = (listener, dispatch) => {
-  listener.onHead(OK_HEAD);
-  listener.onData(streamEvents((dispatch.resumeAfter ?? 0) + 1, 5));
-  listener.onEnd();
-};
-
 const failWith500: TargetScript = (listener) => {
   listener.onHead({ ...OK_HEAD, status: 500 });
   listener.onData(Buffer.from('failed'));
--- a/src/gateway/StreamVersions.test.ts
+++ b/src/gateway/StreamVersions.test.ts
@@ -12,6 +12,7 @@
   breakStream,
   refuseConnection,
   resetAfterSend,
+  resumeStream,
   runCall,
   streamEvents,
   type TargetScript,
@@ -21,12 +22,6 @@
 const CALL = { deadlineMs: 2_000 };
 const TAKE_UP = { ...CALL, id: 'r2', resumeAfter: 2, resumes: 'r1' };
 
-const resumeStream: TargetScript = (listener, dispatch) => {
-  listener.onHead(OK_HEAD);
-  listener.onData(streamEvents((dispatch.resumeAfter ?? 0) + 1, 5));
-  listener.onEnd();
-};
-
 describe('a stream whose target breaks', () => {
   it('goes on at a target of the version that began it', async () => {
     const { sink, targets } = await runCall([breakStream, resumeStream], {
