Show that the crash of an engine ends processes whose streams it held up

Seen: the first engine of a new software version crashes while the first events of its streams wait for their record; two of four processes end with an uncaught AssertionError, and requests to sound engines from kept connections break off. Code at fault: the pauses of src/gateway/Attempt.ts and TargetExchange.pause in platform/TargetClient.ts, which leave a reset to undici's paused parser, and platform/main.ts, which catches no such exception.

--- a/review/lib/Engine.mjs
+++ b/review/lib/Engine.mjs
@@ -14,9 +14,21 @@
   isBeating = true;
   version = 1;
   orders = 0;
+  _sockets = new Set();
 
-  constructor({ id, host, port, service, zone = 'zg-a', model, slots = 64, controls, answer }) {
-    Object.assign(this, { id, host, port, service, zone, model, slots, controls });
+  constructor({
+    id,
+    host,
+    port,
+    service,
+    zone = 'zg-a',
+    software = 'v1',
+    model,
+    slots = 64,
+    controls,
+    answer,
+  }) {
+    Object.assign(this, { id, host, port, service, zone, software, model, slots, controls });
     this.answer = answer ?? answerPlain;
     this.born = Date.now();
   }
@@ -30,7 +42,13 @@
       response.on('error', () => undefined);
       void this._serve(request, response).catch(() => response.destroy());
     });
+    this.server.on('connection', (socket) => {
+      this._sockets.add(socket);
+      socket.on('error', () => undefined);
+      socket.once('close', () => this._sockets.delete(socket));
+    });
     await new Promise((done) => this.server.listen(this.port, this.host, done));
+    await this.beat();
     this._beats = this._run();
   }
 
@@ -41,7 +59,7 @@
       service: this.service,
       addr: this.address,
       zone: this.zone,
-      version: 'v1',
+      version: this.software,
       slots: this.slots,
       state: this.state,
       coldLeftMs: 0,
@@ -67,6 +85,15 @@
     return this._callAny('DELETE', JSON.stringify({ born: this.born }), control);
   }
 
+  /** Ends at once: the connections are reset, and the port takes no more. */
+  crash() {
+    this.isBeating = false;
+    this.server.close();
+    for (const socket of this._sockets) {
+      socket.resetAndDestroy();
+    }
+  }
+
   stop() {
     this.isBeating = false;
     this.server?.closeAllConnections();
@@ -74,6 +101,7 @@
   }
 
   async _run() {
+    await sleep(BEAT_MS);
     while (this.isBeating) {
       await this.beat();
       await sleep(BEAT_MS);
