--- a/review/lib/Record.mjs
+++ b/review/lib/Record.mjs
@@ -47,8 +47,11 @@
     record.save();
     process.exit(code);
   };
-  for (const signal of ['SIGINT', 'SIGTERM']) {
-    process.on(signal, () => void finish(2));
+  for (const event of ['SIGINT', 'SIGTERM', 'uncaughtException', 'unhandledRejection']) {
+    process.on(event, (reason) => {
+      record.add(`could not run: ${event} ${String(reason)}`);
+      void finish(2);
+    });
   }
   try {
     const breaches = await run(record, (clean) => cleanups.push(clean));
