Take the vote of a member that stops, and replace a lost voter sooner

Cause: votes that nobody would give again counted in the majority. A process that stops for good said nothing of it, and a learner was promoted beside a voter that had just fallen silent, so three voters became four of which a loss left two. A voter counted as lost after 6 s only, while a successor has 4 s.

Change: a process that begins to stop asks the leader to take its vote, which it does while the group has more than 2f + 1 voters; the member goes on as a learner that is not promoted before it has joined again. No learner is promoted beside a silent voter. A voter is lost after 1.5 s, above the longest election timeout; lost learners are removed as well.

Ruled out: a shorter time-out alone moves the moment only; a replacement in one step is unsafe without joint consensus; a leader's memory of who leaves ends with its term.

--- a/model/consensus.qnt
+++ b/model/consensus.qnt
@@ -32,6 +32,8 @@
     role: Role,
     votes: Set[int],
     log: List[Entry],
+    // Whether its process is stopping; such a disk is not promoted.
+    isStopping: bool,
     // On the leader: number of entries known to be stored on each other disk.
     matched: int -> int,
     commit: int
@@ -63,6 +65,7 @@
     role: Follower,
     votes: Set(),
     log: [],
+    isStopping: false,
     matched: Map(),
     commit: 0
   }
@@ -256,13 +259,26 @@
           entries.slice(0, min(k, committed.length())) !=
             committed.slice(0, min(k, committed.length())),
         },
-        // The commit of the new disk's promotion completes the repair; then another disk may be lost.
-        lossesLeft' = if (newEntries.select(e => e.promoted != 0).length() > 0) 1 else lossesLeft,
+        // The commit of the new disk's promotion completes the repair; then another disk may be lost. So does
+        // the removal of a voter that others replaced.
+        lossesLeft' =
+          if (newEntries.select(e => e.promoted != 0).length() > 0 and isWhole(last(entries))) 1
+          else lossesLeft,
         leaders' = leaders,
       },
     },
   }
 
+  // Variants that promote a disk while a lost one still votes.
+  pure val PROMOTES_BESIDE_LOST =
+    Set("promoteBesideLost", "removalAfterPromotion").contains(VARIANT)
+
+  // In these variants the promotion alone completes a repair.
+  def isWhole(entry: Entry): bool = or {
+    PROMOTES_BESIDE_LOST,
+    entry.voters.size() >= 3 and entry.voters.subseteq(alive),
+  }
+
   // A leader changes the membership only after it has committed an entry of its own term, and only one
   // change at a time.
   def mayChange(d: Disk): bool = and {
@@ -335,20 +351,80 @@
     leading.size() > 0,
     nondet i = leading.oneOf()
     val d = disks.get(i)
-    val able = learnersOf(d).filter(n => or {
+    val able = learnersOf(d).filter(n => not(disks.get(n).isStopping)).filter(n => or {
       d.matched.keys().contains(n) and d.matched.get(n) >= d.commit,
       VARIANT == "promoteWithoutCatchUp",
     })
     all {
       mayChange(d),
       able.size() > 0,
+      or { votersOf(d).subseteq(alive), PROMOTES_BESIDE_LOST },
       nondet n = able.oneOf()
       changeMembership(votersOf(d).union(Set(n)), learnersOf(d).exclude(Set(n)), n, i),
     },
   }
 
-  // A voter loses its disk and returns with a new disk id and an empty log. No other disk may be lost
-  // until the repair is complete.
+  // The leader takes the vote of a disk whose process is stopping, if the group has one to spare. The disk
+  // stays a learner until it ends.
+  action withdraw: bool = all {
+    leading.size() > 0,
+    nondet i = leading.oneOf()
+    val d = disks.get(i)
+    val able = votersOf(d).filter(v => and {
+      disks.get(v).isStopping,
+      votersOf(d).size() > 3,
+      isMajority(alive, votersOf(d).exclude(Set(v))),
+    })
+    all {
+      mayChange(d),
+      able.size() > 0,
+      nondet v = able.oneOf()
+      changeMembership(votersOf(d).exclude(Set(v)), learnersOf(d).union(Set(v)), 0, i),
+    },
+  }
+
+  // A process with an empty disk and a member id of its own starts beside the others.
+  action startSuccessor: bool = {
+    val newDisk = disks.keys().size() + 1
+    all {
+      newDisk <= MAX_DISKS,
+      disks' = disks.put(newDisk, emptyDisk(newDisk)),
+      lossesLeft' = lossesLeft,
+      keepHistory,
+    }
+  }
+
+  // The process of a voter begins to stop for good, one at a time, once a successor votes beside it.
+  action beginStop: bool = {
+    val able = alive.intersect(last(committed).voters)
+    all {
+      last(committed).voters.size() > 3,
+      able == last(committed).voters,
+      alive.forall(i => not(disks.get(i).isStopping)),
+      nondet i = able.oneOf()
+      disks' = disks.set(i, { ...disks.get(i), isStopping: true }),
+      lossesLeft' = lossesLeft,
+      keepHistory,
+    }
+  }
+
+  // A process that is stopping ends when it knows that it does not vote any more.
+  action end: bool = {
+    val able = alive.filter(i => and {
+      disks.get(i).isStopping,
+      or { not(last(committed).voters.contains(i)), VARIANT == "endsAsVoter" },
+    })
+    all {
+      able.size() > 0,
+      nondet i = able.oneOf()
+      disks' = disks.set(i, { ...disks.get(i), isAlive: false, role: Follower }),
+      lossesLeft' = lossesLeft,
+      keepHistory,
+    }
+  }
+
+  // A voter loses its disk and returns with a new disk id and an empty log, or is lost for good and replaced
+  // by a new member. No other disk may be lost until the repair is complete.
   action loseDisk: bool = all {
     lossesLeft > 0,
     val newDisk = disks.keys().size() + 1
@@ -357,11 +433,12 @@
       newDisk <= MAX_DISKS,
       able.size() > 0,
       nondet i = able.oneOf()
+      nondet member = Set(disks.get(i).member, newDisk).oneOf()
       disks' =
         if (VARIANT == "returnsWithOldDiskId") disks.set(i, emptyDisk(disks.get(i).member))
         else disks
           .set(i, { ...disks.get(i), isAlive: false, role: Follower })
-          .put(newDisk, emptyDisk(disks.get(i).member)),
+          .put(newDisk, emptyDisk(member)),
       lossesLeft' = lossesLeft - 1,
       keepHistory,
     },
@@ -377,6 +454,10 @@
       remove,
       addLearner,
       promote,
+      withdraw,
+      end,
+      all { chance == 9, startSuccessor },
+      all { chance == 10, beginStop },
       all { chance <= 4, appendValue },
       all { chance <= 2 or leading == Set(), startElection },
       all { chance >= 11, loseDisk },
@@ -415,6 +496,10 @@
   val leaderAfterSecondLoss: bool =
     secondDiskIsLost and leading.exists(i => disks.get(i).log.length() > committed.length())
   val severalLeaders: bool = leaders.keys().size() >= 2
+  val diskIsLostAfterEnd: bool = and {
+    disks.keys().exists(i => disks.get(i).isStopping and not(disks.get(i).isAlive)),
+    disks.keys().exists(i => not(disks.get(i).isStopping) and not(disks.get(i).isAlive)),
+  }
 
   val safe: bool = and {
     oneLeaderPerTerm,
@@ -439,3 +524,9 @@
 module consensusRemovalAfterPromotion {
   import consensus(VARIANT = "removalAfterPromotion", INITIAL_VOTERS = Set(1, 2, 3)).*
 }
+module consensusPromoteBesideLost {
+  import consensus(VARIANT = "promoteBesideLost", INITIAL_VOTERS = Set(1, 2, 3)).*
+}
+module consensusEndsAsVoter {
+  import consensus(VARIANT = "endsAsVoter", INITIAL_VOTERS = Set(1, 2, 3, 4)).*
+}
--- a/src/consensus/Leadership.ts
+++ b/src/consensus/Leadership.ts
@@ -21,6 +21,7 @@
   findMember,
   formatMemberIdentity,
   isSameMember,
+  isVoter,
   selectMajorityValue,
   getMemberIdentity,
   type IMemberIdentity,
@@ -367,12 +368,11 @@
     }
   }
 
-  /** Steps down once its own removal is committed. */
+  /** Steps down once its own removal, or the withdrawal of its vote, is committed. */
   private _stepDownIfRemoved(): void {
     const { membership, index } = this._state.store.membership;
-    const isMember = findMember(membership, this._state.identity) !== undefined;
-    if (!isMember && index <= this._state.commitIndex) {
-      this._state.log.info('this member was removed from the group');
+    if (!isVoter(membership, this._state.identity) && index <= this._state.commitIndex) {
+      this._state.log.info('this member is no longer a voter');
       this._state.stepDown();
     }
   }
--- a/src/consensus/MembershipChanges.ts
+++ b/src/consensus/MembershipChanges.ts
@@ -9,6 +9,9 @@
   type JoinResponse,
   type Member,
   type Membership,
+  type WithdrawRequest,
+  type WithdrawResponse,
+  WithdrawResponseSchema,
 } from '../gen/redwingwharf/v1/consensus_pb.js';
 import { Mutex } from './Mutex.js';
 import type { Leadership } from './Leadership.js';
@@ -19,9 +22,10 @@
   formatMemberIdentity,
   isSameMember,
   listVoters,
-  updateMemberAddress,
+  restoreMember,
   promoteLearner,
   removeMember,
+  withdrawMember,
   getMemberIdentity,
   type IMemberIdentity,
 } from './Memberships.js';
@@ -51,8 +55,7 @@
     request: JoinRequest,
     signal: AbortSignal,
   ): Promise<JoinResponse> {
-    const { clusterId } = this._state.store;
-    if (request.clusterId.length > 0 && !hasSameBytes(request.clusterId, clusterId)) {
+    if (!this._isSameGroup(request.clusterId)) {
       return this._respond('The disk belongs to another group; start it with an empty directory.');
     }
     if (leadership === undefined) {
@@ -64,6 +67,27 @@
     return this._respond(result.ok ? undefined : result.val.message);
   }
 
+  /**
+   * Takes the vote of a member whose process is stopping, so that the majority does not depend on it when it
+   * has ended. Refuses while the group has no voter to spare: most members that stop return with their disk.
+   */
+  public async handleWithdraw(
+    leadership: Leadership | undefined,
+    request: WithdrawRequest,
+    signal: AbortSignal,
+  ): Promise<WithdrawResponse> {
+    const result =
+      leadership === undefined || !this._isSameGroup(request.clusterId)
+        ? refuse('This member does not lead the group; ask the leader.')
+        : await runWithTimeout(signal, this._timings.joinTimeoutMs, (limited) =>
+            this._mutex.run(() => this._withdraw(leadership, request, limited)),
+          );
+    return create(WithdrawResponseSchema, {
+      accepted: result.ok,
+      reason: result.ok ? '' : result.val.message,
+    });
+  }
+
   /** Removes all members with a member id, whatever their disk. */
   public remove(
     leadership: Leadership,
@@ -86,26 +110,34 @@
   }
 
   /**
-   * Promotes a learner that has caught up, and replaces or removes a lost voter as the policy allows.
-   * Reachable voters must have received the entry that added the learner first, because they ignore vote
-   * requests from members outside their membership.
+   * Promotes a learner that has caught up, replaces or removes a lost voter as the policy allows, and removes
+   * lost learners. While a voter is silent and not yet lost, nothing is promoted: the group would grow by a
+   * voter, and its majority with it, while it may be about to shrink. Reachable voters must have received the
+   * entry that added the learner first, because they ignore vote requests from members outside their
+   * membership.
    */
   public reconcileVoters(leadership: Leadership): void {
     if (this._isReconciling) {
       return;
     }
     const learner = this._findReadyLearner(leadership);
-    const lost = this._findLostVoter(leadership);
-    const minVoters = this._policy?.minVoters ?? Number.POSITIVE_INFINITY;
-    const canShrink = listVoters(this._state.membership).length > minVoters;
-    if (learner !== undefined && (lost !== undefined || !this._hasMaxVoters())) {
+    const lost = this._findLostMember(leadership, true);
+    const canGrow = !this._hasMaxVoters() && !this._hasSilentVoter(leadership);
+    if (learner !== undefined && (lost !== undefined || canGrow)) {
       this._runBackgroundChange('learner promoted', learner, () =>
         this._promote(leadership, getMemberIdentity(learner), lost),
       );
-    } else if (lost !== undefined && canShrink) {
+    } else if (lost !== undefined && this._canShrink()) {
       this._runBackgroundChange('lost voter removed', lost, () =>
         this._removeMember(leadership, lost, leadership.signal),
       );
+    } else {
+      const lostLearner = this._findLostMember(leadership, false);
+      if (lostLearner !== undefined) {
+        this._runBackgroundChange('lost learner removed', lostLearner, () =>
+          this._removeMember(leadership, lostLearner, leadership.signal),
+        );
+      }
     }
   }
 
@@ -151,6 +183,11 @@
     return this._applyChange(leadership, promote, leadership.signal);
   }
 
+  /** A disk that belongs to no group yet may join any. */
+  private _isSameGroup(clusterId: Uint8Array): boolean {
+    return clusterId.length === 0 || hasSameBytes(clusterId, this._state.store.clusterId);
+  }
+
   private _respond(reason: string | undefined): JoinResponse {
     return create(JoinResponseSchema, {
       accepted: reason === undefined,
@@ -167,13 +204,13 @@
   ): Promise<ChangeResult> {
     const identity: IMemberIdentity = request;
     const existing = findMember(this._state.membership, identity);
-    if (existing?.address === request.address) {
+    if (existing?.address === request.address && !existing.withdrawn) {
       return this._waitForPendingChange(leadership, signal);
     }
     if (existing !== undefined) {
-      const updateAddress = (membership: Membership): Membership =>
-        updateMemberAddress(membership, identity, request.address);
-      return this._applyChange(leadership, updateAddress, signal);
+      const restore = (membership: Membership): Membership =>
+        restoreMember(membership, identity, request.address);
+      return this._applyChange(leadership, restore, signal);
     }
     const removal = await this._removeOldDisks(leadership, identity, signal);
     if (!removal.ok) {
@@ -184,6 +221,33 @@
     return this._applyChange(leadership, add, signal);
   }
 
+  private async _withdraw(
+    leadership: Leadership,
+    identity: IMemberIdentity,
+    signal: AbortSignal,
+  ): Promise<ChangeResult> {
+    const settled = await this._waitForPendingChange(leadership, signal);
+    const member = findMember(this._state.membership, identity);
+    if (!settled.ok || member === undefined || member.withdrawn) {
+      return settled;
+    }
+    if (member.voter && !this._canSpare(leadership, member)) {
+      return refuse(`The group has no voter to spare; ${member.id} keeps its vote.`);
+    }
+    return this._applyChange(
+      leadership,
+      (membership) => withdrawMember(membership, identity),
+      signal,
+    );
+  }
+
+  /** True if the group may lose this voter, and those of the others that answer are a majority without it. */
+  private _canSpare(leadership: Leadership, voter: Member): boolean {
+    const others = listVoters(this._state.membership).filter((other) => other !== voter);
+    const alive = others.filter((other) => this._isAlive(leadership, other));
+    return this._canShrink() && 2 * alive.length > others.length;
+  }
+
   /** Removes earlier disks with the same member id; refuses if a process with one of them still answers. */
   private async _removeOldDisks(
     leadership: Leadership,
@@ -268,31 +332,43 @@
 
   private _findReadyLearner(leadership: Leadership): Member | undefined {
     return this._state.membership.members.find(
-      (member) => !member.voter && this._isReadyForPromotion(leadership, getMemberIdentity(member)),
+      (member) =>
+        !member.voter &&
+        !member.withdrawn &&
+        this._isReadyForPromotion(leadership, getMemberIdentity(member)),
     );
   }
 
+  private _canShrink(): boolean {
+    const { minVoters } = this._policy ?? { minVoters: Number.POSITIVE_INFINITY };
+    return listVoters(this._state.membership).length > minVoters;
+  }
+
+  private _hasSilentVoter(leadership: Leadership): boolean {
+    const voters = listVoters(this._state.membership);
+    return this._policy !== undefined && voters.some((voter) => !this._isAlive(leadership, voter));
+  }
+
   private _hasMaxVoters(): boolean {
     const { maxVoters } = this._policy ?? { maxVoters: Number.POSITIVE_INFINITY };
     return listVoters(this._state.membership).length >= maxVoters;
   }
 
   /**
-   * A voter that has not answered for `lostVoterTimeoutMs`; undefined without a policy. A voter that never
-   * answered this leader, such as the leader before it, counts from the beginning of the leadership.
+   * A voter, or else a learner, that has not answered for `lostVoterTimeoutMs`; undefined without a policy. A
+   * member that never answered this leader, such as the leader before it, counts from the beginning of the leadership.
    */
-  private _findLostVoter(leadership: Leadership): Member | undefined {
+  private _findLostMember(leadership: Leadership, isVoter: boolean): Member | undefined {
     const policy = this._policy;
     if (policy === undefined) {
       return undefined;
     }
     const now = this._state.clock.now();
-    return listVoters(this._state.membership).find((voter) => {
-      const identity = getMemberIdentity(voter);
+    return this._state.membership.members.find((member) => {
+      const identity = getMemberIdentity(member);
       const contactAt = leadership.getMemberContactAt(identity) ?? now;
-      return (
-        !isSameMember(identity, this._state.identity) && now - contactAt > policy.lostVoterTimeoutMs
-      );
+      const isOther = !isSameMember(identity, this._state.identity);
+      return member.voter === isVoter && isOther && now - contactAt > policy.lostVoterTimeoutMs;
     });
   }
 
--- a/src/consensus/Memberships.ts
+++ b/src/consensus/Memberships.ts
@@ -66,7 +66,13 @@
   identity: IMemberIdentity,
   address: string,
 ): Membership {
-  const learner = { id: identity.memberId, diskId: identity.diskId, address, voter: false };
+  const learner = {
+    id: identity.memberId,
+    diskId: identity.diskId,
+    address,
+    voter: false,
+    withdrawn: false,
+  };
   return create(MembershipSchema, { members: [...membership.members, learner] });
 }
 
@@ -74,18 +80,24 @@
   return replaceMember(membership, identity, { voter: true });
 }
 
-export function updateMemberAddress(
+/** Takes the vote of a member whose process is stopping; it receives the log until it ends. */
+export function withdrawMember(membership: Membership, identity: IMemberIdentity): Membership {
+  return replaceMember(membership, identity, { voter: false, withdrawn: true });
+}
+
+/** Lets a member that has joined again be promoted, and updates its address. */
+export function restoreMember(
   membership: Membership,
   identity: IMemberIdentity,
   address: string,
 ): Membership {
-  return replaceMember(membership, identity, { address });
+  return replaceMember(membership, identity, { address, withdrawn: false });
 }
 
 function replaceMember(
   membership: Membership,
   identity: IMemberIdentity,
-  change: { readonly voter?: boolean; readonly address?: string },
+  change: Partial<Pick<Member, 'voter' | 'address' | 'withdrawn'>>,
 ): Membership {
   const members = membership.members.map((member) =>
     isSameMember(getMemberIdentity(member), identity) ? { ...member, ...change } : member,
--- a/src/consensus/ReplicatedLog.ts
+++ b/src/consensus/ReplicatedLog.ts
@@ -17,6 +17,9 @@
   type SnapshotResponse,
   type VoteRequest,
   type VoteResponse,
+  type WithdrawRequest,
+  type WithdrawResponse,
+  WithdrawRequestSchema,
 } from '../gen/redwingwharf/v1/consensus_pb.js';
 import { DataDirectory, type IDataDirectory } from '../storage/DataDirectory.js';
 import { StorageError } from '../storage/StorageError.js';
@@ -66,6 +69,10 @@
   appendEntries(request: AppendRequest): Promise<AppendResponse>;
   installSnapshot(request: SnapshotRequest): Promise<SnapshotResponse>;
   join(request: JoinRequest, context: { readonly signal: AbortSignal }): Promise<JoinResponse>;
+  withdraw(
+    request: WithdrawRequest,
+    context: { readonly signal: AbortSignal },
+  ): Promise<WithdrawResponse>;
 }
 
 /**
@@ -124,6 +131,7 @@
   private readonly _elections: Elections;
   private readonly _membershipChanges: MembershipChanges;
   private _tasks: Promise<unknown> = Promise.resolve();
+  private _isWithdrawing = false;
 
   constructor(
     private readonly _store: ConsensusStore,
@@ -144,6 +152,8 @@
       appendEntries: (request) => this._serve(() => follower.handleAppend(request)),
       installSnapshot: (request) => this._serve(() => follower.handleSnapshot(request)),
       join: (request, context) => this._serve(() => this._handleJoin(request, context.signal)),
+      withdraw: (request, context) =>
+        this._serve(() => this._handleWithdraw(request, context.signal)),
     };
   }
 
@@ -214,6 +224,25 @@
       : leadership;
   }
 
+  /**
+   * Asks the leader to take the vote of this member, which is about to stop, until this member knows that it
+   * did, or until the signal is aborted. Meanwhile the member does not join again. The leader refuses while
+   * the group has no voter to spare, for example until a successor has caught up.
+   */
+  public async withdraw(signal: AbortSignal): Promise<void> {
+    this._isWithdrawing = true;
+    const limited = AbortSignal.any([signal, this._state.signal]);
+    let outcome: string | undefined;
+    while (!isAborted(limited) && !this._hasWithdrawn()) {
+      const previous = outcome;
+      outcome = await this._tryWithdraw(limited);
+      if (outcome !== previous) {
+        this._options.log.info('withdrawal requested', { outcome });
+      }
+      await sleep(this._options.timings.heartbeatIntervalMs, limited);
+    }
+  }
+
   /** Stops the tasks and closes the log. The caller closes the data directory. */
   public async stop(): Promise<void> {
     this._state.stop();
@@ -262,6 +291,45 @@
     return this._membershipChanges.handleJoin(active, request, signal);
   }
 
+  private _handleWithdraw(
+    request: WithdrawRequest,
+    signal: AbortSignal,
+  ): Promise<WithdrawResponse> {
+    const { leadership } = this._state;
+    const active = leadership instanceof Leadership ? leadership : undefined;
+    return this._membershipChanges.handleWithdraw(active, request, signal);
+  }
+
+  private _hasWithdrawn(): boolean {
+    const self = findMember(this._state.membership, this._state.identity);
+    return self === undefined || self.withdrawn;
+  }
+
+  /** Sends one withdrawal request; returns its outcome, for the log. */
+  private async _tryWithdraw(signal: AbortSignal): Promise<string> {
+    const { transport, timings, address } = this._options;
+    const { leaderAddress, identity } = this._state;
+    const { memberId, diskId } = identity;
+    const request = create(WithdrawRequestSchema, {
+      memberId,
+      diskId,
+      clusterId: this._store.clusterId,
+    });
+    if (leaderAddress === undefined) {
+      return 'no leader is known';
+    }
+    try {
+      const response = await runWithTimeout(signal, timings.callTimeoutMs, (limited) =>
+        leaderAddress === address
+          ? this._handleWithdraw(request, limited)
+          : transport.withdraw(leaderAddress, request, limited),
+      );
+      return response.accepted ? 'accepted' : response.reason;
+    } catch (error) {
+      return describeError(error);
+    }
+  }
+
   /**
    * Sends join requests while the disk is empty, and when the membership has an outdated address of this
    * member. A disk with entries that is not in the membership was removed, or replaced under a policy; only
@@ -286,11 +354,14 @@
   }
 
   private _needsJoin(): boolean {
+    if (this._isWithdrawing) {
+      return false;
+    }
     if (this._store.lastIndex === 0) {
       return true;
     }
     const self = findMember(this._state.membership, this._state.identity);
-    if (self?.address === this._options.address) {
+    if (self?.address === this._options.address && !self.withdrawn) {
       return this._mayHaveBeenReplaced();
     }
     return self !== undefined || this._options.policy !== undefined;
--- a/src/consensus/TestCluster.ts
+++ b/src/consensus/TestCluster.ts
@@ -15,6 +15,8 @@
   SnapshotResponseSchema,
   VoteRequestSchema,
   VoteResponseSchema,
+  WithdrawRequestSchema,
+  WithdrawResponseSchema,
 } from '../gen/redwingwharf/v1/consensus_pb.js';
 import { DataDirectory, type IDataDirectory } from '../storage/DataDirectory.js';
 import type { IOpenedLog } from '../storage/RecordLog.js';
@@ -133,6 +135,10 @@
         this._call(from, to, signal, JoinResponseSchema, (handlers) =>
           handlers.join(copyMessage(JoinRequestSchema, request), { signal }),
         ),
+      withdraw: (to, request, signal) =>
+        this._call(from, to, signal, WithdrawResponseSchema, (handlers) =>
+          handlers.withdraw(copyMessage(WithdrawRequestSchema, request), { signal }),
+        ),
     };
   }
 
--- a/src/consensus/Transport.ts
+++ b/src/consensus/Transport.ts
@@ -10,6 +10,8 @@
   type SnapshotResponse,
   type VoteRequest,
   type VoteResponse,
+  type WithdrawRequest,
+  type WithdrawResponse,
 } from '../gen/redwingwharf/v1/consensus_pb.js';
 
 /** Calls the member at an address. The promise rejects if the call fails or is aborted. */
@@ -26,6 +28,11 @@
     signal: AbortSignal,
   ): Promise<SnapshotResponse>;
   join(address: string, request: JoinRequest, signal: AbortSignal): Promise<JoinResponse>;
+  withdraw(
+    address: string,
+    request: WithdrawRequest,
+    signal: AbortSignal,
+  ): Promise<WithdrawResponse>;
 }
 
 /** Sends the calls over the Connect protocol. */
@@ -59,4 +66,12 @@
   public join(address: string, request: JoinRequest, signal: AbortSignal): Promise<JoinResponse> {
     return this._clients.get(ConsensusService, address).join(request, { signal });
   }
+
+  public withdraw(
+    address: string,
+    request: WithdrawRequest,
+    signal: AbortSignal,
+  ): Promise<WithdrawResponse> {
+    return this._clients.get(ConsensusService, address).withdraw(request, { signal });
+  }
 }
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -230,6 +230,11 @@
     }
   }
 
+  /** Prepares for the end of this process while it still serves requests. */
+  public prepareStop(): void {
+    this._memberHost?.withdraw();
+  }
+
   public async stop(): Promise<void> {
     this._stop.abort();
     await Promise.allSettled(this._tasks);
--- a/src/run/MemberHost.ts
+++ b/src/run/MemberHost.ts
@@ -34,8 +34,8 @@
 /** File with the targets that were saved last. */
 const TARGETS_FILE = 'targets';
 
-/** Longer than a planned restart (2 s) and than the time for which a returned machine still counts as lost (4 s). */
-const LOST_VOTER_TIMEOUT_MS = 6_000;
+/** Longer than any election timeout, so that a change of the leader does not make voters look lost. */
+const LOST_VOTER_TIMEOUT_MS = 1_500;
 
 /** Consensus groups don't shrink below this size, which still tolerates the loss of one member. */
 const MIN_VOTERS = 3;
@@ -74,6 +74,8 @@
  */
 export class MemberHost {
   private _handlers: IConsensusHandlers | undefined;
+  /** Aborted when this process begins to stop. */
+  private readonly _withdrawal = new AbortController();
 
   constructor(
     private readonly _options: IMemberOptions,
@@ -90,9 +92,18 @@
       appendEntries: (request) => this._requireHandlers().appendEntries(request),
       installSnapshot: (request) => this._requireHandlers().installSnapshot(request),
       join: (request, context) => this._requireHandlers().join(request, context),
+      withdraw: (request, context) => this._requireHandlers().withdraw(request, context),
     });
   }
 
+  /**
+   * Gives up the vote of this member if the group has one to spare, because this process is about to stop. It
+   * goes on as a learner until then.
+   */
+  public withdraw(): void {
+    this._withdrawal.abort();
+  }
+
   /** Takes part in the consensus group until the signal is aborted; reopens the data directory after a failure. */
   public async run(signal: AbortSignal): Promise<void> {
     while (!isAborted(signal)) {
@@ -146,7 +157,10 @@
     replicatedLog.start();
     const stopSignal = AbortSignal.any([signal, memberFailed.signal]);
     try {
-      await this._saveTargets(directory, stopSignal);
+      await Promise.all([
+        this._saveTargets(directory, stopSignal),
+        this._withdrawOnRequest(replicatedLog, stopSignal),
+      ]);
     } finally {
       // A log that still runs would write to the files that the next one opens.
       await replicatedLog.stop();
@@ -154,6 +168,13 @@
     }
   }
 
+  private async _withdrawOnRequest(log: ReplicatedLog, signal: AbortSignal): Promise<void> {
+    while (!isAborted(signal) && !isAborted(this._withdrawal.signal)) {
+      await sleep(Number.POSITIVE_INFINITY, signal, this._withdrawal.signal);
+    }
+    await log.withdraw(signal);
+  }
+
   private async _restoreTargets(directory: DataDirectory): Promise<void> {
     try {
       const content = await directory.read(TARGETS_FILE);
--- a/tools/model.mjs
+++ b/tools/model.mjs
@@ -59,9 +59,15 @@
     file: 'model/consensus.qnt',
     steps: 60,
     invariant: 'safe',
-    witnesses: ['repairIsComplete', 'secondDiskIsLost', 'leaderAfterSecondLoss', 'severalLeaders'],
+    witnesses: [
+      'repairIsComplete',
+      'secondDiskIsLost',
+      'leaderAfterSecondLoss',
+      'severalLeaders',
+      'diskIsLostAfterEnd',
+    ],
     correct: [
-      { module: 'consensusCorrect', seeds: [1, 2], samples: 120, quickSamples: 60 },
+      { module: 'consensusCorrect', seeds: [1, 2], samples: 250, quickSamples: 250 },
       { module: 'consensusCorrectFour', seeds: [3], samples: 100 },
     ],
     broken: [
@@ -69,6 +75,8 @@
       ['consensusReturnsWithOldDiskId', 'committedIsKept', 1, true],
       ['consensusRemovalAfterPromotion', 'quorumIsAlive', 1, true],
       ['consensusPromoteWithoutCatchUp', 'twoCopiesAfterRepair', 1, true],
+      ['consensusPromoteBesideLost', 'quorumIsAlive', 1, true],
+      ['consensusEndsAsVoter', 'quorumIsAlive', 1, true],
     ],
   },
 ];
