Keep the end of a connection behind a paused answer

Cause: undici's pause stops its parser, not the socket. Node reports a reset at once, and an end as soon as its buffer is empty, so undici finishes a parser that is paused, where the answer announced the close or has no length, and asserts that this is never done.

Change: common/OrderedSocket wraps every connection that undici gets. It reports the end or error when the reader asks for more and has not paused. An empty chunk, which undici passes on when it resumes, is dropped.

Ruled out: a changed error code covers the reset only; the end comes the same way. Bounded buffering in place of the pause needs a second bound for clients that read slowly.

--- a/src/common/HttpAnswer.ts
+++ b/src/common/HttpAnswer.ts
@@ -185,7 +185,10 @@
   }
 
   public onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    this._body?.push(chunk);
+    // undici passes on an empty chunk when an answer is resumed.
+    if (chunk.length > 0) {
+      this._body?.push(chunk);
+    }
   }
 
   public onResponseEnd(): void {
--- /dev/null
+++ b/src/common/OrderedSocket.ts
@@ -0,0 +1,134 @@
+/**
+ * Keeps the order of what arrives on a connection. Node reports a reset at once, and an end as soon as its buffer is
+ * empty, also while the reader has paused; undici then finishes a parser that is paused, which it asserts is never done.
+ */
+import type { Socket } from 'node:net';
+import { Duplex } from 'node:stream';
+import { buildConnector } from 'undici';
+
+/** As undici sets it for the sockets that it creates. */
+const HIGH_WATER_MARK_BYTES = 64 * 1024;
+
+type SocketEnd = { readonly kind: 'ended' } | { readonly kind: 'failed'; readonly error: Error };
+
+/**
+ * Wraps a connection so that its end or error reaches the reader after all bytes before it, when the reader asks for
+ * more. It is meant for a reader that calls `read` on 'readable', as undici does.
+ *
+ * @example
+ * const ordered = createOrderedSocket(connect(port, host));
+ */
+export function createOrderedSocket(socket: Socket): Duplex {
+  let end: SocketEnd | undefined;
+  let isEndReported = false;
+  let isEndOffered = false;
+
+  // A reader that has not paused reads now and finds nothing. One that reads at another time may pause right after it.
+  const offerEnd = (): void => {
+    isEndOffered = true;
+    ordered.emit('readable');
+    isEndOffered = false;
+  };
+  const finish = (how: SocketEnd): void => {
+    if (end === undefined && !ordered.destroyed) {
+      end = how;
+      offerEnd();
+    }
+  };
+  const fail = (error: Error): void => {
+    finish({ kind: 'failed', error });
+  };
+  const write = (chunk: Uint8Array, onWritten: () => void): void => {
+    socket.write(chunk, (error) => {
+      if (error === null || error === undefined) {
+        onWritten();
+      } else {
+        fail(error);
+      }
+    });
+  };
+  const ordered = new Duplex({
+    readableHighWaterMark: HIGH_WATER_MARK_BYTES,
+    read: () => {
+      socket.resume();
+    },
+    write: (chunk: Uint8Array, _encoding, onWritten) => {
+      write(chunk, onWritten);
+    },
+    writev: (chunks, onWritten) => {
+      write(Buffer.concat(chunks.map(({ chunk }) => chunk as Uint8Array)), onWritten);
+    },
+    final: (onEnded) => {
+      socket.end(onEnded);
+    },
+    destroy: (error, onDestroyed) => {
+      socket.destroy();
+      onDestroyed(error);
+    },
+  });
+  const readBytes = ordered.read.bind(ordered);
+  ordered.read = (size?: number): unknown => {
+    const chunk: unknown = readBytes(size);
+    if (chunk !== null || size !== undefined || end === undefined || isEndReported) {
+      return chunk;
+    }
+    if (!isEndOffered) {
+      process.nextTick(offerEnd);
+      return null;
+    }
+    isEndReported = true;
+    if (end.kind === 'failed') {
+      ordered.destroy(end.error);
+    } else {
+      ordered.push(null);
+    }
+    return null;
+  };
+
+  socket.on('data', (chunk: Buffer) => {
+    if (!ordered.push(chunk)) {
+      socket.pause();
+    }
+  });
+  socket.on('end', () => {
+    finish({ kind: 'ended' });
+  });
+  socket.on('error', fail);
+  socket.on('close', () => {
+    fail(new Error('the connection was closed'));
+  });
+  // undici calls these, so that idle connections do not keep a process running.
+  return Object.assign(ordered, {
+    ref: () => socket.ref(),
+    unref: () => socket.unref(),
+  });
+}
+
+/**
+ * Creates a connector for undici whose connections keep the order of what arrives. `configure` gets each new connection
+ * and its wrapper before undici does.
+ *
+ * @param timeoutMs time limit of a connection attempt in milliseconds
+ *
+ * @example
+ * const agent = new Agent({ connect: createConnector(1_000) });
+ */
+export function createConnector(
+  timeoutMs: number,
+  configure: (socket: Socket, ordered: Duplex) => void = () => undefined,
+): buildConnector.connector {
+  const connect = buildConnector({ timeout: timeoutMs });
+  return (options, callback) => {
+    connect(options, (...result) => {
+      const [error, socket] = result;
+      if (error !== null) {
+        callback(error, null);
+        return;
+      }
+      const ordered = createOrderedSocket(socket);
+      configure(socket, ordered);
+      // undici uses no more of a socket than a `Duplex` has.
+      callback(null, ordered as unknown as Socket);
+    });
+  };
+}
--- a/src/common/ResetDetector.ts
+++ b/src/common/ResetDetector.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http';
 import { buildConnector } from 'undici';
+import { createConnector } from './OrderedSocket.js';
 
 /** Delay before an answer that ends with the close of its connection counts as complete, to detect a reset. */
 const RESET_DETECTION_DELAY_MS = 20;
@@ -53,37 +54,34 @@
  * const watch = detector.watch();
  */
 export class ResetDetector {
-  private readonly _connect: buildConnector.connector;
+  /** Connector for the connections of a client. */
+  public readonly connect: buildConnector.connector;
+  private readonly _probe: buildConnector.connector;
   /** The connection that is being read, or was last. */
   private _readConnection: IConnection = { resetCount: 0, watchCount: 0 };
 
   /** @param connectTimeoutMs time limit of a connection attempt in milliseconds */
   constructor(connectTimeoutMs: number) {
-    this._connect = buildConnector({ timeout: connectTimeoutMs });
-  }
-
-  /** The listeners run before undici's. Writing to a reset connection fails at once, so one that ends is probed. */
-  public readonly connect: buildConnector.connector = (options, callback) => {
-    this._connect(options, (...result) => {
-      const [, socket] = result;
+    this._probe = buildConnector({ timeout: connectTimeoutMs });
+    // The listeners run before undici's. Writing to a reset connection fails at once, so one that ends is probed.
+    this.connect = createConnector(connectTimeoutMs, (socket, ordered) => {
       const connection: IConnection = { resetCount: 0, watchCount: 0 };
       const countReset = (error: Error | null | undefined): void => {
         if (RESET_CODES.has(getErrorCode(error))) {
           connection.resetCount += 1;
         }
       };
-      socket?.prependListener('error', countReset);
-      socket?.prependListener('readable', () => {
+      socket.prependListener('error', countReset);
+      ordered.prependListener('readable', () => {
         this._readConnection = connection;
       });
-      socket?.prependListener('end', () => {
+      socket.prependListener('end', () => {
         if (connection.watchCount > 0) {
           socket.write('\r\n', countReset);
         }
       });
-      callback(...result);
     });
-  };
+  }
 
   /**
    * Calls back whether a server still accepts connections; true also if that is not known. If it refuses them, it has
@@ -91,7 +89,7 @@
    */
   public probe(origin: string, onResult: (isAccepting: boolean) => void): void {
     const { hostname, port, protocol } = new URL(origin);
-    this._connect({ hostname, port, protocol }, (error, socket) => {
+    this._probe({ hostname, port, protocol }, (error, socket) => {
       socket?.destroy();
       onResult(getErrorCode(error) !== 'ECONNREFUSED');
     });
--- a/src/sidecar/EngineClient.ts
+++ b/src/sidecar/EngineClient.ts
@@ -1,9 +1,10 @@
 /**
  * Reads the state of the engine beside this sidecar and sends it load commands, over its HTTP protocol.
  */
-import { buildConnector, Client, type Dispatcher } from 'undici';
+import { Client, type buildConnector, type Dispatcher } from 'undici';
 import { readJson } from '../common/JsonAnswer.js';
 import { describeError } from '../common/Log.js';
+import { createConnector } from '../common/OrderedSocket.js';
 import { deriveTimeoutSignal } from '../common/Tasks.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -96,7 +97,7 @@
  * carries the command: an automatic reconnect could send the command to a later incarnation of the engine.
  */
 function createSingleUseConnector(): buildConnector.connector {
-  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+  const connect = createConnector(CONNECT_TIMEOUT_MS);
   let isUsed = false;
   return (options, callback) => {
     if (isUsed) {
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -6,6 +6,7 @@
 import type { IClock } from '../common/Clock.js';
 import { generateIdentifier, hasSameBytes } from '../common/Hashes.js';
 import type { ILog } from '../common/Log.js';
+import { createConnector } from '../common/OrderedSocket.js';
 import { ResetDetector } from '../common/ResetDetector.js';
 import type { RpcClients } from '../common/Rpc.js';
 import { isAborted, sleep } from '../common/Tasks.js';
@@ -50,7 +51,11 @@
  */
 export class Sidecar {
   private readonly _incarnation = generateIdentifier();
-  private readonly _http = new Agent({ headersTimeout: 0, bodyTimeout: 0 });
+  private readonly _http = new Agent({
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: createConnector(CONNECT_TIMEOUT_MS),
+  });
   private readonly _resets = new ResetDetector(CONNECT_TIMEOUT_MS);
   /** Connections for dispatches, so that the resets of others do not count. */
   private readonly _dispatchHttp = new Agent({
