Stop in order after an uncaught exception

Change: the first exception that nothing catches is logged with its stack and starts the same stop as SIGTERM; the process exits with code 1 and takes no longer than its grace period.

Ruled out: a handler that goes on hides faults, and the state behind the exception is not known.

--- a/src/run/Process.ts
+++ b/src/run/Process.ts
@@ -2,6 +2,7 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import { setMaxListeners } from 'node:events';
 import { MonotonicClock, type IClock } from '../common/Clock.js';
+import { watchFatalErrors } from '../common/FatalErrors.js';
 import { createLog, describeError, type ILog } from '../common/Log.js';
 import { Metrics } from '../common/Metrics.js';
 import { RpcClients } from '../common/Rpc.js';
@@ -38,6 +39,7 @@
   private readonly _entry: EntryRole | undefined;
   private readonly _sidecar: Sidecar | undefined;
   private _server: InternalServer | undefined;
+  private _hasFailed = false;
 
   constructor(
     private readonly _settings: ILoadedSettings,
@@ -108,7 +110,13 @@
     await this._dispose();
     await Promise.allSettled(tasks);
     this._log.info('stopped', {});
-    return failed.signal.aborted ? EXIT_FAILED : EXIT_OK;
+    return failed.signal.aborted || this._hasFailed ? EXIT_FAILED : EXIT_OK;
+  }
+
+  /** Drains and stops after an error that may have left the process in a wrong state. */
+  public stopAfterError(): void {
+    this._hasFailed = true;
+    this._drainRequested.abort();
   }
 
   private _createServer(): InternalServer {
@@ -212,5 +220,16 @@
   const log = createLog(settings.instance, settings.logLevel, (line) => {
     process.stdout.write(`${line}\n`);
   });
-  return new Process(settings, log).run(signal);
+  const instance = new Process(settings, log);
+  watchFatalErrors(
+    process,
+    SIDECAR_DRAIN_TIMEOUT_MS,
+    (error) => {
+      log.error('uncaught exception', { error: describeError(error) });
+    },
+    () => {
+      instance.stopAfterError();
+    },
+  );
+  return instance.run(signal);
 }
