Tell events from comments in linear time

Cause: in the expression for "no event" a CR before LF could belong to the comment or to the end of its line, so n such lines followed by anything else were tried in 2 to the n ways.

Change: the lines are looked at one by one.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,5 +1,6 @@
 import { readFileSync } from 'node:fs';
 import prettier from 'eslint-config-prettier';
+import redos from 'eslint-plugin-redos';
 import tseslint from 'typescript-eslint';
 
 // Names of functions and methods must begin with a verb from the list in docs/naming.md.
@@ -22,6 +23,13 @@
       'no-restricted-imports': ['error', { patterns: [{ group: ['**/platform/**'] }] }],
     },
   },
+  {
+    // Expressions that process bytes of others must not take more than linear time.
+    files: ['src/**/*.ts', 'platform/**/*.ts'],
+    ignores: ['**/*.test.ts', 'platform/soak/**'],
+    plugins: { redos },
+    rules: { 'redos/no-vulnerable': ['error', { permittableComplexities: [] }] },
+  },
   { files: ['**/*.mjs'], ...tseslint.configs.disableTypeChecked },
   {
     files: ['**/*.ts'],
--- a/src/gateway/EventFramer.test.ts
+++ b/src/gateway/EventFramer.test.ts
@@ -4,7 +4,7 @@
  */
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { EventFramer, MAX_EVENT_BYTES } from './EventFramer.js';
+import { EventFramer, hasUnnumberedEnd, MAX_EVENT_BYTES } from './EventFramer.js';
 
 const EVENTS = ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\ndata: c\n\n', 'id:3\r\ndata: d\r\n\r\n'];
 
@@ -55,6 +55,20 @@
     expect(framer.incomplete.toString()).toBe('x'.repeat(MAX_EVENT_BYTES + 1));
   });
 
+  // A CR before LF could belong to the comment or to the end of its line, so the time doubled with each of them.
+  it.each([': ping\r\n', ': \r \r\n', '\r\n', ':\r\r\r\r\n'])(
+    'tells in milliseconds that an event follows 26 lines %j',
+    (line) => {
+      const events = Buffer.from(`${line.repeat(26)}xd: 1\ndata: a\n\n`);
+      const startedAt = performance.now();
+      const framer = new EventFramer();
+      expect(hasUnnumberedEnd(framer.push(events).bytes)).toBe(true);
+      framer.push(events.subarray(0, events.length - 2));
+      expect(framer.isInsideEvent).toBe(true);
+      expect(performance.now() - startedAt).toBeLessThan(100);
+    },
+  );
+
   it('buffers the bytes of an incomplete event', () => {
     const framer = new EventFramer();
     const { bytes, lastId } = framer.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'));
--- a/src/gateway/EventFramer.ts
+++ b/src/gateway/EventFramer.ts
@@ -1,7 +1,9 @@
 /** Splits a stream of server-sent events at event boundaries. */
+import { ByteBuffer } from '../common/ByteBuffer.js';
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+const COLON = 0x3a;
 const EMPTY = Buffer.alloc(0);
 
 /** Bytes of the end of an event that may come before a chunk: all but the last one of LF CR LF. */
@@ -10,9 +12,6 @@
 /** An event with more bytes is none: a faulty target may send bytes without end. */
 export const MAX_EVENT_BYTES = 256 * 1024;
 
-/** Blank lines and comments, which belong to no event. */
-const NO_EVENT = /^(?:(?::[^\n]*)?\r?\n)*$/;
-
 const ID_FIELD = /(?:^|\n)id:[ ]?(\d+)/g;
 
 /** Complete events, as raw bytes. */
@@ -32,57 +31,44 @@
  * const { bytes, lastId } = framer.push(chunk);
  */
 export class EventFramer {
-  /** Grows by doubling; the first `_size` bytes are those of the incomplete event. */
-  private _buffer: Buffer = EMPTY;
-  private _size = 0;
+  private readonly _incomplete = new ByteBuffer();
 
   /** Buffered bytes of an incomplete event; valid until the next call of `push`. */
   public get incomplete(): Buffer {
-    return this._buffer.subarray(0, this._size);
+    return this._incomplete.bytes;
   }
 
   /** True if a stream that ended here would have been broken off. */
   public get isInsideEvent(): boolean {
-    return !NO_EVENT.test(this.incomplete.toString('latin1'));
+    return hasEvent(this.incomplete, 0);
   }
 
   /** True if more bytes than any event has arrived without the end of one. */
   public get isOverlong(): boolean {
-    return this._size > MAX_EVENT_BYTES;
+    return this._incomplete.size > MAX_EVENT_BYTES;
   }
 
   /** Returns the events that this chunk completes. */
   public push(chunk: Buffer): IFramedEvents {
     const end = this._findEnd(chunk);
     if (end === 0) {
-      this._append(chunk);
+      this._incomplete.append(chunk);
       return { bytes: EMPTY, firstId: undefined, lastId: undefined };
     }
     const head = chunk.subarray(0, end);
-    const bytes = this._size === 0 ? head : Buffer.concat([this.incomplete, head]);
-    this._size = 0;
-    this._append(chunk.subarray(end));
+    const bytes = this._incomplete.size === 0 ? head : Buffer.concat([this.incomplete, head]);
+    this._incomplete.clear();
+    this._incomplete.append(chunk.subarray(end));
     const ids = listIds(bytes);
     return { bytes, firstId: ids[0], lastId: ids.at(-1) };
   }
 
   /** Offset in the chunk after the end of its last event, or 0 without one; the end may begin before the chunk. */
   private _findEnd(chunk: Buffer): number {
-    const before = this._buffer.subarray(Math.max(0, this._size - EVENT_END_BYTES), this._size);
+    const before = this.incomplete.subarray(-EVENT_END_BYTES);
     const joined = before.length === 0 ? chunk : Buffer.concat([before, chunk]);
     return Math.max(0, findLastEventEnd(joined) - before.length);
   }
-
-  private _append(chunk: Buffer): void {
-    const size = this._size + chunk.length;
-    if (size > this._buffer.length) {
-      const grown = Buffer.allocUnsafe(Math.max(size, this._buffer.length * 2));
-      this._buffer.copy(grown, 0, 0, this._size);
-      this._buffer = grown;
-    }
-    chunk.copy(this._buffer, this._size);
-    this._size = size;
-  }
 }
 
 /** Offset after the last blank line, or 0 without one. Lines end with LF or CR LF. */
@@ -108,11 +94,25 @@
     idAt = match.index;
   }
   if (idAt < 0) {
-    return !NO_EVENT.test(text);
+    return hasEvent(events, 0);
+  }
+  const end = /\n\r?\n/.exec(text.slice(idAt + 1));
+  return end !== null && hasEvent(events, idAt + 1 + end.index + end[0].length);
+}
+
+/** False if there are only blank lines and comments from an offset on, which belong to no event. */
+function hasEvent(bytes: Buffer, offset: number): boolean {
+  let lineStart = offset;
+  while (lineStart < bytes.length) {
+    const lineEnd = bytes.indexOf(LINE_FEED, lineStart);
+    const isBlank =
+      lineEnd === lineStart || (lineEnd === lineStart + 1 && bytes[lineStart] === CARRIAGE_RETURN);
+    if (lineEnd < 0 || !(isBlank || bytes[lineStart] === COLON)) {
+      return true;
+    }
+    lineStart = lineEnd + 1;
   }
-  const rest = text.slice(idAt + 1);
-  const end = /\n\r?\n/.exec(rest);
-  return end !== null && !NO_EVENT.test(rest.slice(end.index + end[0].length));
+  return false;
 }
 
 function listIds(bytes: Buffer): readonly number[] {
