Collect the bytes of an incomplete event in linear time

A stream from a sidecar that arrives in single bytes held up its process: the bytes of an incomplete event were joined anew for each chunk.

Change: SseScanner appends to a ByteBuffer, as EventFramer does, and looks for the end of an event in the new bytes only.

--- a/src/entry/SseScanner.ts
+++ b/src/entry/SseScanner.ts
@@ -1,4 +1,5 @@
 /** Splits a server-sent event stream at event boundaries and checks the order of its events. */
+import { ByteBuffer } from '../common/ByteBuffer.js';
 
 const EVENT_END = Buffer.from('\n\n');
 const ID_FIELD = Buffer.from('id: ');
@@ -29,7 +30,7 @@
  * if (events.length > 0) response.write(events);
  */
 export class SseScanner {
-  private _incompleteEvent: Buffer = Buffer.alloc(0);
+  private readonly _incompleteEvent = new ByteBuffer();
   private _lastEventId = 0;
   private _eventCount = 0;
   private _isDone = false;
@@ -62,27 +63,36 @@
 
   /** Adds bytes and returns those of the events that are now complete; throws `StreamOrderError`. */
   public push(chunk: Buffer): Buffer {
-    const bytes =
-      this._incompleteEvent.length === 0 ? chunk : Buffer.concat([this._incompleteEvent, chunk]);
-    const lastEnd = bytes.lastIndexOf(EVENT_END);
-    if (lastEnd < 0) {
-      if (bytes.length > MAX_EVENT_BYTES) {
+    const end = this._findEnd(chunk);
+    if (end === 0) {
+      this._incompleteEvent.append(chunk);
+      if (this._incompleteEvent.size > MAX_EVENT_BYTES) {
         throw new StreamOrderError('an event exceeds the maximum size');
       }
-      this._incompleteEvent = bytes;
       return Buffer.alloc(0);
     }
-    const end = lastEnd + EVENT_END.length;
-    const complete = bytes.subarray(0, end);
-    // Copied, because a view would keep the whole chunk in memory.
-    this._incompleteEvent = Buffer.from(bytes.subarray(end));
+    const head = chunk.subarray(0, end);
+    const complete =
+      this._incompleteEvent.size === 0 ? head : Buffer.concat([this._incompleteEvent.bytes, head]);
+    this._incompleteEvent.clear();
+    this._incompleteEvent.append(chunk.subarray(end));
     this._checkEvents(complete);
     return complete;
   }
 
   /** Drops the bytes of an incomplete event; call it before the stream is resumed. */
   public dropIncompleteEvent(): void {
-    this._incompleteEvent = Buffer.alloc(0);
+    this._incompleteEvent.clear();
+  }
+
+  /** Offset in the chunk after the end of its last event, or 0 without one; the end may begin before the chunk. */
+  private _findEnd(chunk: Buffer): number {
+    const lastEnd = chunk.lastIndexOf(EVENT_END);
+    if (lastEnd >= 0) {
+      return lastEnd + EVENT_END.length;
+    }
+    const isEndComplete = this._incompleteEvent.bytes.at(-1) === NEWLINE && chunk[0] === NEWLINE;
+    return isEndComplete ? 1 : 0;
   }
 
   private _checkEvents(events: Buffer): void {
