Deliver buffered chunks of an answer in linear time

An answer that is read later took its chunks from the front of a list, which moves the rest of a long list each time.

Change: the next chunk is an index. readAnswer collects bytes, not chunks.

--- a/src/common/HttpAnswer.ts
+++ b/src/common/HttpAnswer.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
+import { ByteBuffer } from './ByteBuffer.js';
 import { isCloseDelimited, type IResetWatch, type ResetDetector } from './ResetDetector.js';
 
 /** An answer whose head has arrived; the body may be incomplete. */
@@ -21,8 +22,9 @@
  * buffered, and the connection is paused until then. Whoever gets the body must read or destroy it.
  */
 export class AnswerBody {
-  /** Chunks that arrived before the reader was attached. */
-  private readonly _bufferedChunks: Buffer[] = [];
+  /** Chunks that arrived before the reader was attached, and the index of the first one that is not delivered. */
+  private _bufferedChunks: Buffer[] = [];
+  private _nextChunk = 0;
   private _onData: ((chunk: Buffer) => void) | undefined;
   private _onEnd: ((error: Error | undefined) => void) | undefined;
   private _end: { readonly error: Error | undefined } | undefined;
@@ -61,8 +63,14 @@
   /** Delivers buffered chunks, unless the callback pauses again, and continues to read the connection. */
   public resume(): void {
     this._isPaused = false;
-    while (this._bufferedChunks.length > 0 && this._canDeliver()) {
-      this._deliver(this._bufferedChunks.shift());
+    while (this._hasBuffered && this._canDeliver()) {
+      const chunk = this._bufferedChunks[this._nextChunk];
+      this._nextChunk += 1;
+      this._deliver(chunk);
+    }
+    if (!this._hasBuffered) {
+      this._bufferedChunks = [];
+      this._nextChunk = 0;
     }
     if (this._canDeliver() && this._end === undefined) {
       this._controller.resume();
@@ -96,13 +104,17 @@
 
   /** Reports the end to the reader, that of a complete body once the reader has all chunks. */
   private _reportEnd(): void {
-    const isDue = this._end?.error !== undefined || this._bufferedChunks.length === 0;
+    const isDue = this._end?.error !== undefined || !this._hasBuffered;
     if (this._end !== undefined && this._onEnd !== undefined && isDue && !this._isEndReported) {
       this._isEndReported = true;
       this._onEnd(this._end.error);
     }
   }
 
+  private get _hasBuffered(): boolean {
+    return this._nextChunk < this._bufferedChunks.length;
+  }
+
   private _canDeliver(): boolean {
     return !this._isPaused && this._end?.error === undefined;
   }
@@ -130,16 +142,14 @@
  * which `AnswerBody.read` does.
  */
 export async function readAnswer(body: AnswerBody): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let totalBytes = 0;
+  const bytes = new ByteBuffer();
   await body.read((chunk) => {
-    totalBytes += chunk.length;
-    if (totalBytes > MAX_ANSWER_BYTES) {
+    if (bytes.size + chunk.length > MAX_ANSWER_BYTES) {
       throw new AnswerTooLargeError(`the answer exceeds ${MAX_ANSWER_BYTES} bytes`);
     }
-    chunks.push(chunk);
+    bytes.append(chunk);
   });
-  return Buffer.concat(chunks);
+  return bytes.take();
 }
 
 /**
