Bound the memory of bodies that arrive in small chunks

A body in chunks of one byte took some hundred bytes of memory for each of its bytes, as each chunk is a buffer of its own: a body within the limit of 4 MB may end a process that has 200 MB.

--- a/src/common/JsonAnswer.ts
+++ b/src/common/JsonAnswer.ts
@@ -1,4 +1,5 @@
 /** Reads JSON answers of limited size. */
+import { ByteBuffer } from './ByteBuffer.js';
 
 /**
  * Reads and parses a whole body. Rejects and closes the connection if it exceeds `maxBytes`: a faulty server may send
@@ -8,14 +9,12 @@
  * const reply = await readJson(response.body, 65_536);
  */
 export async function readJson(body: AsyncIterable<Buffer>, maxBytes: number): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const bytes = new ByteBuffer();
   for await (const chunk of body) {
-    size += chunk.length;
-    if (size > maxBytes) {
+    if (bytes.size + chunk.length > maxBytes) {
       throw new Error(`the answer exceeds ${maxBytes} bytes`);
     }
-    chunks.push(chunk);
+    bytes.append(chunk);
   }
-  return JSON.parse(Buffer.concat(chunks).toString());
+  return JSON.parse(bytes.take().toString());
 }
--- a/src/entry/Parse.ts
+++ b/src/entry/Parse.ts
@@ -1,5 +1,6 @@
 /** First stage of the request pipeline: reads and validates the body. */
 import type { IncomingMessage } from 'node:http';
+import { ByteBuffer } from '../common/ByteBuffer.js';
 import { Err, Ok, type Result } from '../common/Result.js';
 import { estimateTokens } from '../policy/PrefixChain.js';
 import { createRefusal, type IHttpFailure } from './Failures.js';
@@ -54,18 +55,16 @@
 }
 
 async function collectBody(request: IncomingMessage): Promise<Result<Buffer, IHttpFailure>> {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const body = new ByteBuffer();
   // Leaving the loop must not destroy the connection, which has to carry the error response.
   for await (const chunk of request.iterator({ destroyOnReturn: false })) {
     const bytes = chunk as Buffer;
-    size += bytes.length;
-    if (size > MAX_BODY_BYTES) {
+    if (body.size + bytes.length > MAX_BODY_BYTES) {
       return Err(describeTooLarge());
     }
-    chunks.push(bytes);
+    body.append(bytes);
   }
-  return Ok(Buffer.concat(chunks));
+  return Ok(body.take());
 }
 
 function describeTooLarge(): IHttpFailure {
--- a/src/sidecar/DispatchHandler.ts
+++ b/src/sidecar/DispatchHandler.ts
@@ -12,6 +12,7 @@
   STREAM_HEADER,
   TICKET_HEADER,
 } from '../common/Headers.js';
+import { ByteBuffer } from '../common/ByteBuffer.js';
 import { readAnswer, type AnswerBody, type IHttpAnswer } from '../common/HttpAnswer.js';
 import type { IClock } from '../common/Clock.js';
 import type { ILog } from '../common/Log.js';
@@ -322,12 +323,12 @@
 
 /** Returns undefined when the connection broke before the body was complete. */
 async function readRequestBody(request: IncomingMessage): Promise<Buffer | undefined> {
-  const parts: Buffer[] = [];
+  const body = new ByteBuffer();
   try {
     for await (const part of request) {
-      parts.push(part as Buffer);
+      body.append(part as Buffer);
     }
-    return Buffer.concat(parts);
+    return body.take();
   } catch {
     return undefined;
   }
--- a/src/sidecar/KvCacheStore.ts
+++ b/src/sidecar/KvCacheStore.ts
@@ -1,6 +1,7 @@
 /** Client for the KV-cache store, an HTTP server that stores blobs with PUT and returns them with GET. */
 import type { Readable } from 'node:stream';
 import type { Dispatcher } from 'undici';
+import { ByteBuffer } from '../common/ByteBuffer.js';
 import { deriveTimeoutSignal } from '../common/Tasks.js';
 
 /** Time limit for the transfer of one blob, whatever its size. */
@@ -111,16 +112,14 @@
 }
 
 async function readText(body: Readable): Promise<string> {
-  const parts: Buffer[] = [];
-  let size = 0;
+  const bytes = new ByteBuffer();
   for await (const part of body as AsyncIterable<Buffer>) {
-    parts.push(part);
-    size += part.length;
-    if (size > MAX_LIST_BYTES) {
+    bytes.append(part);
+    if (bytes.size > MAX_LIST_BYTES) {
       throw new Error(`a list of hot chunks is larger than ${MAX_LIST_BYTES} bytes`);
     }
   }
-  return Buffer.concat(parts).toString('utf8');
+  return bytes.take().toString('utf8');
 }
 
 function parseList(text: string): string[] {
