Commit a leaving before it is acknowledged

Cause: the leader had the leaving in memory only. The record from before was restored from the saved file, as ready and as heard of just now, and a target that has left announces nothing that would correct it.

Change: a leaving, `draining` or withdrawn, is committed to the replicated state beside the exchange with the hub. A hub that meets a target for the first time takes the committed record in place of an older one.

Ruled out: a save at the process that acknowledges ends with its disk; a commit for each heartbeat is too dear, and repeated ones cost none here.

--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -134,6 +134,8 @@
     private readonly _options: IHubOptions,
     private readonly _startedAt: number,
     private readonly _earlier: IEarlierSpending,
+    /** Returns the record of the target's departure in place of an older record. */
+    private readonly _resolveDeparture: (record: TargetRecord) => TargetRecord = (record) => record,
   ) {
     this._rateLimits = new TargetRateLimits(_startedAt);
     this.versions = new VersionBases(_startedAt);
@@ -164,14 +166,15 @@
   }
 
   /** Stores an announcement; false if it names no usable target or is not later than the stored one. */
-  public announce(record: TargetRecord, now: number): boolean {
-    const problem = checkTarget(record);
+  public announce(announced: TargetRecord, now: number): boolean {
+    const problem = checkTarget(announced);
     if (problem !== undefined) {
-      this._options.log.warn('target ignored', { target: record.id, reason: problem });
+      this._options.log.warn('target ignored', { target: announced.id, reason: problem });
       return false;
     }
-    const existing = this._targets.get(record.id);
-    const seenAt = now - record.ageMs;
+    const existing = this._targets.get(announced.id);
+    const seenAt = now - announced.ageMs;
+    const record = existing === undefined ? this._resolveDeparture(announced) : announced;
     if (now - this._startedAt < LOAD_HANDOVER_MS && (record.loading || record.preparing)) {
       this._inheritedLoads.add(record.id);
     }
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -41,7 +41,8 @@
   type TargetWork,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
 import type { ISuspectParts } from './CrashEvidence.js';
-import { FleetHub, type IHubOptions } from './FleetHub.js';
+import { DepartureRecorder, isLeaving } from './Departures.js';
+import { FleetHub, type IEarlierSpending, type IHubOptions } from './FleetHub.js';
 import { findLeader, type ILeaderHint } from './LeaderSearch.js';
 import type { FleetState } from './FleetState.js';
 import type { FleetView } from './FleetView.js';
@@ -189,6 +190,11 @@
   private readonly _incarnation = randomUUID().slice(0, 8);
   private readonly _leases: LeaseReporter;
   private readonly _origins: OriginCalls;
+  private readonly _departures = new DepartureRecorder(async (record, signal) => {
+    const body = { case: 'recordDeparture', value: record } as const;
+    const outcome = await this.submit(create(FleetCommandSchema, { body }), signal);
+    return outcome.kind === 'committed';
+  });
   /** Revision up to which this process has the others' readings, at the hub of the view's epoch. */
   private _readingRevision = 0n;
   /** Revision of the suspects that this process has, at the same hub. */
@@ -299,8 +305,23 @@
     }
   }
 
+  /**
+   * Commits the record of a target that leaves, so that it outlives a stop of all processes. Resolves with false at
+   * the timeout or if aborted; the record may then be committed or not.
+   */
+  public recordDeparture(
+    record: TargetRecord,
+    timeoutMs: number,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    return runWithTimeout(signal, timeoutMs, (limited) => this._departures.record(record, limited));
+  }
+
   /** Applies an announcement that a target sent to this process, and queues it for the hub. */
   public announce(record: TargetRecord, now: number): void {
+    if (!isLeaving(record)) {
+      this._departures.forget(record.id);
+    }
     const existing = this._view.getTarget(record.id);
     this._view.applyAnnouncement(record);
     this._pendingAnnouncements.add(record, now);
@@ -557,11 +578,18 @@
 
   private _startHub(term: number, now: number): void {
     const state = this._member?.state;
-    const hub = new FleetHub(`${this._options.address}/${term}`, this._options.hub, now, {
+    const earlier: IEarlierSpending = {
       isConfigured: state?.document !== undefined,
       records: state?.spending ?? [],
       getCeiling: (clientAccount) => state?.getCeiling(clientAccount) ?? 0,
-    });
+    };
+    const hub = new FleetHub(
+      `${this._options.address}/${term}`,
+      this._options.hub,
+      now,
+      earlier,
+      (record) => state?.departures.resolve(record) ?? record,
+    );
     this._hub = { hub, term };
     hub.restoreSuspects(this._quarantine.suspects, now);
     for (const record of this._view.listRecords()) {
@@ -747,6 +775,9 @@
   ): void {
     const isNewEpoch = answer.epoch !== this._view.epoch;
     this._view.applyResponse(answer, now);
+    for (const { id } of answer.targets.filter((record) => !isLeaving(record))) {
+      this._departures.forget(id);
+    }
     this._view.versions.apply(answer, sentAt);
     this._readingRevision = answer.readingRevision;
     this._workSource.applyReadings(answer.readings, now);
@@ -900,6 +931,8 @@
       const { model, version } = command.body.value;
       return state.weights.some((named) => named.model === model && version <= named.version);
     }
+    case 'recordDeparture':
+      return state.departures.isCovered(command.body.value);
     case 'recordSpending':
     case 'recordStreams':
     case 'setVersionBase':
--- a/src/fleet/FleetState.ts
+++ b/src/fleet/FleetState.ts
@@ -12,6 +12,7 @@
   type ServiceVersion,
   type SpendingRecord,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
+import { Departures } from './Departures.js';
 import { StreamRecords } from './StreamRecords.js';
 
 const EMPTY_RESULT = new Uint8Array();
@@ -44,6 +45,9 @@
   /** Software versions that began streams, where it is not the base version of their service. */
   public readonly streams = new StreamRecords();
 
+  /** Targets whose leaving was acknowledged. */
+  public readonly departures = new Departures();
+
   /** Fires after a command that changed the state, and after a restore. */
   public readonly onChange = this._changes.onFire;
 
@@ -93,6 +97,9 @@
       case 'forgetStreams':
         this.streams.forget(Number(body.value.upTo));
         break;
+      case 'recordDeparture':
+        this.departures.add(body.value);
+        break;
       case undefined:
         break;
     }
@@ -106,6 +113,7 @@
       ceilings: Object.fromEntries(this._ceilings),
       versionBases: [...this._versionBases].map(([service, version]) => ({ service, version })),
       streams: this.streams.snapshot(),
+      departures: [...this.departures.list()],
     });
     if (this._document !== undefined) {
       snapshot.document = this._document;
@@ -122,6 +130,7 @@
       this._ceilings.set(clientAccount, ceiling);
     }
     this.streams.restore(snapshot.streams);
+    this.departures.restore(snapshot.departures);
     this._versionBases.clear();
     for (const { service, version } of snapshot.versionBases) {
       this._versionBases.set(service, version);
