Check that a response continues a stream before it is relayed

Clients could find the text of an error, or its whole head, in the middle of their stream, which then ended as complete: a resumable stream broke off, and the next engine answered the attempt that resumed it with status 200 and a JSON error, or with a second head in its body.

Cause: of a response that resumes a stream only the status was checked, and that its first id is not too low; bytes without an id passed.

Change: it must be an event stream, and its first event must have an id above that of the last event relayed, before a byte of it is relayed. A line that begins another answer ends any stream.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -5,7 +5,13 @@
 import { isMechanismDisabled } from '../common/TestSwitches.js';
 import type { IRoute } from '../fleet/Types.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
-import { hasUnnumberedEnd, EventFramer, MAX_EVENT_BYTES } from './EventFramer.js';
+import {
+  EventFramer,
+  findFirstEvent,
+  hasStatusLine,
+  hasUnnumberedEnd,
+  MAX_EVENT_BYTES,
+} from './EventFramer.js';
 import { isSilent } from './Silence.js';
 import {
   recordActivity,
@@ -163,6 +169,8 @@
   private _discardedBytes = 0;
   private _discardTimer: NodeJS.Timeout | undefined;
   private _isPaused = false;
+  /** True once an event of this response has been relayed. */
+  private _isContinued = false;
   /** When the target was last resumed after a pause or after events of it were held. */
   private _resumedAt = Number.NEGATIVE_INFINITY;
   private _settleTimer: NodeJS.Timeout | undefined;
@@ -402,9 +410,13 @@
         this._end(this._describeDiscarded());
       }, MAX_DISCARD_MS);
     }
-    // The client has already received a status of 200, so only such a response can resume the stream.
-    if (this._sink.isStarted && !this._isDiscarded && head.status !== 200) {
-      this._end({ kind: 'failed', reason: `status ${head.status} when resuming a stream` });
+    // The client has already received the head of a stream with status 200, so only such a response can resume it.
+    if (this._sink.isStarted && !this._isDiscarded) {
+      if (head.status !== 200) {
+        this._end({ kind: 'failed', reason: `status ${head.status} when resuming a stream` });
+      } else if (!isEventStream(head.headers)) {
+        this._end({ kind: 'failed', reason: 'no event stream when resuming a stream' });
+      }
     }
   }
 
@@ -439,8 +451,9 @@
     }
     const { bytes, firstId, lastId } = this._framer.push(chunk);
     if (bytes.length > 0) {
-      if (!this.hasFirstByte && this._isRelayed(firstId)) {
-        this._end({ kind: 'failed', reason: 'the target did not go on after the last event' });
+      const problem = this._checkEvents(bytes, firstId);
+      if (problem !== undefined) {
+        this._end({ kind: 'failed', reason: problem });
         return;
       }
       this._recordFirstByte();
@@ -451,9 +464,23 @@
     }
   }
 
-  private _isRelayed(eventId: number | undefined): boolean {
+  /**
+   * Explains why events may not be relayed; undefined if they may. A response that resumes a stream must begin with an
+   * event whose id is above that of the last event relayed. Ids increase, but need not be consecutive.
+   */
+  private _checkEvents(bytes: Buffer, firstId: number | undefined): string | undefined {
+    if (hasStatusLine(bytes)) {
+      return 'another answer begins in the body';
+    }
     const { lastEventId } = this._options.position;
-    return eventId !== undefined && lastEventId !== undefined && eventId <= lastEventId;
+    if (lastEventId === undefined || this._isContinued) {
+      return undefined;
+    }
+    const first = findFirstEvent(bytes);
+    this._isContinued = first.kind !== 'none';
+    const isUnnumbered = first.kind === 'unnumbered' && this._sink.isStarted;
+    const isRelayed = firstId !== undefined && firstId <= lastEventId;
+    return isUnnumbered || isRelayed ? 'the target did not go on after the last event' : undefined;
   }
 
   private _relayOrHold(bytes: Buffer, lastId: number | undefined): void {
--- a/src/gateway/EventFramer.ts
+++ b/src/gateway/EventFramer.ts
@@ -4,6 +4,7 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const COLON = 0x3a;
+const PROTOCOL = Buffer.from('HTTP/1.');
 const EMPTY = Buffer.alloc(0);
 
 /** Bytes of the end of an event that may come before a chunk: all but the last one of LF CR LF. */
@@ -86,6 +87,33 @@
   return 0;
 }
 
+/** What the first event among complete events is; comments and blank lines before it do not count. */
+export type FirstEvent =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'numbered'; readonly id: number }
+  | { readonly kind: 'unnumbered' };
+
+export function findFirstEvent(events: Buffer): FirstEvent {
+  const start = findEventStart(events, 0);
+  if (start === undefined) {
+    return { kind: 'none' };
+  }
+  const rest = events.toString('latin1', start);
+  const end = /\n\r?\n/.exec(rest);
+  const [, id] = /(?:^|\n)id:[ ]?(\d+)/.exec(rest.slice(0, end?.index)) ?? [];
+  return id === undefined ? { kind: 'unnumbered' } : { kind: 'numbered', id: Number(id) };
+}
+
+/** True if a line is the first one of an answer. A faulty engine may write a second answer into the body of the first. */
+export function hasStatusLine(events: Buffer): boolean {
+  for (let at = events.indexOf(PROTOCOL); at >= 0; at = events.indexOf(PROTOCOL, at + 1)) {
+    if (at === 0 || events[at - 1] === LINE_FEED) {
+      return true;
+    }
+  }
+  return false;
+}
+
 /** True if the last of these complete events has no numeric id, so that a stream cannot be resumed after it. */
 export function hasUnnumberedEnd(events: Buffer): boolean {
   const text = events.toString('latin1');
@@ -100,19 +128,23 @@
   return end !== null && hasEvent(events, idAt + 1 + end.index + end[0].length);
 }
 
-/** False if there are only blank lines and comments from an offset on, which belong to no event. */
 function hasEvent(bytes: Buffer, offset: number): boolean {
+  return findEventStart(bytes, offset) !== undefined;
+}
+
+/** Undefined if there are only blank lines and comments from an offset on, which belong to no event. */
+function findEventStart(bytes: Buffer, offset: number): number | undefined {
   let lineStart = offset;
   while (lineStart < bytes.length) {
     const lineEnd = bytes.indexOf(LINE_FEED, lineStart);
     const isBlank =
       lineEnd === lineStart || (lineEnd === lineStart + 1 && bytes[lineStart] === CARRIAGE_RETURN);
     if (lineEnd < 0 || !(isBlank || bytes[lineStart] === COLON)) {
-      return true;
+      return lineStart;
     }
     lineStart = lineEnd + 1;
   }
-  return false;
+  return undefined;
 }
 
 function listIds(bytes: Buffer): readonly number[] {
