Take an answer without length and bytes for one that broke off

Clients got an empty 200, framed as whole, from an engine that stopped after its head and closed.

Cause: the close of a connection ends an answer without length, and for other routes than streams its body may be empty.

Change: such an answer without a byte has failed, as that of a stream did already. An engine that has nothing to say states a length of 0, or a status without a body. A short body that a sound close ends can't be told from a whole one, and is relayed.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -544,7 +544,9 @@
       this._options.onDeferred();
     } else if (this._isBrokenOff()) {
       this._hasEnded = true;
-      const reason = 'the stream ended inside an event';
+      const reason = this.hasFirstByte
+        ? 'the stream ended inside an event'
+        : 'the connection ended before the body';
       this._finish({ kind: 'failed', reason, isBroken: true });
     } else if (this._head?.framing === BodyFraming.Close && this._isSuccess()) {
       void this._relayEndIfListening();
@@ -624,16 +626,17 @@
 
   /**
    * True if the end of the response shows that the engine had not finished it. A stream that ends inside an event is
-   * broken off however its body is framed: a proxy in front of the engine may have completed the framing.
+   * broken off however its body is framed: a proxy in front of the engine may have completed the framing. So is a body
+   * without length and bytes: an engine that has nothing to say states a length of 0.
    */
   private _isBrokenOff(): boolean {
     const head = this._head;
-    if (head === undefined || this._framer === undefined || !this._isSuccess()) {
+    if (head === undefined || !this._isSuccess()) {
       return false;
     }
     TEST_ONLY: if (isMechanismDisabled('stream-end')) return false;
     const isCloseDelimited = head.framing === BodyFraming.Close;
-    return this._framer.isInsideEvent
+    return this._framer?.isInsideEvent === true
       ? isCloseDelimited || isEventStream(head.headers)
       : isCloseDelimited && !this.hasFirstByte;
   }
--- a/src/gateway/ContinuedStreams.test.ts
+++ b/src/gateway/ContinuedStreams.test.ts
@@ -117,3 +117,31 @@
     expect(sink).toMatchObject({ body: events, ending: 'end' });
   });
 });
+
+describe('an answer without length', () => {
+  const close = { framing: BodyFraming.Close, headers: JSON_HEADERS };
+
+  // An engine that stops after its head and closes looked like one that answers with nothing.
+  it.each(['safe', 'unsafe', 'streaming'] as const)(
+    'is broken off if it has no bytes (%s)',
+    async (kind) => {
+      const route = { kind, isResumable: false, maxAttempts: 1 };
+      const { sink } = await runCall([answer(close)], { route });
+      expect(sink).toMatchObject({ status: 502, ending: 'refuse' });
+    },
+  );
+
+  it('is tried again elsewhere if that is safe', async () => {
+    const route = { kind: 'safe', isResumable: false, maxAttempts: 2 } as const;
+    const { sink } = await runCall([answer(close), answerOk], { route });
+    expect(sink).toMatchObject({ status: 200, ending: 'end' });
+  });
+
+  it('is complete with bytes, and without a body where there can be none', async () => {
+    const route = { kind: 'safe', isResumable: false } as const;
+    const { sink } = await runCall([answer(close, ERROR_TEXT)], { route });
+    expect(sink).toMatchObject({ status: 200, body: ERROR_TEXT, ending: 'end' });
+    const none = { ...close, status: 204, framing: BodyFraming.None };
+    expect((await runCall([answer(none)], { route })).sink).toMatchObject({ status: 204 });
+  });
+});
