Count what was learned before a suspension as of unknown age

Cause: the monotonic clock does not count the time for which a machine is suspended. A statement that a service is uniform holds for 500 ms, and the first streams of another version wait for that time elsewhere, but a process that was suspended for seconds still counted its statement as recent. In the same way a leader that was suspended counted as confirmed, although another one may have been elected.

Change: a detector compares the monotonic clock with the time of day, which goes on. Statements of a hub, and the confirmation of a leader, that date from before the last suspension are not relied on until they are renewed. A step of the time of day looks the same and costs one renewal.

Ruled out: adding the difference to the clock would end requests early when the time of day is set forward.

--- a/src/consensus/ReplicatedLog.test.ts
+++ b/src/consensus/ReplicatedLog.test.ts
@@ -2,6 +2,7 @@
 import { appendFile, readdir, rm } from 'node:fs/promises';
 import { join } from 'node:path';
 import { afterEach, describe, expect, it } from 'vitest';
+import { SuspensionDetector } from '../common/Suspension.js';
 import { sleep } from '../common/Tasks.js';
 import {
   AppendRequestSchema,
@@ -385,6 +386,22 @@
   });
 });
 
+describe('Suspension', () => {
+  // The monotonic clock does not count the time, so a leader that was replaced meanwhile seemed to be confirmed.
+  it('confirms nothing on a leader that was suspended before it has heard from a majority again', async () => {
+    cluster = await TestCluster.create(3);
+    const { log, address } = await cluster.waitForLeader();
+    let stepMs = 0;
+    cluster.suspensions = new SuspensionDetector(() => performance.now() + stepMs);
+    expect(log.getConfirmedAt()).toBeDefined();
+    cluster.network.cut(address);
+    stepMs = 3_000;
+    expect(log.getConfirmedAt()).toBeUndefined();
+    cluster.network.restore();
+    await waitUntil('the leader is confirmed', () => log.getConfirmedAt() !== undefined);
+  });
+});
+
 describe('Restart', () => {
   it('restarts from the snapshot after hundreds of commands and sends it to members that are behind', async () => {
     cluster = await TestCluster.create(3);
--- a/src/consensus/ReplicatedLog.ts
+++ b/src/consensus/ReplicatedLog.ts
@@ -6,6 +6,7 @@
 import type { IEvent } from '../common/Lifecycle.js';
 import { describeError, type ILog } from '../common/Log.js';
 import { Err, Ok, type Result } from '../common/Result.js';
+import type { ISuspensions } from '../common/Suspension.js';
 import { addJitter, isAborted, runWithTimeout, sleep } from '../common/Tasks.js';
 import {
   JoinRequestSchema,
@@ -57,6 +58,8 @@
   readonly machine: IStateMachine;
   readonly transport: IConsensusTransport;
   readonly clock: IClock;
+  /** Suspensions of the machine, which the clock does not count; none without it. */
+  readonly suspensions?: ISuspensions;
   readonly log: ILog;
   readonly timings: IConsensusTimings;
   /** Returns numbers from 0 to 1 that randomise election timeouts and join intervals. */
@@ -204,10 +207,13 @@
   }
 
   public getConfirmedAt(): number | undefined {
-    const { leadership } = this._state;
-    return leadership instanceof Leadership
-      ? leadership.getConfirmedAt(this._state.clock.now())
-      : undefined;
+    const { leadership, clock } = this._state;
+    const now = clock.now();
+    const confirmedAt =
+      leadership instanceof Leadership ? leadership.getConfirmedAt(now) : undefined;
+    const resumedAt = this._options.suspensions?.getResumedAt(now) ?? Number.NEGATIVE_INFINITY;
+    // Another leader may have been elected while this machine was suspended.
+    return confirmedAt !== undefined && confirmedAt >= resumedAt ? confirmedAt : undefined;
   }
 
   /**
--- a/src/consensus/TestCluster.ts
+++ b/src/consensus/TestCluster.ts
@@ -5,6 +5,7 @@
 import { join } from 'node:path';
 import { MonotonicClock } from '../common/Clock.js';
 import { describeError, SILENT_LOG, type ILog } from '../common/Log.js';
+import { NO_SUSPENSIONS, type ISuspensions } from '../common/Suspension.js';
 import { isAborted, sleep } from '../common/Tasks.js';
 import {
   AppendRequestSchema,
@@ -267,6 +268,8 @@
   public readonly members = new Map<string, ITestMember>();
   /** Milliseconds that each write of a member's disk takes longer, by member id. */
   public readonly diskDelaysMs = new Map<string, number>();
+  /** Suspensions of the machine of all members. */
+  public suspensions: ISuspensions = NO_SUSPENSIONS;
   /**
    * Violated safety properties: two commands applied at one index, two leaders of one term, or a member
    * that stopped because of an error.
@@ -336,6 +339,7 @@
       machine,
       transport: this.network.createTransport(address),
       clock: new MonotonicClock(),
+      suspensions: { getResumedAt: (now) => this.suspensions.getResumedAt(now) },
       log: this._logger,
       timings: this._timings,
       random: this._random,
--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -1,5 +1,6 @@
 /** This process's copy of the fleet's state: configuration, targets, work, weights. */
 import type { ILog } from '../common/Log.js';
+import { NO_SUSPENSIONS, type ISuspensions } from '../common/Suspension.js';
 import { Emitter } from '../common/Lifecycle.js';
 import {
   TargetPhase,
@@ -58,6 +59,7 @@
   constructor(
     private readonly _decodeDocument: DocumentDecoder,
     private readonly _log: ILog,
+    private readonly _suspensions: ISuspensions = NO_SUSPENSIONS,
   ) {}
 
   /** Index of the configuration in force; undefined until the first one arrived. */
@@ -86,7 +88,7 @@
 
   /** Software version of the streams of a service that need no record; undefined if no hub has told. */
   public getVersionBase(service: string, now: number): IVersionBase | undefined {
-    return this._versions.get(service, now);
+    return this._versions.get(service, now, this._suspensions.getResumedAt(now));
   }
 
   /** Targets of a service that are ready, also silent ones. */
--- a/src/fleet/KnownVersions.ts
+++ b/src/fleet/KnownVersions.ts
@@ -50,13 +50,21 @@
     this._confirmedAt = sentAt - answer.confirmationAgeMs;
   }
 
-  /** Undefined for a service of which no hub has told anything. */
-  public get(service: string, now: number): IVersionBase | undefined {
+  /**
+   * Undefined for a service of which no hub has told anything. `resumedAt` is the time of the last suspension of this
+   * machine: the age of an earlier statement is not known.
+   */
+  public get(
+    service: string,
+    now: number,
+    resumedAt = Number.NEGATIVE_INFINITY,
+  ): IVersionBase | undefined {
     const known = this._services.get(service);
     if (known === undefined) {
       return undefined;
     }
-    const ageMs = now - this._confirmedAt;
+    const ageMs =
+      this._confirmedAt < resumedAt ? Number.POSITIVE_INFINITY : now - this._confirmedAt;
     return {
       base: known.base,
       isUniform: known.isUniform && ageMs < UNIFORMITY_TRUST_MS,
--- a/src/gateway/StreamBinding.test.ts
+++ b/src/gateway/StreamBinding.test.ts
@@ -1,7 +1,10 @@
 /** Guards against streams that begin without a record though the base version may be another one by then. */
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { create } from '@bufbuild/protobuf';
 import { SILENT_LOG } from '../common/Log.js';
 import { Ok } from '../common/Result.js';
+import { SuspensionDetector } from '../common/Suspension.js';
+import { ExchangeResponseSchema } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { buildConfiguration } from '../fleet/Fixtures.js';
 import { FleetView } from '../fleet/FleetView.js';
 import { SERVICE, StreamFleet, type Entry } from '../fleet/StreamOriginsHarness.js';
@@ -58,3 +61,41 @@
     expect({ isRelayedAtOnce, found }).not.toEqual({ isRelayedAtOnce: true, found: 'v2' });
   });
 });
+
+describe('a process that was suspended', () => {
+  // Streams of another version began meanwhile elsewhere. The monotonic clock does not count the time, so what it knew from
+  // before seemed to be recent, and a stream that a client took up there went on at a target of the wrong version.
+  it('asks the leader for the version of a stream, until a hub has told the versions anew', async () => {
+    let timeOfDay = 0;
+    const suspensions = new SuspensionDetector(() => timeOfDay);
+    const view = new FleetView(() => Ok(buildConfiguration()), SILENT_LOG, suspensions);
+    const resolve = async (now: number): Promise<string | undefined> => {
+      const find = vi.fn(() => Promise.resolve({ kind: 'version', version: 'v2' } as const));
+      const origins = { find, getServed: () => undefined, keepServed: () => undefined };
+      const context = { view, origins } as unknown as ConstructorParameters<
+        typeof StreamBinding
+      >[0];
+      const binding = new StreamBinding(context, 'a', true, 'lace');
+      await binding.resolve(500, now, NEVER);
+      return binding.version;
+    };
+    const answer = create(ExchangeResponseSchema, {
+      epoch: 'hub-1',
+      tracksVersions: true,
+      versions: [{ service: 'lace', base: 'v1', isUniform: true }],
+      versionRevision: 1n,
+    });
+    view.versions.apply(answer, 1_000);
+    timeOfDay = 1_100;
+    expect(await resolve(1_100)).toBe('v1');
+    timeOfDay = 4_200;
+    expect(await resolve(1_200)).toBe('v2');
+    // Sent before the suspension, read after it.
+    view.versions.apply(answer, 1_150);
+    timeOfDay = 4_250;
+    expect(await resolve(1_250)).toBe('v2');
+    view.versions.apply(answer, 1_260);
+    timeOfDay = 4_300;
+    expect(await resolve(1_300)).toBe('v1');
+  });
+});
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -5,6 +5,7 @@
 import { describeError, type ILog } from '../common/Log.js';
 import { Metrics } from '../common/Metrics.js';
 import { RpcClients } from '../common/Rpc.js';
+import { SuspensionDetector } from '../common/Suspension.js';
 import { runPeriodically } from '../common/Tasks.js';
 import { FleetNode, type IFleetMember } from '../fleet/FleetNode.js';
 import { FleetView } from '../fleet/FleetView.js';
@@ -99,7 +100,8 @@
     const placement = new Placement(dataCentre, holders);
     const quarantine = new CrashQuarantine();
     this._rpc = new RpcClients(clusterSecret);
-    this.view = new FleetView(adapters.decodeDocument, _log);
+    const suspensions = new SuspensionDetector();
+    this.view = new FleetView(adapters.decodeDocument, _log, suspensions);
     const limits = new TargetLimits({
       countEntries: () => this.view.entryCount,
       findTarget: (id) => this.view.getTarget(id),
@@ -185,6 +187,7 @@
             quarantine.applySuspects(suspects, clock.now());
           },
         },
+        suspensions,
       );
     this._rollout = this._createRollout(adapters.engineClient);
     this._spendingRecorder = new SpendingRecorder(this.node, () => this._member?.log, clock);
--- a/src/run/MemberHost.ts
+++ b/src/run/MemberHost.ts
@@ -6,6 +6,7 @@
 import type { IEvent } from '../common/Lifecycle.js';
 import { describeError, type ILog } from '../common/Log.js';
 import type { RpcClients } from '../common/Rpc.js';
+import { NO_SUSPENSIONS, type ISuspensions } from '../common/Suspension.js';
 import { isAborted, sleep } from '../common/Tasks.js';
 import {
   bootstrapDataDirectory,
@@ -84,6 +85,7 @@
     private readonly _log: ILog,
     private readonly _setMember: (member: IFleetMember | undefined) => void,
     private readonly _targetCache: ITargetCache,
+    private readonly _suspensions: ISuspensions = NO_SUSPENSIONS,
   ) {}
 
   public registerRpc(router: ConnectRouter): void {
@@ -134,6 +136,7 @@
       machine: state,
       transport: new RpcConsensusTransport(this._rpc),
       clock: this._clock,
+      suspensions: this._suspensions,
       log: this._log,
       timings: DEFAULT_TIMINGS,
       random: Math.random,
