Give requests of an unknown weights version a cache scope of their own

Cause: where the version of a target's weights was not known, a request went to an engine without a scope, and an engine without a scope shares its parts with all. The version is not known if the target announced no model of the request's name, or if the request names none.

Change: such a request gets a scope that no other request has.

Ruled out: leaving the target out would refuse requests that an engine answers itself, such as those for a model that nobody runs.

--- a/src/gateway/AttemptRunner.ts
+++ b/src/gateway/AttemptRunner.ts
@@ -1,4 +1,5 @@
 /** Runs one attempt of a call at a target, and records what its end tells of the target. */
+import { randomUUID } from 'node:crypto';
 import { getHeldVersion } from '../fleet/HeldWeights.js';
 import { getSoftwareVersion } from '../fleet/SoftwareVersions.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
@@ -285,7 +286,8 @@
 
 /**
  * Cache fields of a dispatch. Prompt parts computed with other weights must never be found, also not after
- * a transfer. The scope therefore contains the weights version, and the target must still hold it.
+ * a transfer. The scope therefore contains the weights version, and the target must still hold it. The version is not known
+ * if the request names no model, or the target announced none of that name.
  */
 function describeCacheUse(
   request: IPlacementRequest,
@@ -296,7 +298,8 @@
   const version = getHeldVersion(target, request.model);
   if (version === undefined) {
     return {
-      cacheScope: undefined,
+      // Without a scope an engine shares its parts with all. One of its own shares them with none.
+      cacheScope: request.isEngine ? `none/${randomUUID()}` : undefined,
       weightsVersion: undefined,
       cacheSource: undefined,
       cacheStore: undefined,
