--- a/src/consensus/Replacement.test.ts
+++ b/src/consensus/Replacement.test.ts
@@ -134,6 +134,18 @@
     await expectWorking(group);
   });
 
+  // Of four voters two are gone before the leader has removed the first one.
+  it('keep a majority when a member is killed whose successor already votes', async () => {
+    const group = await createGroup();
+    const leader = await group.waitForLeader();
+    const [old = '', next = ''] = ['m1', 'm2', 'm3'].filter((id) => id !== leader.id);
+    await group.startMember('m4');
+    await waitForVoters(group, ['m1', 'm2', 'm3', 'm4']);
+    await group.kill(old);
+    await replaceDisk(group, next);
+    await expectWorking(group);
+  });
+
   it.each(Array.from({ length: SEED_COUNT }, (_, n) => FIRST_SEED + n))(
     'keep a majority at any moment that the catch-up time allows, seed %i',
     async (seed) => {
