Take a copy from before a suspension for one of unknown age

Change: FeedCopy counts as not confirmed after a suspension until it has synced again, also towards the processes that sync from it. The control members of that path ask the detector too.

--- a/src/feed/FeedCopy.test.ts
+++ b/src/feed/FeedCopy.test.ts
@@ -7,6 +7,8 @@
   type SyncResponse,
 } from '../gen/redwingwharf/v1/control_pb.js';
 import { ItemSchema, type Item } from '../gen/redwingwharf/v1/state_pb.js';
+import { ManualClock } from '../common/Clock.js';
+import { SuspensionDetector } from '../common/Suspension.js';
 import { FeedCopy } from './FeedCopy.js';
 
 const CLUSTER_ID = new Uint8Array([1]);
@@ -45,6 +47,24 @@
     expect(copy.getConfirmedAt()).toBeUndefined();
   });
 
+  // A key that was withdrawn meanwhile worked on at a process that had been suspended, until its next sync.
+  it('is not confirmed after a suspension before it has synced again', () => {
+    const clock = new ManualClock(1_000);
+    let stepMs = 0;
+    const suspensions = new SuspensionDetector(() => clock.now() + stepMs);
+    const copy = new FeedCopy(clock, suspensions);
+    copy.applyResponse(createResponse(5, [], { full: true, ageMs: 0 }), 1_000);
+    expect(copy.getConfirmedAt()).toBe(1_000);
+    clock.advance(100);
+    stepMs = 4_000;
+    expect(copy.getConfirmedAt()).toBeUndefined();
+    const request = create(SyncRequestSchema, {});
+    expect(copy.sync(request, clock.now()).ageMs).toBeUndefined();
+    clock.advance(10);
+    copy.applyResponse(createResponse(5, [], { ageMs: 0 }), clock.now());
+    expect(copy.getConfirmedAt()).toBe(1_110);
+  });
+
   it('refuses items of another deployment', () => {
     const copy = new FeedCopy();
     copy.applyResponse(createResponse(5, [createItem('key/a', 5)], { full: true }), 0);
--- a/src/feed/FeedCopy.ts
+++ b/src/feed/FeedCopy.ts
@@ -1,7 +1,9 @@
 /** A copy of the configuration items whose revision never decreases. */
 import { create } from '@bufbuild/protobuf';
+import { MonotonicClock, type IClock } from '../common/Clock.js';
 import { Emitter } from '../common/Lifecycle.js';
 import { hasSameBytes } from '../common/Hashes.js';
+import { NO_SUSPENSIONS, type ISuspensions } from '../common/Suspension.js';
 import { isMechanismDisabled } from '../common/TestSwitches.js';
 import {
   SyncResponseSchema,
@@ -41,6 +43,11 @@
 
   public readonly onChange = this._changeEmitter.onFire;
 
+  constructor(
+    private readonly _clock: IClock = new MonotonicClock(),
+    private readonly _suspensions: ISuspensions = NO_SUSPENSIONS,
+  ) {}
+
   public get revision(): number {
     return this._revision;
   }
@@ -58,8 +65,12 @@
     return this._leaderAddress;
   }
 
+  /** Undefined also while the copy was last confirmed before a suspension of this machine: its age is not known. */
   public getConfirmedAt(): number | undefined {
-    return this._confirmedAt;
+    const resumedAt = this._suspensions.getResumedAt(this._clock.now());
+    return this._confirmedAt !== undefined && this._confirmedAt >= resumedAt
+      ? this._confirmedAt
+      : undefined;
   }
 
   public getItem(key: string): Item | undefined {
@@ -113,8 +124,9 @@
       full: isFull,
       leaderAddress: this._leaderAddress,
     });
-    if (this._confirmedAt !== undefined) {
-      response.ageMs = Math.max(0, Math.ceil(arrivedAt - this._confirmedAt));
+    const confirmedAt = this.getConfirmedAt();
+    if (confirmedAt !== undefined) {
+      response.ageMs = Math.max(0, Math.ceil(arrivedAt - confirmedAt));
     }
     return response;
   }
--- a/src/run/ControlRole.ts
+++ b/src/run/ControlRole.ts
@@ -2,6 +2,7 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import type { IClock } from '../common/Clock.js';
 import type { ILog } from '../common/Log.js';
+import { SuspensionDetector } from '../common/Suspension.js';
 import type { RpcClients } from '../common/Rpc.js';
 import { bootstrapDataDirectory, ReplicatedLog } from '../consensus/ReplicatedLog.js';
 import { DEFAULT_TIMINGS } from '../consensus/Timings.js';
@@ -39,6 +40,7 @@
       machine: state,
       transport: new RpcConsensusTransport(rpc),
       clock,
+      suspensions: new SuspensionDetector(),
       log,
       timings: DEFAULT_TIMINGS,
       random: Math.random,
--- a/src/run/Process.ts
+++ b/src/run/Process.ts
@@ -6,6 +6,7 @@
 import { createLog, describeError, type ILog } from '../common/Log.js';
 import { Metrics } from '../common/Metrics.js';
 import { RpcClients } from '../common/Rpc.js';
+import { SuspensionDetector } from '../common/Suspension.js';
 import { ControlClient } from '../control/ControlClient.js';
 import { FeedClient } from '../feed/FeedClient.js';
 import { FeedCopy } from '../feed/FeedCopy.js';
@@ -33,7 +34,7 @@
   private readonly _stop = new AbortController();
   private readonly _drainRequested = new AbortController();
   private readonly _rpc: RpcClients;
-  private readonly _feedCopy = new FeedCopy();
+  private readonly _feedCopy = new FeedCopy(this._clock, new SuspensionDetector());
   private readonly _feedClient: FeedClient;
   private _control: ControlRole | undefined;
   private readonly _entry: EntryRole | undefined;
