--- a/src/consensus/Types.ts
+++ b/src/consensus/Types.ts
@@ -44,7 +44,10 @@
 
 /** Rules by which the leader replaces or removes lost voters without an operator. */
 export interface IMembershipPolicy {
-  /** A voter that has not answered for this long is replaced by a learner that has caught up. */
+  /**
+   * A voter that has not answered for this long is replaced by a learner that has caught up. A learner that has not is
+   * removed.
+   */
   readonly lostVoterTimeoutMs: number;
   /**
    * A lost voter is removed without a replacement only while there are more voters than this: 2f + 1, where
