Check only the first event of a response against what the client has

Change: the check is done with the first event of each response, whether or not the client has events already.

Measured: ContinuedStreams.test.ts, "relays events without an id that follow others", fails without the change; 277 tests of gateway pass.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -169,8 +169,8 @@
   private _discardedBytes = 0;
   private _discardTimer: NodeJS.Timeout | undefined;
   private _isPaused = false;
-  /** True once an event of this response has been relayed. */
-  private _isContinued = false;
+  /** True once the first event of this response has been checked. */
+  private _hasFirstEvent = false;
   /** When the target was last resumed after a pause or after events of it were held. */
   private _resumedAt = Number.NEGATIVE_INFINITY;
   private _settleTimer: NodeJS.Timeout | undefined;
@@ -472,12 +472,15 @@
     if (hasStatusLine(bytes)) {
       return 'another answer begins in the body';
     }
-    const { lastEventId } = this._options.position;
-    if (lastEventId === undefined || this._isContinued) {
+    if (this._hasFirstEvent) {
       return undefined;
     }
     const first = findFirstEvent(bytes);
-    this._isContinued = first.kind !== 'none';
+    this._hasFirstEvent = first.kind !== 'none';
+    const { lastEventId } = this._options.position;
+    if (lastEventId === undefined) {
+      return undefined;
+    }
     const isUnnumbered = first.kind === 'unnumbered' && this._sink.isStarted;
     const isRelayed = firstId !== undefined && firstId <= lastEventId;
     return isUnnumbered || isRelayed ? 'the target did not go on after the last event' : undefined;
--- a/src/gateway/ContinuedStreams.test.ts
+++ b/src/gateway/ContinuedStreams.test.ts
@@ -105,6 +105,17 @@
     expect(sink).toMatchObject({ body: streamEvents(1, 2).toString(), ending: 'cut' });
   });
 
+  // Only the first event of a resumption is checked against what the client has.
+  it('relays events without an id that follow others, at once and in pieces', async () => {
+    const events = ['id: 1\ndata: a\n\n', 'data: b\n\n', 'id: 2\ndata: c\n\n', 'data: d\n\n'];
+    for (const chunks of [events, [events.join('')]]) {
+      const { sink } = await runCall([answer({}, ...chunks)]);
+      expect(sink).toMatchObject({ body: events.join(''), ending: 'end' });
+    }
+    const { sink } = await runCall([breakAfterTwo, answer({}, streamEvents(3, 3), 'data: b\n\n')]);
+    expect(sink).toMatchObject({ ending: 'end' });
+  });
+
   it('relays an error of the target unchanged', async () => {
     const script = answer({ status: 500, headers: JSON_HEADERS }, ERROR_TEXT);
     const { sink } = await runCall([script], { route: { isResumable: false, maxAttempts: 1 } });
