Log how long a request waits for a connection, and who ended it

The line "attempt ended" had one time, from the choice of a target to the end, so the time that a request waits in the connection pool could not be told from the time at the target. It has waitMs now. A request that the stop of the process ends was logged as "client left", as both abort the same signal; the signal now has a reason.

No decision changes.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -151,6 +151,9 @@
   /** Longest time between two writes of the body to the client, in milliseconds. */
   public longestGapMs = 0;
 
+  /** Time from the start of the attempt until its request was sent, in milliseconds; undefined if it was not. */
+  public waitMs: number | undefined;
+
   private _lastByteAt = 0;
   private _sentAt = 0;
   private readonly _buffered: Buffer[] = [];
@@ -274,7 +277,7 @@
       this._checkSilence();
     }, SILENCE_CHECK_INTERVAL_MS);
     const handleAbort = (): void => {
-      this._end({ kind: 'ended', reason: 'client left' });
+      this._end({ kind: 'ended', reason: describeAbort(signal) });
     };
     signal.addEventListener('abort', handleAbort, { once: true });
     try {
@@ -287,6 +290,9 @@
           resumeAfter: position.lastEventId,
         },
         {
+          onSend: () => {
+            this.waitMs = clock.now() - this._sentAt;
+          },
           onHead: (head) => {
             this._handleHead(head);
           },
@@ -722,6 +728,11 @@
   }
 }
 
+/** Explains why the connection of the client has ended: the client has left, unless the signal has another reason. */
+export function describeAbort({ reason }: AbortSignal): string {
+  return typeof reason === 'string' ? reason : 'client left';
+}
+
 /** False if the headers name another media type. */
 function isEventStream(headers: RawHeaders): boolean {
   const nameAt = headers.findIndex(
--- a/src/gateway/AttemptRunner.ts
+++ b/src/gateway/AttemptRunner.ts
@@ -156,6 +156,7 @@
       source: formatSource(placement.source),
       open: state.open,
       load: attempt.load && `${attempt.load.running}+${attempt.load.waiting}`,
+      waitMs: attempt.waitMs && Math.round(attempt.waitMs),
       firstMs: attempt.firstByteAt && Math.round(attempt.firstByteAt - startedAt),
       longestGapMs: Math.round(attempt.longestGapMs),
       totalMs: Math.round(now - startedAt),
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -6,7 +6,7 @@
 import { getSoftwareVersion } from '../fleet/SoftwareVersions.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { hashText } from '../policy/TargetTable.js';
-import type { AttemptOutcome } from './Attempt.js';
+import { describeAbort, type AttemptOutcome } from './Attempt.js';
 import { AttemptRace, type IRaceMember, type RaceOutcome } from './AttemptRace.js';
 import { AttemptRunner, formatHash } from './AttemptRunner.js';
 import {
@@ -186,7 +186,8 @@
     for (;;) {
       const now = this._context.clock.now();
       if (call.signal.aborted) {
-        this._context.log.info('client left', { request: call.id, attempts: progress.attempts });
+        const detail = { request: call.id, attempts: progress.attempts };
+        this._context.log.info(describeAbort(call.signal), detail);
         return progress.mayHaveRun;
       }
       const standing = this._context.quarantine.getStanding(judged, now);
--- a/src/gateway/Fixtures.ts
+++ b/src/gateway/Fixtures.ts
@@ -87,7 +87,10 @@
     }
     const script = this._scripts.shift();
     const exchange = new AbortController();
-    setImmediate(() => script?.(listener, dispatch, exchange.signal));
+    setImmediate(() => {
+      listener.onSend();
+      script?.(listener, dispatch, exchange.signal);
+    });
     return {
       wasSent: true,
       pause: () => undefined,
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -36,7 +36,7 @@
   readonly resumes: string | undefined;
   /** Time of arrival on the monotonic clock of the process. */
   readonly arrivedAt: number;
-  /** Aborted when the client disconnects. */
+  /** Aborted when the connection of the client ends. If the client has not ended it, the reason is a text that tells why. */
   readonly signal: AbortSignal;
   /** Hash of method, host, path with query, and body: a repetition has the same. */
   hashContent(): number;
@@ -139,6 +139,8 @@
 
 /** Receives the response of a target. `onEnd` or `onError` is the last call. */
 export interface ITargetListener {
+  /** Called right before the first byte of the request is sent; until then it waits for a connection. */
+  onSend(): void;
   onHead(head: ITargetHead): void;
   onData(chunk: Buffer): void;
   onEnd(): void;
