Send no request whose response would end after the process

What callers saw: in a planned stop under load, requests were passed on to targets up to the end of the grace period and cut there without an answer, among them requests that may not be repeated.

Cause: nothing on the path of a request knew that the process ends. After 2.3 s only requests that arrive are refused; those that wait in the connection pool of their target (48 connections each), for a permit, for the end of a pause or for the origin of a stream, and retries, second attempts and resumptions, went on as if the process lived on.

Change: the end of the process is one more deadline (common/Shutdown). An attempt asks right before the first byte is sent whether its response can end in time; the durations are learned for each route. At the end of the grace period the product ends its own calls, so that a request that never reached a target gets 503 and not 502.

Ruled out: a check in each path (the wait in the pool has none); refusing everything from the signal on, as the load balancer sends requests for two seconds more.

--- a/src/common/Tasks.ts
+++ b/src/common/Tasks.ts
@@ -105,6 +105,36 @@
   }
 }
 
+/**
+ * Runs a call with a signal that is aborted with the first of the given ones. The call itself must end when its signal is
+ * aborted.
+ *
+ * @example
+ * const origin = await runUntilAborted([call.signal, shutdown.signal], (signal) => find(id, signal));
+ */
+export async function runUntilAborted<T>(
+  signals: readonly AbortSignal[],
+  call: (signal: AbortSignal) => Promise<T>,
+): Promise<T> {
+  const controller = new AbortController();
+  const abort = (): void => {
+    controller.abort();
+  };
+  for (const signal of signals) {
+    signal.addEventListener('abort', abort, { once: true });
+  }
+  if (signals.some((signal) => signal.aborted)) {
+    abort();
+  }
+  try {
+    return await call(controller.signal);
+  } finally {
+    for (const signal of signals) {
+      signal.removeEventListener('abort', abort);
+    }
+  }
+}
+
 /**
  * Repeats a step at a jittered interval until the signal is aborted. The interval begins when a step
  * ends. A failed step is passed to `report` and does not end the task.
--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -1,6 +1,7 @@
 /** Sends a request to one target and relays the response to the client. */
 import type { IClock } from '../common/Clock.js';
 import type { Metrics } from '../common/Metrics.js';
+import type { Shutdown } from '../common/Shutdown.js';
 import { limitTimerMs } from '../common/Tasks.js';
 import { isMechanismDisabled } from '../common/TestSwitches.js';
 import type { IRoute } from '../fleet/Types.js';
@@ -13,6 +14,7 @@
   MAX_EVENT_BYTES,
 } from './EventFramer.js';
 import { isSilent } from './Silence.js';
+import { computeLatestStart } from './StopPolicy.js';
 import {
   recordActivity,
   recordLoad,
@@ -53,6 +55,8 @@
     }
   /** The deadline passed, or the client disconnected. */
   | { readonly kind: 'ended'; readonly reason: string }
+  /** The process stops before the response would end, so nothing was sent. */
+  | { readonly kind: 'stopping'; readonly reason: string }
   /** Another attempt of the same call brings the response. */
   | { readonly kind: 'withdrawn'; readonly reason: string };
 
@@ -80,6 +84,8 @@
   readonly route: IRoute;
   /** Time by which the target must have begun, as its weights expire then; may be infinite. */
   readonly beginBy: number;
+  /** Expected duration of the response. */
+  readonly runMs: number;
   /** Deadline of the call: the earlier of the client's and the route's, on the monotonic clock. */
   readonly deadlineAt: number;
   readonly position: IStreamPosition;
@@ -114,6 +120,7 @@
   readonly client: ITargetClient<T>;
   readonly clock: IClock;
   readonly metrics: Metrics;
+  readonly shutdown: Shutdown;
 }
 
 /** What the head of a response says of its target beside the response itself. */
@@ -154,6 +161,9 @@
   /** Time from the start of the attempt until its request was sent, in milliseconds; undefined if it was not. */
   public waitMs: number | undefined;
 
+  /** True if the response goes on after events that another attempt has relayed, or that the client has. */
+  public readonly hasResumed: boolean;
+
   private _lastByteAt = 0;
   private _sentAt = 0;
   private readonly _buffered: Buffer[] = [];
@@ -177,6 +187,7 @@
   /** When the target was last resumed after a pause or after events of it were held. */
   private _resumedAt = Number.NEGATIVE_INFINITY;
   private _settleTimer: NodeJS.Timeout | undefined;
+  private _stopTimer: NodeJS.Timeout | undefined;
   private _isSettled = false;
   /** Events that may not be relayed yet; undefined once they may. */
   private _held: IHeldEvents | undefined;
@@ -187,6 +198,7 @@
     private readonly _sink: IAnswerSink,
     private readonly _options: IAttemptOptions,
   ) {
+    this.hasResumed = _options.position.lastEventId !== undefined;
     this._framer = _options.route.kind === 'streaming' ? new EventFramer() : undefined;
     this._finished = new Promise((resolve) => {
       this._finish = resolve;
@@ -256,7 +268,7 @@
 
   /** Sends the request and waits until the attempt has ended. */
   public async run(): Promise<AttemptOutcome> {
-    const { clock, client } = this._context;
+    const { clock, client, shutdown } = this._context;
     const { state, pendingTokens, isLongStream, deadlineAt, target, dispatch, position } =
       this._options;
     const { signal } = this._call;
@@ -276,6 +288,15 @@
     const silenceTimer = setInterval(() => {
       this._checkSilence();
     }, SILENCE_CHECK_INTERVAL_MS);
+    const stopBegins = shutdown.onBegin(() => {
+      this._startStopTimer();
+    });
+    const stopEnds = shutdown.onEnd(() => {
+      this._handleStop();
+    });
+    if (shutdown.hasBegun) {
+      this._startStopTimer();
+    }
     const handleAbort = (): void => {
       this._end({ kind: 'ended', reason: describeAbort(signal) });
     };
@@ -290,9 +311,7 @@
           resumeAfter: position.lastEventId,
         },
         {
-          onSend: () => {
-            this.waitMs = clock.now() - this._sentAt;
-          },
+          onSend: () => this._handleSend(),
           onHead: (head) => {
             this._handleHead(head);
           },
@@ -316,6 +335,9 @@
       clearTimeout(beginTimer);
       clearTimeout(this._discardTimer);
       clearTimeout(this._settleTimer);
+      clearTimeout(this._stopTimer);
+      stopBegins.dispose();
+      stopEnds.dispose();
       clearInterval(silenceTimer);
       signal.removeEventListener('abort', handleAbort);
       state.open -= 1;
@@ -360,6 +382,48 @@
     }, limitTimerMs(remainingMs));
   }
 
+  private get _latestStart(): number {
+    return computeLatestStart(this._context.shutdown, this._options.runMs, this._sentAt);
+  }
+
+  /**
+   * Called when the request has a connection, which may be long after its target was chosen. Every request to a target
+   * comes here, so this is the last decision before it is sent.
+   */
+  private _handleSend(): boolean {
+    const now = this._context.clock.now();
+    TEST_ONLY: if (isMechanismDisabled('stop-gate')) return true;
+    if (this._hasEnded) {
+      return false;
+    }
+    if (now > this._latestStart) {
+      this._end({ kind: 'stopping', reason: 'the process stops before the response would end' });
+      return false;
+    }
+    this.waitMs = now - this._sentAt;
+    return true;
+  }
+
+  /** Ends the attempt if its request still waits for a connection at the latest time at which it may be sent. */
+  private _startStopTimer(): void {
+    const waitMs = this._latestStart - this._context.clock.now();
+    this._stopTimer = setTimeout(
+      () => {
+        if (this.waitMs === undefined) {
+          this._end({ kind: 'stopping', reason: 'the process stops' });
+        }
+      },
+      Math.max(0, limitTimerMs(waitMs)),
+    );
+  }
+
+  /** Ends the attempt as the process ends. */
+  private _handleStop(): void {
+    this.release();
+    const kind = this.waitMs === undefined ? 'stopping' : 'ended';
+    this._end({ kind, reason: 'the process stops' });
+  }
+
   /** Ends the attempt and aborts the exchange with the target. */
   private _end(outcome: AttemptOutcome): void {
     if (this._hasEnded) {
--- a/src/gateway/AttemptRunner.ts
+++ b/src/gateway/AttemptRunner.ts
@@ -2,11 +2,13 @@
 import { randomUUID } from 'node:crypto';
 import { getHeldVersion } from '../fleet/HeldWeights.js';
 import { getSoftwareVersion } from '../fleet/SoftwareVersions.js';
+import type { IRoute } from '../fleet/Types.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { isMechanismDisabled } from '../common/TestSwitches.js';
 import { Attempt, type AttemptOutcome, type ITargetNotice } from './Attempt.js';
 import type { IRaceMember } from './AttemptRace.js';
 import {
+  getOutputTokens,
   getPriority,
   type IAdmittedCall,
   type ICallContext,
@@ -33,6 +35,7 @@
 /** Shared prompt parts with fewer tokens in total are not sent to the store: a fetch would not pay off. */
 const MIN_STORED_TOKENS = 50;
 
+const MIN_ERROR_STATUS = 300;
 const MIN_SERVER_ERROR_STATUS = 500;
 
 /** Prompt parts that a log line names at most. */
@@ -55,7 +58,7 @@
     call: T,
     sink: IAnswerSink,
     admitted: IAdmittedCall,
-    { request, standing, placement }: IPlannedAttempt,
+    { request, standing, placement, runMs }: IPlannedAttempt,
     progress: ICallProgress,
     race: IRaceMember<T>,
   ): Promise<AttemptOutcome> {
@@ -77,6 +80,7 @@
       state,
       route,
       deadlineAt: admitted.deadlineAt,
+      runMs,
       beginBy: startedAt + placement.weightsUsableMs,
       position: progress,
       pendingTokens: Math.round(placement.missedTokens + (call.parts.at(-1)?.tokens ?? 0)),
@@ -126,13 +130,25 @@
       ended.abort();
       state.suspects -= suspects;
     }
-    if (outcome.kind !== 'not_run') {
-      progress.mayHaveRun = true;
-    } else if (outcome.isUnreachable) {
-      progress.attempts -= 1;
-      progress.unreachable += 1;
-    }
     const now = clock.now();
+    switch (outcome.kind) {
+      case 'stopping':
+        break;
+      case 'not_run':
+        if (outcome.isUnreachable) {
+          progress.attempts -= 1;
+          progress.unreachable += 1;
+        }
+        break;
+      case 'answered':
+        this._recordResponseTime(call, route, request, placement, attempt, now - startedAt);
+        progress.mayHaveRun = true;
+        break;
+      case 'failed':
+      case 'ended':
+      case 'withdrawn':
+        progress.mayHaveRun = true;
+    }
     log.info('attempt ended', {
       request: call.id,
       route: route.name,
@@ -173,6 +189,23 @@
     return outcome;
   }
 
+  /** Records how long a complete response took; one that resumed a stream has only a part of its tokens. */
+  private _recordResponseTime(
+    call: T,
+    route: IRoute,
+    request: IPlacementRequest,
+    { expectedMs }: IPlacement,
+    { status, waitMs = 0, hasResumed }: Attempt<T>,
+    totalMs: number,
+  ): void {
+    if (status === undefined || status >= MIN_ERROR_STATUS || hasResumed) {
+      return;
+    }
+    const expectedFirstMs = request.isEngine ? expectedMs : 0;
+    const size = { route: route.name, outputTokens: getOutputTokens(call), expectedFirstMs };
+    this._context.responseTimes.record(size, totalMs - waitMs);
+  }
+
   private _recordRateLimit(
     call: T,
     target: TargetRecord,
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -1,5 +1,6 @@
 /** Runs one call: routing, authentication, quota, choice of targets, retries and the final response. */
 import { describeError } from '../common/Log.js';
+import { runUntilAborted } from '../common/Tasks.js';
 import { isMechanismDisabled } from '../common/TestSwitches.js';
 import type { RouteTable } from '../fleet/RouteTable.js';
 import type { IClientAccount, IRoute, IService } from '../fleet/Types.js';
@@ -10,6 +11,7 @@
 import { AttemptRace, type IRaceMember, type RaceOutcome } from './AttemptRace.js';
 import { AttemptRunner, formatHash } from './AttemptRunner.js';
 import {
+  getOutputTokens,
   getPriority,
   isRepeatable,
   type IAdmittedCall,
@@ -50,6 +52,9 @@
 /** After this time a process knows all targets: they announce themselves every one or two seconds. */
 const TARGETS_KNOWN_MS = 3_000;
 
+/** A new connection of the client reaches another process, which accepts the request at once. */
+const STOPPING_RETRY_AFTER_MS = 50;
+
 /** Lower bound of every Retry-After, so that clients do not retry in a tight loop. */
 const MIN_RETRY_AFTER_MS = 50;
 
@@ -196,7 +201,7 @@
         return progress.mayHaveRun;
       }
       const request = this._describeRequest(call, admitted);
-      const choice = this._chooseTarget(admitted, request, standing, progress, now);
+      const choice = this._chooseTarget(call, admitted, request, standing, progress, now);
       if (choice.kind === 'none') {
         this._finishUnanswered(
           call,
@@ -212,7 +217,11 @@
         }
         return progress.mayHaveRun;
       }
-      const { placement } = choice;
+      if (choice.kind === 'stopping') {
+        this._finishUnanswered(call, sink, progress, 'stopping');
+        return progress.mayHaveRun;
+      }
+      const { placement, runMs } = choice;
       if (this._refuseOverload(call, sink, admitted, placement, progress)) {
         return false;
       }
@@ -223,7 +232,7 @@
           this._context.log.error('attempt failed', { request: call.id, reason });
         },
       );
-      const plan = { request, standing, placement };
+      const plan = { request, standing, placement, runMs };
       const outcome = await race.run(() =>
         this._attempts.run(call, sink, admitted, plan, progress, race),
       );
@@ -245,9 +254,12 @@
     if (binding === undefined || call.resumeAfter === undefined) {
       return true;
     }
-    const now = this._context.clock.now();
+    const { clock, shutdown } = this._context;
+    const now = clock.now();
     const timeoutMs = Math.min(route.latencyObjectiveMs, deadlineAt - now - MIN_ATTEMPT_MS);
-    const reason = await binding.resolve(timeoutMs, now, call.signal);
+    const reason = await runUntilAborted([call.signal, shutdown.signal], (signal) =>
+      binding.resolve(timeoutMs, now, signal),
+    );
     if (reason === undefined) {
       return true;
     }
@@ -273,7 +285,8 @@
   }
 
   private _chooseTarget(
-    admitted: IAdmittedCall,
+    call: T,
+    { service, route, deadlineAt }: IAdmittedCall,
     request: IPlacementRequest,
     standing: QuarantineStanding,
     { tried, binding }: ICallProgress,
@@ -283,8 +296,14 @@
     const isSuspect = standing.kind === 'suspect';
     const chosen = binding?.chooseVersions(now);
     const versions = chosen && { ...chosen, required: chosen.required ?? requiredVersion };
+    const run = {
+      route: route.name,
+      outputTokens: getOutputTokens(call),
+      isRepeatable: isRepeatable(route),
+      deadlineAt,
+    };
     return this._selector.choose(
-      { service: admitted.service.name, request, tried, isSuspect, versions },
+      { service: service.name, request, tried, isSuspect, versions, run },
       now,
     );
   }
@@ -314,6 +333,7 @@
     const request = this._describeRequest(call, admitted);
     // The record of an attempt that still runs must hold, so that no other version is tried beside it.
     const choice = this._chooseTarget(
+      call,
       admitted,
       request,
       standing,
@@ -323,6 +343,7 @@
     );
     switch (choice.kind) {
       case 'none':
+      case 'stopping':
         return undefined;
       case 'closed':
         limits.recordLacking(choice.target);
@@ -332,7 +353,8 @@
           return undefined;
         }
         metrics.increment('gateway_repeats_total', { service: service.name });
-        const plan = { request, standing, placement: choice.placement };
+        const { placement, runMs } = choice;
+        const plan = { request, standing, placement, runMs };
         return this._attempts.run(call, sink, admitted, plan, progress, race);
       }
     }
@@ -368,7 +390,7 @@
     target: TargetRecord,
     progress: ICallProgress,
   ): Promise<boolean> {
-    const { clock, limits, states } = this._context;
+    const { clock, limits, states, shutdown } = this._context;
     const now = clock.now();
     progress.waitUntil ??= Math.min(now + route.latencyObjectiveMs, deadlineAt - MIN_ATTEMPT_MS);
     const expectedWaitMs = this._selector.estimateWaitMs(target, now);
@@ -382,7 +404,7 @@
             priority: getPriority(route, account),
             arrivedAt: call.arrivedAt,
             timeoutMs: pauseMs > 0 ? Math.min(pauseMs, decision.timeoutMs) : decision.timeoutMs,
-            signal: call.signal,
+            signals: [call.signal, shutdown.signal],
           },
           now,
         );
@@ -432,6 +454,7 @@
     switch (outcome.kind) {
       case 'answered':
       case 'ended':
+      case 'stopping':
         return false;
       case 'not_run':
         if (outcome.isUnreachable) {
@@ -477,7 +500,9 @@
         if (call.signal.aborted) {
           return;
         }
-        if (sink.isStarted) {
+        if (this._context.shutdown.hasEnded) {
+          this._finishUnanswered(call, sink, progress, 'stopping');
+        } else if (sink.isStarted) {
           this._cut(call, sink, 'time_limit', progress);
         } else {
           this._refuse(call, sink, 504, 'time_limit', undefined);
@@ -496,6 +521,9 @@
         return;
       case 'not_run':
         this._finishUnanswered(call, sink, progress, 'not_run');
+        return;
+      case 'stopping':
+        this._finishUnanswered(call, sink, progress, 'stopping');
     }
   }
 
@@ -589,6 +617,9 @@
   if (reason === 'no_target') {
     return NOT_READY_RETRY_AFTER_MS;
   }
+  if (reason === 'stopping') {
+    return STOPPING_RETRY_AFTER_MS;
+  }
   return reason === 'version_gone' ? VERSION_GONE_RETRY_AFTER_MS : TARGETS_BUSY_RETRY_AFTER_MS;
 }
 
--- a/src/gateway/CallTypes.ts
+++ b/src/gateway/CallTypes.ts
@@ -73,6 +73,8 @@
   readonly request: IPlacementRequest;
   readonly standing: QuarantineStanding;
   readonly placement: IPlacement;
+  /** Expected duration of the response. */
+  readonly runMs: number;
 }
 
 /** Urgency of a call: from 0 (most urgent) to 9. */
@@ -80,6 +82,11 @@
   return Math.min(LOWEST_PRIORITY, Math.max(0, account?.priority ?? route.priority));
 }
 
+/** Most tokens that the response to the call may have; 0 if it states none. */
+export function getOutputTokens({ outputTokens, lengthHint }: ICall): number {
+  return outputTokens ?? lengthHint ?? 0;
+}
+
 /** True if requests of the route may run more than once. */
 export function isRepeatable(route: IRoute): boolean {
   TEST_ONLY: if (isMechanismDisabled('repeat-unsafe')) return true;
--- a/src/gateway/Fixtures.ts
+++ b/src/gateway/Fixtures.ts
@@ -4,6 +4,7 @@
 import { SILENT_LOG } from '../common/Log.js';
 import { Metrics } from '../common/Metrics.js';
 import { Ok } from '../common/Result.js';
+import { Shutdown } from '../common/Shutdown.js';
 import { sleep } from '../common/Tasks.js';
 import { buildAccount, buildConfiguration, buildRoute, buildTarget } from '../fleet/Fixtures.js';
 import { FleetView } from '../fleet/FleetView.js';
@@ -19,6 +20,7 @@
 import { Placement } from './Placement.js';
 import { CrashQuarantine } from './CrashQuarantine.js';
 import type { IStreamOrigins } from './StreamBinding.js';
+import { ResponseTimes } from './ResponseTimes.js';
 import { StoreIndex } from './StoreIndex.js';
 import { TargetLimits } from './TargetLimits.js';
 import { TargetStates } from './TargetStates.js';
@@ -88,8 +90,9 @@
     const script = this._scripts.shift();
     const exchange = new AbortController();
     setImmediate(() => {
-      listener.onSend();
-      script?.(listener, dispatch, exchange.signal);
+      if (listener.onSend()) {
+        script?.(listener, dispatch, exchange.signal);
+      }
     });
     return {
       wasSent: true,
@@ -183,6 +186,8 @@
   readonly processAgeMs?: number;
   /** Changes what the process knows before the call arrives. */
   readonly prepareView?: (view: FleetView) => void;
+  readonly shutdown?: Shutdown;
+  readonly responseTimes?: ResponseTimes;
   readonly queued?: { readonly target: string; readonly pendingTokens: number };
 }
 
@@ -316,6 +321,8 @@
     metrics: new Metrics(),
     log: SILENT_LOG,
     weightsLimitMs: 8_800,
+    shutdown: setup.shutdown ?? new Shutdown(),
+    responseTimes: setup.responseTimes ?? new ResponseTimes(),
   });
   startAgeMs = 0;
   const sink = setup.sink ?? new RecordingSink();
--- a/src/gateway/TargetLimits.test.ts
+++ b/src/gateway/TargetLimits.test.ts
@@ -217,7 +217,7 @@
   it('waits as long as asked for a target without a limit while no hub is reachable', async () => {
     const target = buildTarget({ id: 'i-1' });
     const { signal } = new AbortController();
-    const options = { priority: 0, arrivedAt: 0, timeoutMs: 60, signal };
+    const options = { priority: 0, arrivedAt: 0, timeoutMs: 60, signals: [signal] };
     const startedAt = performance.now();
     await buildLimits(target).waitForPermit(target, options, 0);
     expect(performance.now() - startedAt).toBeGreaterThan(50);
@@ -231,7 +231,11 @@
     const order: string[] = [];
     const wait = async (name: string, priority: number, arrivedAt: number): Promise<void> => {
       const { signal } = new AbortController();
-      await limits.waitForPermit(target, { priority, arrivedAt, timeoutMs: 300, signal }, 0);
+      await limits.waitForPermit(
+        target,
+        { priority, arrivedAt, timeoutMs: 300, signals: [signal] },
+        0,
+      );
       order.push(name);
     };
     const all = [wait('late', 0, 60), wait('idle', 3, 0), wait('early', 0, 0)];
--- a/src/gateway/TargetLimits.ts
+++ b/src/gateway/TargetLimits.ts
@@ -71,7 +71,8 @@
   readonly priority: number;
   readonly arrivedAt: number;
   readonly timeoutMs: number;
-  readonly signal: AbortSignal;
+  /** Each of them ends the wait. */
+  readonly signals: readonly AbortSignal[];
 }
 
 export interface ITargetLimitsOptions {
@@ -190,7 +191,7 @@
   /** Waits until the request probably has a permit, until the timeout, or until aborted. */
   public async waitForPermit(
     target: TargetRecord,
-    { priority, arrivedAt, timeoutMs, signal }: IWaitOptions,
+    { priority, arrivedAt, timeoutMs, signals }: IWaitOptions,
     now: number,
   ): Promise<void> {
     const rank = arrivedAt + priority * URGENCY_HEAD_START_MS;
@@ -203,7 +204,7 @@
     this._ensure(target);
     this._waiters.push(waiter);
     try {
-      await sleep(Math.min(timeoutMs, slotMs), wake.signal, signal);
+      await sleep(Math.min(timeoutMs, slotMs), wake.signal, ...signals);
     } finally {
       this._waiters = this._waiters.filter((other) => other !== waiter);
     }
--- a/src/gateway/TargetSelector.ts
+++ b/src/gateway/TargetSelector.ts
@@ -1,10 +1,13 @@
 /** Chooses the target of a request among those of its service that may be sent one. */
 import type { FleetView } from '../fleet/FleetView.js';
+import type { Shutdown } from '../common/Shutdown.js';
 import { getHeldVersion } from '../fleet/HeldWeights.js';
 import { getSoftwareVersion } from '../fleet/SoftwareVersions.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import type { IPlacement, Placement } from './Placement.js';
 import type { IPlacementRequest, IPlacementTarget } from './PlacementRequest.js';
+import type { ResponseTimes } from './ResponseTimes.js';
+import { computeLatestStart, estimateRunMs, type IPlannedRun } from './StopPolicy.js';
 import type { StoreIndex } from './StoreIndex.js';
 import type { IVersionChoice } from './StreamBinding.js';
 import type { TargetLimits } from './TargetLimits.js';
@@ -19,6 +22,8 @@
   readonly store: StoreIndex;
   /** Time after newer weights were named from which a target with older ones gets no requests. */
   readonly weightsLimitMs: number;
+  readonly shutdown: Shutdown;
+  readonly responseTimes: ResponseTimes;
 }
 
 /** A request that needs a target. */
@@ -31,21 +36,29 @@
   readonly isSuspect: boolean;
   /** Software versions that the request may be sent to; undefined: all. */
   readonly versions: IVersionChoice | undefined;
+  readonly run: Omit<IPlannedRun, 'expectedFirstMs'>;
 }
 
 /** Where a request can be sent now. */
 export type TargetChoice =
-  | { readonly kind: 'placed'; readonly placement: IPlacement }
+  | {
+      readonly kind: 'placed';
+      readonly placement: IPlacement;
+      /** Expected duration of the response. */
+      readonly runMs: number;
+    }
   /** All targets have reached their limits, or want no requests for a time; this one will probably take it first. */
   | { readonly kind: 'closed'; readonly target: TargetRecord }
-  | { readonly kind: 'none' };
+  | { readonly kind: 'none' }
+  /** The process stops before the request could begin, or before its response would end. */
+  | { readonly kind: 'stopping' };
 
 /**
  * Every way of a request to a target leads through `choose`: first tries, repetitions, second targets and resumed
  * streams.
  *
  * @example
- * const choice = selector.choose({ service: 'lace', request, tried, isSuspect: false, versions: undefined }, now);
+ * const choice = selector.choose({ service: 'lace', request, tried, isSuspect: false, versions: undefined, run }, now);
  */
 export class TargetSelector {
   constructor(private readonly _context: ITargetSelectorContext) {}
@@ -55,7 +68,7 @@
    * have a limit or want no requests for a time, the request waits for the one that probably takes it first.
    */
   public choose(selection: ISelection, now: number): TargetChoice {
-    const { limits, placement, store } = this._context;
+    const { limits, placement, store, shutdown } = this._context;
     const { request, isSuspect, versions } = selection;
     const targets = this._listCandidates(selection, now);
     const isCool = ({ state }: IPlacementTarget): boolean => now >= state.cooldownUntil;
@@ -65,6 +78,9 @@
     const closed = open.length === targets.length ? [] : targets.filter((item) => !isOpen(item));
     const isClosed = open.length === 0 || (closed.some(isCool) && !open.some(isCool));
     if (closed.length > 0 && isClosed) {
+      if (shutdown.hasBegun) {
+        return { kind: 'stopping' };
+      }
       const next = findSoonest(filterPreferred(closed, isCool), ({ record }) =>
         this.estimateWaitMs(record, now),
       );
@@ -84,7 +100,17 @@
       ? filterPreferred(available, ({ state }) => state.suspects === 0)
       : available;
     const chosen = placement.choose(request, apart, store, now);
-    return chosen === undefined ? { kind: 'none' } : { kind: 'placed', placement: chosen };
+    return chosen === undefined ? { kind: 'none' } : this._admit(selection, chosen, now);
+  }
+
+  /** Leaves out a request whose response would end later than the process. */
+  private _admit({ request, run }: ISelection, placement: IPlacement, now: number): TargetChoice {
+    const { shutdown, responseTimes } = this._context;
+    const expectedFirstMs = request.isEngine ? placement.expectedMs : 0;
+    const runMs = estimateRunMs({ ...run, expectedFirstMs }, responseTimes, now);
+    return now <= computeLatestStart(shutdown, runMs, now)
+      ? { kind: 'placed', placement, runMs }
+      : { kind: 'stopping' };
   }
 
   /** Expected time until a target takes a further request, by its limit and its pause. */
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -139,8 +139,11 @@
 
 /** Receives the response of a target. `onEnd` or `onError` is the last call. */
 export interface ITargetListener {
-  /** Called right before the first byte of the request is sent; until then it waits for a connection. */
-  onSend(): void;
+  /**
+   * Called right before the first byte of the request is sent; until then it waits for a connection. With false it is not
+   * sent, and no other method is called.
+   */
+  onSend(): boolean;
   onHead(head: ITargetHead): void;
   onData(chunk: Buffer): void;
   onEnd(): void;
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -5,6 +5,7 @@
 import { describeError, type ILog } from '../common/Log.js';
 import { Metrics } from '../common/Metrics.js';
 import { RpcClients } from '../common/Rpc.js';
+import { Shutdown } from '../common/Shutdown.js';
 import { SuspensionDetector } from '../common/Suspension.js';
 import { runPeriodically } from '../common/Tasks.js';
 import { FleetNode, type IFleetMember } from '../fleet/FleetNode.js';
@@ -21,6 +22,7 @@
 import { Placement } from '../gateway/Placement.js';
 import { PromptHolders } from '../gateway/PromptHolders.js';
 import { CrashQuarantine } from '../gateway/CrashQuarantine.js';
+import { ResponseTimes } from '../gateway/ResponseTimes.js';
 import { StoreIndex, type PollStore } from '../gateway/StoreIndex.js';
 import { TargetLimits } from '../gateway/TargetLimits.js';
 import { TargetStates } from '../gateway/TargetStates.js';
@@ -74,6 +76,7 @@
   public readonly origins: StreamOrigins;
   public readonly callRunner: CallRunner<T>;
 
+  private readonly _shutdown = new Shutdown();
   private readonly _stop = new AbortController();
   private readonly _rpc: RpcClients;
   private readonly _memberHost: MemberHost | undefined;
@@ -157,6 +160,8 @@
       metrics,
       log: _log,
       weightsLimitMs: _options.weightsRolloutLimitMs - WEIGHTS_LIMIT_MARGIN_MS,
+      shutdown: this._shutdown,
+      responseTimes: new ResponseTimes(),
     });
     const changes = new Emitter<unknown>();
     quarantine.onChange((now) => {
@@ -233,11 +238,17 @@
     }
   }
 
-  /** Prepares for the end of this process while it still serves requests. */
-  public prepareStop(): void {
+  /** Prepares for the end of this process while it still serves requests. `endCalls` has to follow at `endsAt`. */
+  public prepareStop(endsAt: number, now: number): void {
+    this._shutdown.begin(endsAt, now);
     this._memberHost?.withdraw();
   }
 
+  /** Ends the calls that are still open, with an answer where none has begun. */
+  public endCalls(now: number): void {
+    this._shutdown.end(now);
+  }
+
   public async stop(): Promise<void> {
     this._stop.abort();
     await Promise.allSettled(this._tasks);
