Require more time for a response in a process that stops

Change: four deviations for a request that may be repeated and six for any other: a wrong refusal costs one more try, a cut the whole response.

Ruled out: a refusal of all streams during a stop, as most end in time.

--- a/src/gateway/StopPolicy.ts
+++ b/src/gateway/StopPolicy.ts
@@ -8,9 +8,12 @@
 /** A process that stops keeps no request longer than this for a connection, as another process serves it sooner. */
 const MAX_WAIT_MS = 500;
 
-/** Deviations above the mean that a response may take; one that may not be repeated must not be cut. */
-const DEVIATIONS_OF_REPEATABLE = 2;
-const DEVIATIONS_OF_OTHERS = 4;
+/**
+ * Deviations above the mean that a response may take. A wrong refusal costs its client one more try, a cut the whole
+ * response, and a request that may not be repeated.
+ */
+const DEVIATIONS_OF_REPEATABLE = 4;
+const DEVIATIONS_OF_OTHERS = 6;
 
 /** A request whose response is to end before the process does. */
 export interface IPlannedRun extends IResponseSize {
