Have the break of the stop gate disable all of it

Cause: the switch for tests stood at the last decision before a request is sent only; the choice of a target and the timer of waiting requests still refused, so that the soak could not show that its check finds the fault.

Change: the switch stands in StopPolicy, which all three ask.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -392,7 +392,6 @@
    */
   private _handleSend(): boolean {
     const now = this._context.clock.now();
-    TEST_ONLY: if (isMechanismDisabled('stop-gate')) return true;
     if (this._hasEnded) {
       return false;
     }
--- a/src/gateway/StopPolicy.ts
+++ b/src/gateway/StopPolicy.ts
@@ -3,6 +3,7 @@
  * serves it; one that it begins and cannot end is lost if it may not be repeated.
  */
 import type { Shutdown } from '../common/Shutdown.js';
+import { isMechanismDisabled } from '../common/TestSwitches.js';
 import type { IResponseSize, ResponseTimes } from './ResponseTimes.js';
 
 /** A process that stops keeps no request longer than this for a connection, as another process serves it sooner. */
@@ -43,5 +44,6 @@
   runMs: number,
   waitsSince: number,
 ): number {
+  TEST_ONLY: if (isMechanismDisabled('stop-gate')) return Number.POSITIVE_INFINITY;
   return Math.min(endsAt - runMs, Math.max(beganAt, waitsSince) + MAX_WAIT_MS);
 }
