End the requests of an entry with its process

An entry that stopped waited for drainTimeoutMs as if it lived on, and then cut what was open. Requests that waited for tokens, a dispatch slot, a claim, a retry or the rest of a stream were dispatched until the end, whatever time was left, and their callers got a closed connection.

The end of the process is one more deadline of each request now. DispatchClient decides right before a dispatch is sent whether its answer ends in time, earlier for claimed calls than for what may be repeated; OpenRequests ends what waits when the stop begins, as 503 "draining", not run, and the rest at the end, with an answer. An upload that is not complete at the end is answered as well. StopPolicy and ResponseTimes are those of src/gateway, a module of the same layer.

Ruled out: a check in each stage, as what waits for its connection has passed all of them, and shorter deadlines in the tickets, which would cut claimed calls whose answer a resend can still get.

--- a/src/admission/Admitter.ts
+++ b/src/admission/Admitter.ts
@@ -86,6 +86,9 @@
         return Ok(reservation);
       }
     }
+    if (signal.aborted) {
+      return Err(createAbortedFailure());
+    }
     return this._hasEnded ? Err(createUnavailableFailure()) : this._wait(account, tokens, signal);
   }
 
@@ -108,7 +111,7 @@
         const waiter = { tokens, waitingSince: this._clock.now(), resolve };
         onAbort = () => {
           removeWaiter(queue, waiter);
-          resolve(Err({ kind: 'aborted', message: 'the request ended while it waited' }));
+          resolve(Err(createAbortedFailure()));
         };
         signal.addEventListener('abort', onAbort, { once: true });
         queue.push(waiter);
@@ -206,6 +209,10 @@
   }
 }
 
+function createAbortedFailure(): AdmitFailure {
+  return { kind: 'aborted', message: 'the request ended while it waited' };
+}
+
 function createUnavailableFailure(): AdmitFailure {
   return {
     kind: 'control_unavailable',
--- a/src/common/HttpAnswer.test.ts
+++ b/src/common/HttpAnswer.test.ts
@@ -4,7 +4,13 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { Agent } from 'undici';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { AnswerBody, sendRequest, type IHttpAnswer } from './HttpAnswer.js';
+import {
+  AnswerBody,
+  NotSentError,
+  sendRequest,
+  type IHttpAnswer,
+  type ISendObserver,
+} from './HttpAnswer.js';
 import { ResetDetector } from './ResetDetector.js';
 
 const CHUNKS = Array.from({ length: 50 }, (_, index) => `part ${index};`);
@@ -88,6 +94,40 @@
     return sendRequest(agent, resets, options, signal);
   }
 
+  // Guards against a request that waits for a connection and is sent although its process ends meanwhile.
+  it('sends nothing of a request that may not be sent any more when it gets its connection', async () => {
+    const pool = new Agent({ connect: resets.connect, connections: 1 });
+    const { port } = server.address() as AddressInfo;
+    const options = { origin: `http://127.0.0.1:${port}`, path: '/', method: 'GET' } as const;
+    const responses: ServerResponse[] = [];
+    respond = (response) => responses.push(response);
+    let maySend = true;
+    const statuses: number[] = [];
+    const observer: ISendObserver = {
+      onSend: () => maySend,
+      onComplete: (status) => statuses.push(status),
+    };
+    const start = async (): Promise<void> => {
+      const { signal } = new AbortController();
+      const answer = await sendRequest(pool, resets, options, signal, observer);
+      await answer.body.read(() => undefined);
+    };
+    const first = start();
+    while (responses.length === 0) {
+      await delay(5);
+    }
+    const second = start();
+    maySend = false;
+    responses[0]?.end('a');
+    await first;
+    await expect(second).rejects.toThrow(NotSentError);
+    maySend = true;
+    respond = (response) => response.end('b');
+    await start();
+    expect([responses.length, statuses]).toEqual([1, [200, 200]]);
+    await pool.destroy();
+  });
+
   it('buffers chunks that arrive before the reader is attached', async () => {
     respond = (response) => response.end(CHUNKS.join(''));
     const answer = await send();
--- a/src/common/HttpAnswer.ts
+++ b/src/common/HttpAnswer.ts
@@ -131,6 +131,17 @@
   }
 }
 
+/** Thrown by `sendRequest` for a request that its observer held back when it had a connection. */
+export class NotSentError extends Error {}
+
+/** Observes a request whose connection may come long after it was handed to its dispatcher. */
+export interface ISendObserver {
+  /** Called when the request has a connection and nothing of it was sent; false if it must not be sent any more. */
+  onSend(): boolean;
+  /** Called when the answer is complete. */
+  onComplete(status: number): void;
+}
+
 /** Largest answer that `readAnswer` buffers. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
@@ -159,6 +170,7 @@
 class ResponseHandler implements Dispatcher.DispatchHandler {
   private _controller: Dispatcher.DispatchController | undefined;
   private _body: AnswerBody | undefined;
+  private _status = 0;
   /** Defined if only the close of its connection ends the answer. */
   private _resetWatch: IResetWatch | undefined;
 
@@ -169,6 +181,7 @@
     private readonly _signal: AbortSignal,
     private readonly _onHead: (answer: IHttpAnswer) => void,
     private readonly _onFailure: (error: Error) => void,
+    private readonly _observer: ISendObserver | undefined,
   ) {
     _signal.addEventListener('abort', this._abort);
   }
@@ -177,6 +190,10 @@
     this._controller = controller;
     if (this._signal.aborted) {
       this._abort();
+    } else if (this._observer?.onSend() === false) {
+      const error = new NotSentError('the request may not be sent any more');
+      this._finish(error);
+      controller.abort(error);
     }
   }
 
@@ -187,6 +204,7 @@
   ): void {
     if (statusCode >= 200) {
       this._body = new AnswerBody(controller);
+      this._status = statusCode;
       if (isCloseDelimited(this._method, statusCode, headers)) {
         this._resetWatch = this._resets.watch();
       }
@@ -238,6 +256,9 @@
   private _finish(error: Error | undefined): void {
     this._signal.removeEventListener('abort', this._abort);
     if (this._body !== undefined) {
+      if (error === undefined) {
+        this._observer?.onComplete(this._status);
+      }
       this._body.finish(error);
     } else if (error !== undefined) {
       this._onFailure(error);
@@ -250,6 +271,7 @@
  * with the connection's error or the reason of the signal.
  *
  * @param resets detector whose connector the dispatcher uses
+ * @param observer decides whether the request is still sent when it has a connection; by default it is
  *
  * @example
  * const agent = new Agent({ connect: resets.connect });
@@ -261,6 +283,7 @@
   resets: ResetDetector,
   options: IRequestOptions,
   signal: AbortSignal,
+  observer?: ISendObserver,
 ): Promise<IHttpAnswer> {
   signal.throwIfAborted();
   return new Promise((resolve, reject) => {
@@ -271,6 +294,7 @@
       signal,
       resolve,
       reject,
+      observer,
     );
     dispatcher.dispatch(options, handler);
   });
--- a/src/entry/ClaimDispatch.ts
+++ b/src/entry/ClaimDispatch.ts
@@ -10,6 +10,7 @@
 import { pickAnswerHeaders } from './ForwardHeaders.js';
 import type { OutcomeQuery } from './OutcomeQuery.js';
 import { buildOutgoingRequest } from './PlainFlow.js';
+import { describeRunRoute } from './RequestOutcomes.js';
 import type { IFlowServices, IRequestContext } from './Types.js';
 
 /**
@@ -51,8 +52,18 @@
       body: outgoing.body,
       // Not aborted when the caller disconnects, because the outcome of the call has to be recorded.
       signal: createTimeoutSignal(context.open.deadlineAt - clock.now()),
+      open: context.open,
+      run: {
+        route: `${describeRunRoute(context)} claimed`,
+        outputTokens: 0,
+        expectedFirstMs: 0,
+        isRepeatable: false,
+        deadlineAt: context.open.deadlineAt,
+      },
     });
     switch (outcome.kind) {
+      case 'stopping':
+        return outcome;
       case 'not_run':
         this._chooser.recordFailure(choice, clock.now());
         return outcome.reason === RefusalReason.CLAIM_SEEN
--- a/src/entry/ClaimFlow.ts
+++ b/src/entry/ClaimFlow.ts
@@ -68,7 +68,7 @@
     const { signal } = context.open;
     // Answers the caller at once; the call itself continues, so that its outcome is recorded.
     const answerEarlyEnd = (): void => {
-      this._refuse(context, describeEndReason(context));
+      this._refuse(context, describeCallEnd(context));
     };
     signal.addEventListener('abort', answerEarlyEnd, { once: true });
     try {
@@ -222,7 +222,7 @@
         if (context.open.signal.aborted) {
           return {
             kind: 'failed',
-            failure: describeEndReason(context) ?? describeUnknownOutcome(),
+            failure: describeCallEnd(context) ?? describeUnknownOutcome(),
           };
         }
         const outcome = await this._claimDispatch.dispatch(context, body, choice, attempt);
@@ -268,6 +268,8 @@
         await this._settlement.settle(attempt, outcome.answer);
         return this._respond(context, outcome.answer, isReplay);
       case 'not_run':
+        // An earlier attempt of the call is replaced only with the same proof.
+        context.open.recordNotRun(false);
         return {
           ...{ kind: 'rebind', attempt: attempt.attempt, target: attempt.binding.target },
           isOldRevision: outcome.isOldRevision,
@@ -282,6 +284,8 @@
         );
         return { kind: 'failed', failure };
       }
+      case 'stopping':
+        return { kind: 'failed', failure: describeCallEnd(context) ?? describeUnknownOutcome() };
       case 'unreachable':
         return { kind: 'failed', failure: describeUnknownOutcome() };
       case 'lost':
@@ -320,6 +324,19 @@
   }
 }
 
+/** Failure of a call that was ended early; undefined if it was not, or if the caller disconnected. */
+function describeCallEnd(context: IRequestContext): IHttpFailure | undefined {
+  const failure = describeEndReason(context);
+  if (failure === undefined || context.open.endReason !== 'stopping') {
+    return failure;
+  }
+  if (context.open.mayHaveRun) {
+    return describeUnknownOutcome();
+  }
+  const hasKey = context.request.headers[IDEMPOTENCY_KEY_HEADER] !== undefined;
+  return hasKey ? describeUncheckedClaim(failure) : failure;
+}
+
 /** The attempt to dispatch or query: the recorded binding, or the chosen target if there is none. */
 function buildAttempt(claim: ClaimResult, choice: IChoice): IClaimAttempt {
   const { announcement } = choice.target;
--- a/src/entry/ClaimTypes.ts
+++ b/src/entry/ClaimTypes.ts
@@ -7,6 +7,8 @@
   | { readonly kind: 'answered'; readonly answer: Answer }
   | { readonly kind: 'not_run'; readonly isOldRevision: boolean }
   | { readonly kind: 'running' }
+  /** The process stops, so the attempt was not sent. */
+  | { readonly kind: 'stopping' }
   /** The sidecar does not answer; the outcome may still become known. */
   | { readonly kind: 'unreachable' }
   /** The sidecar no longer knows the outcome, so it can never become known. */
--- a/src/entry/DispatchClient.ts
+++ b/src/entry/DispatchClient.ts
@@ -8,10 +8,16 @@
   STREAM_HEADER,
   TICKET_HEADER,
 } from '../common/Headers.js';
-import { sendRequest, type IHttpAnswer } from '../common/HttpAnswer.js';
+import type { IClock } from '../common/Clock.js';
+import { sendRequest, type IHttpAnswer, type ISendObserver } from '../common/HttpAnswer.js';
 import { ResetDetector } from '../common/ResetDetector.js';
 import { isConnectFailure } from '../common/ConnectErrors.js';
 import { CLUSTER_SECRET_HEADER } from '../common/Rpc.js';
+import type { ILog } from '../common/Log.js';
+import type { Shutdown } from '../common/Shutdown.js';
+import { isMechanismDisabled } from '../common/TestSwitches.js';
+import type { ResponseTimes } from '../gateway/ResponseTimes.js';
+import { computeLatestStart, estimateRunMs, type IPlannedRun } from '../gateway/StopPolicy.js';
 import {
   ReceiptSchema,
   RefusalReason,
@@ -20,9 +26,13 @@
   type Ticket,
 } from '../gen/redwingwharf/v1/control_pb.js';
 import type { IRosterTarget } from '../roster/Roster.js';
+import type { OpenRequest } from './OpenRequests.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
 
+/** Answers with an error say nothing of how long the others take. */
+const MIN_ERROR_STATUS = 400;
+
 /**
  * Below the keep-alive limit of the sidecars: the entry closes idle connections first, so that it sends no
  * request on a connection that the sidecar is closing.
@@ -38,6 +48,17 @@
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Buffer | undefined;
   readonly signal: AbortSignal;
+  /** The request of the caller that is dispatched. */
+  readonly open: OpenRequest;
+  readonly run: IPlannedRun;
+}
+
+/** Modules by which the client decides whether a dispatch may still begin. */
+export interface IDispatchServices {
+  readonly clock: IClock;
+  readonly log: ILog;
+  readonly shutdown: Shutdown;
+  readonly responseTimes: ResponseTimes;
 }
 
 /** Outcome of a dispatch when the head of the answer has arrived; the body is not read yet. */
@@ -55,6 +76,8 @@
       /** Absent if no connection to the sidecar was made. */
       readonly receipt?: Receipt;
     }
+  /** The process stops before the answer would end, so nothing was sent; the request has ended. */
+  | { readonly kind: 'stopping' }
   /** The call may have run. */
   | { readonly kind: 'unknown'; readonly message: string };
 
@@ -73,7 +96,10 @@
   });
 }
 
-/** Sends dispatches to sidecars and checks the receipts in their answers. */
+/**
+ * Sends dispatches to sidecars and checks the receipts in their answers. Everything that begins at a target passes
+ * here, so it also decides, right before a dispatch is sent, whether its answer will end before the process does.
+ */
 export class DispatchClient {
   private readonly _resets = new ResetDetector(CONNECT_TIMEOUT_MS);
   private readonly _agent = new Agent({
@@ -85,16 +111,18 @@
     bodyTimeout: 0,
   });
 
-  constructor(private readonly _clusterSecret: string) {}
+  constructor(
+    private readonly _clusterSecret: string,
+    private readonly _services: IDispatchServices,
+  ) {}
 
   /** Sends a dispatch and resolves when the head of the answer has arrived. Never rejects. */
   public async dispatch(dispatch: IDispatch): Promise<DispatchOutcome> {
-    try {
-      const response = await this._send(dispatch, {});
-      return await this._readHead(dispatch, response);
-    } catch (error) {
-      return convertError(error);
-    }
+    const { responseTimes, clock } = this._services;
+    const runMs = estimateRunMs(dispatch.run, responseTimes, clock.now());
+    return this._exchange(dispatch, {}, runMs, (sentAt) => {
+      responseTimes.record(dispatch.run, clock.now() - sentAt);
+    });
   }
 
   /** Requests the events of a stream after `lastEventId`. Never rejects. */
@@ -103,24 +131,90 @@
     streamId: string,
     lastEventId: number,
   ): Promise<DispatchOutcome> {
+    const { responseTimes, clock } = this._services;
+    const now = clock.now();
+    // The target has been generating the stream since the first dispatch.
+    const elapsedMs = now - (dispatch.open.sentAt ?? now);
+    const runMs = Math.max(0, estimateRunMs(dispatch.run, responseTimes, now) - elapsedMs);
+    return this._exchange(
+      { ...dispatch, method: 'GET', body: undefined },
+      { [STREAM_HEADER]: streamId, 'last-event-id': String(lastEventId) },
+      runMs,
+      () => undefined,
+    );
+  }
+
+  public async close(): Promise<void> {
+    await this._agent.destroy();
+  }
+
+  private async _exchange(
+    dispatch: IDispatch,
+    extraHeaders: Readonly<Record<string, string>>,
+    runMs: number,
+    recordTime: (sentAt: number) => void,
+  ): Promise<DispatchOutcome> {
+    const { clock } = this._services;
+    const { open } = dispatch;
+    const { mayHaveRun } = open;
+    const waitsSince = clock.now();
+    let sentAt: number | undefined;
+    const observer: ISendObserver = {
+      onSend: () => {
+        const now = clock.now();
+        if (!this._mayBegin(open, runMs, waitsSince, now)) {
+          return false;
+        }
+        open.recordSend(now);
+        sentAt = now;
+        return true;
+      },
+      onComplete: (status) => {
+        if (sentAt !== undefined && status < MIN_ERROR_STATUS) {
+          recordTime(sentAt);
+        }
+      },
+    };
+    let outcome: DispatchOutcome;
     try {
-      const response = await this._send(
-        { ...dispatch, method: 'GET', body: undefined },
-        { [STREAM_HEADER]: streamId, 'last-event-id': String(lastEventId) },
-      );
-      return await this._readHead(dispatch, response);
+      if (!this._mayBegin(open, runMs, waitsSince, waitsSince)) {
+        return { kind: 'stopping' };
+      }
+      const response = await this._send(dispatch, extraHeaders, observer);
+      outcome = await this._readHead(dispatch, response);
     } catch (error) {
-      return convertError(error);
+      outcome = convertError(error);
+      if (sentAt === undefined && open.endReason === 'stopping') {
+        outcome = { kind: 'stopping' };
+      }
+    }
+    // A claim that was seen before may be running.
+    if (outcome.kind === 'not_run' && outcome.reason !== RefusalReason.CLAIM_SEEN) {
+      open.recordNotRun(mayHaveRun);
     }
+    return outcome;
   }
 
-  public async close(): Promise<void> {
-    await this._agent.destroy();
+  /** Ends a request that may not begin any more, so that all that wait with it learn of it. */
+  private _mayBegin(open: OpenRequest, runMs: number, waitsSince: number, now: number): boolean {
+    TEST_ONLY: if (isMechanismDisabled('stop-gate')) return true;
+    const { shutdown, log } = this._services;
+    if (now > computeLatestStart(shutdown, runMs, waitsSince) && open.endReason !== 'stopping') {
+      log.info('dispatch not begun, as the process stops', {
+        requestId: open.requestId,
+        runMs: Math.round(runMs),
+        remainingMs: Math.round(shutdown.endsAt - now),
+        waitedMs: Math.round(now - waitsSince),
+      });
+      open.end('stopping');
+    }
+    return open.endReason !== 'stopping';
   }
 
   private _send(
     dispatch: IDispatch,
     extraHeaders: Readonly<Record<string, string>>,
+    observer: ISendObserver,
   ): Promise<IHttpAnswer> {
     const options = {
       origin: `http://${dispatch.target.announcement.address}`,
@@ -134,7 +228,7 @@
       },
       body: dispatch.body ?? null,
     };
-    return sendRequest(this._agent, this._resets, options, dispatch.signal);
+    return sendRequest(this._agent, this._resets, options, dispatch.signal, observer);
   }
 
   private async _readHead(dispatch: IDispatch, response: IHttpAnswer): Promise<DispatchOutcome> {
--- a/src/entry/Dispatcher.test.ts
+++ b/src/entry/Dispatcher.test.ts
@@ -4,6 +4,7 @@
 import { ManualClock } from '../common/Clock.js';
 import { SILENT_LOG } from '../common/Log.js';
 import { Metrics } from '../common/Metrics.js';
+import { Shutdown } from '../common/Shutdown.js';
 import { FeedCopy } from '../feed/FeedCopy.js';
 import {
   AnnounceRequestSchema,
@@ -14,7 +15,7 @@
 import type { TargetChooser, IChooseInput } from './TargetChooser.js';
 import { DecisionLog } from './DecisionLog.js';
 import type { DispatchClient, DispatchOutcome } from './DispatchClient.js';
-import { Dispatcher } from './Dispatcher.js';
+import { Dispatcher, type IOutgoingRequest } from './Dispatcher.js';
 import { OpenRequest } from './OpenRequests.js';
 import type { IRequestContext } from './Types.js';
 
@@ -67,6 +68,7 @@
     decisions: new DecisionLog(SILENT_LOG),
     feed,
     feedSync: { syncOnce: () => Promise.resolve() },
+    shutdown: new Shutdown(),
   };
   const dispatcher = new Dispatcher(chooser, client, budget, services);
   return { dispatcher, triedTargets: new Set(), spend, recordBusy, recordFailure };
@@ -80,10 +82,7 @@
     open: new OpenRequest('r1', undefined, 10_000),
     path: '/v1/completions',
   } as unknown as IRequestContext;
-  const build = (): { headers: Record<string, string>; body: undefined } => ({
-    headers: {},
-    body: undefined,
-  });
+  const build = (): IOutgoingRequest => ({ headers: {}, body: undefined, outputTokens: 0 });
   const result = await fixture.dispatcher.run(
     context,
     {} as IChooseInput,
--- a/src/entry/Dispatcher.ts
+++ b/src/entry/Dispatcher.ts
@@ -7,6 +7,7 @@
 import type { DispatchClient, DispatchOutcome, IDispatch } from './DispatchClient.js';
 import { createTicket } from './DispatchClient.js';
 import { createFailure, createRefusal, type IHttpFailure, type Ran } from './Failures.js';
+import { describeRunRoute, describeStop } from './RequestOutcomes.js';
 import type { IFlowServices, IRequestContext } from './Types.js';
 
 /** Maximum number of dispatches in one `run`, the first one included. */
@@ -31,6 +32,8 @@
 export interface IOutgoingRequest {
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Buffer | undefined;
+  /** Tokens that the answer may have; 0 for a plain call. */
+  readonly outputTokens: number;
 }
 
 /**
@@ -69,6 +72,9 @@
       if (outcome.kind === 'answered') {
         return Ok({ choice, dispatch, outcome });
       }
+      if (outcome.kind === 'stopping') {
+        return Err(describeStop(context.open));
+      }
       if (isBusy(outcome)) {
         this._chooser.recordBusy(choice, outcome.receipt, clock.now());
         this._services.metrics.increment('retries_total', { cause: 'busy' });
@@ -112,6 +118,14 @@
       headers: outgoing.headers,
       body: outgoing.body,
       signal: context.open.signal,
+      open: context.open,
+      run: {
+        route: describeRunRoute(context),
+        outputTokens: outgoing.outputTokens,
+        expectedFirstMs: outgoing.outputTokens > 0 ? choice.decision.estimatedTtftMs : 0,
+        isRepeatable: true,
+        deadlineAt: context.open.deadlineAt,
+      },
     };
   }
 
@@ -135,7 +149,7 @@
   /** Charges the retry budget and waits before the next attempt; false if none is allowed. */
   private async _prepareRetry(
     context: IRequestContext,
-    outcome: Exclude<DispatchOutcome, { kind: 'answered' }>,
+    outcome: Extract<DispatchOutcome, { kind: 'not_run' | 'unknown' }>,
     choice: IChoice,
     triedTargets: Set<string>,
     attempt: number,
--- a/src/entry/EdgeHarness.ts
+++ b/src/entry/EdgeHarness.ts
@@ -123,6 +123,7 @@
 export class EdgeHarness {
   public readonly entries: IEntryProcess[] = [];
   public readonly targets: FakeTarget[] = [];
+  public readonly sidecars: Sidecar[] = [];
   /** URL, headers and body of each request that reached a target. */
   public readonly receivedRequests: string[] = [];
   public readonly http = new Agent({ headersTimeout: 0, bodyTimeout: 0 });
@@ -130,6 +131,8 @@
   public isFeedServed = true;
   /** If false, the control member refuses all commands. */
   public isControlServed = true;
+  /** Called with the kind of each command; the control member executes it afterwards. */
+  public interceptCommand: ((kind: string | undefined) => Promise<void>) | undefined;
   /** Called with each dispatch before its sidecar handles it. */
   public interceptDispatch:
     ((request: IncomingMessage, response: ServerResponse) => void) | undefined;
@@ -140,7 +143,6 @@
   private readonly _stop = new AbortController();
   private readonly _state = new ControlState();
   private readonly _servers: InternalServer[] = [];
-  private readonly _sidecars: Sidecar[] = [];
   private readonly _targetFeedClients: FeedClient[] = [];
   private readonly _control: ControlNode;
 
@@ -286,7 +288,7 @@
     this._servers.forEach((server) => {
       server.dispose();
     });
-    await Promise.all(this._sidecars.map((sidecar) => sidecar.dispose()));
+    await Promise.all(this.sidecars.map((sidecar) => sidecar.dispose()));
     this.targets.forEach((target) => {
       target.stop();
     });
@@ -298,7 +300,8 @@
     const server = new InternalServer(this._controlAddress, CLUSTER_SECRET, {
       registerRpc: (router) => {
         router.service(ControlService, {
-          execute: (request, { signal }) => {
+          execute: async (request, { signal }) => {
+            await this.interceptCommand?.(request.command?.body.case);
             if (!this.isControlServed) {
               throw new ConnectError('control is disabled by the test', Code.PermissionDenied);
             }
@@ -434,7 +437,7 @@
     await server.listen();
     this.targets.push(fake);
     this._servers.push(server);
-    this._sidecars.push(sidecar);
+    this.sidecars.push(sidecar);
     const feedClient = this._createFeedClient(feed, fake.id);
     this._targetFeedClients.push(feedClient);
     void feedClient.run(this._stop.signal);
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -46,6 +46,9 @@
 
 const DRAIN_POLL_INTERVAL_MS = 50;
 
+/** Part of the drain timeout in which the answers to the requests that it ended are sent. */
+const END_MARGIN_MS = 300;
+
 const MODEL_PATHS: ReadonlySet<string> = new Set(['/v1/chat/completions', '/v1/completions']);
 
 /** Time limits for a caller to send a request. */
@@ -149,8 +152,9 @@
   }
 
   /**
-   * Drains without interrupting a request: reports "not ready" to the load balancer, serves for
-   * `DRAIN_NOTICE_PERIOD_MS`, closes the listener, and waits for the open requests up to `timeoutMs`.
+   * Drains without interrupting a request: reports "not ready" to the load balancer, refuses what waits, serves what
+   * ends in time for `DRAIN_NOTICE_PERIOD_MS`, closes the listener, and waits for the open requests. Those that are
+   * still open `END_MARGIN_MS` before the end of `timeoutMs`, or when the signal is aborted, are answered with a failure.
    */
   public async drain(timeoutMs: number, signal: AbortSignal): Promise<void> {
     TEST_ONLY: if (isMechanismDisabled('graceful-drain')) return;
@@ -158,10 +162,22 @@
     for (const response of this._responses) {
       closeAfterResponse(response);
     }
+    const { clock, shutdown, log } = this._services;
+    const now = clock.now();
+    const openMs = Math.max(0, timeoutMs - END_MARGIN_MS);
+    shutdown.begin(now + openMs, now);
+    await sleep(Math.min(DRAIN_NOTICE_PERIOD_MS, openMs), signal);
+    this._server.close();
+    await this._waitIdle(openMs - (clock.now() - now), signal);
+    const drainedMs = Math.round(clock.now() - now);
+    log.info('drained', { drainedMs, ended: this._openRequests.size });
+    shutdown.end(clock.now());
+    await this._waitIdle(END_MARGIN_MS, new AbortController().signal);
+  }
+
+  private async _waitIdle(timeoutMs: number, signal: AbortSignal): Promise<void> {
     const { clock } = this._services;
     const deadlineAt = clock.now() + timeoutMs;
-    await sleep(Math.min(DRAIN_NOTICE_PERIOD_MS, timeoutMs), signal);
-    this._server.close();
     while (this._isBusy() && clock.now() < deadlineAt && !signal.aborted) {
       this._server.closeIdleConnections();
       await sleep(DRAIN_POLL_INTERVAL_MS, signal);
@@ -264,7 +280,7 @@
     if (mayContainKey(url.pathname)) {
       return createRefusal('key_in_request', 'Send your key in the header only, not in the path.');
     }
-    const body = await readBody(request, this._limits.bodyTimeoutMs);
+    const body = await readBody(request, this._limits.bodyTimeoutMs, this._services.shutdown);
     if (body.err) {
       return body.val;
     }
@@ -361,7 +377,9 @@
     caller: ICaller | undefined,
     run: (context: IRequestContext) => Promise<void>,
   ): Promise<void> {
-    const open = new OpenRequest(base.requestId, caller, base.startedAt + service.timeoutMs);
+    const now = this._services.clock.now();
+    const deadlineAt = base.startedAt + service.timeoutMs;
+    const open = new OpenRequest(base.requestId, caller, deadlineAt, now);
     const endUnfinished = (): void => {
       if (!base.response.writableFinished) {
         open.end('client_gone');
@@ -369,6 +387,7 @@
     };
     base.response.once('close', endUnfinished);
     this._openRequests.add(open);
+    this._openRequests.checkRequest(open, now);
     try {
       await run({ ...base, service, caller, open });
     } finally {
--- a/src/entry/Failures.ts
+++ b/src/entry/Failures.ts
@@ -43,6 +43,13 @@
 
 export type FailureCode = keyof typeof FAILURE_KINDS;
 
+/** Failures that may be sent before the body of the request has arrived completely. */
+const CODES_OF_UNREAD_BODIES: ReadonlySet<FailureCode> = new Set([
+  'body_too_large',
+  'request_timeout',
+  'draining',
+]);
+
 /** An error as the caller sees it. */
 export interface IHttpFailure {
   readonly code: FailureCode;
@@ -122,8 +129,8 @@
   if (failure.retryAfterMs !== undefined) {
     headers['retry-after'] = Math.max(1, Math.ceil(failure.retryAfterMs / 1_000));
   }
-  if (failure.code === 'body_too_large' || failure.code === 'request_timeout') {
-    // The remaining body is not read, so the connection cannot be used again.
+  if (CODES_OF_UNREAD_BODIES.has(failure.code)) {
+    // The remaining body may not be read, so the connection cannot be used again.
     headers.connection = 'close';
   }
   response.writeHead(getStatus(failure), headers);
--- a/src/entry/ModelFlow.ts
+++ b/src/entry/ModelFlow.ts
@@ -257,6 +257,7 @@
     metrics.increment('cached_prompt_tokens_total', {}, served.cachedPromptTokens);
     decisions.record(context.requestId, 'finished', {
       ...served,
+      endReason: context.open.endReason,
       ttftMs: served.ttftMs === undefined ? undefined : Math.round(served.ttftMs),
       durationMs: Math.round(durationMs),
     });
@@ -297,6 +298,7 @@
       'content-type': 'application/json',
     },
     body: Buffer.from(JSON.stringify(body)),
+    outputTokens: outputLimit,
   };
 }
 
--- a/src/entry/Parse.ts
+++ b/src/entry/Parse.ts
@@ -1,7 +1,9 @@
 /** First stage of the request pipeline: reads and validates the body. */
 import type { IncomingMessage } from 'node:http';
 import { ByteBuffer } from '../common/ByteBuffer.js';
+import type { IDisposable } from '../common/Lifecycle.js';
 import { Err, Ok, type Result } from '../common/Result.js';
+import type { Shutdown } from '../common/Shutdown.js';
 import { estimateTokens } from '../policy/PrefixChain.js';
 import { createRefusal, type IHttpFailure } from './Failures.js';
 
@@ -10,6 +12,9 @@
 
 const MAX_OUTPUT_TOKENS = 1_000_000;
 
+/** Another instance serves the request. */
+const STOP_RETRY_AFTER_MS = 1_000;
+
 /** A validated completion request. */
 export interface IModelRequest {
   readonly model: string;
@@ -24,12 +29,13 @@
 }
 
 /**
- * Reads the body. Refuses one that is larger than `MAX_BODY_BYTES` or not complete within `timeoutMs`; the
- * connection then stays open for the error response.
+ * Reads the body. Refuses one that is larger than `MAX_BODY_BYTES`, or not complete within `timeoutMs` or at the end
+ * of the process; the connection then stays open for the error response.
  */
 export async function readBody(
   request: IncomingMessage,
   timeoutMs: number,
+  shutdown: Shutdown,
 ): Promise<Result<Buffer, IHttpFailure>> {
   const declared = Number(request.headers['content-length'] ?? 0);
   if (declared > MAX_BODY_BYTES) {
@@ -37,13 +43,18 @@
   }
   const collected = collectBody(request).catch(() => Err(describeTooSlow()));
   let timer: NodeJS.Timeout | undefined;
+  let subscription: IDisposable | undefined;
   const expired = new Promise<Result<Buffer, IHttpFailure>>((resolve) => {
     timer = setTimeout(() => {
       resolve(Err(describeTooSlow()));
     }, timeoutMs);
+    subscription = shutdown.onEnd(() => {
+      resolve(Err(describeStopped()));
+    });
   });
   const body = await Promise.race([collected, expired]);
   clearTimeout(timer);
+  subscription?.dispose();
   return body;
 }
 
@@ -54,6 +65,11 @@
   );
 }
 
+function describeStopped(): IHttpFailure {
+  const message = 'The instance stops before the body has arrived; send the request again.';
+  return createRefusal('draining', message, STOP_RETRY_AFTER_MS);
+}
+
 async function collectBody(request: IncomingMessage): Promise<Result<Buffer, IHttpFailure>> {
   const body = new ByteBuffer();
   // Leaving the loop must not destroy the connection, which has to carry the error response.
--- a/src/entry/PlainFlow.ts
+++ b/src/entry/PlainFlow.ts
@@ -4,7 +4,7 @@
 import { Err, type Result } from '../common/Result.js';
 import { estimateTokens } from '../policy/PrefixChain.js';
 import type { TargetChooser, IChooseInput } from './TargetChooser.js';
-import type { Dispatcher, IAnsweredDispatch } from './Dispatcher.js';
+import type { Dispatcher, IAnsweredDispatch, IOutgoingRequest } from './Dispatcher.js';
 import { createFailure, sendFailure, type IHttpFailure } from './Failures.js';
 import { pickAnswerHeaders, pickRequestHeaders } from './ForwardHeaders.js';
 import type { OpenRequests } from './OpenRequests.js';
@@ -169,11 +169,12 @@
 }
 
 /** Builds the headers and body for the target. */
-export function buildOutgoingRequest(
-  context: IRequestContext,
-  body: Buffer,
-): { headers: Record<string, string>; body: Buffer | undefined } {
+export function buildOutgoingRequest(context: IRequestContext, body: Buffer): IOutgoingRequest {
   const { method, headers } = context.request;
   const hasBody = method !== 'GET' && method !== 'HEAD';
-  return { headers: pickRequestHeaders(headers), body: hasBody ? body : undefined };
+  return {
+    headers: pickRequestHeaders(headers),
+    body: hasBody ? body : undefined,
+    outputTokens: 0,
+  };
 }
--- a/src/entry/RequestOutcomes.ts
+++ b/src/entry/RequestOutcomes.ts
@@ -1,9 +1,33 @@
 /** Functions that the flows share: they describe failures, and log and count the outcomes of requests. */
-import { createFailure, type IHttpFailure } from './Failures.js';
+import { createFailure, createRefusal, type IHttpFailure } from './Failures.js';
+import type { OpenRequest } from './OpenRequests.js';
 import type { IFlowServices, IRequestContext } from './Types.js';
 
+/** Another instance serves the request; by this time the load balancer does not choose this one any more. */
+const STOP_RETRY_AFTER_MS = 1_000;
+
+/** Failure of a request that the end of this process ends. */
+export function describeStop(open: OpenRequest): IHttpFailure {
+  return open.mayHaveRun
+    ? createFailure(
+        'target_failed',
+        'The instance stopped before the answer was complete; try again.',
+        'unknown',
+      )
+    : createRefusal(
+        'draining',
+        'The instance stops and did not dispatch the request; send it again.',
+        STOP_RETRY_AFTER_MS,
+      );
+}
+
+/** Names the requests whose responses are expected to take as long as those of this one. */
+export function describeRunRoute({ service, request }: IRequestContext): string {
+  return `${service.name} ${request.method ?? 'GET'}`;
+}
+
 /**
- * Failure of a request that was ended early because its key was withdrawn or its deadline passed.
+ * Failure of a request that was ended early because its key was withdrawn, its deadline passed or the process stops.
  * Undefined if it was not ended, or if the caller disconnected and nobody is left to answer.
  */
 export function describeEndReason(context: IRequestContext): IHttpFailure | undefined {
@@ -16,6 +40,8 @@
         'The time limit of the service has passed.',
         'unknown',
       );
+    case 'stopping':
+      return describeStop(context.open);
     case 'client_gone':
     case undefined:
       return undefined;
@@ -28,7 +54,10 @@
  */
 export function describeNotRun(context: IRequestContext, failure: IHttpFailure): IHttpFailure {
   const end = describeEndReason(context);
-  return end === undefined ? failure : { ...end, ran: 'no' };
+  if (end === undefined || context.open.mayHaveRun) {
+    return end ?? failure;
+  }
+  return { ...end, ran: 'no' };
 }
 
 /** Logs and counts a refused request. */
@@ -43,6 +72,7 @@
     service: context.service.name,
     code: failure.code,
     ran: failure.ran,
+    endReason: context.open.endReason,
   });
 }
 
--- a/src/entry/StreamRelay.ts
+++ b/src/entry/StreamRelay.ts
@@ -176,6 +176,9 @@
         outcome.response.body.destroy();
         return undefined;
       }
+      if (outcome.kind === 'stopping') {
+        return undefined;
+      }
       if (outcome.kind === 'not_run' && !(await this._mayResumeLater(outcome.reason))) {
         return undefined;
       }
@@ -230,6 +233,8 @@
           'The time limit of the service has passed.',
           'yes',
         );
+      case 'stopping':
+        return describeBrokenStream('The instance that served the stream stops.');
       case 'client_gone':
       case undefined:
         return undefined;
--- a/src/entry/Types.ts
+++ b/src/entry/Types.ts
@@ -3,6 +3,7 @@
 import type { IClock } from '../common/Clock.js';
 import type { ILog } from '../common/Log.js';
 import type { Metrics } from '../common/Metrics.js';
+import type { Shutdown } from '../common/Shutdown.js';
 import type { Result } from '../common/Result.js';
 import type { ControlFailure, ICommandBody, IExecuteOptions } from '../control/ControlClient.js';
 import type { IFeed } from '../feed/Types.js';
@@ -64,4 +65,5 @@
   readonly decisions: DecisionLog;
   readonly feed: IFeed;
   readonly feedSync: IFeedSync;
+  readonly shutdown: Shutdown;
 }
--- a/src/run/EntryRole.ts
+++ b/src/run/EntryRole.ts
@@ -14,6 +14,7 @@
 import type { ILog } from '../common/Log.js';
 import type { Metrics } from '../common/Metrics.js';
 import type { RpcClients } from '../common/Rpc.js';
+import { Shutdown } from '../common/Shutdown.js';
 import { ControlClient } from '../control/ControlClient.js';
 import { TargetChooser } from '../entry/TargetChooser.js';
 import { ClaimDispatch } from '../entry/ClaimDispatch.js';
@@ -32,6 +33,7 @@
 import { AdmissionStage } from '../entry/AdmissionStage.js';
 import type { IFeedSync, IFlowServices } from '../entry/Types.js';
 import type { IFeed } from '../feed/Types.js';
+import { ResponseTimes } from '../gateway/ResponseTimes.js';
 import {
   AnnounceResponseSchema,
   DrainResponseSchema,
@@ -60,7 +62,8 @@
   private readonly _chooser: TargetChooser;
   private readonly _client: DispatchClient;
   private readonly _admitter: Admitter;
-  private readonly _shutdown = new AbortController();
+  private readonly _shutdown = new Shutdown();
+  private readonly _disposal = new AbortController();
 
   constructor(
     private readonly _settings: ILoadedSettings,
@@ -83,10 +86,16 @@
       decisions: this._decisionLog,
       feed: _feed,
       feedSync,
+      shutdown: this._shutdown,
     };
     this._configuration = new ConfigurationIndex(_feed);
-    this._openRequests = new OpenRequests(this._configuration, _feed);
-    this._client = new DispatchClient(_settings.clusterSecret);
+    this._openRequests = new OpenRequests(this._configuration, _feed, this._shutdown);
+    this._client = new DispatchClient(_settings.clusterSecret, {
+      clock: _clock,
+      log,
+      shutdown: this._shutdown,
+      responseTimes: new ResponseTimes(),
+    });
     this._chooser = new TargetChooser(
       this._roster,
       () => createPolicy(role.policy, _settings.dataCentre),
@@ -132,7 +141,7 @@
           control,
           new ClaimDispatch(this._chooser, this._client, outcomeQuery, services),
           outcomeQuery,
-          new ClaimSettlement(control, this._shutdown.signal),
+          new ClaimSettlement(control, this._disposal.signal),
           this._openRequests,
           services,
         ),
@@ -167,7 +176,7 @@
   }
 
   public async dispose(): Promise<void> {
-    this._shutdown.abort();
+    this._disposal.abort();
     this.entry.dispose();
     this._chooser.dispose();
     this._configuration.dispose();
