Send nothing to the target of a sidecar that stops

The sidecar checked a ticket when the head of its dispatch arrived. A claimed call whose body came after the stop had begun still ran, and what ran at the end of the drain was cut, so that the entry had to ask a sidecar that was gone.

The sidecar decides once more when a request has its connection to the target, and refuses with the receipt DRAINING, not run; the entry takes another target. The rest of a running stream may still be fetched until the end. At the end, dispatches that still run are answered with the receipt OUTCOME_UNKNOWN and claims are recorded so. The sidecar needs no estimate of the time: it begins nothing once it stops.

Before: the late claimed call ran at the stopping target, and the running calls were cut or ran on past the end (2 of 2 cases fail).

--- a/src/entry/Stop.test.ts
+++ b/src/entry/Stop.test.ts
@@ -1,7 +1,8 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { Readable } from 'node:stream';
-import { STREAM_HEADER } from '../common/Headers.js';
+import { decodeHeader, RECEIPT_HEADER, STREAM_HEADER, TICKET_HEADER } from '../common/Headers.js';
 import { addJitter, sleep } from '../common/Tasks.js';
+import { TicketSchema } from '../gen/redwingwharf/v1/control_pb.js';
 import { EdgeHarness, formatCompletion, waitFor, type IAnswerText } from './EdgeHarness.js';
 
 const DRAIN_TIMEOUT_MS = 9_000;
@@ -378,3 +379,63 @@
     expect(dispatches).toHaveLength(sent);
   });
 });
+
+describe('a sidecar that stops', () => {
+  beforeEach(async () => {
+    await startHarness({ engines: [], plainTargets: 2 });
+  });
+
+  // A claimed call is accepted before its body is complete, so its ticket was checked before the stop.
+  it('starts no claimed call whose body arrives later', async () => {
+    const targets: string[] = [];
+    harness.interceptDispatch = (request) => {
+      const ticket = decodeHeader(TicketSchema, request.headers[TICKET_HEADER]);
+      targets.push(ticket?.target ?? '');
+      if (targets.length === 1) {
+        const iterate = request[Symbol.asyncIterator].bind(request);
+        request[Symbol.asyncIterator] = async function* () {
+          await sleep(500);
+          yield* iterate();
+        } as typeof iterate;
+      }
+    };
+    const pending = harness.placeOrder({ order: 'moved' }, undefined);
+    await waitFor('the dispatch', () => targets.length === 1);
+    const { signal } = new AbortController();
+    const first = harness.targets.findIndex(({ id }) => id === targets[0]);
+    const drained = harness.sidecars[first]?.drain(2_000, signal);
+    const answer = await pending;
+    await drained;
+    expect(answer.status).toBe(201);
+    expect((JSON.parse(answer.text) as { target: string }).target).not.toBe(targets[0]);
+    expect(await harness.countEffects('moved')).toBe(1);
+  });
+
+  // Without a receipt the entry has to ask a sidecar that is gone.
+  it('answers at its end what still runs, with a receipt', async () => {
+    const receipts: unknown[] = [];
+    harness.interceptDispatch = (request, response) => {
+      const writeHead = response.writeHead.bind(response);
+      response.writeHead = ((status: number, headers: Record<string, string>) => {
+        receipts.push([status, headers[RECEIPT_HEADER] !== undefined]);
+        return writeHead(status, headers);
+      }) as typeof response.writeHead;
+      dispatches.push(request.url ?? '');
+    };
+    const pending = Promise.all([
+      callStock(4_000),
+      harness.placeOrder({ order: 'ending', delayMs: 4_000 }, undefined),
+    ]);
+    await waitFor('the dispatches', () => dispatches.length === 2);
+    const { signal } = new AbortController();
+    await Promise.all(harness.sidecars.map((sidecar) => sidecar.drain(900, signal)));
+    const [plain, claimed] = await pending;
+    expect([plain.status, plain.headers['x-rww-ran']]).toEqual([502, 'unknown']);
+    expect([claimed.status, readCode(claimed)]).toEqual([502, 'outcome_unknown']);
+    expect(receipts.filter((receipt) => String(receipt).startsWith('502'))).toEqual([
+      [502, true],
+      [502, true],
+    ]);
+    expect(await harness.countEffects('ending')).toBe(1);
+  });
+});
--- a/src/sidecar/DispatchHandler.ts
+++ b/src/sidecar/DispatchHandler.ts
@@ -16,7 +16,8 @@
 import { readAnswer, type AnswerBody, type IHttpAnswer } from '../common/HttpAnswer.js';
 import type { IClock } from '../common/Clock.js';
 import type { ILog } from '../common/Log.js';
-import { createTimeoutSignal } from '../common/Tasks.js';
+import type { Shutdown } from '../common/Shutdown.js';
+import { runWithTimeout } from '../common/Tasks.js';
 import type { IFeed } from '../feed/Types.js';
 import {
   ReceiptSchema,
@@ -45,6 +46,12 @@
 /** HTTP status of a call that may have reached the target and got no complete answer. */
 const OUTCOME_UNKNOWN_STATUS = 502;
 
+const REASONS: Readonly<Record<ForwardFailure['kind'], RefusalReason>> = {
+  not_connected: RefusalReason.TARGET_DOWN,
+  not_sent: RefusalReason.DRAINING,
+  broken: RefusalReason.OUTCOME_UNKNOWN,
+};
+
 export interface IDispatchHandlerOptions {
   readonly targetAddress: string;
   readonly getGateState: () => IGateState;
@@ -53,11 +60,13 @@
   /** Undefined when the target is not an engine. */
   readonly prompts?: PromptQueue | undefined;
   readonly clock: IClock;
+  readonly shutdown: Shutdown;
 }
 
 /**
  * Handles all dispatches to the target beside this sidecar. Refuses those whose ticket or claim does not
- * allow them, forwards the others and answers with a receipt that says whether the target ran the request.
+ * allow them, forwards the others and answers with a receipt that says whether the target ran the request. Of a
+ * process that stops, nothing new is sent to the target, and what it still runs at the end is answered as unknown.
  */
 export class DispatchHandler {
   private _openCount = 0;
@@ -140,17 +149,30 @@
     ticket: Ticket,
   ): Promise<void> {
     const controller = new AbortController();
-    const onClose = (): void => {
+    const subscription = this._options.shutdown.onEnd(() => {
+      controller.abort();
+    });
+    try {
+      // A claimed call continues when its entry disconnects, so that its answer can be queried later.
+      await (ticket.claimId > 0n
+        ? this._forwardClaimed(request, response, ticket, controller.signal)
+        : this._forwardRepeatable(request, response, ticket, controller));
+    } finally {
+      subscription.dispose();
+    }
+  }
+
+  private async _forwardRepeatable(
+    request: IncomingMessage,
+    response: ServerResponse,
+    ticket: Ticket,
+    controller: AbortController,
+  ): Promise<void> {
+    response.once('close', () => {
       if (!response.writableFinished) {
         controller.abort();
       }
-    };
-    if (ticket.claimId > 0n) {
-      // A claimed call continues when its entry disconnects, so that its answer can be queried later.
-      await this._forwardClaimed(request, response, ticket);
-      return;
-    }
-    response.once('close', onClose);
+    });
     const resumeId = request.headers[STREAM_HEADER];
     const forward = this._buildForward(request, ticket, request);
     const result = await forwardRequest(
@@ -172,12 +194,16 @@
     body: Buffer | IncomingMessage,
   ): IForwardRequest {
     const hasBody = request.method !== 'GET' && request.method !== 'HEAD';
+    const { shutdown } = this._options;
+    // The rest of a running stream is no new work.
+    const isResume = request.headers[STREAM_HEADER] !== undefined;
     return {
       method: request.method ?? 'GET',
       path: request.url ?? '/',
       headers: copyForwardHeaders(request, ticket.requestId),
       body: hasBody ? body : undefined,
       timeoutMs: ticket.deadlineMs,
+      mayBegin: () => (isResume ? !shutdown.hasEnded : !shutdown.hasBegun),
     };
   }
 
@@ -185,6 +211,7 @@
     request: IncomingMessage,
     response: ServerResponse,
     ticket: Ticket,
+    signal: AbortSignal,
   ): Promise<void> {
     // The body must be complete before the claim is accepted: if the caller disconnects, nothing has run.
     const body = await readRequestBody(request);
@@ -193,13 +220,15 @@
       return;
     }
     let answer: Answer | undefined;
-    const result = await forwardOnNewConnection(
-      this._options.targetAddress,
-      this._buildForward(request, ticket, body),
-      createTimeoutSignal(ticket.deadlineMs),
-      async (reply) => {
-        answer = await convertAnswer(reply);
-      },
+    const result = await runWithTimeout(signal, ticket.deadlineMs, async (limited) =>
+      forwardOnNewConnection(
+        this._options.targetAddress,
+        this._buildForward(request, ticket, body),
+        limited,
+        async (reply) => {
+          answer = await convertAnswer(reply);
+        },
+      ),
     );
     this._recordOutcome(
       ticket,
@@ -225,7 +254,7 @@
   ): void {
     if (answer !== undefined) {
       this._claims.finish(ticket.claimId, ticket.claimAttempt, answer);
-    } else if (failure?.kind === 'not_connected') {
+    } else if (failure !== undefined && failure.kind !== 'broken') {
       this._claims.markNotRun(ticket.claimId, ticket.claimAttempt);
     } else {
       this._claims.markUnknown(ticket.claimId, ticket.claimAttempt);
@@ -278,8 +307,8 @@
       response.destroy();
       return;
     }
-    const isNotRun = failure.kind === 'not_connected';
-    const reason = isNotRun ? RefusalReason.TARGET_DOWN : RefusalReason.OUTCOME_UNKNOWN;
+    const isNotRun = failure.kind !== 'broken';
+    const reason = REASONS[failure.kind];
     response.writeHead(isNotRun ? REFUSED_STATUS : OUTCOME_UNKNOWN_STATUS, {
       [RECEIPT_HEADER]: this._formatReceipt(ticket, !isNotRun, reason),
     });
--- a/src/sidecar/Forwarder.ts
+++ b/src/sidecar/Forwarder.ts
@@ -3,14 +3,14 @@
 import type { IncomingMessage } from 'node:http';
 import { isConnectFailure } from '../common/ConnectErrors.js';
 import { REQUEST_ID_HEADER } from '../common/Headers.js';
-import { sendRequest, type IHttpAnswer } from '../common/HttpAnswer.js';
+import { NotSentError, sendRequest, type IHttpAnswer } from '../common/HttpAnswer.js';
 import { ResetDetector } from '../common/ResetDetector.js';
 import { Err, Ok, type IFailure, type Result } from '../common/Result.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
 
-/** Why a dispatch got no complete answer; after 'not_connected' the target has received nothing. */
-export type ForwardFailure = IFailure<'not_connected'> | IFailure<'broken'>;
+/** Why a dispatch got no complete answer; the target has received nothing unless the connection is broken. */
+export type ForwardFailure = IFailure<'not_connected'> | IFailure<'not_sent'> | IFailure<'broken'>;
 
 /** A request as it is sent to the target. */
 export interface IForwardRequest {
@@ -19,6 +19,8 @@
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Buffer | IncomingMessage | undefined;
   readonly timeoutMs: number;
+  /** Called when the request has a connection; false if it must not be sent any more. */
+  readonly mayBegin: () => boolean;
 }
 
 /**
@@ -75,7 +77,8 @@
       headersTimeout: request.timeoutMs,
       bodyTimeout: request.timeoutMs,
     };
-    return Ok(await sendRequest(dispatcher, resets, options, signal));
+    const observer = { onSend: request.mayBegin, onComplete: () => undefined };
+    return Ok(await sendRequest(dispatcher, resets, options, signal, observer));
   } catch (error) {
     return Err(describeFailure(error));
   }
@@ -115,5 +118,8 @@
   if (isConnectFailure(error)) {
     return { kind: 'not_connected', message: `no connection to the target: ${String(error)}` };
   }
+  if (error instanceof NotSentError) {
+    return { kind: 'not_sent', message: 'the process stops' };
+  }
   return { kind: 'broken', message: `the call to the target failed: ${String(error)}` };
 }
--- a/src/sidecar/Sidecar.ts
+++ b/src/sidecar/Sidecar.ts
@@ -9,6 +9,7 @@
 import { createConnector } from '../common/OrderedSocket.js';
 import { ResetDetector } from '../common/ResetDetector.js';
 import type { RpcClients } from '../common/Rpc.js';
+import { Shutdown } from '../common/Shutdown.js';
 import { isAborted, sleep } from '../common/Tasks.js';
 import type { ControlClient } from '../control/ControlClient.js';
 import { isMechanismDisabled } from '../common/TestSwitches.js';
@@ -42,6 +43,9 @@
 
 const DRAIN_POLL_INTERVAL_MS = 50;
 
+/** Part of the drain timeout in which the answers to the dispatches that it ended are sent. */
+const END_MARGIN_MS = 300;
+
 /** Covers one announcement to each entry, after which the entries know that the target is draining. */
 const DRAIN_NOTICE_PERIOD_MS = 700;
 
@@ -63,6 +67,7 @@
     bodyTimeout: 0,
     connect: this._resets.connect,
   });
+  private readonly _shutdown = new Shutdown();
   private readonly _claims = new ClaimTable();
   private readonly _usedChunks = new UsedChunks();
   private readonly _watcher: TargetWatcher;
@@ -79,9 +84,10 @@
     feed: IFeed,
     clients: RpcClients,
     control: ControlClient,
-    clock: IClock,
+    private readonly _clock: IClock,
     private readonly _log: ILog,
   ) {
+    const clock = _clock;
     const { target, announceTo } = _settings;
     const watcher = new TargetWatcher(target, this._http, clock, _log);
     this._watcher = watcher;
@@ -102,6 +108,7 @@
         getGateState: () => this._getGateState(),
         prompts: this._prompts,
         clock,
+        shutdown: this._shutdown,
         onAccepted: (ticket) => {
           this._usedChunks.record(ticket.prefixChain, clock.now());
         },
@@ -158,14 +165,26 @@
     });
   }
 
-  /** Refuses new requests and waits until the running ones have ended, at most for `timeoutMs`. */
+  /**
+   * Refuses new requests and waits until the running ones have ended. Those that still run `END_MARGIN_MS` before the end
+   * of `timeoutMs`, or when the signal is aborted, are answered as unknown.
+   */
   public async drain(timeoutMs: number, signal: AbortSignal): Promise<void> {
     this._startDraining();
-    const deadline = performance.now() + timeoutMs;
-    await sleep(DRAIN_NOTICE_PERIOD_MS, signal);
+    const now = this._clock.now();
+    const endsAt = now + Math.max(0, timeoutMs - END_MARGIN_MS);
+    this._shutdown.begin(endsAt, now);
+    await sleep(Math.min(DRAIN_NOTICE_PERIOD_MS, endsAt - now), signal);
+    await this._waitIdle(endsAt, signal);
+    const endedAt = this._clock.now();
+    this._shutdown.end(endedAt);
+    await this._waitIdle(endedAt + END_MARGIN_MS, new AbortController().signal);
+  }
+
+  private async _waitIdle(deadlineAt: number, signal: AbortSignal): Promise<void> {
     while (
       this._dispatchHandler.openCount > 0 &&
-      performance.now() < deadline &&
+      this._clock.now() < deadlineAt &&
       !isAborted(signal)
     ) {
       await sleep(DRAIN_POLL_INTERVAL_MS, signal);
