Let an entry drain after an uncaught exception as long as after SIGTERM

After an uncaught exception the process exited 600 s later, the drain timeout of a sidecar, whatever its roles. An entry with a drainTimeoutMs of 600 s (the default) to 3,600 s could exit before it had answered what was open, and one with a short drainTimeoutMs or none could hang for 600 s.

The limit is now the longest drain of the roles of the process, and 5 s to close.

--- a/src/run/Process.ts
+++ b/src/run/Process.ts
@@ -27,6 +27,9 @@
 /** Longest time that a stopping sidecar waits for its open dispatches. */
 const SIDECAR_DRAIN_TIMEOUT_MS = 600_000;
 
+/** Time for closing after the drain, within which a process that stops after an error has to end. */
+const DISPOSE_TIMEOUT_MS = 5_000;
+
 /** Builds the roles of one process and the modules that they share, runs them, and drains them before it stops. */
 export class Process {
   private readonly _clock: IClock = new MonotonicClock();
@@ -216,6 +219,13 @@
   });
 }
 
+/** Time in which a process with these roles has drained and ended, in milliseconds. */
+export function computeStopTimeout({ entry, sidecar }: ILoadedSettings): number {
+  const entryMs = entry?.drainTimeoutMs ?? 0;
+  const sidecarMs = sidecar === undefined ? 0 : SIDECAR_DRAIN_TIMEOUT_MS;
+  return Math.max(entryMs, sidecarMs) + DISPOSE_TIMEOUT_MS;
+}
+
 /** Runs one process that logs to standard output. Returns the exit code. */
 export async function runProcess(settings: ILoadedSettings, signal: AbortSignal): Promise<number> {
   const log = createLog(settings.instance, settings.logLevel, (line) => {
@@ -224,7 +234,7 @@
   const instance = new Process(settings, log);
   watchFatalErrors(
     process,
-    SIDECAR_DRAIN_TIMEOUT_MS,
+    computeStopTimeout(settings),
     (error) => {
       log.error('uncaught exception', { error: describeError(error) });
     },
