Write a slot of the sync mark fully, or fail

Cause: a write that ends in its middle, as on a disk that becomes full, returns a smaller count and no error. SyncMark.advance did not look at the count, so the incomplete slot counted as written and the next write damaged the other slot. With both damaged the log is never opened again: the member is gone until its disk is emptied, while its process runs. Disks that fill one after another can so take one member after the other.

Change: all writes at a position go through writeFully, which continues after a short write until it fails. A slot that was not written stays the one to be written next.

--- a/src/storage/Files.ts
+++ b/src/storage/Files.ts
@@ -1,5 +1,5 @@
 /** Atomic file replacement: a reader sees the old or the new content, never a mixture of both. */
-import { open, readFile, rename } from 'node:fs/promises';
+import { open, readFile, rename, type FileHandle } from 'node:fs/promises';
 import { dirname } from 'node:path';
 import { crc32 } from 'node:zlib';
 import { createDamageError } from './StorageError.js';
@@ -24,6 +24,26 @@
   }
 }
 
+/**
+ * Writes all bytes at a position. A single write may end in its middle without an error, for example where the disk
+ * becomes full; the next one then fails.
+ */
+export async function writeFully(
+  handle: FileHandle,
+  bytes: Uint8Array,
+  position: number,
+): Promise<void> {
+  let written = 0;
+  while (written < bytes.length) {
+    const length = bytes.length - written;
+    const { bytesWritten } = await handle.write(bytes, written, length, position + written);
+    if (bytesWritten === 0) {
+      throw new Error(`none of ${length} bytes were written at position ${position + written}`);
+    }
+    written += bytesWritten;
+  }
+}
+
 /** Atomically replaces a file by the concatenated parts; durable when the promise resolves. */
 export async function replaceFile(path: string, parts: readonly Uint8Array[]): Promise<void> {
   const temporaryPath = path + TEMPORARY_SUFFIX;
--- a/src/storage/RecordLog.ts
+++ b/src/storage/RecordLog.ts
@@ -9,7 +9,13 @@
 import { randomBytes } from 'node:crypto';
 import { mkdir, open, readdir, readFile, unlink, type FileHandle } from 'node:fs/promises';
 import { join } from 'node:path';
-import { isMissingFileError, replaceFile, syncDirectory, TEMPORARY_SUFFIX } from './Files.js';
+import {
+  isMissingFileError,
+  replaceFile,
+  syncDirectory,
+  TEMPORARY_SUFFIX,
+  writeFully,
+} from './Files.js';
 import {
   decodeSegmentHeader,
   encodeRecordHeader,
@@ -243,20 +249,19 @@
       end += header.length + payload.length;
     }
     const bytes = Buffer.concat(parts);
-    await this._writeFully(bytes, segment.size);
-    await this._handle?.datasync();
+    const handle = this._requireHandle();
+    await writeFully(handle, bytes, segment.size);
+    await handle.datasync();
     segment.offsets.push(...offsets);
     segment.size = end;
     await this._syncMark.advance(getEndPosition(segment));
   }
 
-  private async _writeFully(bytes: Buffer, start: number): Promise<void> {
-    let written = 0;
-    while (written < bytes.length) {
-      const length = bytes.length - written;
-      const result = await this._handle?.write(bytes, written, length, start + written);
-      written += result?.bytesWritten ?? 0;
+  private _requireHandle(): FileHandle {
+    if (this._handle === undefined) {
+      throw this._createFailure('the last segment is not open');
     }
+    return this._handle;
   }
 
   /** The last segment, or a new one if it is full. */
--- a/src/storage/SyncMark.ts
+++ b/src/storage/SyncMark.ts
@@ -5,7 +5,7 @@
  */
 import { open, type FileHandle } from 'node:fs/promises';
 import { crc32 } from 'node:zlib';
-import { isMissingFileError, replaceFile } from './Files.js';
+import { isMissingFileError, replaceFile, writeFully } from './Files.js';
 import { createDamageError } from './StorageError.js';
 
 /** One disk sector, so that a torn write of one slot leaves the other one intact. */
@@ -98,10 +98,11 @@
 
   /** Records that the log is synced up to a position. */
   public async advance(position: ISyncedPosition): Promise<void> {
-    const sequence = this._slot.sequence + 1;
-    this._slot = { ...position, sequence };
-    const start = (sequence % SLOT_COUNT) * SLOT_BYTES;
-    await this._handle.write(encodeSlot(this._slot), 0, SLOT_BYTES, start);
+    const slot = { ...position, sequence: this._slot.sequence + 1 };
+    const start = (slot.sequence % SLOT_COUNT) * SLOT_BYTES;
+    // An incomplete slot must not count as written: the next write would then damage the other one.
+    await writeFully(this._handle, encodeSlot(slot), start);
+    this._slot = slot;
   }
 
   /**
