Close the last segment when a log cannot be opened

Cause: RecordLog.open closed the sync mark after a failure, but not the last segment, which it opens before it writes the mark. A member opens its folder again each second while its disk is full, and left a file open each time until a garbage collection closed it.

Change: the segment is closed as well.

Test: FullDiskStore.test.ts counts the open files after openings that failed.

--- a/src/consensus/FullDiskStore.test.ts
+++ b/src/consensus/FullDiskStore.test.ts
@@ -174,12 +174,14 @@
             tornShare,
           });
           const isFull = disks.countRefused(folder) > 0;
-          // A member opens its disk again each second, and the disk may fill again while it does so.
+          // The disk may fill again while the member opens it.
           for (let openWrites = 0; openWrites < 4; openWrites += 1) {
             disks.refuseWrites(folder, { afterWrites: openWrites, tornShare });
             const opened = await openStore().catch(() => undefined);
             await opened?.close();
           }
+          // A member opens its disk again each second, so a file left open each time exhausts the descriptors.
+          expect(disks.openCount).toBe(0);
           disks.restore(folder);
           const store = await openStore();
           expect(store.lastIndex).toBeGreaterThanOrEqual(acknowledged);
--- a/src/storage/FullDisks.ts
+++ b/src/storage/FullDisks.ts
@@ -20,6 +20,7 @@
     position: number | null,
   ) => Promise<{ readonly bytesWritten: number }>;
   writeFile: (data: Uint8Array) => Promise<void>;
+  close: () => Promise<void>;
 }
 
 /**
@@ -33,6 +34,7 @@
  */
 export class FullDisks {
   private readonly _originalOpen = fsPromises.open;
+  private readonly _openHandles = new Set<FileHandle>();
   private _disks: IFullDisk[] = [];
 
   constructor() {
@@ -60,13 +62,24 @@
     return this._disks.find((disk) => disk.folder === folder)?.refused ?? 0;
   }
 
+  /** Number of files that were opened since this object was created and are not closed. */
+  public get openCount(): number {
+    return this._openHandles.size;
+  }
+
   public dispose(): void {
     fsPromises.open = this._originalOpen;
     syncBuiltinESMExports();
   }
 
   private _attach(handle: FileHandle, path: string): void {
+    this._openHandles.add(handle);
     const writer = handle as IWriter;
+    const close = writer.close.bind(handle);
+    writer.close = async () => {
+      this._openHandles.delete(handle);
+      await close();
+    };
     const write = writer.write.bind(handle);
     const writeFile = writer.writeFile.bind(handle);
     writer.write = (data, offset, length, position) => {
--- a/src/storage/RecordLog.ts
+++ b/src/storage/RecordLog.ts
@@ -121,7 +121,12 @@
       const segments = recovered.map((entry) => entry.segment);
       const segmentBytes = options.segmentBytes ?? DEFAULT_SEGMENT_BYTES;
       const log = new RecordLog(directory, segmentBytes, mark, segments);
-      await log._openLastSegment();
+      try {
+        await log._openLastSegment();
+      } catch (error) {
+        await log._handle?.close();
+        throw error;
+      }
       return { log, records: recovered.flatMap((entry) => entry.payloads) };
     } catch (error) {
       await mark.close();
