Complete a bootstrap that a full disk interrupted

Cause: bootstrapStore writes the log first and the hard state last, and refused a directory with a log. A disk that was full at the first start, if only for some milliseconds, so left a directory that was never bootstrapped again: with an empty log the member went on to look for a group to join, and with the first entry but no hard state it could not be opened. No group began, and every change was refused, while all processes ran.

Nobody can have used that entry, since a member appends and acknowledges only after it has opened its hard state; cluster id and disk id are new. Any other log is refused as before.

Test: FullDiskStart.test.ts fills the disk at each write of the first start, with four shares of torn writes, for the member that bootstraps and for one that joins. Before the change the 4 tests of the bootstrap failed (the log was empty); those of the join passed. Now all 8 pass.

Not covered: a process that is killed before its bootstrap is complete, and restarts without the setting that lets it bootstrap.

--- a/src/consensus/ConsensusStore.ts
+++ b/src/consensus/ConsensusStore.ts
@@ -55,13 +55,16 @@
   membership: create(MembershipSchema),
 };
 
-/** Bootstraps a new group in an empty data directory, with this member as its only voter. */
+/**
+ * Bootstraps a new group in an empty data directory, with this member as its only voter. Also completes an earlier
+ * attempt that was interrupted, for example because the disk was full.
+ */
 export async function bootstrapStore(
   directory: IDataDirectory,
   memberId: string,
   address: string,
 ): Promise<IGroupIdentity> {
-  await requireEmpty(directory);
+  await requireNoState(directory);
   const clusterId = generateIdentifier();
   const diskId = generateIdentifier();
   const members = [{ id: memberId, diskId, address, voter: true }];
@@ -70,9 +73,16 @@
     term: 1n,
     body: { case: 'membership', value: create(MembershipSchema, { members }) },
   });
-  const { log } = await directory.openLog();
-  await log.append([toBinary(LogEntrySchema, entry)]);
-  await log.close();
+  const { log, records } = await directory.openLog();
+  try {
+    if (log.firstIndex > 1 || !records.every((record) => isFirstEntry(record, memberId))) {
+      throw createNotEmptyError(directory);
+    }
+    await log.reset(1);
+    await log.append([toBinary(LogEntrySchema, entry)]);
+  } finally {
+    await log.close();
+  }
   // Written last: a directory with a log but no hard state is refused, so an interrupted bootstrap is
   // never used.
   await saveHardState(
@@ -82,22 +92,35 @@
   return { clusterId, diskId };
 }
 
-async function requireEmpty(directory: IDataDirectory): Promise<void> {
+async function requireNoState(directory: IDataDirectory): Promise<void> {
   const hasState =
     (await directory.read(HARD_STATE_FILE)) !== undefined ||
-    (await directory.read(SNAPSHOT_FILE)) !== undefined ||
-    (await directory.hasLog());
+    (await directory.read(SNAPSHOT_FILE)) !== undefined;
   if (hasState) {
-    throw new StorageError(
-      'not_empty',
-      directory.path,
-      undefined,
-      'the data directory holds the state of a member',
-      'Use an empty directory to bootstrap a group.',
-    );
+    throw createNotEmptyError(directory);
   }
 }
 
+function createNotEmptyError(directory: IDataDirectory): StorageError {
+  return new StorageError(
+    'not_empty',
+    directory.path,
+    undefined,
+    'the data directory holds the state of a member',
+    'Use an empty directory to bootstrap a group.',
+  );
+}
+
+/**
+ * True for the entry that bootstraps a group with one member. Without a hard state nobody has used it: a member appends
+ * its next entry, and acknowledges anything, only after it has opened its hard state.
+ */
+function isFirstEntry(record: Uint8Array, memberId: string): boolean {
+  const { index, body } = fromBinary(LogEntrySchema, record);
+  const [first, ...others] = body.case === 'membership' ? body.value.members : [];
+  return index === 1n && first?.id === memberId && others.length === 0;
+}
+
 async function saveHardState(directory: IDataDirectory, state: HardState): Promise<void> {
   await directory.replace(HARD_STATE_FILE, toBinary(HardStateSchema, state));
 }
