--- a/tools/soak/NetworkPreload.ts
+++ b/tools/soak/NetworkPreload.ts
@@ -3,7 +3,8 @@
  * their outgoing connections as a file specifies: data sent to an address can be held back (requests are
  * lost), data received from it can be held back (answers are lost), and both can be delayed. Held data is
  * delivered when the disturbance ends, as TCP does by retransmission, unless one side has closed the
- * connection. The file can also shift the wall clock of the process and delay its disk syncs.
+ * connection. The file can also shift the wall clock of the process, delay its disk syncs, and have its disk refuse
+ * writes as a full one does.
  */
 import { readFileSync } from 'node:fs';
 import { open } from 'node:fs/promises';
@@ -34,6 +35,8 @@
   readonly clockOffsetMs?: number;
   /** Delay before each sync of a file. */
   readonly syncDelayMs?: number;
+  /** True while no write to a file succeeds. Some of them write a part of their data. */
+  readonly isDiskFull?: boolean;
 }
 
 interface IPatchedSocket extends Socket {
@@ -137,26 +140,78 @@
 const getSystemTime = Date.now.bind(Date);
 Date.now = (): number => getSystemTime() + (disturbances.process?.clockOffsetMs ?? 0);
 
-type SyncMethod = (this: unknown) => Promise<void>;
+/** Methods of file handles, with the arguments that the program passes. */
+interface IPatchedHandle {
+  sync: (this: unknown) => Promise<void>;
+  datasync: (this: unknown) => Promise<void>;
+  write: (
+    this: unknown,
+    data: Uint8Array,
+    offset: number,
+    length: number,
+    position: number | null,
+  ) => Promise<{ readonly bytesWritten: number }>;
+  writeFile: (this: unknown, data: Uint8Array) => Promise<void>;
+}
+
+/** Share of the writes to a full disk that end in their middle. */
+const TORN_WRITE_SHARE = 0.5;
+
+function createFullDiskError(): Error {
+  return Object.assign(new Error('ENOSPC: no space left on device, write'), {
+    code: 'ENOSPC',
+    syscall: 'write',
+  });
+}
+
+/** Number of bytes that a write to a full disk still writes. */
+function pickTornLength(length: number): number {
+  return Math.random() < TORN_WRITE_SHARE ? Math.floor(Math.random() * length) : 0;
+}
 
 /**
- * Delays syncs of files. Node does not export the prototype of its file handles, so one is opened to
- * get it.
+ * Delays syncs of files, and refuses writes while the disk is full. Node does not export the prototype of its file
+ * handles, so one is opened to get it.
  */
-async function delaySyncs(): Promise<void> {
+async function applyDiskDisturbances(): Promise<void> {
   const handle = await open('/dev/null');
-  const handlePrototype = Object.getPrototypeOf(handle) as Record<'sync' | 'datasync', SyncMethod>;
+  const handlePrototype = Object.getPrototypeOf(handle) as IPatchedHandle;
   await handle.close();
+  delaySyncs(handlePrototype);
+  refuseWrites(handlePrototype);
+}
+
+/** As the system call, `write` returns a smaller count when it ends in its middle, and the next one fails. */
+function refuseWrites(handlePrototype: IPatchedHandle): void {
+  const { write, writeFile } = handlePrototype;
+  handlePrototype.write = async function (data, offset, length, position) {
+    const isFull = disturbances.process?.isDiskFull === true;
+    const written = isFull ? pickTornLength(length) : length;
+    if (isFull && written === 0) {
+      throw createFullDiskError();
+    }
+    return write.call(this, data, offset, written, position);
+  };
+  handlePrototype.writeFile = async function (data) {
+    if (disturbances.process?.isDiskFull !== true) {
+      return writeFile.call(this, data);
+    }
+    await writeFile.call(this, data.subarray(0, pickTornLength(data.length)));
+    throw createFullDiskError();
+  };
+}
+
+function delaySyncs(handlePrototype: IPatchedHandle): void {
   for (const name of ['sync', 'datasync'] as const) {
     const original = handlePrototype[name];
-    handlePrototype[name] = async function (this: unknown): Promise<void> {
+    handlePrototype[name] = async function () {
       await delay(disturbances.process?.syncDelayMs ?? 0);
       return original.call(this);
     };
   }
 }
 
-void delaySyncs();
+void applyDiskDisturbances();
 readDisturbances();
 setInterval(() => {
   readDisturbances();
