--- a/src/consensus/TestCluster.ts
+++ b/src/consensus/TestCluster.ts
@@ -343,6 +343,9 @@
       log: this._logger,
       timings: this._timings,
       random: this._random,
+    }).catch(async (error: unknown) => {
+      await directory.close();
+      throw error;
     });
     if (!opened.ok) {
       await directory.close();
