Test the loss of a disk while all members stop

Cause: Replacement.test.ts stopped one member at a time, so that it did not show what a group keeps whose members all stop right after an acknowledgement, with one disk lost.

Unsynced writes stay, as members are closed, not cut off.

--- a/src/consensus/Replacement.test.ts
+++ b/src/consensus/Replacement.test.ts
@@ -182,6 +182,25 @@
   );
 });
 
+describe('A disk that is lost while all members stop', () => {
+  // A commit that only the leader and the lost disk hold would be gone.
+  it.each([
+    { size: 3, lost: 'm1' },
+    { size: 3, lost: 'm2' },
+    { size: 4, lost: 'm3' },
+  ])('costs no commit right before it, with $lost of $size', async ({ size, lost }) => {
+    const group = await createGroup(size, size);
+    const ids = [...group.members.keys()];
+    const acknowledged = await group.commit('acknowledged');
+    await Promise.all(ids.map((id) => group.kill(id)));
+    await group.deleteDisk(lost);
+    await Promise.all(ids.map((id) => group.startMember(id)));
+    await group.waitForVoters(size);
+    expect(await group.waitForAgreement()).toEqual(['before', acknowledged]);
+    await expectWorking(group);
+  });
+});
+
 describe('A member that stops', () => {
   it('keeps its vote while the group has none to spare', async () => {
     const group = await createGroup();
