Keep the proof of a refusal that is read when the process ends

A target that refuses a request proves with the head of its answer that it has not run it; the body is read for up to 100 ms more. When the process ended in this time, the attempt counted as one that may have run, and the caller of a request that may not be repeated got 502 instead of 503.

The end of the process now takes the outcome from the head, as the limit of 100 ms does.

Before: the new case of PlannedStop.test.ts gets 502; after: 503, and the other 27 cases pass.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -419,6 +419,11 @@
   /** Ends the attempt as the process ends. */
   private _handleStop(): void {
     this.release();
+    if (this._isDiscarded) {
+      // The head tells whether the target ran the request, though the rest of its response has not arrived.
+      this._end(this._describeDiscarded());
+      return;
+    }
     const kind = this.waitMs === undefined ? 'stopping' : 'ended';
     this._end({ kind, reason: 'the process stops' });
   }
--- a/src/gateway/PlannedStop.test.ts
+++ b/src/gateway/PlannedStop.test.ts
@@ -6,6 +6,7 @@
 import type { IRoute } from '../fleet/Types.js';
 import {
   answerOk,
+  BUSY_HEAD,
   breakStream,
   OK_HEAD,
   refuseBusy,
@@ -318,6 +319,19 @@
     expect(targets.aborted).toBe(1);
   });
 
+  // Its caller could not send the request again, although no target ran it.
+  it('is refused as not run if its target refused it and the refusal is still read', async () => {
+    const refuseWithoutEnd = failAfter(60, (listener) => {
+      listener.onHead(BUSY_HEAD);
+    });
+    const { sink } = await runDuringStop(
+      [refuseWithoutEnd],
+      { route: UNSAFE },
+      { beginMs: 50, leftMs: 50 },
+    );
+    expect(sink).toMatchObject({ status: 503, endings: ['refuse'] });
+  });
+
   it('is cut if its answer has begun', async () => {
     const { sink } = await runDuringStop(
       [sendWithoutEnd(OK_HEAD, streamEvents(1, 1), 1_000)],
