Send a request in time if its deadline is before the end of the process

The expected duration of a response was limited to the time that was left when its target was chosen. A request that then waited for a connection was held to this time although its deadline had come closer, so that one whose deadline is before the end of the process was refused. That end cannot cut such a response.

Only the limit of the wait for a connection holds for it now.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -383,7 +383,11 @@
   }
 
   private get _latestStart(): number {
-    return computeLatestStart(this._context.shutdown, this._options.runMs, this._sentAt);
+    const { shutdown } = this._context;
+    const { deadlineAt, runMs } = this._options;
+    // The end of the process cannot cut a response whose deadline is earlier, however long it was expected to take.
+    const requiredMs = deadlineAt <= shutdown.endsAt ? 0 : runMs;
+    return computeLatestStart(shutdown, requiredMs, this._sentAt);
   }
 
   /**
--- a/src/gateway/PlannedStop.test.ts
+++ b/src/gateway/PlannedStop.test.ts
@@ -188,6 +188,18 @@
     },
   );
 
+  // A response cannot be cut by the end of the process if its deadline is earlier.
+  it('is sent when its connection becomes free if its deadline is before the end', async () => {
+    const client = new BusyTargetClient(300, answerOk);
+    const { sink } = await runDuringStop(
+      [],
+      { route: UNSAFE, client, responseTimes: new ResponseTimes(), call: { deadlineMs: 900 } },
+      { beginMs: 50, leftMs: 1_000 },
+    );
+    expect(client.passedOn).toHaveLength(1);
+    expect(sink).toMatchObject({ status: 200, ending: 'end' });
+  });
+
   // Another process serves it sooner than a connection of this one becomes free.
   it('does not wait long for a connection while there is time', async () => {
     const client = new BusyTargetClient(2_000, answerOk);
