Keep the times of responses with and without tokens apart

ResponseTimes kept one mean for each route. Requests of a route need not state tokens; the time for one token and that of a whole response then went into the same mean. A request without tokens was expected to take as long as a few tokens, and was sent by a stopping process that ended before; one with tokens was expected to take many times as long as it does, and was refused.

There is one estimate for each of the two now.

--- a/src/gateway/ResponseTimes.test.ts
+++ b/src/gateway/ResponseTimes.test.ts
@@ -32,6 +32,16 @@
     expect(times.estimate(plain, 0)).toBe(400);
   });
 
+  // Requests of a route need not state tokens; the time of a response is none of a token.
+  it('does not take the time for each token as that of a whole response', () => {
+    const times = buildTimes(300);
+    const plain = { ...SIZE, outputTokens: 0 };
+    expect(times.estimate(plain, 6)).toBeUndefined();
+    times.record(plain, 300);
+    expect(times.estimate(plain, 0)).toBeCloseTo(300);
+    expect(times.estimate(SIZE, 0)).toBeCloseTo(300);
+  });
+
   // After one response its duration says little, so the estimate is long.
   it('expects a longer time the less the durations agree', () => {
     expect(buildTimes(300, 1).estimate(SIZE, 2)).toBeGreaterThan(450);
--- a/src/gateway/ResponseTimes.ts
+++ b/src/gateway/ResponseTimes.ts
@@ -30,12 +30,14 @@
  * const ms = times.estimate({ route: 'assist', outputTokens: 200, expectedFirstMs: 90 }, 2);
  */
 export class ResponseTimes {
+  /** For each token of the responses that state tokens, and for each response that states none. */
   private readonly _estimates = new Map<string, IEstimate>();
 
   /** Records a complete response that took `totalMs` from the first byte of its request. */
   public record(size: IResponseSize, totalMs: number): void {
     const sample = Math.max(0, totalMs - size.expectedFirstMs) / countUnits(size);
-    const estimate = this._estimates.get(size.route);
+    const key = getKey(size);
+    const estimate = this._estimates.get(key);
     if (estimate !== undefined) {
       const error = sample - estimate.mean;
       estimate.deviation += DEVIATION_WEIGHT * (Math.abs(error) - estimate.deviation);
@@ -46,15 +48,15 @@
     if (oldest !== undefined && this._estimates.size >= MAX_ROUTES) {
       this._estimates.delete(oldest);
     }
-    this._estimates.set(size.route, { mean: sample, deviation: sample / 2 });
+    this._estimates.set(key, { mean: sample, deviation: sample / 2 });
   }
 
   /**
    * Expected duration in milliseconds, longer than the mean by a number of deviations; undefined if no response of the
-   * route has been recorded.
+   * route has been recorded that states tokens if this one does.
    */
   public estimate(size: IResponseSize, deviations: number): number | undefined {
-    const estimate = this._estimates.get(size.route);
+    const estimate = this._estimates.get(getKey(size));
     return (
       estimate &&
       size.expectedFirstMs + countUnits(size) * (estimate.mean + deviations * estimate.deviation)
@@ -62,6 +64,10 @@
   }
 }
 
+function getKey({ route, outputTokens }: IResponseSize): string {
+  return `${outputTokens > 0 ? 'tokens' : 'whole'} ${route}`;
+}
+
 function countUnits({ outputTokens }: IResponseSize): number {
   return Math.max(1, outputTokens);
 }
