Let the end of a stop that comes early close the gate

When a drain is aborted, its calls end before the planned time. The gate compares with that time, so a claimed call that outlives its request could still be sent after the process had ended its calls. Shutdown.endsAt is now the time of the end once that has come.

Before: the case of Shutdown.test.ts sees the planned time, 9 s instead of 2 s; after: it passes.

--- a/src/common/Shutdown.ts
+++ b/src/common/Shutdown.ts
@@ -68,6 +68,7 @@
   public end(now: number): void {
     this.begin(now, now);
     if (!this._hasEnded) {
+      this._endsAt = Math.min(this._endsAt, now);
       this._hasEnded = true;
       this._ends.fire();
     }
