Hold back late claimed calls whose callers have left

A claimed call goes on when its caller leaves or its request ends otherwise, and an open request keeps the first reason of its end. The gate of DispatchClient found the call too late, could not record the reason "stopping" any more, and let it pass. The call then ran at a target although its process did not see its end.

The gate now decides by the time as well as by the reason, and a dispatch that it held back has the outcome "stopping", whatever ended its request.

Before: both cases of DispatchClient.test.ts, with the stop before the dispatch and while it waits for its connection, reach the sidecar (2 of 2); after: none does.

--- a/src/entry/DispatchClient.ts
+++ b/src/entry/DispatchClient.ts
@@ -9,7 +9,12 @@
   TICKET_HEADER,
 } from '../common/Headers.js';
 import type { IClock } from '../common/Clock.js';
-import { sendRequest, type IHttpAnswer, type ISendObserver } from '../common/HttpAnswer.js';
+import {
+  NotSentError,
+  sendRequest,
+  type IHttpAnswer,
+  type ISendObserver,
+} from '../common/HttpAnswer.js';
 import { ResetDetector } from '../common/ResetDetector.js';
 import { isConnectFailure } from '../common/ConnectErrors.js';
 import { CLUSTER_SECRET_HEADER } from '../common/Rpc.js';
@@ -183,10 +188,8 @@
       const response = await this._send(dispatch, extraHeaders, observer);
       outcome = await this._readHead(dispatch, response);
     } catch (error) {
-      outcome = convertError(error);
-      if (sentAt === undefined && open.endReason === 'stopping') {
-        outcome = { kind: 'stopping' };
-      }
+      const hasStopped = error instanceof NotSentError || open.endReason === 'stopping';
+      outcome = sentAt === undefined && hasStopped ? { kind: 'stopping' } : convertError(error);
     }
     // A claim that was seen before may be running.
     if (outcome.kind === 'not_run' && outcome.reason !== RefusalReason.CLAIM_SEEN) {
@@ -195,11 +198,15 @@
     return outcome;
   }
 
-  /** Ends a request that may not begin any more, so that all that wait with it learn of it. */
+  /**
+   * Ends a request that may not begin any more, so that all that wait with it learn of it. A claimed call goes on when
+   * its request has ended for another reason, so that alone does not tell.
+   */
   private _mayBegin(open: OpenRequest, runMs: number, waitsSince: number, now: number): boolean {
     TEST_ONLY: if (isMechanismDisabled('stop-gate')) return true;
     const { shutdown, log } = this._services;
-    if (now > computeLatestStart(shutdown, runMs, waitsSince) && open.endReason !== 'stopping') {
+    const isTooLate = now > computeLatestStart(shutdown, runMs, waitsSince);
+    if (isTooLate && open.endReason !== 'stopping') {
       log.info('dispatch not begun, as the process stops', {
         requestId: open.requestId,
         runMs: Math.round(runMs),
@@ -208,7 +215,7 @@
       });
       open.end('stopping');
     }
-    return open.endReason !== 'stopping';
+    return !isTooLate && open.endReason !== 'stopping';
   }
 
   private _send(
