Count a stream as running while its resumption is refused

When a sidecar refused to resume a stream, or could not be reached, the entry recorded that nothing of the request was at a target. A stop then ended the stream as one that waits to be dispatched: at once when it began, or at the next check.

--- a/src/entry/DispatchClient.ts
+++ b/src/entry/DispatchClient.ts
@@ -193,7 +193,8 @@
     }
     // A claim that was seen before may be running.
     if (outcome.kind === 'not_run' && outcome.reason !== RefusalReason.CLAIM_SEEN) {
-      open.recordNotRun(mayHaveRun);
+      // A stream goes on at its target when the resumption is refused.
+      open.recordNotRun(mayHaveRun, extraHeaders[STREAM_HEADER] !== undefined);
     }
     return outcome;
   }
--- a/src/entry/LateDispatches.test.ts
+++ b/src/entry/LateDispatches.test.ts
@@ -1,14 +1,15 @@
-/** Guards against dispatches that a stopping entry sends too late. */
+/** Guards against dispatches that a stopping entry sends too late, and against streams that it ends too early. */
 import { create } from '@bufbuild/protobuf';
 import { once } from 'node:events';
 import { createServer, type RequestListener, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
 import { MonotonicClock } from '../common/Clock.js';
+import { encodeHeader, RECEIPT_HEADER } from '../common/Headers.js';
 import { SILENT_LOG } from '../common/Log.js';
 import { Shutdown } from '../common/Shutdown.js';
 import { ResponseTimes } from '../gateway/ResponseTimes.js';
-import { TicketSchema } from '../gen/redwingwharf/v1/control_pb.js';
+import { ReceiptSchema, RefusalReason, TicketSchema } from '../gen/redwingwharf/v1/control_pb.js';
 import { DispatchClient, type IDispatch } from './DispatchClient.js';
 import { OpenRequest } from './OpenRequests.js';
 
@@ -75,4 +76,18 @@
     expect(await pending).toEqual({ kind: 'stopping' });
     expect(received).toBe(0);
   });
+
+  // The stream is still generated, and a later attempt may fetch the rest of it.
+  it('does not count a stream as waiting whose resumption was refused', async () => {
+    const receipt = create(ReceiptSchema, {
+      ...{ requestId: 'r-1', ran: false, refusal: RefusalReason.TARGET_DOWN },
+    });
+    const dispatch = await startClient((_request, response) => {
+      response.writeHead(409, { [RECEIPT_HEADER]: encodeHeader(ReceiptSchema, receipt) });
+      response.end();
+    });
+    dispatch.open.recordSend(clock.now());
+    expect(await client.resume(dispatch, 'stream-1', 3)).toMatchObject({ kind: 'not_run' });
+    expect(dispatch.open).toMatchObject({ isAtTarget: true, mayHaveRun: true });
+  });
 });
--- a/src/entry/OpenRequests.ts
+++ b/src/entry/OpenRequests.ts
@@ -50,9 +50,12 @@
     this._mayHaveRun = true;
   }
 
-  /** Records the proof that the last dispatch did not run; `mayHaveRun` tells whether an earlier one may have. */
-  public recordNotRun(mayHaveRun: boolean): void {
-    this._isAtTarget = false;
+  /**
+   * Records the proof that the last dispatch did not run; `mayHaveRun` tells whether an earlier one may have, and
+   * `isAtTarget` whether it still does.
+   */
+  public recordNotRun(mayHaveRun: boolean, isAtTarget = false): void {
+    this._isAtTarget = isAtTarget;
     this._mayHaveRun = mayHaveRun;
   }
 
