Let subsystems take part in the exchanges with the hub

Cause: FleetNode knows each subsystem that shares state across the fleet, and three more are to come. Change: a subsystem fills and reads its own fields of an exchange (IExchangePart) and acts on the leader through a part of its own (IHubPart). The interfaces of the existing sources move to ExchangeSources.ts.

--- a/src/fleet/FleetNode.test.ts
+++ b/src/fleet/FleetNode.test.ts
@@ -31,13 +31,13 @@
 } from '../gen/redwingwharf/v1/fleet_pb.js';
 import type { ISuspectParts } from './CrashEvidence.js';
 import { buildConfiguration, buildTarget } from './Fixtures.js';
-import {
-  FleetNode,
-  type IQuarantineReport,
-  type IQuarantineSource,
-  type IRateLimitReports,
-  type IRateLimitSource,
-} from './FleetNode.js';
+import type {
+  IQuarantineReport,
+  IQuarantineSource,
+  IRateLimitReports,
+  IRateLimitSource,
+} from './ExchangeSources.js';
+import { FleetNode } from './FleetNode.js';
 import { FleetState } from './FleetState.js';
 import { FleetView } from './FleetView.js';
 import { QuotaWallet } from './QuotaWallet.js';
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -21,7 +21,6 @@
   ReadDocumentResponseSchema,
   SubmitResponseSchema,
   SuspectPartsSchema,
-  type CrashReport,
   type ExchangeRequest,
   type ExchangeResponse,
   type FleetCommand,
@@ -29,19 +28,15 @@
   type FleetDocument,
   type LeaseRequest,
   type LeaseResponse,
-  type PermitDemand,
-  type PermitGrant,
-  type PromptReading,
-  type RateLimitReport,
   type ReadDocumentResponse,
   type RecordStreamsResponse,
   type StreamRecords,
   type SubmitResponse,
   type TargetRecord,
-  type TargetWork,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
-import type { ISuspectParts } from './CrashEvidence.js';
 import { DepartureRecorder, isLeaving } from './Departures.js';
+import type { IExchangePart, IHubPart } from './ExchangePart.js';
+import type { IQuarantineSource, IRateLimitSource, IWorkSource } from './ExchangeSources.js';
 import { FleetHub, type IEarlierSpending, type IHubOptions } from './FleetHub.js';
 import { findLeader, type ILeaderHint } from './LeaderSearch.js';
 import type { FleetState } from './FleetState.js';
@@ -115,51 +110,8 @@
   readonly address: string;
   readonly takesRequests: boolean;
   readonly hub: IHubOptions;
-}
-
-/** Supplies data of this process's data path for exchanges, and receives what the hub returns for it. */
-export interface IWorkSource {
-  listWork(): readonly TargetWork[];
-  /** Removes and returns the readings of prompt parts since the last call. */
-  takeReadings(): readonly PromptReading[];
-  /** Applies readings that other processes have reported. */
-  applyReadings(readings: readonly PromptReading[], now: number): void;
-}
-
-/** Reports about prompt parts that crash targets, for the hub. */
-export interface IQuarantineReport {
-  readonly crashes: readonly CrashReport[];
-  readonly clearedParts: readonly number[];
-}
-
-/** Supplies what this process's data path knows of crashes, and receives what the hub made of all reports. */
-export interface IQuarantineSource {
-  /** Suspects as a hub listed them last. */
-  readonly suspects: readonly ISuspectParts[];
-  /** What no hub has received yet. */
-  listUnreported(): IQuarantineReport;
-  removeReported(report: IQuarantineReport): void;
-  /** Queues all reports again, for a hub of a new epoch. */
-  repeatReports(): void;
-  setHubReachable(isReachable: boolean): void;
-  applySuspects(suspects: readonly ISuspectParts[], now: number): void;
-}
-
-/** Reports about the limits that targets name, for the hub. */
-export interface IRateLimitReports {
-  readonly observations: readonly RateLimitReport[];
-  readonly demands: readonly PermitDemand[];
-}
-
-/** Supplies what this process's data path saw of limits and the permits it needs, and receives permits. */
-export interface IRateLimitSource {
-  /** Observations that no hub has received yet, and the demand since the last call. */
-  listReports(now: number): IRateLimitReports;
-  removeReported(reports: Pick<IRateLimitReports, 'observations'>): void;
-  /** Queues all observations again, for a hub of a new epoch. */
-  repeatReports(): void;
-  applyGrants(grants: readonly PermitGrant[], requestedAt: number, now: number): void;
-  setHubReachable(isReachable: boolean, now: number): void;
+  /** Subsystems that take part in the exchanges. */
+  readonly parts?: readonly IExchangePart[];
 }
 
 export type SubmitOutcome =
@@ -175,7 +127,9 @@
  */
 export class FleetNode {
   private _member: IFleetMember | undefined;
-  private _hub: { readonly hub: FleetHub; readonly term: number } | undefined;
+  private _hub:
+    | { readonly hub: FleetHub; readonly term: number; readonly parts: readonly IHubPart[] }
+    | undefined;
   private _leader: string | undefined;
   private _members: readonly string[] = [];
   /** Announcements that no hub has acknowledged yet; sent with the next exchange. */
@@ -488,6 +442,9 @@
       return response;
     }
     hub.applyReport(request, now);
+    for (const part of this._hub?.parts ?? []) {
+      part.exchange(request, response, now);
+    }
     const targetDelta = hub.listTargetsSince(request.epoch, Number(request.revision));
     const { state } = this._member;
     response.epoch = hub.epoch;
@@ -534,6 +491,10 @@
     });
   }
 
+  private get _parts(): readonly IExchangePart[] {
+    return this._options.parts ?? [];
+  }
+
   private _isLeading(): boolean {
     return this.getHub(this._clock.now()) !== undefined;
   }
@@ -590,7 +551,6 @@
       earlier,
       (record) => state?.departures.resolve(record) ?? record,
     );
-    this._hub = { hub, term };
     hub.restoreSuspects(this._quarantine.suspects, now);
     for (const record of this._view.listRecords()) {
       hub.announce(record, now);
@@ -598,6 +558,11 @@
     if (this._view.table !== undefined) {
       hub.setLimits(this._deriveLimits(this._view.table), now);
     }
+    const parts =
+      state === undefined
+        ? []
+        : this._parts.flatMap((part) => part.createHubPart?.({ hub, state, startedAt: now }) ?? []);
+    this._hub = { hub, term, parts };
     this._log.info('hub started', { term, targets: this._view.listRecords().length });
   }
 
@@ -636,7 +601,7 @@
     }
     const { crashes, clearedParts } = this._quarantine.listUnreported();
     const { observations, demands } = this._rateLimits.listReports(now);
-    return create(ExchangeRequestSchema, {
+    const request = create(ExchangeRequestSchema, {
       node: this._options.address,
       epoch: this._view.epoch,
       revision: BigInt(this._view.revision),
@@ -657,6 +622,10 @@
       versionRevision: this._view.versions.getRevision(this._view.epoch),
       recordsStreams: true,
     });
+    for (const part of this._parts) {
+      part.addReport(request, now);
+    }
+    return request;
   }
 
   private _exchangeLocally(now: number): void {
@@ -793,6 +762,9 @@
     }
     this._rateLimits.applyGrants(answer.permits, sentAt, now);
     this._leases.applyGrants(answer.grants, sentAt, now);
+    for (const part of this._parts) {
+      part.applyResponse(answer, { request, isNewEpoch, sentAt, now });
+    }
     for (const finish of waiters) {
       finish();
     }
@@ -819,6 +791,9 @@
     this._wallet.setHubReachable(isReachable);
     this._quarantine.setHubReachable(isReachable);
     this._rateLimits.setHubReachable(isReachable, this._clock.now());
+    for (const part of this._parts) {
+      part.setHubReachable?.(isReachable, this._clock.now());
+    }
     if (isReachable !== this._isLeaderReachable) {
       this._isLeaderReachable = isReachable;
       this._log.info(isReachable ? 'leader regained' : 'leader lost', {
--- a/src/gateway/CrashQuarantine.ts
+++ b/src/gateway/CrashQuarantine.ts
@@ -5,7 +5,7 @@
 import { create } from '@bufbuild/protobuf';
 import { Emitter } from '../common/Lifecycle.js';
 import { CrashEvidence, type ISuspectParts } from '../fleet/CrashEvidence.js';
-import type { IQuarantineReport, IQuarantineSource } from '../fleet/FleetNode.js';
+import type { IQuarantineReport, IQuarantineSource } from '../fleet/ExchangeSources.js';
 import {
   CrashReportSchema,
   type CrashReport,
--- a/src/gateway/TargetLimits.ts
+++ b/src/gateway/TargetLimits.ts
@@ -6,7 +6,7 @@
 import { isMechanismDisabled } from '../common/TestSwitches.js';
 import { sleep } from '../common/Tasks.js';
 import { clampToUint32 } from '../common/Uint32.js';
-import type { IRateLimitReports, IRateLimitSource } from '../fleet/FleetNode.js';
+import type { IRateLimitReports, IRateLimitSource } from '../fleet/ExchangeSources.js';
 import { computePermitInterval } from '../fleet/TargetRateLimits.js';
 import {
   PermitDemandSchema,
