Let the leader grant probes of quarantined prompt parts

Cause: a sound part that broke with four targets while nothing settled was refused for ten minutes, as only a response with it could clear it. Change: an entry that refuses a request asks the hub for a permit. The hub commits the probe (FleetCommand.record_probe), then gives one entry a permit for one request: 20 s after the first refusal, or at once where only the number of crashes speaks against the part. No second attempt runs beside a probe. Ruled out: probes decided by each entry (as many crashes as entries), permits without a record (each change of the leader grants them anew), a shorter quarantine, requests that wait for the end of a probe. Result: CrashQuarantine.test.ts passes unchanged; its CrashQuarantine has no fleet and goes by the same times (SoleProbes).

--- a/src/fleet/CrashEvidence.ts
+++ b/src/fleet/CrashEvidence.ts
@@ -51,6 +51,12 @@
   readonly quarantined: boolean;
 }
 
+/**
+ * Why parts are quarantined: for the blame that they got, or for the number of crashes alone, which sound parts reach too
+ * if many requests have them while no response settles.
+ */
+export type QuarantineStrength = 'blamed' | 'counted';
+
 interface ISuspectRequest {
   readonly parts: Set<number>;
   /** 0 once the request or a repetition was answered with success. */
@@ -195,6 +201,45 @@
     this._invalidate();
   }
 
+  /** How parts are quarantined that are listed in one entry; undefined if they are not. */
+  public findQuarantine(parts: readonly number[], now: number): QuarantineStrength | undefined {
+    this._expire(now);
+    this._decide();
+    const key = formatParts(parts);
+    const blamed = this._blamed.find((entry) => formatParts(entry.parts) === key);
+    if (blamed === undefined) {
+      const isRestored = this._restored.some((entry) => formatParts([...entry.parts]) === key);
+      return isRestored ? 'blamed' : undefined;
+    }
+    const shares = blamed.crashes.map(({ requests }) => {
+      const withParts = [...requests.values()].filter((request) => request.parts.size > 0);
+      return 1 / Math.max(1, withParts.length);
+    });
+    return shares.reduce((sum, share) => sum + share, 0) >= MIN_BLAME ? 'blamed' : 'counted';
+  }
+
+  /** Number of crashes with which a request with all of the parts broke. */
+  public countCrashes(parts: readonly number[]): number {
+    const crashes = [...this._crashes.values()];
+    return crashes.filter((crash) => listRequestsWith(crash, parts).length > 0).length;
+  }
+
+  /** True if a request with all of the parts broke with a target later than a time. */
+  public hasCrashedSince(parts: readonly number[], since: number): boolean {
+    return [...this._crashes.values()].some(
+      (crash) => crash.at > since && listRequestsWith(crash, parts).length > 0,
+    );
+  }
+
+  /** Renews the quarantine of parts, also if no crash that is known is a reason for it. */
+  public renew(parts: readonly number[], now: number, lifetimeMs: number): void {
+    const key = formatParts(parts);
+    const others = this._restored.filter((entry) => formatParts([...entry.parts]) !== key);
+    this._restored = [...others, { parts: new Set(parts), at: now, lifetimeMs }];
+    this._restored = this._restored.slice(-MAX_RESTORED);
+    this._invalidate();
+  }
+
   private _expire(now: number): void {
     const oldest = now - EVIDENCE_LIFETIME_MS;
     const expired = [...this._crashes].filter(([, { at }]) => at < oldest);
@@ -388,7 +433,7 @@
 }
 
 /** Equal for lists with the same parts. */
-function formatParts(parts: readonly number[]): string {
+export function formatParts(parts: readonly number[]): string {
   return [...parts].sort((left, right) => left - right).join();
 }
 
--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -110,6 +110,9 @@
   /** Software versions of the targets and of the streams that are not recorded. */
   public readonly versions: VersionBases;
 
+  /** Crashes of targets, and the prompt parts and requests that are quarantined because of them. */
+  public readonly crashEvidence = new CrashEvidence();
+
   private readonly _targets = new Map<string, IHubTarget>();
   private readonly _processes = new Map<string, IProcessReport>();
   /** Sums over the reports of all processes, so that no answer has to add them up. */
@@ -118,7 +121,6 @@
   /** Targets that the former leader prepared or let load when it was last heard of. */
   private readonly _inheritedLoads = new Set<string>();
   private readonly _recentReadings = new RecentReadings();
-  private readonly _crashEvidence = new CrashEvidence();
   private readonly _rateLimits: TargetRateLimits;
   private _windowLimits: ReadonlyMap<string, number> = new Map();
   /** Sequence of the last report of quotas of each run of a process, and when it arrived. */
@@ -238,13 +240,13 @@
 
   /** Takes over what an earlier hub quarantined. */
   public restoreSuspects(suspects: readonly ISuspectParts[], now: number): void {
-    this._crashEvidence.restore(suspects, now);
+    this.crashEvidence.restore(suspects, now);
   }
 
   /** All suspects if they have changed since a revision or `epoch` is not this hub's, else none. */
   public listSuspects(epoch: string, revision: number, now: number): ISuspectDelta {
-    const suspects = this._crashEvidence.list(now);
-    const { revision: current } = this._crashEvidence;
+    const suspects = this.crashEvidence.list(now);
+    const { revision: current } = this.crashEvidence;
     const isKnown = epoch === this.epoch && revision === current;
     return { revision: current, suspects: isKnown ? [] : suspects };
   }
@@ -372,15 +374,15 @@
       return;
     }
     for (const crash of crashes) {
-      this._crashEvidence.add(crash, now);
+      this.crashEvidence.add(crash, now);
     }
-    this._crashEvidence.clear(clearedParts);
-    const quarantined = this._crashEvidence.list(now).filter((entry) => entry.quarantined);
+    this.crashEvidence.clear(clearedParts);
+    const quarantined = this.crashEvidence.list(now).filter((entry) => entry.quarantined);
     this._options.log.info('crashes reported', {
       process: node,
       targets: crashes.map(({ target }) => target),
       clearedParts: clearedParts.length,
-      crashes: this._crashEvidence.crashCount,
+      crashes: this.crashEvidence.crashCount,
       quarantined: quarantined.map(({ parts }) => parts.map((part) => part.toString(16)).join('+')),
     });
   }
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -7,7 +7,7 @@
 import type { RpcClients } from '../common/Rpc.js';
 import { addJitter, isAborted, runWithTimeout, sleep } from '../common/Tasks.js';
 import { clampToUint32 } from '../common/Uint32.js';
-import type { IConsensusStatus, IReplicatedLog } from '../consensus/Types.js';
+import type { IReplicatedLog } from '../consensus/Types.js';
 import {
   ExchangeRequestSchema,
   ExchangeResponseSchema,
@@ -815,8 +815,7 @@
   }
 
   private _listMembers(): string[] {
-    const status: IConsensusStatus | undefined = this._member?.log.status;
-    const own = status?.membership.members.map((member) => member.address) ?? [];
+    const own = this._member?.log.status.membership.members.map(({ address }) => address) ?? [];
     return own.length > 0 ? own : [...this._members];
   }
 
@@ -912,6 +911,7 @@
     case 'recordStreams':
     case 'setVersionBase':
     case 'forgetStreams':
+    case 'recordProbe':
       return false;
     case undefined:
       return true;
--- a/src/fleet/FleetState.ts
+++ b/src/fleet/FleetState.ts
@@ -13,6 +13,7 @@
   type SpendingRecord,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { Departures } from './Departures.js';
+import { ProbeRecords } from './ProbeRecords.js';
 import { StreamRecords } from './StreamRecords.js';
 
 const EMPTY_RESULT = new Uint8Array();
@@ -48,6 +49,9 @@
   /** Targets whose leaving was acknowledged. */
   public readonly departures = new Departures();
 
+  /** Probes of quarantined prompt parts. */
+  public readonly probes = new ProbeRecords();
+
   /** Fires after a command that changed the state, and after a restore. */
   public readonly onChange = this._changes.onFire;
 
@@ -100,6 +104,9 @@
       case 'recordDeparture':
         this.departures.add(body.value);
         break;
+      case 'recordProbe':
+        this.probes.add(body.value);
+        break;
       case undefined:
         break;
     }
@@ -114,6 +121,7 @@
       versionBases: [...this._versionBases].map(([service, version]) => ({ service, version })),
       streams: this.streams.snapshot(),
       departures: [...this.departures.list()],
+      probes: [...this.probes.list()],
     });
     if (this._document !== undefined) {
       snapshot.document = this._document;
@@ -131,6 +139,7 @@
     }
     this.streams.restore(snapshot.streams);
     this.departures.restore(snapshot.departures);
+    this.probes.restore(snapshot.probes);
     this._versionBases.clear();
     for (const { service, version } of snapshot.versionBases) {
       this._versionBases.set(service, version);
--- a/src/gateway/AttemptRunner.ts
+++ b/src/gateway/AttemptRunner.ts
@@ -250,7 +250,7 @@
   /** Cancels requests at targets that would crash when they begin to answer. */
   private _cancelQuarantined(now: number): void {
     for (const [attempt, judged] of this._running) {
-      const standing = this._context.quarantine.getStanding(judged, now);
+      const standing = this._context.quarantine.getStanding(judged, now, false);
       // A part crashes a target before its response has settled, a request may do so later.
       if (standing.kind === 'quarantined' && (standing.isRepetition || !attempt.isSettled)) {
         attempt.cancel('the request is quarantined');
@@ -271,7 +271,7 @@
       return;
     }
     const now = clock.now();
-    const standing = quarantine.getStanding(judged, now);
+    const standing = quarantine.getStanding(judged, now, false);
     const { call } = judged;
     // A further crash by the same part must not come from a repetition.
     progress.mayRepeat = standing.kind === 'clear';
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -18,7 +18,7 @@
   type ICallContext,
   type ICallProgress,
 } from './CallTypes.js';
-import type { QuarantineStanding } from './CrashQuarantine.js';
+import { mayOverlap, type QuarantineStanding } from './CrashQuarantine.js';
 import { decideOverload } from './Overload.js';
 import type { IPlacement } from './Placement.js';
 import type { IPlacementRequest } from './PlacementRequest.js';
@@ -322,7 +322,7 @@
     const judged = { call, account: account?.name, route: route.name };
     const standing = quarantine.getStanding(judged, now);
     const mayStart =
-      standing.kind !== 'quarantined' &&
+      mayOverlap(standing) &&
       isRepeatable(route) &&
       progress.mayRepeat &&
       progress.unreachable <= MAX_UNREACHABLE_TARGETS &&
--- a/src/gateway/CrashQuarantine.ts
+++ b/src/gateway/CrashQuarantine.ts
@@ -6,6 +6,7 @@
 import { Emitter } from '../common/Lifecycle.js';
 import { CrashEvidence, type ISuspectParts } from '../fleet/CrashEvidence.js';
 import type { IQuarantineReport, IQuarantineSource } from '../fleet/ExchangeSources.js';
+import { SoleProbes, type IProbeSource } from '../fleet/ProbeSchedule.js';
 import {
   CrashReportSchema,
   type CrashReport,
@@ -34,6 +35,9 @@
  */
 const SOUND_CONTENT_MS = 600_000;
 
+/** Requests that were let through as probes; of more, the oldest are forgotten and judged like all others. */
+const MAX_PROBING = 64;
+
 /** Own reports that are kept for a new hub. */
 const MAX_REPORTS = 256;
 
@@ -48,8 +52,11 @@
 /** Where a request stands because of the parts of its prompt, of its content, or because it came before. */
 export type QuarantineStanding =
   | { readonly kind: 'clear' }
-  /** A target crashed with one of its parts; no response with it has settled since. */
-  | { readonly kind: 'suspect' }
+  /**
+   * A target crashed with one of its parts; no response with it has settled since. A probe has quarantined parts, and only
+   * one attempt of it may run at a time.
+   */
+  | { readonly kind: 'suspect'; readonly isProbe: boolean }
   /** A target would probably crash. */
   | {
       readonly kind: 'quarantined';
@@ -58,6 +65,18 @@
       readonly isRepetition: boolean;
     };
 
+/** True if a second attempt of a request may run beside the first one. */
+export function mayOverlap(standing: QuarantineStanding): boolean {
+  switch (standing.kind) {
+    case 'clear':
+      return true;
+    case 'suspect':
+      return !standing.isProbe;
+    case 'quarantined':
+      return false;
+  }
+}
+
 /** Holds the suspects of the hub, and the reports of this entry until a hub has received them. */
 export class CrashQuarantine implements IQuarantineSource {
   private readonly _settledAt = new Map<number, number>();
@@ -72,8 +91,13 @@
   private readonly _answeredAt = new Map<number, number>();
   /** Hashes of the prompt parts of recent requests by request id, oldest first, by route. */
   private readonly _recentParts = new Map<string, Map<string, ReadonlySet<number>>>();
+  /** Quarantined parts with which requests were let through, by request id, oldest first. */
+  private readonly _probing = new Map<string, readonly number[]>();
   private readonly _changes = new Emitter<number>();
 
+  /** @param _probes permits for requests with quarantined parts; by default, those of a process without a fleet */
+  constructor(private readonly _probes: IProbeSource = new SoleProbes()) {}
+
   /** Fires with the present time when the hub has listed other suspects. */
   public readonly onChange = this._changes.onFire;
 
@@ -82,7 +106,12 @@
     return this._suspects;
   }
 
-  public getStanding(judged: IJudgedRequest, now: number): QuarantineStanding {
+  /**
+   * Where a request stands now.
+   *
+   * @param mayProbe true if the request has yet to be sent, so that it may use a permit to probe its quarantined parts
+   */
+  public getStanding(judged: IJudgedRequest, now: number, mayProbe = true): QuarantineStanding {
     const { call } = judged;
     const parts = hashParts(call);
     // Also while nothing is suspect: right after a crash, what most requests have must be known.
@@ -94,12 +123,15 @@
     }
     const request = hashRequest(judged);
     const hashes = new Set([...parts, request, hashContent(judged)]);
-    const quarantined = [...this._suspects, ...(this._isHubReachable ? [] : own)].find(
+    const matching = [...this._suspects, ...(this._isHubReachable ? [] : own)].filter(
       (entry) =>
         entry.quarantined &&
         entry.parts.every((part) => hashes.has(part)) &&
         (entry.parts.includes(request) || !this._isCommon(entry, judged.route)),
     );
+    // A request with parts of several quarantines could tell nothing of each.
+    const mayTake = mayProbe && matching.length === 1;
+    const quarantined = matching.find((entry) => !this._isProbe(judged, entry, now, mayTake));
     if (quarantined !== undefined) {
       const partIds = call.parts.filter((part) => quarantined.parts.includes(hashPart(call, part)));
       return {
@@ -108,8 +140,11 @@
         isRepetition: quarantined.parts.includes(request),
       };
     }
+    if (matching.length > 0) {
+      return { kind: 'suspect', isProbe: true };
+    }
     const isSuspect = entries.some(({ parts }) => parts.some((part) => hashes.has(part)));
-    return { kind: isSuspect ? 'suspect' : 'clear' };
+    return isSuspect ? { kind: 'suspect', isProbe: false } : { kind: 'clear' };
   }
 
   /** True if the request or a shared part of its prompt is not known to be sound. */
@@ -202,6 +237,30 @@
     this._changes.fire(now);
   }
 
+  /**
+   * True if a request with quarantined parts is a probe of them. Only parts that other requests may have too are probed:
+   * a request or a content that crashed targets several times has nothing else to be blamed.
+   */
+  private _isProbe(
+    { call }: IJudgedRequest,
+    { parts }: ISuspectParts,
+    now: number,
+    mayTake: boolean,
+  ): boolean {
+    const probed = this._probing.get(call.id);
+    if (probed !== undefined && parts.some((part) => probed.includes(part))) {
+      return true;
+    }
+    const shared = new Set(hashSharedParts(call));
+    const isProbe =
+      mayTake && parts.every((part) => shared.has(part)) && this._probes.takePermit(parts, now);
+    if (isProbe) {
+      this._probing.set(call.id, parts);
+      dropOldest(this._probing, MAX_PROBING);
+    }
+    return isProbe;
+  }
+
   private _recordRecent({ call, route }: IJudgedRequest, parts: readonly number[]): void {
     const recent = this._recentParts.get(route) ?? new Map<string, ReadonlySet<number>>();
     recent.set(call.id, new Set(parts));
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -10,6 +10,7 @@
 import { runPeriodically } from '../common/Tasks.js';
 import { FleetNode, type IFleetMember } from '../fleet/FleetNode.js';
 import { FleetView } from '../fleet/FleetView.js';
+import { ProbeExchange } from '../fleet/ProbeExchange.js';
 import type { IQuotaTerms } from '../fleet/QuotaRule.js';
 import { QuotaWallet } from '../fleet/QuotaWallet.js';
 import { SharedRetryBudget, type IRetryLimits } from '../fleet/SharedRetryBudget.js';
@@ -101,7 +102,14 @@
     const states = new TargetStates();
     const holders = new PromptHolders();
     const placement = new Placement(dataCentre, holders);
-    const quarantine = new CrashQuarantine();
+    const probes = new ProbeExchange(
+      async (command) => (await this.node.submit(command, this._stop.signal)).kind === 'committed',
+      () => {
+        this.node.requestExchange();
+      },
+      _log,
+    );
+    const quarantine = new CrashQuarantine(probes);
     this._rpc = new RpcClients(clusterSecret);
     const suspensions = new SuspensionDetector();
     this.view = new FleetView(adapters.decodeDocument, _log, suspensions);
@@ -120,6 +128,7 @@
           processStartedAt: clock.now(),
           log: _log,
         },
+        parts: [probes],
       },
       this.view,
       wallet,
