Settle a new base version only once no entry begins streams of the former one

Cause: an entry without a leader began streams of the base version that it knew without a record, without limit, and a leader that had chosen another base meanwhile attributed them to that. Change: a new base is unsettled until every entry that the hub has heard of has reported back that the former one is not in force and its streams have ended, or has been silent for 15 min. Until then no base is named, all streams are recorded, and one without a record is unsure. An entry that is cut off begins streams without a record for 15 min and none after. A hub that started under the former base waits as long from its start; that a base is settled is committed. Ruled out: no resumable streams after 14 s without a leader (a loss of the quorum would end all of them), no change of the base while an entry may be cut off, no limit at the entry.

--- a/src/fleet/FleetHub.ts
+++ b/src/fleet/FleetHub.ts
@@ -214,6 +214,10 @@
     });
     if (request.takesRequests && !request.recordsStreams) {
       this.versions.markOldEntry(now);
+    } else if (request.takesRequests) {
+      const isOwnEpoch = request.epoch === this.epoch;
+      const revision = isOwnEpoch ? Number(request.versionRevision) : undefined;
+      this.versions.informedEntries.recordReport(request.node, revision, now);
     }
     this._recentReadings.add(request.node, request.readings);
     this._applyCrashes(request, now);
--- a/src/fleet/FleetState.ts
+++ b/src/fleet/FleetState.ts
@@ -42,6 +42,7 @@
   /** Last recorded ceiling of the leases of each client account. */
   private readonly _ceilings = new Map<string, number>();
   private readonly _versionBases = new Map<string, string>();
+  private readonly _unsettledBases = new Set<string>();
 
   /** Software versions that began streams, where it is not the base version of their service. */
   public readonly streams = new StreamRecords();
@@ -74,6 +75,11 @@
     return this._versionBases;
   }
 
+  /** Services of which a process that is cut off may still begin streams of an earlier base without a record. */
+  public get unsettledBases(): ReadonlySet<string> {
+    return this._unsettledBases;
+  }
+
   /** Most tokens of a client account that may be leased; 0 if none ever were. */
   public getCeiling(clientAccount: string): number {
     return this._ceilings.get(clientAccount) ?? 0;
@@ -118,7 +124,11 @@
       weights: [...this._weights.values()],
       spending: [...this._spending],
       ceilings: Object.fromEntries(this._ceilings),
-      versionBases: [...this._versionBases].map(([service, version]) => ({ service, version })),
+      versionBases: [...this._versionBases].map(([service, version]) => ({
+        service,
+        version,
+        unsettled: this._unsettledBases.has(service),
+      })),
       streams: this.streams.snapshot(),
       departures: [...this.departures.list()],
       probes: [...this.probes.list()],
@@ -141,8 +151,9 @@
     this.departures.restore(snapshot.departures);
     this.probes.restore(snapshot.probes);
     this._versionBases.clear();
-    for (const { service, version } of snapshot.versionBases) {
-      this._versionBases.set(service, version);
+    this._unsettledBases.clear();
+    for (const base of snapshot.versionBases) {
+      this._applyVersionBase(base);
     }
     this._weights.clear();
     for (const weights of snapshot.weights) {
@@ -158,11 +169,20 @@
     }
   }
 
-  private _setVersionBase({ service, version }: ServiceVersion): void {
-    this._versionBases.set(service, version);
+  private _setVersionBase(base: ServiceVersion): void {
+    this._applyVersionBase(base);
     this._changes.fire(undefined);
   }
 
+  private _applyVersionBase({ service, version, unsettled }: ServiceVersion): void {
+    this._versionBases.set(service, version);
+    if (unsettled) {
+      this._unsettledBases.add(service);
+    } else {
+      this._unsettledBases.delete(service);
+    }
+  }
+
   private _putDocument(document: FleetDocument): void {
     if (this._document === undefined || document.version > this._document.version) {
       this._document = document;
--- a/src/fleet/KnownVersions.ts
+++ b/src/fleet/KnownVersions.ts
@@ -1,6 +1,6 @@
 /** This process's copy of what the hub tells about the software versions of each service. */
 import type { ExchangeResponse } from '../gen/redwingwharf/v1/fleet_pb.js';
-import { BASE_TRUST_MS, UNIFORMITY_TRUST_MS } from './SoftwareVersions.js';
+import { BASE_TRUST_MS, CUT_OFF_TRUST_MS, UNIFORMITY_TRUST_MS } from './SoftwareVersions.js';
 
 /** What a process knows of the software versions of a service. */
 export interface IVersionBase {
@@ -10,6 +10,8 @@
   readonly isUniform: boolean;
   /** False: the last confirmed statement is so old that the base may have changed. */
   readonly isCurrent: boolean;
+  /** True: it is so old that no stream may begin by it any more. Absent before. */
+  readonly isExpired?: true;
 }
 
 /** Keeps the last statement of a hub, also after a change of the hub, until another one replaces it. */
@@ -69,6 +71,7 @@
       base: known.base,
       isUniform: known.isUniform && ageMs < UNIFORMITY_TRUST_MS,
       isCurrent: ageMs < BASE_TRUST_MS,
+      ...(ageMs < CUT_OFF_TRUST_MS ? {} : { isExpired: true }),
     };
   }
 }
--- a/src/fleet/OriginCalls.ts
+++ b/src/fleet/OriginCalls.ts
@@ -158,7 +158,7 @@
 
   /** Compares targets and state, unless neither has changed since the last time. */
   private _observe({ hub, state }: ILeading, now: number): void {
-    const revision = `${hub.targetRevision} ${state.streams.revision} ${JSON.stringify([...state.versionBases])}`;
+    const revision = `${hub.targetRevision} ${state.streams.revision} ${JSON.stringify([...state.versionBases, ...state.unsettledBases])}`;
     if (this._observed?.hub !== hub || this._observed.revision !== revision) {
       hub.versions.observe(hub.listTargets(), state, now);
       this._observed = { hub, revision };
--- a/src/fleet/SoftwareVersions.ts
+++ b/src/fleet/SoftwareVersions.ts
@@ -10,6 +10,13 @@
 /** Time for which a process may begin streams without a record after a confirmed statement of the base. */
 export const BASE_TRUST_MS = 14_000;
 
+/**
+ * Time after the last confirmed statement of the base in which a process that is cut off begins streams at the base
+ * without a record. The base may change meanwhile; a change counts as settled only once no such process can be left.
+ * Longer would keep the leader recording every stream for as long after a release that follows the loss of a machine.
+ */
+export const CUT_OFF_TRUST_MS = 900_000;
+
 /** Covers the streams of a client with its repetitions, at the usual time limits. */
 const MIN_REBASE_DELAY_MS = 30_000;
 
--- a/src/fleet/VersionBases.ts
+++ b/src/fleet/VersionBases.ts
@@ -1,5 +1,6 @@
 /** Decides at the leader which software version the streams have that are not recorded. */
 import { TargetPhase, type TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
+import { InformedEntries } from './InformedEntries.js';
 import { getSoftwareVersion, isNamedVersion, UNIFORMITY_TRUST_MS } from './SoftwareVersions.js';
 import type { StreamOrigin, StreamRecords } from './StreamRecords.js';
 
@@ -12,9 +13,17 @@
 /** The replicated state that the decisions depend on. */
 export interface IVersionState {
   readonly versionBases: ReadonlyMap<string, string>;
+  /** Services of which a process that is cut off may still begin streams of an earlier base without a record. */
+  readonly unsettledBases?: ReadonlySet<string>;
   readonly streams: Pick<StreamRecords, 'hasOtherVersion'>;
 }
 
+/** A base to commit. */
+export interface IBaseChange extends StreamOrigin {
+  /** Absent: no process begins streams of an earlier base without a record any more. */
+  readonly unsettled?: true;
+}
+
 /** What the hub tells all processes about a service. */
 export interface IVersionReport {
   readonly service: string;
@@ -26,6 +35,8 @@
 
 interface IServiceObservation {
   readonly base: string | undefined;
+  /** True: streams of an earlier base may still begin without a record. */
+  readonly isUnsettled: boolean;
   /** Ready targets of each version of which a target is ready or draining. */
   readonly readyCounts: ReadonlyMap<string, number>;
   /** Since when no target of the base has been known; undefined if one is. */
@@ -38,6 +49,9 @@
 
 /** Observations of one hub. Times are monotonic milliseconds. */
 export class VersionBases {
+  /** What the entries know of the bases that are not named any more. */
+  public readonly informedEntries: InformedEntries;
+
   private _services: ReadonlyMap<string, IServiceObservation> = new Map();
   private _reports: readonly IVersionReport[] = [];
   private _fingerprint = '';
@@ -49,6 +63,7 @@
 
   constructor(private readonly _startedAt: number) {
     this._observedAt = _startedAt;
+    this.informedEntries = new InformedEntries(_startedAt);
   }
 
   /** Increases whenever a report changes. */
@@ -85,21 +100,25 @@
   public observe(targets: readonly TargetRecord[], state: IVersionState, now: number): void {
     const isInterrupted = now - this._observedAt > MAX_OBSERVATION_GAP_MS;
     this._observedAt = now;
+    this.informedEntries.setInherited(state.versionBases.keys());
     const counts = countReadyTargets(targets);
     const services = new Map<string, IServiceObservation>();
     for (const service of new Set([...counts.keys(), ...state.versionBases.keys()])) {
       const previous = this._services.get(service);
       const base = state.versionBases.get(service);
       const readyCounts = counts.get(service) ?? new Map<string, number>();
+      const isUnsettled = state.unsettledBases?.has(service) === true;
       const hasBase = base !== undefined && readyCounts.has(base);
       const isUniform =
         hasBase &&
         readyCounts.size === 1 &&
         !this._changing.has(service) &&
+        !isUnsettled &&
         !state.streams.hasOtherVersion(service, base);
       const isContinued = previous?.base === base && !isInterrupted;
       services.set(service, {
         base,
+        isUnsettled,
         readyCounts,
         absentSince: hasBase ? undefined : isContinued ? (previous?.absentSince ?? now) : now,
         mixedSince: isUniform ? undefined : (previous?.mixedSince ?? now),
@@ -115,14 +134,21 @@
     services: ReadonlySet<string>,
     rebaseDelayMs: number,
     now: number,
-  ): readonly StreamOrigin[] {
-    const changes: StreamOrigin[] = [];
+  ): readonly IBaseChange[] {
+    const changes: IBaseChange[] = [];
     for (const service of services) {
       const observation = this._services.get(service);
-      const version =
-        observation && this._decideBase(observation, this._observedAt, rebaseDelayMs, now);
-      if (version !== undefined && version !== observation?.base) {
-        changes.push({ service, version });
+      if (observation === undefined) {
+        continue;
+      }
+      const { base, isUnsettled } = observation;
+      const decided = this._decideBase(observation, this._observedAt, rebaseDelayMs, now);
+      const version = decided ?? (isUnsettled ? base : undefined);
+      // Under no base, and under an empty one, every stream is recorded.
+      const isSettled =
+        (base ?? '') === '' || this.informedEntries.hasAll(service, rebaseDelayMs, now);
+      if (version !== undefined && (version !== base || (isUnsettled && isSettled))) {
+        changes.push({ service, version, ...(isSettled ? {} : { unsettled: true }) });
       }
     }
     return changes;
@@ -144,6 +170,9 @@
    */
   public canAttribute(service: string, rebaseDelayMs: number, now: number): boolean {
     const observation = this._services.get(service);
+    if (observation?.isUnsettled === true) {
+      return false;
+    }
     const lastMixedAt = observation?.mixedSince === undefined ? observation?.lastMixedAt : now;
     return (
       now - this._oldEntrySeenAt > rebaseDelayMs ||
@@ -177,16 +206,26 @@
   }
 
   private _refreshReports(): void {
-    const reports = [...this._services].map(([service, { base, absentSince, mixedSince }]) => ({
-      service,
-      base: absentSince === undefined && !this._changing.has(service) ? (base ?? '') : '',
-      isUniform: mixedSince === undefined,
-    }));
+    const reports = [...this._services].map(
+      ([service, { base, isUnsettled, absentSince, mixedSince }]) => {
+        const isNamed = absentSince === undefined && !isUnsettled && !this._changing.has(service);
+        const named = isNamed ? (base ?? '') : '';
+        return { service, base: named, isUniform: mixedSince === undefined };
+      },
+    );
     const fingerprint = JSON.stringify(reports);
     if (fingerprint !== this._fingerprint) {
       this._fingerprint = fingerprint;
-      this._reports = reports;
       this._revision += 1;
+      for (const { service, base } of this._reports) {
+        if (
+          base !== '' &&
+          reports.some((report) => report.service === service && report.base === '')
+        ) {
+          this.informedEntries.recordWithdrawal(service, this._revision);
+        }
+      }
+      this._reports = reports;
     }
   }
 }
--- a/src/fleet/VersionRecorder.ts
+++ b/src/fleet/VersionRecorder.ts
@@ -78,12 +78,13 @@
     );
     const repeated = unsettled.flatMap((service) => {
       const version = state.versionBases.get(service);
-      return version === undefined ? [] : [{ service, version }];
+      const unsettled = state.unsettledBases.has(service);
+      return version === undefined ? [] : [{ service, version, unsettled }];
     });
     const proposed = [...changes, ...repeated];
-    for (const { service, version } of proposed) {
+    for (const { service, version, unsettled } of proposed) {
       const former = state.versionBases.get(service);
-      this._log.info('base version proposed', { service, version, former });
+      this._log.info('base version proposed', { service, version, former, unsettled });
       versions.beginChange(service);
     }
     for (const value of proposed) {
--- a/src/gateway/StreamBinding.ts
+++ b/src/gateway/StreamBinding.ts
@@ -133,12 +133,13 @@
   }
 
   /**
-   * A process that is cut off for long cannot know whether the base version has changed. It has not while a target of it
-   * answers, so that a stream may begin there.
+   * A process that is cut off cannot know whether the base version has changed. For a time the leader attributes no stream
+   * without a record to a new base while this process has not heard of it, so that streams may begin at the known one.
    */
   private _isSafeWithoutHub(version: string, now: number): boolean {
     const base = this._context.view.getVersionBase(this._service, now);
-    return this._recordNumber === 0 && base?.isCurrent === false && base.base === version;
+    const isUsable = base?.isCurrent === false && base.isExpired !== true;
+    return this._recordNumber === 0 && isUsable && base.base === version;
   }
 }
 
