Queue requests that an engine cannot answer in time yet

Cause: a request was refused when its first byte was expected later than 0.8 of its objective, whatever its urgency and the time that it had left. Urgent requests were refused because of the prompts of less urgent ones, and clients came back after 150 to 200 ms, while the shortage lasted for seconds, and were refused again.

Change: decideAdmission serves, holds or refuses. Requests that can still be on time go first, by priority and then by objective; those that cannot wait for spare capacity, by deadline; both lanes are FairQueues over the client accounts. Less urgent requests leave the queue of a target short enough for more urgent ones that arrived within 2 s. Retry-After comes from the tokens that wait or were told to return and the rate at which requests were sent, is spread, and stays below a third of the time left. FairQueue.take accepts a condition, and shedding by its own rate can be turned off.

--- a/src/admission/FairQueue.ts
+++ b/src/admission/FairQueue.ts
@@ -29,16 +29,19 @@
 export interface IFairQueueLimits {
   readonly maxRequests: number;
   readonly maxRequestsPerAccount: number;
+  /** Measured time with a backlog that is needed before requests are shed by the service rate; infinite: never. */
+  readonly minRateSampleMs: number;
 }
 
-const DEFAULT_LIMITS: IFairQueueLimits = { maxRequests: 2_000, maxRequestsPerAccount: 500 };
+const DEFAULT_LIMITS: IFairQueueLimits = {
+  maxRequests: 2_000,
+  maxRequestsPerAccount: 500,
+  minRateSampleMs: 200,
+};
 
 /** Time constant of the exponential average of the service rate. */
 const RATE_TIME_CONSTANT_MS = 5_000;
 
-/** Measured time with a backlog that is needed before requests are shed by the service rate. */
-const MIN_RATE_SAMPLE_MS = 200;
-
 const MIN_RETRY_AFTER_MS = 100;
 
 interface IAccountQueue<T> {
@@ -106,26 +109,27 @@
   /**
    * Removes and returns the next request of the account with the lowest virtual time, or undefined when
    * there is none. Requests past their deadline are skipped; `dropExpired` removes them.
+   *
+   * @param isReady asked for requests in the order in which they would be served, until it accepts one
    */
-  public take(now: number): IQueuedRequest<T> | undefined {
-    let leastServed: IAccountQueue<T> | undefined;
-    for (const account of this._accounts.values()) {
-      if (
-        hasUnexpiredRequest(account, now) &&
-        (leastServed === undefined || account.virtualTime < leastServed.virtualTime)
-      ) {
-        leastServed = account;
+  public take(
+    now: number,
+    isReady: (request: IQueuedRequest<T>) => boolean = () => true,
+  ): IQueuedRequest<T> | undefined {
+    const accounts = [...this._accounts.values()].sort(
+      (left, right) => left.virtualTime - right.virtualTime,
+    );
+    for (const account of accounts) {
+      const request = account.requests.findLast((item) => item.deadlineMs > now && isReady(item));
+      if (request !== undefined) {
+        this._virtualTime = account.virtualTime;
+        account.virtualTime += request.cost / account.weight;
+        this._removeRequest(account, request);
+        this._measureRate(request.cost, now);
+        return request;
       }
     }
-    const request = leastServed?.requests.findLast((item) => item.deadlineMs > now);
-    if (leastServed === undefined || request === undefined) {
-      return undefined;
-    }
-    this._virtualTime = leastServed.virtualTime;
-    leastServed.virtualTime += request.cost / leastServed.weight;
-    this._removeRequest(leastServed, request);
-    this._measureRate(request.cost, now);
-    return request;
+    return undefined;
   }
 
   /** Removes and returns the requests past their deadline, which the caller has to answer. */
@@ -157,7 +161,8 @@
    * share, and by no more than the cost that it has queued.
    */
   public estimateWait(request: IQueuedRequest<T>): number {
-    if (this._size === 0 || this._measuredMs < MIN_RATE_SAMPLE_MS || this._measuredCost === 0) {
+    const hasRate = this._measuredMs >= this._limits.minRateSampleMs && this._measuredCost > 0;
+    if (this._size === 0 || !hasRate) {
       return 0;
     }
     const ownCostAhead = this._sumCostAhead(request);
@@ -235,7 +240,3 @@
   const index = requests.findIndex((item) => compareUrgency(item, request) >= 0);
   requests.splice(index < 0 ? requests.length : index, 0, request);
 }
-
-function hasUnexpiredRequest<T>(account: IAccountQueue<T>, now: number): boolean {
-  return account.requests.some((item) => item.deadlineMs > now);
-}
--- a/src/gateway/AttemptRunner.ts
+++ b/src/gateway/AttemptRunner.ts
@@ -108,6 +108,7 @@
         quarantine.recordSettled(judged, at);
       },
       onFirstByte: (at) => {
+        progress.ticket?.settle();
         placements.recordReading(request, target, at);
         recordFirstByte(state, placement.modelMs, at - startedAt, at);
       },
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -19,9 +19,8 @@
   type ICallProgress,
 } from './CallTypes.js';
 import type { QuarantineStanding } from './CrashQuarantine.js';
-import { decideOverload } from './Overload.js';
-import type { IPlacement } from './Placement.js';
 import type { IPlacementRequest } from './PlacementRequest.js';
+import { CallAdmission } from './queue/CallAdmission.js';
 import { createStreamBinding, getStreamId } from './StreamBinding.js';
 import { TargetSelector, type TargetChoice } from './TargetSelector.js';
 import { getPauseMs } from './TargetStates.js';
@@ -81,11 +80,13 @@
   private readonly _startedAt: number;
   private readonly _selector: TargetSelector;
   private readonly _attempts: AttemptRunner<T>;
+  private readonly _admission: CallAdmission<T>;
 
   constructor(private readonly _context: ICallContext<T>) {
     this._startedAt = _context.clock.now();
     this._selector = new TargetSelector(_context);
     this._attempts = new AttemptRunner(_context);
+    this._admission = new CallAdmission(_context);
   }
 
   /** Writes exactly one final response to the sink, or none if the client disconnects. */
@@ -107,10 +108,12 @@
       binding: createStreamBinding(this._context, call, admitted.route, admitted.service),
       attemptVersion: undefined,
       waitUntil: undefined,
+      ticket: undefined,
     };
     const isQuotaSpent =
       (await this._bindResumed(call, sink, admitted, progress)) &&
       (await this._runAttempts(call, sink, admitted, progress));
+    progress.ticket?.settle();
     if (!isQuotaSpent && admitted.account !== undefined) {
       const { account, tokens, chargedAt } = admitted;
       this._context.wallet.refund(account.name, tokens, chargedAt);
@@ -222,8 +225,21 @@
         return progress.mayHaveRun;
       }
       const { placement, runMs } = choice;
-      if (this._refuseOverload(call, sink, admitted, placement, progress)) {
-        return false;
+      const assess = (at: number): TargetChoice =>
+        this._chooseTarget(call, admitted, request, standing, progress, at);
+      const admission = this._admission.admit(call, admitted, progress, choice, assess, now);
+      const admittance = admission instanceof Promise ? await admission : admission;
+      switch (admittance.kind) {
+        case 'admitted':
+          break;
+        case 'waited':
+          continue;
+        case 'stopping':
+          this._finishUnanswered(call, sink, progress, 'stopping');
+          return false;
+        case 'refuse':
+          this._refuse(call, sink, 503, 'overloaded', admittance.retryAfterMs, admittance.detail);
+          return false;
       }
       const race = new AttemptRace<T>(
         (member) => this._startStandby(call, sink, admitted, progress, member),
@@ -360,28 +376,6 @@
     }
   }
 
-  /** Refuses a request that even the best target is expected to answer too late; true if refused. */
-  private _refuseOverload(
-    call: T,
-    sink: IAnswerSink,
-    admitted: IAdmittedCall,
-    placement: IPlacement,
-    progress: ICallProgress,
-  ): boolean {
-    if (admitted.service.engine === undefined || progress.attempts > 0 || sink.isStarted) {
-      return false;
-    }
-    const { latencyObjectiveMs: objectiveMs } = admitted.route;
-    const { expectedMs, serviceMs, target } = placement;
-    const decision = decideOverload(expectedMs, serviceMs, objectiveMs);
-    if (decision.kind === 'serve') {
-      return false;
-    }
-    const detail = { target: target.id, expectedMs: Math.round(expectedMs), objectiveMs };
-    this._refuse(call, sink, 503, 'overloaded', decision.retryAfterMs, detail);
-    return true;
-  }
-
   /** Waits until a target may take the call; false if the call was ended instead. */
   private async _waitForTarget(
     call: T,
--- a/src/gateway/CallTypes.ts
+++ b/src/gateway/CallTypes.ts
@@ -11,6 +11,7 @@
 import type { CrashQuarantine, QuarantineStanding } from './CrashQuarantine.js';
 import type { IPlacement } from './Placement.js';
 import type { IPlacementRequest } from './PlacementRequest.js';
+import type { AdmissionQueue, IAdmissionTicket } from './queue/AdmissionQueue.js';
 import type { IStreamBindingContext, StreamBinding } from './StreamBinding.js';
 import type { ITargetSelectorContext } from './TargetSelector.js';
 import type { ICall, ITargetClient } from './Types.js';
@@ -25,6 +26,7 @@
   readonly wallet: QuotaWallet;
   readonly budget: SharedRetryBudget;
   readonly quarantine: CrashQuarantine;
+  readonly admission: AdmissionQueue;
   readonly client: ITargetClient<T>;
   readonly clock: IClock;
   readonly metrics: Metrics;
@@ -66,6 +68,8 @@
   attemptVersion: string | undefined;
   /** Time until which the request may wait for a target; undefined until it has to. */
   waitUntil: number | undefined;
+  /** Defined once the request has been admitted to an engine. */
+  ticket: IAdmissionTicket | undefined;
 }
 
 /** What was decided before an attempt. */
--- a/src/gateway/Fixtures.ts
+++ b/src/gateway/Fixtures.ts
@@ -19,6 +19,7 @@
 import { CallRunner } from './CallRunner.js';
 import { Placement } from './Placement.js';
 import { CrashQuarantine } from './CrashQuarantine.js';
+import { AdmissionQueue } from './queue/AdmissionQueue.js';
 import type { IStreamOrigins } from './StreamBinding.js';
 import { ResponseTimes } from './ResponseTimes.js';
 import { StoreIndex } from './StoreIndex.js';
@@ -314,6 +315,7 @@
     limits: setup.limits ?? buildLimits(view),
     placement: new Placement('zg-a'),
     quarantine: setup.quarantine ?? new CrashQuarantine(),
+    admission: new AdmissionQueue({ clock, metrics: new Metrics(), log: SILENT_LOG }),
     origins: setup.origins ?? new ScriptedOrigins('v1', new Map()),
     store: new StoreIndex(view, () => Promise.reject(new Error('no store')), clock, SILENT_LOG),
     client: targets,
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -22,6 +22,7 @@
 import { Placement } from '../gateway/Placement.js';
 import { PromptHolders } from '../gateway/PromptHolders.js';
 import { CrashQuarantine } from '../gateway/CrashQuarantine.js';
+import { AdmissionQueue } from '../gateway/queue/AdmissionQueue.js';
 import { ResponseTimes } from '../gateway/ResponseTimes.js';
 import { StoreIndex, type PollStore } from '../gateway/StoreIndex.js';
 import { TargetLimits } from '../gateway/TargetLimits.js';
@@ -153,6 +154,7 @@
       limits,
       placement,
       quarantine,
+      admission: new AdmissionQueue({ clock, metrics, log: _log }),
       store: this._storeIndex,
       origins: this.origins,
       client: adapters.targetClient,
