--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -98,6 +98,8 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** How long work takes on the target's machine at this moment; 100 is usual. Undefined if the target does not tell. */
+  readonly slownessPercent?: number | undefined;
 }
 
 /** What a response says about the requests a second that its target takes from all processes together. */
