Learn the response times of services and targets in the fleet

Cause: placement used the figures of one kind of engine for all of them, and each entry learned one factor per target for itself and forgot it within 4 s. Engines with twice the prefill speed were estimated at twice their times, and targets of different speeds got requests as if they were equal.

Change: entries report sums of a least squares fit to the hub each 500 ms, which answers with coefficients and factors of targets that have changed noticeably. The estimate uses them in place of the constants, which remain the first guess. Homes of prompts are spread by speed. Among targets that are about as good, an entry takes the better one of two random ones, once its service is learned.

--- a/src/gateway/AttemptRunner.ts
+++ b/src/gateway/AttemptRunner.ts
@@ -25,7 +25,6 @@
   LONG_STREAM_TOKENS,
   recordBusy,
   recordFailure,
-  recordFirstByte,
   recordPause,
   recordUnreachable,
   type ITargetState,
@@ -109,7 +108,8 @@
       },
       onFirstByte: (at) => {
         placements.recordReading(request, target, at);
-        recordFirstByte(state, placement.modelMs, at - startedAt, at);
+        const isSuccess = (attempt.status ?? 0) < MIN_ERROR_STATUS && !attempt.hasResumed;
+        placements.recordFirstByte(placement, state, at - startedAt, isSuccess, at);
       },
       dispatch: {
         clientAccount: account?.name,
--- a/src/gateway/Placement.ts
+++ b/src/gateway/Placement.ts
@@ -11,21 +11,10 @@
   type IHolding,
 } from './PromptHolders.js';
 import { chooseSource, listSources, type PromptSource } from './PromptSources.js';
-import { getRecentLoad, getSlowness, LONG_STREAM_TOKENS } from './TargetStates.js';
+import { TargetModel, type ITimeEstimate } from './TargetModel.js';
+import { LONG_STREAM_TOKENS, type ITargetState } from './TargetStates.js';
 import type { IPromptPart } from './Types.js';
 
-/** Prefill speed of an engine; its data sheet states 56.6. */
-const PREFILL_TOKENS_PER_MS = 55;
-
-/** Time to the first token of an idle engine that has the whole prompt cached, from its data sheet. */
-const IDLE_ENGINE_TTFT_MS = 25;
-
-/** Delay that each running request adds to the first token of another (0.09 ms a step by the data sheet). */
-const DELAY_PER_RUNNING_REQUEST_MS = 1.5;
-
-/** Service time assumed for a request to a plain service; the slowness learned of a target scales it. */
-const PLAIN_SERVICE_MS = 60;
-
 /** Cost of recomputing 1,000 shared tokens. */
 const RECOMPUTE_COST_PER_1000_TOKENS = 0.25;
 
@@ -67,6 +56,14 @@
 /** Cost of a target that is silent, loads weights or is in cooldown: it is used only if there is no other. */
 const UNAVAILABLE_TARGET_COST = 20;
 
+/**
+ * Two targets count as equal if their costs without lateness differ by at most this, and their expected times by at most a
+ * fraction of the time that the request takes on an idle target. What other entries do is known 100 to 200 ms late, in which
+ * time a target may get a further request, so all entries would choose the same target.
+ */
+const EQUAL_COST = 0.01;
+const EQUAL_TIME_FACTOR = 1;
+
 /** Content of the KV cache store. */
 export interface IStoreContent {
   isHeld(scope: string, part: string): boolean;
@@ -80,7 +77,7 @@
   readonly cost: number;
   /** Expected time to the first byte in milliseconds. */
   readonly expectedMs: number;
-  /** The expected time without the correction by the target's slowness. */
+  /** The expected time without the correction by the latest responses of the target to this entry. */
   readonly modelMs: number;
   /** The part of `expectedMs` that the request takes on an idle target. */
   readonly serviceMs: number;
@@ -88,6 +85,7 @@
   readonly missedTokens: number;
   /** Where the target is to fetch the shared parts that it lacks. */
   readonly source: PromptSource | undefined;
+  readonly estimate: ITimeEstimate;
 }
 
 /** Sources from which the targets of one weights version can fetch shared parts. */
@@ -104,6 +102,8 @@
   constructor(
     private readonly _dataCentre: string,
     private readonly _holders = new PromptHolders(),
+    private readonly _model = new TargetModel(undefined),
+    private readonly _random: () => number = Math.random,
   ) {}
 
   /** Returns undefined if there is no target on which the request can begin in time. */
@@ -114,20 +114,20 @@
     now: number,
   ): IPlacement | undefined {
     const parts = listSharedParts(request);
-    const holdings = this._holders.estimate(request, targets, now);
+    const holdings = this._holders.estimate(request, targets, now, (target) =>
+      this._model.getHomeWeight(target, now),
+    );
     const optionsByVersion = listSourceOptions(request, holdings, parts, store);
-    let best: IPlacement | undefined;
+    const placements: IPlacement[] = [];
     for (const holding of holdings) {
       const options = optionsByVersion.get(holding.version) ?? NO_SOURCES;
       const placement = this._estimateCost(request, holding, parts, options, now);
       // A request must begin while the weights of its target may still be used.
-      const canBegin =
-        placement.expectedMs * MAX_START_DELAY_FACTOR <= holding.target.weightsUsableMs;
-      if (canBegin && (best === undefined || placement.cost < best.cost)) {
-        best = placement;
+      if (placement.expectedMs * MAX_START_DELAY_FACTOR <= holding.target.weightsUsableMs) {
+        placements.push(placement);
       }
     }
-    return best;
+    return this._pickAmongEqual(request, placements);
   }
 
   /** Records that a target has computed the parts of a prompt and now holds them. */
@@ -135,6 +135,38 @@
     this._holders.recordReading(request, target, now);
   }
 
+  /** Records the time to the first byte of a response to a request that was placed. */
+  public recordFirstByte(
+    { target, estimate }: IPlacement,
+    state: ITargetState,
+    actualMs: number,
+    isSuccess: boolean,
+    now: number,
+  ): void {
+    this._model.record({ record: target, state }, estimate, actualMs, isSuccess, now);
+  }
+
+  /** The cheapest placement, or the cheaper one of two random ones that are about as good. */
+  private _pickAmongEqual(
+    request: IPlacementRequest,
+    placements: readonly IPlacement[],
+  ): IPlacement | undefined {
+    const best = findCheapest(placements);
+    if (best?.estimate.isLearned !== true) {
+      return best;
+    }
+    const maxMs = best.expectedMs + EQUAL_TIME_FACTOR * best.serviceMs;
+    // Only the lateness is uncertain; what the target holds is not.
+    const computeOtherCost = ({ cost, expectedMs }: IPlacement): number =>
+      cost - computeLatenessCost(expectedMs, request.latencyObjectiveMs);
+    const maxCost = computeOtherCost(best) + EQUAL_COST;
+    const equal = placements.filter(
+      (other) => other.expectedMs <= maxMs && computeOtherCost(other) <= maxCost,
+    );
+    const drawn = [0, 1].flatMap(() => equal[Math.floor(this._random() * equal.length)] ?? []);
+    return findCheapest(drawn);
+  }
+
   private _estimateCost(
     request: IPlacementRequest,
     holding: IHolding,
@@ -151,14 +183,9 @@
       (source?.kind === 'store'
         ? STORE_TRANSFER_MS_PER_1000_TOKENS
         : TARGET_TRANSFER_MS_PER_1000_TOKENS);
-    const idleMs = request.isEngine
-      ? estimateServiceMs(request, missedTokens) + transferMs
-      : PLAIN_SERVICE_MS;
-    const modelMs = request.isEngine
-      ? idleMs + estimateWaitMs(target, now)
-      : estimatePlainMs(target, now);
-    const slowness = getSlowness(target.state, now);
-    const expectedMs = modelMs * slowness;
+    const work = { missedTokens, transferMs };
+    const estimate = this._model.estimate(request, target, work, now);
+    const { expectedMs, modelMs, serviceMs } = estimate;
     const cost =
       computeLatenessCost(expectedMs, request.latencyObjectiveMs) +
       (missedTokens / 1_000) * RECOMPUTE_COST_PER_1000_TOKENS +
@@ -178,9 +205,10 @@
       cost,
       expectedMs,
       modelMs,
-      serviceMs: idleMs * slowness,
+      serviceMs,
       missedTokens,
       source,
+      estimate,
     };
   }
 }
@@ -213,33 +241,11 @@
   return optionsByVersion;
 }
 
-function countOpen({ state, othersOpen }: IPlacementTarget): number {
-  return state.open + othersOpen;
-}
-
-/** Time to the first byte on an idle engine that must compute `missedTokens` of the shared parts. */
-function estimateServiceMs(request: IPlacementRequest, missedTokens: number): number {
-  const own = request.parts.at(-1)?.tokens ?? request.promptTokens;
-  return IDLE_ENGINE_TTFT_MS + (own + missedTokens) / PREFILL_TOKENS_PER_MS;
-}
-
-/** Time in which an engine computes the queued prompts, plus the delay by running requests. */
-function estimateWaitMs(target: IPlacementTarget, now: number): number {
-  const backlog = target.state.pendingTokens + target.othersPendingTokens;
-  const load = getRecentLoad(target.state, now);
-  const running = Math.max(countOpen(target), load?.running ?? 0);
-  const waiting = load?.waiting ?? 0;
-  return backlog / PREFILL_TOKENS_PER_MS + (running + waiting) * DELAY_PER_RUNNING_REQUEST_MS;
-}
-
-/** Expected time to the first byte at a target of a plain service, from its open requests and slots. */
-function estimatePlainMs(target: IPlacementTarget, now: number): number {
-  const load = getRecentLoad(target.state, now);
-  const slots = Math.max(1, load?.slots ?? target.record.slots);
-  const open = Math.max(countOpen(target), load === undefined ? 0 : load.running + load.waiting);
-  const rounds = Math.max(0, (open + 1 - slots) / slots);
-  // The last term makes the less loaded of two targets with free slots the cheaper one.
-  return PLAIN_SERVICE_MS * (1 + rounds + (0.2 * Math.min(open, slots)) / slots);
+function findCheapest(placements: readonly IPlacement[]): IPlacement | undefined {
+  return placements.reduce<IPlacement | undefined>(
+    (best, other) => (best === undefined || other.cost < best.cost ? other : best),
+    undefined,
+  );
 }
 
 /** 0 up to `LATENESS_START_RATIO` of the objective, 1 at `LATENESS_FULL_RATIO`, quadratic also beyond. */
--- a/src/gateway/PromptHolders.ts
+++ b/src/gateway/PromptHolders.ts
@@ -60,20 +60,24 @@
   readonly isUnavailable: boolean;
 }
 
+/** Share of the subjects that get a target as their home, relative to the other targets. */
+export type HomeWeight = (target: IPlacementTarget) => number;
+
 /** Collects the readings of this and other entries, and estimates from them what each target holds. */
 export class PromptHolders {
   /** Readings by the hash of the prompt part and the id of the target. */
   private readonly _readings = new Map<number, Map<string, IReading>>();
   private _unreported: PromptReading[] = [];
 
-  /** Returns one holding for each target, in the same order. */
+  /** Returns one holding for each target, in the same order. `getWeight` must be the same in all entries. */
   public estimate(
     request: IPlacementRequest,
     targets: readonly IPlacementTarget[],
     now: number,
+    getWeight: HomeWeight = () => 1,
   ): readonly IHolding[] {
     const hashes = listSharedParts(request).map((part) => hashPart(request, part));
-    const homePeriods = findHomePeriods(request, hashes.at(-1), targets, now);
+    const homePeriods = findHomePeriods(request, hashes.at(-1), targets, now, getWeight);
     const readings = hashes.map((code) => this._readings.get(code));
     return targets.map((target): IHolding => {
       const homePeriod = homePeriods.get(target.record.id);
@@ -201,6 +205,7 @@
   subjectHash: number | undefined,
   targets: readonly IPlacementTarget[],
   now: number,
+  getWeight: HomeWeight,
 ): ReadonlyMap<string, IHomePeriod> {
   const homePeriods = new Map<string, IHomePeriod>();
   if (subjectHash === undefined) {
@@ -208,7 +213,11 @@
   }
   const ranked = targets
     .filter((target) => !target.record.silent && !target.record.loading)
-    .map((target) => ({ target, score: hashBits(target.state.addressHash ^ subjectHash) }))
+    .map((target) => {
+      const hash = hashBits(target.state.addressHash ^ subjectHash);
+      // Weighted rendezvous hashing: a change of weight moves only the subjects that it has to.
+      return { target, score: -getWeight(target) / Math.log((hash + 0.5) / 2 ** 32) };
+    })
     .sort((left, right) => right.score - left.score);
   /** For each weights version, the earliest time since which a target of a higher rank has held it. */
   const supersededSince = new Map<number, number>();
--- a/src/gateway/TargetStates.ts
+++ b/src/gateway/TargetStates.ts
@@ -35,6 +35,17 @@
 /** Without new samples the slowness of a target decays towards the usual one with this time constant. */
 const SLOWNESS_TIME_CONSTANT_MS = 4_000;
 
+/** Age at which a report of how long work takes says nothing more; spells last about 0.6 s. */
+const MAX_SPELL_AGE_MS = 300;
+
+/** Bounds of the effect of such a report. */
+const MIN_SPELL_FACTOR = 0.25;
+const MAX_SPELL_FACTOR = 10;
+
+/** The usual figure of a target follows its reports in steps, so that spells move it little. */
+const USUAL_SMOOTHING_FACTOR = 0.1;
+const MAX_USUAL_STEP = 0.3;
+
 /**
  * Slowness that is usual among the targets of a plain service. The time assumed for its requests is the same for all
  * services; without this, a target without samples seems slower or faster than the others by what is assumed wrongly.
@@ -76,6 +87,8 @@
   /** True from when the target counted as silent until it sends a byte. */
   isSilent: boolean;
   load: (IReportedLoad & { readonly at: number }) | undefined;
+  /** The figure that the target usually reports for how long work takes, in percent. */
+  usualPercent: number;
 }
 
 /** Holds the state of each target by its id. */
@@ -109,6 +122,7 @@
         lastActivityAt: Number.NEGATIVE_INFINITY,
         isSilent: false,
         load: undefined,
+        usualPercent: 100,
       };
       this._states.set(target.id, state);
     } else if (state.weights !== weights) {
@@ -232,6 +246,28 @@
 
 export function recordLoad(state: ITargetState, load: IReportedLoad, now: number): void {
   state.load = { ...load, at: now };
+  if (load.slownessPercent !== undefined) {
+    const step = Math.log(load.slownessPercent / state.usualPercent);
+    const bounded = Math.min(MAX_USUAL_STEP, Math.max(-MAX_USUAL_STEP, step));
+    state.usualPercent *= Math.exp(USUAL_SMOOTHING_FACTOR * bounded);
+  }
+}
+
+/**
+ * How much longer work takes than usual on a target, by its last report; decays to 1 within `MAX_SPELL_AGE_MS`, as the
+ * figure changes many times a second. A figure that is always high is a lasting difference, not a spell.
+ */
+export function getSpellFactor(state: ITargetState, now: number): number {
+  const percent = state.load?.slownessPercent;
+  if (state.load === undefined || percent === undefined) {
+    return 1;
+  }
+  const remaining = 1 - (now - state.load.at) / MAX_SPELL_AGE_MS;
+  const factor = Math.min(
+    MAX_SPELL_FACTOR,
+    Math.max(MIN_SPELL_FACTOR, percent / state.usualPercent),
+  );
+  return remaining <= 0 ? 1 : factor ** Math.min(1, remaining);
 }
 
 /** Load that the target last reported; undefined if it is older than `MAX_LOAD_AGE_MS`. */
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -7,11 +7,12 @@
 import { RpcClients } from '../common/Rpc.js';
 import { Shutdown } from '../common/Shutdown.js';
 import { SuspensionDetector } from '../common/Suspension.js';
-import { runPeriodically } from '../common/Tasks.js';
+import { addJitter, isAborted, runPeriodically, sleep } from '../common/Tasks.js';
 import { FleetNode, type IFleetMember } from '../fleet/FleetNode.js';
 import { FleetView } from '../fleet/FleetView.js';
 import type { IQuotaTerms } from '../fleet/QuotaRule.js';
 import { QuotaWallet } from '../fleet/QuotaWallet.js';
+import { ServiceModels } from '../fleet/ServiceModels.js';
 import { SharedRetryBudget, type IRetryLimits } from '../fleet/SharedRetryBudget.js';
 import { SpendingRecorder } from '../fleet/SpendingRecorder.js';
 import { StreamOrigins } from '../fleet/StreamOrigins.js';
@@ -24,6 +25,7 @@
 import { CrashQuarantine } from '../gateway/CrashQuarantine.js';
 import { ResponseTimes } from '../gateway/ResponseTimes.js';
 import { StoreIndex, type PollStore } from '../gateway/StoreIndex.js';
+import { TargetModel } from '../gateway/TargetModel.js';
 import { TargetLimits } from '../gateway/TargetLimits.js';
 import { TargetStates } from '../gateway/TargetStates.js';
 import type { ICall, ITargetClient } from '../gateway/Types.js';
@@ -35,6 +37,9 @@
 /** Covers the time until a named version reaches the leader, and the cancellation of a request the engine. */
 const WEIGHTS_LIMIT_MARGIN_MS = 600;
 
+/** Mean interval at which the models of response times are logged. */
+const MODEL_LOG_INTERVAL_MS = 10_000;
+
 /** Mean delay before a task that failed starts again; jitter is added. */
 const TASK_RESTART_DELAY_MS = 200;
 
@@ -76,6 +81,7 @@
   public readonly origins: StreamOrigins;
   public readonly callRunner: CallRunner<T>;
 
+  private readonly _models = new ServiceModels();
   private readonly _shutdown = new Shutdown();
   private readonly _stop = new AbortController();
   private readonly _rpc: RpcClients;
@@ -100,7 +106,7 @@
     const wallet = new QuotaWallet(_options.quota.windowMs);
     const states = new TargetStates();
     const holders = new PromptHolders();
-    const placement = new Placement(dataCentre, holders);
+    const placement = new Placement(dataCentre, holders, new TargetModel(this._models));
     const quarantine = new CrashQuarantine();
     this._rpc = new RpcClients(clusterSecret);
     const suspensions = new SuspensionDetector();
@@ -114,6 +120,7 @@
       {
         address: internalAddress,
         takesRequests,
+        parts: [this._models],
         hub: {
           announceIntervalMs: _options.announceIntervalMs,
           quota: _options.quota,
@@ -222,6 +229,7 @@
     }
     if (this._options.takesRequests) {
       tasks.push((signal) => this._storeIndex.run(signal));
+      tasks.push((signal) => this._logModels(signal));
     }
     const { signal } = this._stop;
     for (const runTask of tasks) {
@@ -256,6 +264,16 @@
     this._rpc.dispose();
   }
 
+  /** Logs the models in force at a low rate, and sets their metrics. */
+  private async _logModels(signal: AbortSignal): Promise<void> {
+    while (!isAborted(signal)) {
+      await sleep(addJitter(MODEL_LOG_INTERVAL_MS), signal);
+      for (const model of this._models.describe(this.clock.now())) {
+        this._log.info('time model', model);
+      }
+    }
+  }
+
   private _createRollout(engineClient: IEngineClient): WeightsRollout {
     const getMember = (): IFleetMember | undefined => this._member;
     const { node, view } = this;
