Send no request whose client left while the process did not run

Cause: a process that was short of processor time sent a request 1.3 s after its client had left: it read the request and sent it before it read the close, which is on the same connection and needs another poll.

Change: LoopDelay measures how late a timer of 20 ms is. After 100 ms or more the calls wait for two rounds of the event loop before each attempt, so that closes which arrived meanwhile are read, and the delay counts against the deadline. The last check before a send reads the clock and the signal of the call again.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -390,17 +390,15 @@
     return computeLatestStart(shutdown, requiredMs, this._sentAt);
   }
 
-  /**
-   * Called when the request has a connection, which may be long after its target was chosen. Every request to a target
-   * comes here, so this is the last decision before it is sent.
-   */
+  /** Last decision before each request is sent: it waits for a connection after its target was chosen. */
   private _handleSend(): boolean {
     const now = this._context.clock.now();
-    if (this._hasEnded) {
-      return false;
-    }
     if (now > this._latestStart) {
       this._end({ kind: 'stopping', reason: 'the process stops before the response would end' });
+    } else if (now >= this._options.deadlineAt) {
+      this._end({ kind: 'ended', reason: 'time limit' });
+    }
+    if (this._hasEnded || this._call.signal.aborted) {
       return false;
     }
     this.waitMs = now - this._sentAt;
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -1,5 +1,6 @@
 /** Runs one call: routing, authentication, quota, choice of targets, retries and the final response. */
 import { describeError } from '../common/Log.js';
+import { waitForPoll } from '../common/LoopDelay.js';
 import { runUntilAborted } from '../common/Tasks.js';
 import { isMechanismDisabled } from '../common/TestSwitches.js';
 import type { RouteTable } from '../fleet/RouteTable.js';
@@ -146,7 +147,8 @@
       service: pickService(table, route, getStreamId(call)),
       account: payer,
       tokens,
-      deadlineAt: call.arrivedAt + limitMs,
+      // The request may have arrived while this process did not run.
+      deadlineAt: call.arrivedAt + limitMs - this._context.loopDelay.getDelayMs(call.arrivedAt),
     };
     return (await this._spendQuota(call, sink, admitted))
       ? { ...admitted, chargedAt: this._context.clock.now() }
@@ -191,8 +193,12 @@
     progress: ICallProgress,
   ): Promise<boolean> {
     const judged = { call, account: admitted.account?.name, route: admitted.route.name };
+    const { clock, loopDelay } = this._context;
     for (;;) {
-      const now = this._context.clock.now();
+      if (loopDelay.getDelayMs(clock.now()) > 0) {
+        await waitForPoll();
+      }
+      const now = clock.now();
       if (call.signal.aborted) {
         const detail = { request: call.id, attempts: progress.attempts };
         this._context.log.info(describeAbort(call.signal), detail);
--- a/src/gateway/CallTypes.ts
+++ b/src/gateway/CallTypes.ts
@@ -1,6 +1,7 @@
 /** State of a call that the steps of its path share. */
 import type { IClock } from '../common/Clock.js';
 import type { ILog } from '../common/Log.js';
+import type { ILoopDelay } from '../common/LoopDelay.js';
 import type { Metrics } from '../common/Metrics.js';
 import { isMechanismDisabled } from '../common/TestSwitches.js';
 import type { FleetNode } from '../fleet/FleetNode.js';
@@ -29,6 +30,7 @@
   readonly admission: AdmissionQueue;
   readonly client: ITargetClient<T>;
   readonly clock: IClock;
+  readonly loopDelay: ILoopDelay;
   readonly metrics: Metrics;
   readonly log: ILog;
 }
--- a/src/gateway/Fixtures.ts
+++ b/src/gateway/Fixtures.ts
@@ -2,6 +2,7 @@
 import { create } from '@bufbuild/protobuf';
 import { MonotonicClock } from '../common/Clock.js';
 import { SILENT_LOG } from '../common/Log.js';
+import { NO_LOOP_DELAY } from '../common/LoopDelay.js';
 import { Metrics } from '../common/Metrics.js';
 import { Ok } from '../common/Result.js';
 import { Shutdown } from '../common/Shutdown.js';
@@ -320,6 +321,7 @@
     store: new StoreIndex(view, () => Promise.reject(new Error('no store')), clock, SILENT_LOG),
     client: targets,
     clock: { now: () => clock.now() - startAgeMs },
+    loopDelay: NO_LOOP_DELAY,
     metrics: new Metrics(),
     log: SILENT_LOG,
     weightsLimitMs: 8_800,
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -3,6 +3,7 @@
 import { MonotonicClock } from '../common/Clock.js';
 import { Emitter } from '../common/Lifecycle.js';
 import { describeError, type ILog } from '../common/Log.js';
+import { LoopDelay } from '../common/LoopDelay.js';
 import { Metrics } from '../common/Metrics.js';
 import { RpcClients } from '../common/Rpc.js';
 import { Shutdown } from '../common/Shutdown.js';
@@ -77,6 +78,7 @@
   public readonly origins: StreamOrigins;
   public readonly callRunner: CallRunner<T>;
 
+  private readonly _loopDelay = new LoopDelay(this.clock);
   private readonly _shutdown = new Shutdown();
   private readonly _stop = new AbortController();
   private readonly _rpc: RpcClients;
@@ -159,6 +161,7 @@
       origins: this.origins,
       client: adapters.targetClient,
       clock,
+      loopDelay: this._loopDelay,
       metrics,
       log: _log,
       weightsLimitMs: _options.weightsRolloutLimitMs - WEIGHTS_LIMIT_MARGIN_MS,
@@ -211,6 +214,7 @@
   /** Starts the tasks of this process. A task that fails is logged and starts again, with the state that it had. */
   public async start(): Promise<void> {
     await this._server.listen();
+    this._loopDelay.start();
     const tasks = [
       (signal: AbortSignal) => this.node.run(signal),
       (signal: AbortSignal) => this.node.runMembershipNotices(signal),
@@ -254,6 +258,7 @@
   public async stop(): Promise<void> {
     this._stop.abort();
     await Promise.allSettled(this._tasks);
+    this._loopDelay.dispose();
     this._server.dispose();
     this._rpc.dispose();
   }
