Share the queue load of all entries through the hub

Change: QueueExchange reports, by service and priority, the requests and tokens that wait or have no first byte yet, and the four client accounts that hold most; the hub answers with the sums over the other processes. While more urgent requests wait elsewhere, less urgent ones keep the queue of a target at half the length; the part of the queue that is as urgent comes from the sums; an account that holds most elsewhere has less weight. Sums are used for 2 s; without them, or with an older hub, an entry uses its own figures.

--- a/src/gateway/queue/AdmissionQueue.ts
+++ b/src/gateway/queue/AdmissionQueue.ts
@@ -185,9 +185,9 @@
     now: number,
     outcome = 'served',
   ): AdmissionOutcome {
-    const { service, priority } = item;
+    const { service, priority, account } = item;
     this._count(item, outcome);
-    const end = this._ensureQueue(service).load.begin(priority, tokens, now);
+    const end = this._ensureQueue(service).load.begin(priority, account, tokens, now);
     const settle = (): void => {
       end();
       this.release(service);
--- a/src/gateway/queue/LoadFixtures.ts
+++ b/src/gateway/queue/LoadFixtures.ts
@@ -113,7 +113,8 @@
     return { expectedMs, serviceMs, tokens: load.tokens, backlogTokens, hasQueue: false };
   };
   const send = (client: IClient, now: number): void => {
-    const settle = queue.load.begin(client.load.priority, client.load.tokens, now);
+    const { priority, account = '', tokens } = client.load;
+    const settle = queue.load.begin(priority, account, tokens, now);
     findEngine().jobs.push({ client, settle, left: client.load.tokens });
   };
   const refuse = (client: IClient, retryAfterMs: number, now: number): void => {
--- a/src/gateway/queue/ServiceLoad.ts
+++ b/src/gateway/queue/ServiceLoad.ts
@@ -18,9 +18,11 @@
   /** Requests sent to targets that have not received a first byte. */
   pendingRequests: number;
   pendingTokens: number;
+  readonly pendingByAccount: ReadonlyMap<string, number>;
 }
 
 interface IPriorityLoad extends IPriorityWork {
+  readonly pendingByAccount: Map<string, number>;
   objectiveMs: number;
   lastArrivalAt: number;
   readonly arrived: DecayingSum;
@@ -65,7 +67,7 @@
   }
 
   /** Counts a request that is sent. The result ends the count; calling it again has no effect. */
-  public begin(priority: number, tokens: number, now: number): () => void {
+  public begin(priority: number, account: string, tokens: number, now: number): () => void {
     this._peakRate = this.getThroughput(now);
     this._peakAt = now;
     this._sent.add(tokens, now);
@@ -73,12 +75,14 @@
     const load = this._ensure(priority);
     load.pendingRequests += 1;
     load.pendingTokens += tokens;
+    addTo(load.pendingByAccount, account, tokens);
     let hasEnded = false;
     return () => {
       if (!hasEnded) {
         hasEnded = true;
         load.pendingRequests -= 1;
         load.pendingTokens -= tokens;
+        addTo(load.pendingByAccount, account, -tokens);
       }
     };
   }
@@ -120,11 +124,7 @@
   }
 
   public listPending(): readonly IPriorityWork[] {
-    return [...this._priorities.values()].map(({ priority, pendingRequests, pendingTokens }) => ({
-      priority,
-      pendingRequests,
-      pendingTokens,
-    }));
+    return [...this._priorities.values()];
   }
 
   private _ensure(priority: number): IPriorityLoad {
@@ -134,6 +134,7 @@
         priority,
         pendingRequests: 0,
         pendingTokens: 0,
+        pendingByAccount: new Map(),
         objectiveMs: 0,
         lastArrivalAt: Number.NEGATIVE_INFINITY,
         arrived: new DecayingSum(RATE_TIME_CONSTANT_MS),
@@ -143,3 +144,13 @@
     return load;
   }
 }
+
+/** Adds to the tokens of an account, and forgets one without any. */
+function addTo(tokensByAccount: Map<string, number>, account: string, tokens: number): void {
+  const sum = (tokensByAccount.get(account) ?? 0) + tokens;
+  if (sum > 0) {
+    tokensByAccount.set(account, sum);
+  } else {
+    tokensByAccount.delete(account);
+  }
+}
--- a/src/gateway/queue/ServiceQueue.ts
+++ b/src/gateway/queue/ServiceQueue.ts
@@ -75,15 +75,26 @@
 export interface IOtherEntries {
   sumWaitingTokens(maxPriority: number, now: number): number;
   sumPendingTokens(maxPriority: number, now: number): number;
+  /** Weight of a client account, from 1 downwards the more it holds there compared with the others. */
+  getWeight(account: string, now: number): number;
 }
 
-const NO_OTHERS: IOtherEntries = { sumWaitingTokens: () => 0, sumPendingTokens: () => 0 };
+const NO_OTHERS: IOtherEntries = {
+  sumWaitingTokens: () => 0,
+  sumPendingTokens: () => 0,
+  getWeight: () => 1,
+};
 
-/** Waiting requests of one priority, as reported to the hub. */
-export interface IWaitingWork {
+/** Requests of one priority, as reported to the hub. */
+export interface IQueueWork {
   readonly priority: number;
-  readonly requests: number;
-  readonly tokens: number;
+  waiting: number;
+  waitingTokens: number;
+  /** Requests sent to targets that have not received a first byte. */
+  pending: number;
+  pendingTokens: number;
+  /** Tokens of both by client account. */
+  readonly tokensByAccount: Map<string, number>;
 }
 
 /**
@@ -107,16 +118,31 @@
     return this._waiters.size;
   }
 
-  public listWaiting(): readonly IWaitingWork[] {
-    const byPriority = new Map<number, { priority: number; requests: number; tokens: number }>();
+  /** What waits and is in progress, by priority; priorities without any are left out. */
+  public listWork(): readonly IQueueWork[] {
+    const works = new Map<number, IQueueWork>();
+    for (const load of this.load.listPending()) {
+      const { priority, pendingRequests: pending, pendingTokens } = load;
+      if (pending > 0) {
+        const tokensByAccount = new Map(load.pendingByAccount);
+        const work = { priority, waiting: 0, waitingTokens: 0, pending, pendingTokens };
+        works.set(priority, { ...work, tokensByAccount });
+      }
+    }
     for (const { request, target } of this._waiters) {
-      const { priority } = request;
-      const work = byPriority.get(priority) ?? { priority, requests: 0, tokens: 0 };
-      work.requests += 1;
-      work.tokens += target.tokens;
-      byPriority.set(priority, work);
+      const { priority, account } = request;
+      let work = works.get(priority);
+      if (work === undefined) {
+        const none = { waiting: 0, waitingTokens: 0, pending: 0, pendingTokens: 0 };
+        work = { priority, ...none, tokensByAccount: new Map() };
+        works.set(priority, work);
+      }
+      work.waiting += 1;
+      work.waitingTokens += target.tokens;
+      const { tokensByAccount } = work;
+      tokensByAccount.set(account, (tokensByAccount.get(account) ?? 0) + target.tokens);
     }
-    return [...byPriority.values()];
+    return [...works.values()];
   }
 
   /** Decides on a request that arrives. */
@@ -282,7 +308,7 @@
       {
         requestId: request.id,
         clientAccount: request.account,
-        weight: 1,
+        weight: this._others.getWeight(request.account, now),
         cost: Math.max(1, target.tokens),
         priority: 0,
         deadlineMs: Math.min(onTimeUntil ?? lastAt, lastAt),
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -24,6 +24,7 @@
 import { PromptHolders } from '../gateway/PromptHolders.js';
 import { CrashQuarantine } from '../gateway/CrashQuarantine.js';
 import { AdmissionQueue } from '../gateway/queue/AdmissionQueue.js';
+import { QueueExchange } from '../gateway/queue/QueueExchange.js';
 import { ResponseTimes } from '../gateway/ResponseTimes.js';
 import { StoreIndex, type PollStore } from '../gateway/StoreIndex.js';
 import { TargetLimits } from '../gateway/TargetLimits.js';
@@ -113,10 +114,15 @@
       findTarget: (id) => this.view.getTarget(id),
       random: Math.random,
     });
+    const queueExchange: QueueExchange = new QueueExchange(() => admission.services);
+    const admission: AdmissionQueue = new AdmissionQueue({ clock, metrics, log: _log }, (service) =>
+      queueExchange.getOthers(service),
+    );
     this.node = new FleetNode(
       {
         address: internalAddress,
         takesRequests,
+        parts: [queueExchange],
         hub: {
           announceIntervalMs: _options.announceIntervalMs,
           quota: _options.quota,
@@ -156,7 +162,7 @@
       limits,
       placement,
       quarantine,
-      admission: new AdmissionQueue({ clock, metrics, log: _log }),
+      admission,
       store: this._storeIndex,
       origins: this.origins,
       client: adapters.targetClient,
