--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -3,6 +3,7 @@
 import { MonotonicClock } from '../common/Clock.js';
 import { Emitter } from '../common/Lifecycle.js';
 import { describeError, type ILog } from '../common/Log.js';
+import { LoopDelay } from '../common/LoopDelay.js';
 import { Metrics } from '../common/Metrics.js';
 import { RpcClients } from '../common/Rpc.js';
 import { Shutdown } from '../common/Shutdown.js';
@@ -25,6 +26,7 @@
 import { PromptHolders } from '../gateway/PromptHolders.js';
 import { CrashQuarantine } from '../gateway/CrashQuarantine.js';
 import { AdmissionQueue } from '../gateway/queue/AdmissionQueue.js';
+import { QueueExchange } from '../gateway/queue/QueueExchange.js';
 import { ResponseTimes } from '../gateway/ResponseTimes.js';
 import { StoreIndex, type PollStore } from '../gateway/StoreIndex.js';
 import { TargetModel } from '../gateway/TargetModel.js';
@@ -84,6 +86,7 @@
   public readonly callRunner: CallRunner<T>;
 
   private readonly _models = new ServiceModels();
+  private readonly _loopDelay = new LoopDelay(this.clock);
   private readonly _shutdown = new Shutdown();
   private readonly _stop = new AbortController();
   private readonly _rpc: RpcClients;
@@ -125,11 +128,15 @@
       findTarget: (id) => this.view.getTarget(id),
       random: Math.random,
     });
+    const queueExchange: QueueExchange = new QueueExchange(() => admission.services);
+    const admission: AdmissionQueue = new AdmissionQueue({ clock, metrics, log: _log }, (service) =>
+      queueExchange.getOthers(service),
+    );
     this.node = new FleetNode(
       {
         address: internalAddress,
         takesRequests,
-        parts: [this._models, probes],
+        parts: [this._models, probes, queueExchange],
         hub: {
           announceIntervalMs: _options.announceIntervalMs,
           quota: _options.quota,
@@ -169,11 +176,12 @@
       limits,
       placement,
       quarantine,
-      admission: new AdmissionQueue({ clock, metrics, log: _log }),
+      admission,
       store: this._storeIndex,
       origins: this.origins,
       client: adapters.targetClient,
       clock,
+      loopDelay: this._loopDelay,
       metrics,
       log: _log,
       weightsLimitMs: _options.weightsRolloutLimitMs - WEIGHTS_LIMIT_MARGIN_MS,
@@ -226,6 +234,7 @@
   /** Starts the tasks of this process. A task that fails is logged and starts again, with the state that it had. */
   public async start(): Promise<void> {
     await this._server.listen();
+    this._loopDelay.start();
     const tasks = [
       (signal: AbortSignal) => this.node.run(signal),
       (signal: AbortSignal) => this.node.runMembershipNotices(signal),
@@ -270,6 +279,7 @@
   public async stop(): Promise<void> {
     this._stop.abort();
     await Promise.allSettled(this._tasks);
+    this._loopDelay.dispose();
     this._server.dispose();
     this._rpc.dispose();
   }
