Hedge requests whose first byte is overdue

Cause: operators accept some extra work for requests that may be repeated if it cuts the slowest responses. A second target was tried only once the first one was silent, after a second or more.

Change: Hedging learns how far times to the first byte exceed the expected ones, and limits hedges by the operator's share in a sliding window beside the fleet's retry budget. AttemptRace starts the same standby attempt that it starts for silent targets. A histogram compares measured times with expected ones.

No figures under load yet.

--- a/src/gateway/AttemptRace.ts
+++ b/src/gateway/AttemptRace.ts
@@ -1,10 +1,16 @@
-/** Runs the attempts of a call that overlap: one, and a further one while the targets of all others are silent. */
+/**
+ * Runs the attempts of a call that overlap: one, and a further one while the targets of all others are silent, or once the
+ * first one takes unusually long.
+ */
 import type { Attempt, AttemptOutcome } from './Attempt.js';
 import type { ICall } from './Types.js';
 
 /** Outcome of a race; an attempt that was withdrawn leaves the decision to the others. */
 export type RaceOutcome = Exclude<AttemptOutcome, { readonly kind: 'withdrawn' }>;
 
+/** Why a further attempt is made beside those that run. */
+export type StandbyReason = 'silent' | 'hedge';
+
 /** How an attempt takes part in the race for the response of its call. */
 export interface IRaceMember<T extends ICall> {
   /** True while another attempt may bring the response too. */
@@ -14,6 +20,8 @@
   handleRelay(attempt: Attempt<T>): void;
   /** Called at intervals while the target of an attempt sends nothing. */
   handleSilence(): void;
+  /** Called once an attempt has taken unusually long without a first byte. */
+  handleOverdue(attempt: Attempt<T>): void;
   /** Called once an attempt has a complete error, which the client gets if no other attempt brings a response. */
   handleDeferred(): void;
   handleEnd(attempt: Attempt<T>): void;
@@ -41,7 +49,10 @@
    * @param _onError called with the error of an attempt that could not be started or that threw, while others may go on
    */
   constructor(
-    private readonly _startStandby: (race: AttemptRace<T>) => Promise<AttemptOutcome> | undefined,
+    private readonly _startStandby: (
+      race: AttemptRace<T>,
+      reason: StandbyReason,
+    ) => Promise<AttemptOutcome> | undefined,
     private readonly _onError: (error: unknown) => void,
   ) {
     this._finished = new Promise((resolve, reject) => {
@@ -91,11 +102,21 @@
     const isOnlyWaiting =
       this._open === this._attempts.size &&
       [...this._attempts].every(({ isSilent, isDeferred }) => isSilent || isDeferred);
-    if (!isOnlyWaiting) {
-      return;
+    if (isOnlyWaiting) {
+      this._tryStandby('silent');
+    }
+  }
+
+  public handleOverdue(attempt: Attempt<T>): void {
+    const isOnly = this._open === 1 && this._attempts.size === 1 && this._attempts.has(attempt);
+    if (isOnly && !attempt.hasFirstByte && attempt.status === undefined) {
+      this._tryStandby('hedge');
     }
+  }
+
+  private _tryStandby(reason: StandbyReason): void {
     try {
-      const standby = this._startStandby(this);
+      const standby = this._startStandby(this, reason);
       if (standby !== undefined) {
         this._follow(standby);
       }
--- a/src/gateway/AttemptRunner.ts
+++ b/src/gateway/AttemptRunner.ts
@@ -4,12 +4,14 @@
 import { getSoftwareVersion } from '../fleet/SoftwareVersions.js';
 import type { IRoute } from '../fleet/Types.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
+import { limitTimerMs } from '../common/Tasks.js';
 import { isMechanismDisabled } from '../common/TestSwitches.js';
 import { Attempt, type AttemptOutcome, type ITargetNotice } from './Attempt.js';
 import type { IRaceMember } from './AttemptRace.js';
 import {
   getOutputTokens,
   getPriority,
+  isRepeatable,
   type IAdmittedCall,
   type ICallContext,
   type ICallProgress,
@@ -57,13 +59,14 @@
     call: T,
     sink: IAnswerSink,
     admitted: IAdmittedCall,
-    { request, standing, placement, runMs }: IPlannedAttempt,
+    { request, standing, placement, runMs, isHedge = false }: IPlannedAttempt,
     progress: ICallProgress,
     race: IRaceMember<T>,
   ): Promise<AttemptOutcome> {
     const { clock, states, limits, quarantine, log, placement: placements } = this._context;
+    const { hedging, metrics } = this._context;
     const { target } = placement;
-    const { route, account } = admitted;
+    const { route, account, service } = admitted;
     const judged = { call, account: account?.name, route: route.name };
     progress.tried.add(target.id);
     progress.attempts += 1;
@@ -109,6 +112,14 @@
       onFirstByte: (at) => {
         placements.recordReading(request, target, at);
         const isSuccess = (attempt.status ?? 0) < MIN_ERROR_STATUS && !attempt.hasResumed;
+        if (isSuccess) {
+          hedging.recordTime(service.name, placement.expectedMs, at - startedAt);
+          metrics.observe(
+            'gateway_model_ratio_percent',
+            (100 * (at - startedAt)) / Math.max(1, placement.expectedMs),
+            { service: service.name },
+          );
+        }
         placements.recordFirstByte(placement, state, at - startedAt, isSuccess, at);
       },
       dispatch: {
@@ -121,10 +132,12 @@
     state.suspects += suspects;
     this._running.set(attempt, judged);
     race.handleStart(attempt);
+    const hedgeTimer = this._startHedgeTimer(attempt, admitted, placement, race);
     let outcome: AttemptOutcome;
     try {
       outcome = await attempt.run();
     } finally {
+      clearTimeout(hedgeTimer);
       this._running.delete(attempt);
       race.handleEnd(attempt);
       ended.abort();
@@ -149,6 +162,13 @@
       case 'withdrawn':
         progress.mayHaveRun = true;
     }
+    if (outcome.kind === 'withdrawn' && !attempt.hasFirstByte) {
+      hedging.recordTime(service.name, placement.expectedMs, now - startedAt);
+    }
+    if (isHedge) {
+      const result = outcome.kind === 'answered' ? 'won' : 'lost';
+      metrics.increment('gateway_hedges_total', { service: service.name, result });
+    }
     log.info('attempt ended', {
       request: call.id,
       route: route.name,
@@ -156,6 +176,7 @@
       software: target.softwareVersion,
       stream: binding && getStreamId(call),
       attempt: number,
+      isHedge: isHedge || undefined,
       outcome: outcome.kind,
       reason: outcome.kind === 'answered' ? undefined : outcome.reason,
       status: attempt.status,
@@ -189,6 +210,23 @@
     return outcome;
   }
 
+  /** Has a further target tried once the attempt has taken unusually long; undefined if it never is. */
+  private _startHedgeTimer(
+    attempt: Attempt<T>,
+    { route, service }: IAdmittedCall,
+    { expectedMs }: IPlacement,
+    race: IRaceMember<T>,
+  ): NodeJS.Timeout | undefined {
+    const delayMs = isRepeatable(route)
+      ? this._context.hedging.getDelayMs(service.name, expectedMs)
+      : undefined;
+    return delayMs === undefined
+      ? undefined
+      : setTimeout(() => {
+          race.handleOverdue(attempt);
+        }, limitTimerMs(delayMs));
+  }
+
   /** Records how long a complete response took; one that resumed a stream has only a part of its tokens. */
   private _recordResponseTime(
     call: T,
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -2,13 +2,16 @@
 import { describeError } from '../common/Log.js';
 import { runUntilAborted } from '../common/Tasks.js';
 import { isMechanismDisabled } from '../common/TestSwitches.js';
-import type { RouteTable } from '../fleet/RouteTable.js';
-import type { IClientAccount, IRoute, IService } from '../fleet/Types.js';
+import type { IClientAccount } from '../fleet/Types.js';
 import { getSoftwareVersion } from '../fleet/SoftwareVersions.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
-import { hashText } from '../policy/TargetTable.js';
 import { describeAbort, type AttemptOutcome } from './Attempt.js';
-import { AttemptRace, type IRaceMember, type RaceOutcome } from './AttemptRace.js';
+import {
+  AttemptRace,
+  type IRaceMember,
+  type RaceOutcome,
+  type StandbyReason,
+} from './AttemptRace.js';
 import { AttemptRunner, formatHash } from './AttemptRunner.js';
 import {
   getOutputTokens,
@@ -22,6 +25,7 @@
 import { decideOverload } from './Overload.js';
 import type { IPlacement } from './Placement.js';
 import type { IPlacementRequest } from './PlacementRequest.js';
+import { pickService } from './ServiceChoice.js';
 import { createStreamBinding, getStreamId } from './StreamBinding.js';
 import { TargetSelector, type TargetChoice } from './TargetSelector.js';
 import { getPauseMs } from './TargetStates.js';
@@ -95,6 +99,7 @@
       return;
     }
     this._context.budget.recordRequest(admitted.service.name, call.arrivedAt);
+    this._context.hedging.recordRequest(admitted.service.name, call.arrivedAt);
     const progress: ICallProgress = {
       tried: new Set(),
       attempts: 0,
@@ -212,6 +217,7 @@
         return progress.mayHaveRun;
       }
       if (choice.kind === 'closed') {
+        this._context.hedging.recordShortage(admitted.service.name, now);
         if (await this._waitForTarget(call, sink, admitted, choice.target, progress)) {
           continue;
         }
@@ -226,7 +232,7 @@
         return false;
       }
       const race = new AttemptRace<T>(
-        (member) => this._startStandby(call, sink, admitted, progress, member),
+        (member, reason) => this._startStandby(call, sink, admitted, progress, member, reason),
         (error) => {
           const reason = describeError(error);
           this._context.log.error('attempt failed', { request: call.id, reason });
@@ -308,15 +314,16 @@
     );
   }
 
-  /** Starts an attempt at another target beside one that is silent; undefined if none takes the request now. */
+  /** Starts an attempt at another target beside one that is silent or takes unusually long; undefined if none takes the request now. */
   private _startStandby(
     call: T,
     sink: IAnswerSink,
     admitted: IAdmittedCall,
     progress: ICallProgress,
     race: IRaceMember<T>,
+    reason: StandbyReason,
   ): Promise<AttemptOutcome> | undefined {
-    const { quarantine, clock, budget, limits, metrics, view } = this._context;
+    const { quarantine, clock, budget, hedging, limits, metrics, view } = this._context;
     const { route, service, account } = admitted;
     const now = clock.now();
     const judged = { call, account: account?.name, route: route.name };
@@ -349,12 +356,17 @@
         limits.recordLacking(choice.target);
         return undefined;
       case 'placed': {
+        const isHedge = reason === 'hedge';
+        const isSoon = choice.placement.expectedMs <= route.latencyObjectiveMs;
+        if (isHedge && !(isSoon && hedging.trySpend(service.name, now))) {
+          return undefined;
+        }
         if (!budget.trySpend(service.name, view.entryCount, now)) {
           return undefined;
         }
         metrics.increment('gateway_repeats_total', { service: service.name });
         const { placement, runMs } = choice;
-        const plan = { request, standing, placement, runMs };
+        const plan = { request, standing, placement, runMs, isHedge };
         return this._attempts.run(call, sink, admitted, plan, progress, race);
       }
     }
@@ -377,6 +389,7 @@
     if (decision.kind === 'serve') {
       return false;
     }
+    this._context.hedging.recordShortage(admitted.service.name, this._context.clock.now());
     const detail = { target: target.id, expectedMs: Math.round(expectedMs), objectiveMs };
     this._refuse(call, sink, 503, 'overloaded', decision.retryAfterMs, detail);
     return true;
@@ -629,30 +642,3 @@
     ? (account?.defaultTokens ?? 0)
     : (call.promptTokens ?? 0) + (call.outputTokens ?? 0);
 }
-
-function getFirstServiceName(route: IRoute): string {
-  return route.shares[0]?.service ?? '';
-}
-
-/** Splits the requests of a route by weight; the same request id always selects the same service. */
-function pickService(table: RouteTable, route: IRoute, requestId: string): IService {
-  const total = route.shares.reduce((sum, share) => sum + share.weight, 0);
-  let point = (hashText(requestId) / 2 ** 32) * total;
-  let name = getFirstServiceName(route);
-  for (const share of route.shares) {
-    if (share.weight > 0) {
-      name = share.service;
-      if (point < share.weight) {
-        break;
-      }
-    }
-    point -= share.weight;
-  }
-  const service = table.getService(name);
-  if (service === undefined) {
-    throw new Error(
-      `route "${route.name}" refers to service "${name}", which the configuration does not define`,
-    );
-  }
-  return service;
-}
--- a/src/gateway/CallTypes.ts
+++ b/src/gateway/CallTypes.ts
@@ -9,6 +9,7 @@
 import type { SharedRetryBudget } from '../fleet/SharedRetryBudget.js';
 import type { IClientAccount, IRoute, IService } from '../fleet/Types.js';
 import type { CrashQuarantine, QuarantineStanding } from './CrashQuarantine.js';
+import type { Hedging } from './Hedging.js';
 import type { IPlacement } from './Placement.js';
 import type { IPlacementRequest } from './PlacementRequest.js';
 import type { IStreamBindingContext, StreamBinding } from './StreamBinding.js';
@@ -25,6 +26,7 @@
   readonly wallet: QuotaWallet;
   readonly budget: SharedRetryBudget;
   readonly quarantine: CrashQuarantine;
+  readonly hedging: Hedging;
   readonly client: ITargetClient<T>;
   readonly clock: IClock;
   readonly metrics: Metrics;
@@ -75,6 +77,8 @@
   readonly placement: IPlacement;
   /** Expected duration of the response. */
   readonly runMs: number;
+  /** True if another attempt runs that only takes unusually long. */
+  readonly isHedge?: boolean;
 }
 
 /** Urgency of a call: from 0 (most urgent) to 9. */
--- a/src/gateway/Fixtures.ts
+++ b/src/gateway/Fixtures.ts
@@ -18,6 +18,7 @@
 } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { CallRunner } from './CallRunner.js';
 import { Placement } from './Placement.js';
+import { Hedging } from './Hedging.js';
 import { CrashQuarantine } from './CrashQuarantine.js';
 import type { IStreamOrigins } from './StreamBinding.js';
 import { ResponseTimes } from './ResponseTimes.js';
@@ -180,6 +181,8 @@
   readonly sink?: RecordingSink;
   /** Repetitions that the retry budget allows beyond its ratio; the default is 60. */
   readonly retrySlack?: number;
+  /** The default hedges no request. */
+  readonly hedging?: Hedging;
   /** Shared by several calls; the default is a new one. */
   readonly budget?: SharedRetryBudget;
   /** How long ago the process has started; 0 by default. */
@@ -313,6 +316,7 @@
     states: setup.states ?? new TargetStates(),
     limits: setup.limits ?? buildLimits(view),
     placement: new Placement('zg-a'),
+    hedging: setup.hedging ?? new Hedging({ maxShare: 0 }),
     quarantine: setup.quarantine ?? new CrashQuarantine(),
     origins: setup.origins ?? new ScriptedOrigins('v1', new Map()),
     store: new StoreIndex(view, () => Promise.reject(new Error('no store')), clock, SILENT_LOG),
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -20,6 +20,7 @@
 import { VersionRecorder } from '../fleet/VersionRecorder.js';
 import { WeightsRollout, type IEngineClient } from '../fleet/WeightsRollout.js';
 import { CallRunner } from '../gateway/CallRunner.js';
+import { Hedging, type IHedgingLimits } from '../gateway/Hedging.js';
 import { Placement } from '../gateway/Placement.js';
 import { PromptHolders } from '../gateway/PromptHolders.js';
 import { CrashQuarantine } from '../gateway/CrashQuarantine.js';
@@ -59,6 +60,8 @@
   /** Time for which requests may still begin on older weights after newer ones were named. */
   readonly weightsRolloutLimitMs: number;
   readonly retryBudget: IRetryLimits;
+  /** Undefined: no request is hedged. */
+  readonly hedging?: IHedgingLimits;
 }
 
 /** Implementations that the adapter to a platform supplies. */
@@ -159,6 +162,7 @@
       states,
       limits,
       placement,
+      hedging: new Hedging(_options.hedging ?? { maxShare: 0 }),
       quarantine,
       store: this._storeIndex,
       origins: this.origins,
