Roll out a software version by steps, with an exposure budget and a rollback

Cause: operators had no way to move a service to a new version gradually; targets of a bad version got their full share of the requests as soon as they announced themselves.

A version of which only a target has told an entry is not used before the hub has answered, if there is another one.

--- a/src/common/Metrics.ts
+++ b/src/common/Metrics.ts
@@ -32,6 +32,9 @@
   request_ms: 'Time of a whole request in milliseconds.',
   requests_total: 'Requests that reached a target, by result.',
   retries_total: 'Dispatches repeated on another target.',
+  rollout_answers_total: 'Responses during a rollout by service, version and kind.',
+  rollout_share: 'Share of the requests that goes to the version that is rolled out.',
+  rollout_state: 'State of the last rollout: 1 runs, 2 completed, 3 rolled back.',
   streams_ended_early_total: 'Streams that ended with an error event.',
   ttft_ms: 'Time to the first token in milliseconds.',
 };
@@ -57,6 +60,8 @@
   private readonly _counters = new Map<string, Map<string, number>>();
   private readonly _histograms = new Map<string, Map<string, IHistogramSeries>>();
   private readonly _gauges = new Map<string, () => number>();
+  /** Values of gauges with labels, by metric name, then by formatted labels. */
+  private readonly _values = new Map<string, Map<string, number>>();
 
   public increment(name: string, labels: ILabels = {}, amount = 1): void {
     const series = ensureMap(this._counters, name);
@@ -83,6 +88,11 @@
     this._gauges.set(name, read);
   }
 
+  /** Sets one series of a gauge with labels. */
+  public setGauge(name: string, labels: ILabels, value: number): void {
+    ensureMap(this._values, name).set(formatLabels(labels), value);
+  }
+
   /** Renders all metrics in the Prometheus text format. */
   public render(): string {
     const lines: string[] = [];
@@ -95,6 +105,12 @@
     for (const [name, read] of this._gauges) {
       lines.push(...formatHeader(name, 'gauge'), `${METRIC_PREFIX}${name} ${read()}`);
     }
+    for (const [name, series] of this._values) {
+      lines.push(...formatHeader(name, 'gauge'));
+      for (const [labels, value] of series) {
+        lines.push(`${METRIC_PREFIX}${name}${labels} ${value}`);
+      }
+    }
     for (const [name, series] of this._histograms) {
       lines.push(...formatHeader(name, 'summary'));
       lines.push(...[...series.values()].flatMap((item) => formatSummary(name, item)));
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -912,6 +912,9 @@
     case 'recordStreams':
     case 'setVersionBase':
     case 'forgetStreams':
+    case 'startRollout':
+    case 'recordRollout':
+    case 'endRollout':
       return false;
     case undefined:
       return true;
--- a/src/fleet/FleetState.ts
+++ b/src/fleet/FleetState.ts
@@ -13,6 +13,7 @@
   type SpendingRecord,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { Departures } from './Departures.js';
+import { Rollouts } from './Rollouts.js';
 import { StreamRecords } from './StreamRecords.js';
 
 const EMPTY_RESULT = new Uint8Array();
@@ -48,6 +49,9 @@
   /** Targets whose leaving was acknowledged. */
   public readonly departures = new Departures();
 
+  /** Rollouts of software versions, by service. */
+  public readonly rollouts = new Rollouts();
+
   /** Fires after a command that changed the state, and after a restore. */
   public readonly onChange = this._changes.onFire;
 
@@ -100,6 +104,15 @@
       case 'recordDeparture':
         this.departures.add(body.value);
         break;
+      case 'startRollout':
+        this._fireIf(this.rollouts.start(body.value));
+        break;
+      case 'recordRollout':
+        this._fireIf(this.rollouts.record(body.value));
+        break;
+      case 'endRollout':
+        this._fireIf(this.rollouts.end(body.value));
+        break;
       case undefined:
         break;
     }
@@ -114,6 +127,8 @@
       versionBases: [...this._versionBases].map(([service, version]) => ({ service, version })),
       streams: this.streams.snapshot(),
       departures: [...this.departures.list()],
+      rollouts: [...this.rollouts.list()],
+      rolloutRevision: this.rollouts.revision,
     });
     if (this._document !== undefined) {
       snapshot.document = this._document;
@@ -131,6 +146,7 @@
     }
     this.streams.restore(snapshot.streams);
     this.departures.restore(snapshot.departures);
+    this.rollouts.restore(snapshot);
     this._versionBases.clear();
     for (const { service, version } of snapshot.versionBases) {
       this._versionBases.set(service, version);
@@ -142,6 +158,12 @@
     this._changes.fire(undefined);
   }
 
+  private _fireIf(hasChanged: boolean): void {
+    if (hasChanged) {
+      this._changes.fire(undefined);
+    }
+  }
+
   private _recordSpending(record: SpendingRecord): void {
     this._spending = [...this._spending, record].slice(-MAX_SPENDING_RECORDS);
     for (const { clientAccount, ceiling } of record.accounts) {
--- a/src/gateway/AttemptRunner.ts
+++ b/src/gateway/AttemptRunner.ts
@@ -19,6 +19,7 @@
 import { formatCacheScope, type IPlacement } from './Placement.js';
 import type { IPlacementRequest } from './PlacementRequest.js';
 import type { PromptSource } from './PromptSources.js';
+import { describeEvidence } from './RolloutEvidence.js';
 import type { StoreIndex } from './StoreIndex.js';
 import { getStreamId } from './StreamBinding.js';
 import {
@@ -62,7 +63,8 @@
     progress: ICallProgress,
     race: IRaceMember<T>,
   ): Promise<AttemptOutcome> {
-    const { clock, states, limits, quarantine, log, placement: placements } = this._context;
+    const { clock, states, limits, quarantine, rollouts, log } = this._context;
+    const { placement: placements } = this._context;
     const { target } = placement;
     const { route, account } = admitted;
     const judged = { call, account: account?.name, route: route.name };
@@ -72,6 +74,7 @@
     const state = states.ensure(target, clock.now());
     const startedAt = clock.now();
     limits.take(target, startedAt);
+    rollouts.recordSent(target);
     const { binding } = progress;
     progress.attemptVersion = getSoftwareVersion(target);
     const ended = new AbortController();
@@ -110,6 +113,10 @@
       onFirstByte: (at) => {
         placements.recordReading(request, target, at);
         recordFirstByte(state, placement.modelMs, at - startedAt, at);
+        if (!isErrorStatus(attempt.status)) {
+          const timing = { firstMs: at - startedAt, expectedMs: placement.modelMs };
+          rollouts.recordAnswer(target, route.name, { result: 'good', ...timing });
+        }
       },
       dispatch: {
         clientAccount: account?.name,
@@ -180,6 +187,19 @@
       viewAgeMs: Math.round(now - this._context.view.hubAnsweredAt),
     });
     this._recordOutcome(target, outcome, now);
+    if (rollouts.isComparing(target.service)) {
+      const { status } = attempt;
+      const hasFirstByte = attempt.hasFirstByte && !isErrorStatus(status);
+      const { modelMs: expectedMs } = placement;
+      void describeEvidence(
+        { outcome, status, hasFirstByte, totalMs: now - startedAt, expectedMs },
+        () => this._probe(target),
+      ).then((answer) => {
+        if (answer !== undefined) {
+          rollouts.recordAnswer(target, route.name, answer);
+        }
+      });
+    }
     if (outcome.kind === 'answered' && attempt.isSettled) {
       quarantine.recordAnswered(judged, now);
     }
@@ -368,6 +388,10 @@
   }
 }
 
+function isErrorStatus(status: number | undefined): boolean {
+  return status !== undefined && status >= MIN_ERROR_STATUS;
+}
+
 /** Formats a hash for the log. */
 export function formatHash(hash: number): string {
   return hash.toString(16).padStart(8, '0');
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -95,6 +95,7 @@
       return;
     }
     this._context.budget.recordRequest(admitted.service.name, call.arrivedAt);
+    this._context.rollouts.recordRequest(admitted.service.name);
     const progress: ICallProgress = {
       tried: new Set(),
       attempts: 0,
@@ -302,10 +303,8 @@
       isRepeatable: isRepeatable(route),
       deadlineAt,
     };
-    return this._selector.choose(
-      { service: service.name, request, tried, isSuspect, versions, run },
-      now,
-    );
+    const wanted = { service: service.name, requestId: call.id, request, tried };
+    return this._selector.choose({ ...wanted, isSuspect, versions, run }, now);
   }
 
   /** Starts an attempt at another target beside one that is silent; undefined if none takes the request now. */
--- a/src/gateway/Fixtures.ts
+++ b/src/gateway/Fixtures.ts
@@ -12,6 +12,7 @@
 import { SharedRetryBudget } from '../fleet/SharedRetryBudget.js';
 import type { IRoute } from '../fleet/Types.js';
 import {
+  ExchangeRequestSchema,
   ExchangeResponseSchema,
   FleetDocumentSchema,
   type TargetRecord,
@@ -21,6 +22,7 @@
 import { CrashQuarantine } from './CrashQuarantine.js';
 import type { IStreamOrigins } from './StreamBinding.js';
 import { ResponseTimes } from './ResponseTimes.js';
+import { RolloutGate } from './RolloutGate.js';
 import { StoreIndex } from './StoreIndex.js';
 import { TargetLimits } from './TargetLimits.js';
 import { TargetStates } from './TargetStates.js';
@@ -188,6 +190,8 @@
   readonly prepareView?: (view: FleetView) => void;
   readonly shutdown?: Shutdown;
   readonly responseTimes?: ResponseTimes;
+  /** The default has no rollouts, and knows the versions of all targets. */
+  readonly rollouts?: RolloutGate;
   readonly queued?: { readonly target: string; readonly pendingTokens: number };
 }
 
@@ -204,6 +208,15 @@
   });
 }
 
+/** A gate to which the hub has told of all targets that the view knows. */
+export function buildGate(view: FleetView): RolloutGate {
+  const gate = new RolloutGate({ countOpenAtOthers: () => 0, metrics: new Metrics() });
+  const response = create(ExchangeResponseSchema, { targets: [...view.listRecords()] });
+  const request = create(ExchangeRequestSchema);
+  gate.applyResponse(response, { request, isNewEpoch: false, sentAt: 0, now: 0 });
+  return gate;
+}
+
 export interface IRecord {
   readonly attemptId: string;
   readonly attempt: number;
@@ -301,6 +314,7 @@
   let startAgeMs = setup.processAgeMs ?? 0;
   const runner = new CallRunner<ICall>({
     view,
+    rollouts: setup.rollouts ?? buildGate(view),
     node: { requestLeases: () => Promise.resolve(), requestExchange: () => undefined },
     wallet: new QuotaWallet(8_000),
     budget:
--- a/src/gateway/TargetSelector.ts
+++ b/src/gateway/TargetSelector.ts
@@ -7,12 +7,16 @@
 import type { IPlacement, Placement } from './Placement.js';
 import type { IPlacementRequest, IPlacementTarget } from './PlacementRequest.js';
 import type { ResponseTimes } from './ResponseTimes.js';
+import type { IVersionGate, RolloutGate } from './RolloutGate.js';
 import { computeLatestStart, estimateRunMs, type IPlannedRun } from './StopPolicy.js';
 import type { StoreIndex } from './StoreIndex.js';
 import type { IVersionChoice } from './StreamBinding.js';
 import type { TargetLimits } from './TargetLimits.js';
 import { getPauseMs, type TargetStates } from './TargetStates.js';
 
+/** Part of the objective; a request that is expected later at the version whose turn it is may go to another one. */
+const MAX_PREFERRED_LATENESS = 0.7;
+
 /** What the selection depends on beside the request. */
 export interface ITargetSelectorContext {
   readonly view: FleetView;
@@ -24,11 +28,13 @@
   readonly weightsLimitMs: number;
   readonly shutdown: Shutdown;
   readonly responseTimes: ResponseTimes;
+  readonly rollouts: RolloutGate;
 }
 
 /** A request that needs a target. */
 export interface ISelection {
   readonly service: string;
+  readonly requestId: string;
   readonly request: IPlacementRequest;
   /** Ids of targets that are left out, as the call was sent to them before. */
   readonly tried: ReadonlySet<string>;
@@ -58,7 +64,7 @@
  * streams.
  *
  * @example
- * const choice = selector.choose({ service: 'lace', request, tried, isSuspect: false, versions: undefined, run }, now);
+ * const choice = selector.choose({ service: 'lace', requestId, request, tried, isSuspect: false, versions: undefined, run }, now);
  */
 export class TargetSelector {
   constructor(private readonly _context: ITargetSelectorContext) {}
@@ -70,10 +76,15 @@
   public choose(selection: ISelection, now: number): TargetChoice {
     const { limits, placement, store, shutdown } = this._context;
     const { request, isSuspect, versions } = selection;
-    const targets = this._listCandidates(selection, now);
     const isCool = ({ state }: IPlacementTarget): boolean => now >= state.cooldownUntil;
     const isOpen = ({ record, state }: IPlacementTarget): boolean =>
       limits.hasPermit(record, now) && getPauseMs(state, now) === 0;
+    const targets = this._applyGate(
+      selection,
+      this._listCandidates(selection, now),
+      now,
+      (item) => isCool(item) && isOpen(item),
+    );
     const open = targets.filter(isOpen);
     const closed = open.length === targets.length ? [] : targets.filter((item) => !isOpen(item));
     const isClosed = open.length === 0 || (closed.some(isCool) && !open.some(isCool));
@@ -122,6 +133,33 @@
       : Math.max(pauseMs, limits.estimateWaitMs(target, now));
   }
 
+  /**
+   * Leaves out the versions that the request may not be sent to while a software version is rolled out, or since. Of the
+   * others it goes to the one that is its turn, if a target of it is well and not expected to be late.
+   */
+  private _applyGate(
+    { service, requestId, request, run }: ISelection,
+    targets: readonly IPlacementTarget[],
+    now: number,
+    isWell: (target: IPlacementTarget) => boolean,
+  ): readonly IPlacementTarget[] {
+    const { rollouts, placement, store } = this._context;
+    const session = request.parts.at(-2)?.id ?? requestId;
+    const records = targets.map(({ record }) => record);
+    const gate: IVersionGate | undefined = rollouts.open(service, run.route, session, records, now);
+    if (gate === undefined) {
+      return targets;
+    }
+    const allowed = targets.filter(({ record }) => gate.isAllowed(record));
+    const preferred = allowed.filter(({ record }) => gate.isPreferred(record));
+    const usable = preferred.filter(isWell);
+    if (preferred.length === allowed.length || usable.length === 0) {
+      return allowed;
+    }
+    const expectedMs = placement.choose(request, usable, store, now)?.expectedMs ?? 0;
+    return expectedMs > MAX_PREFERRED_LATENESS * request.latencyObjectiveMs ? allowed : preferred;
+  }
+
   private _listCandidates(
     { service, request, tried, versions }: ISelection,
     now: number,
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -12,6 +12,10 @@
 import { FleetView } from '../fleet/FleetView.js';
 import type { IQuotaTerms } from '../fleet/QuotaRule.js';
 import { QuotaWallet } from '../fleet/QuotaWallet.js';
+import { DEFAULT_ROLLOUT_BOUNDS, type IRolloutBounds } from '../fleet/RolloutBudget.js';
+import { RolloutClient } from '../fleet/RolloutClient.js';
+import { RolloutController } from '../fleet/RolloutController.js';
+import { getSoftwareVersion } from '../fleet/SoftwareVersions.js';
 import { SharedRetryBudget, type IRetryLimits } from '../fleet/SharedRetryBudget.js';
 import { SpendingRecorder } from '../fleet/SpendingRecorder.js';
 import { StreamOrigins } from '../fleet/StreamOrigins.js';
@@ -23,6 +27,7 @@
 import { PromptHolders } from '../gateway/PromptHolders.js';
 import { CrashQuarantine } from '../gateway/CrashQuarantine.js';
 import { ResponseTimes } from '../gateway/ResponseTimes.js';
+import { RolloutGate } from '../gateway/RolloutGate.js';
 import { StoreIndex, type PollStore } from '../gateway/StoreIndex.js';
 import { TargetLimits } from '../gateway/TargetLimits.js';
 import { TargetStates } from '../gateway/TargetStates.js';
@@ -54,6 +59,8 @@
   /** Time for which requests may still begin on older weights after newer ones were named. */
   readonly weightsRolloutLimitMs: number;
   readonly retryBudget: IRetryLimits;
+  /** Limits of what a bad software version may get; the default ones if absent. */
+  readonly rollouts?: IRolloutBounds;
 }
 
 /** Implementations that the adapter to a platform supplies. */
@@ -74,6 +81,7 @@
   public readonly view: FleetView;
   public readonly node: FleetNode;
   public readonly origins: StreamOrigins;
+  public readonly rollouts: RolloutController;
   public readonly callRunner: CallRunner<T>;
 
   private readonly _shutdown = new Shutdown();
@@ -110,6 +118,12 @@
       findTarget: (id) => this.view.getTarget(id),
       random: Math.random,
     });
+    const gate = new RolloutGate({
+      countOpenAtOthers: (service, version) => this._countOpenAtOthers(states, service, version),
+      metrics,
+    });
+    const { rollouts: bounds = DEFAULT_ROLLOUT_BOUNDS } = _options;
+    this.rollouts = new RolloutController({ bounds }, this.view, clock, metrics, _log);
     this.node = new FleetNode(
       {
         address: internalAddress,
@@ -120,6 +134,7 @@
           processStartedAt: clock.now(),
           log: _log,
         },
+        parts: [gate, this.rollouts],
       },
       this.view,
       wallet,
@@ -137,6 +152,7 @@
       _log,
       seeds,
     );
+    this.rollouts.attach(this.node);
     this.origins = new StreamOrigins(this.node, this.view);
     this.view.onTargetUnavailable(({ id }) => {
       states.remove(id);
@@ -162,6 +178,7 @@
       weightsLimitMs: _options.weightsRolloutLimitMs - WEIGHTS_LIMIT_MARGIN_MS,
       shutdown: this._shutdown,
       responseTimes: new ResponseTimes(),
+      rollouts: gate,
     });
     const changes = new Emitter<unknown>();
     quarantine.onChange((now) => {
@@ -215,6 +232,7 @@
       (signal: AbortSignal) => this._spendingRecorder.run(signal),
       (signal: AbortSignal) => this._versionRecorder.run(signal),
       (signal: AbortSignal) => this._rollout.run(signal),
+      (signal: AbortSignal) => this.rollouts.run(signal),
     ];
     const { _memberHost: memberHost } = this;
     if (memberHost !== undefined) {
@@ -256,6 +274,20 @@
     this._rpc.dispose();
   }
 
+  /** Open requests of this process at targets of the service with another software version. */
+  private _countOpenAtOthers(states: TargetStates, service: string, version: string): number {
+    const others = states.listOpen().filter(({ id }) => {
+      const target = this.view.getTarget(id);
+      return target?.service === service && getSoftwareVersion(target) !== version;
+    });
+    return others.reduce((sum, { open }) => sum + open, 0);
+  }
+
+  /** Calls of operators that concern rollouts; any process forwards them to the leader. */
+  public createRolloutClient(): RolloutClient {
+    return new RolloutClient(this.node, this.rollouts, this._rpc, this.clock);
+  }
+
   private _createRollout(engineClient: IEngineClient): WeightsRollout {
     const getMember = (): IFleetMember | undefined => this._member;
     const { node, view } = this;
@@ -289,6 +321,7 @@
     return new InternalServer(this._options.internalAddress, this._options.clusterSecret, {
       registerRpc: (router) => {
         this.node.registerRpc(router);
+        this.rollouts.registerRpc(router);
         this._memberHost?.registerRpc(router);
       },
       handleDispatch: undefined,
