--- a/src/fleet/FleetState.ts
+++ b/src/fleet/FleetState.ts
@@ -14,6 +14,7 @@
 } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { Departures } from './Departures.js';
 import { ProbeRecords } from './ProbeRecords.js';
+import { Rollouts } from './Rollouts.js';
 import { StreamRecords } from './StreamRecords.js';
 
 const EMPTY_RESULT = new Uint8Array();
@@ -52,6 +53,8 @@
 
   /** Probes of quarantined prompt parts. */
   public readonly probes = new ProbeRecords();
+  /** Rollouts of software versions, by service. */
+  public readonly rollouts = new Rollouts();
 
   /** Fires after a command that changed the state, and after a restore. */
   public readonly onChange = this._changes.onFire;
@@ -113,6 +116,15 @@
       case 'recordProbe':
         this.probes.add(body.value);
         break;
+      case 'startRollout':
+        this._fireIf(this.rollouts.start(body.value));
+        break;
+      case 'recordRollout':
+        this._fireIf(this.rollouts.record(body.value));
+        break;
+      case 'endRollout':
+        this._fireIf(this.rollouts.end(body.value));
+        break;
       case undefined:
         break;
     }
@@ -132,6 +144,8 @@
       streams: this.streams.snapshot(),
       departures: [...this.departures.list()],
       probes: [...this.probes.list()],
+      rollouts: [...this.rollouts.list()],
+      rolloutRevision: this.rollouts.revision,
     });
     if (this._document !== undefined) {
       snapshot.document = this._document;
@@ -150,6 +164,7 @@
     this.streams.restore(snapshot.streams);
     this.departures.restore(snapshot.departures);
     this.probes.restore(snapshot.probes);
+    this.rollouts.restore(snapshot);
     this._versionBases.clear();
     this._unsettledBases.clear();
     for (const base of snapshot.versionBases) {
@@ -162,6 +177,12 @@
     this._changes.fire(undefined);
   }
 
+  private _fireIf(hasChanged: boolean): void {
+    if (hasChanged) {
+      this._changes.fire(undefined);
+    }
+  }
+
   private _recordSpending(record: SpendingRecord): void {
     this._spending = [...this._spending, record].slice(-MAX_SPENDING_RECORDS);
     for (const { clientAccount, ceiling } of record.accounts) {
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -15,6 +15,10 @@
 import type { IQuotaTerms } from '../fleet/QuotaRule.js';
 import { QuotaWallet } from '../fleet/QuotaWallet.js';
 import { ServiceModels } from '../fleet/ServiceModels.js';
+import { DEFAULT_ROLLOUT_BOUNDS, type IRolloutBounds } from '../fleet/RolloutBudget.js';
+import { RolloutClient } from '../fleet/RolloutClient.js';
+import { RolloutController } from '../fleet/RolloutController.js';
+import { getSoftwareVersion } from '../fleet/SoftwareVersions.js';
 import { SharedRetryBudget, type IRetryLimits } from '../fleet/SharedRetryBudget.js';
 import { SpendingRecorder } from '../fleet/SpendingRecorder.js';
 import { StreamOrigins } from '../fleet/StreamOrigins.js';
@@ -29,6 +33,7 @@
 import { AdmissionQueue } from '../gateway/queue/AdmissionQueue.js';
 import { QueueExchange } from '../gateway/queue/QueueExchange.js';
 import { ResponseTimes } from '../gateway/ResponseTimes.js';
+import { RolloutGate } from '../gateway/RolloutGate.js';
 import { StoreIndex, type PollStore } from '../gateway/StoreIndex.js';
 import { TargetModel } from '../gateway/TargetModel.js';
 import { TargetLimits } from '../gateway/TargetLimits.js';
@@ -66,6 +71,8 @@
   readonly retryBudget: IRetryLimits;
   /** Undefined: no request is hedged. */
   readonly hedging?: IHedgingLimits;
+  /** Limits of what a bad software version may get; the default ones if absent. */
+  readonly rollouts?: IRolloutBounds;
 }
 
 /** Implementations that the adapter to a platform supplies. */
@@ -86,6 +93,7 @@
   public readonly view: FleetView;
   public readonly node: FleetNode;
   public readonly origins: StreamOrigins;
+  public readonly rollouts: RolloutController;
   public readonly callRunner: CallRunner<T>;
 
   private readonly _models = new ServiceModels();
@@ -135,11 +143,17 @@
     const admission: AdmissionQueue = new AdmissionQueue({ clock, metrics, log: _log }, (service) =>
       queueExchange.getOthers(service),
     );
+    const gate = new RolloutGate({
+      countOpenAtOthers: (service, version) => this._countOpenAtOthers(states, service, version),
+      metrics,
+    });
+    const { rollouts: bounds = DEFAULT_ROLLOUT_BOUNDS } = _options;
+    this.rollouts = new RolloutController({ bounds }, this.view, clock, metrics, _log);
     this.node = new FleetNode(
       {
         address: internalAddress,
         takesRequests,
-        parts: [this._models, probes, queueExchange],
+        parts: [this._models, probes, queueExchange, gate, this.rollouts],
         hub: {
           announceIntervalMs: _options.announceIntervalMs,
           quota: _options.quota,
@@ -163,6 +177,7 @@
       _log,
       seeds,
     );
+    this.rollouts.attach(this.node);
     this.origins = new StreamOrigins(this.node, this.view);
     this.view.onTargetUnavailable(({ id }) => {
       states.remove(id);
@@ -191,6 +206,7 @@
       weightsLimitMs: _options.weightsRolloutLimitMs - WEIGHTS_LIMIT_MARGIN_MS,
       shutdown: this._shutdown,
       responseTimes: new ResponseTimes(),
+      rollouts: gate,
     });
     const changes = new Emitter<unknown>();
     quarantine.onChange((now) => {
@@ -245,6 +261,7 @@
       (signal: AbortSignal) => this._spendingRecorder.run(signal),
       (signal: AbortSignal) => this._versionRecorder.run(signal),
       (signal: AbortSignal) => this._rollout.run(signal),
+      (signal: AbortSignal) => this.rollouts.run(signal),
     ];
     const { _memberHost: memberHost } = this;
     if (memberHost !== undefined) {
@@ -298,6 +315,20 @@
     }
   }
 
+  /** Open requests of this process at targets of the service with another software version. */
+  private _countOpenAtOthers(states: TargetStates, service: string, version: string): number {
+    const others = states.listOpen().filter(({ id }) => {
+      const target = this.view.getTarget(id);
+      return target?.service === service && getSoftwareVersion(target) !== version;
+    });
+    return others.reduce((sum, { open }) => sum + open, 0);
+  }
+
+  /** Calls of operators that concern rollouts; any process forwards them to the leader. */
+  public createRolloutClient(): RolloutClient {
+    return new RolloutClient(this.node, this.rollouts, this._rpc, this.clock);
+  }
+
   private _createRollout(engineClient: IEngineClient): WeightsRollout {
     const getMember = (): IFleetMember | undefined => this._member;
     const { node, view } = this;
@@ -331,6 +362,7 @@
     return new InternalServer(this._options.internalAddress, this._options.clusterSecret, {
       registerRpc: (router) => {
         this.node.registerRpc(router);
+        this.rollouts.registerRpc(router);
         this._memberHost?.registerRpc(router);
       },
       handleDispatch: undefined,
