Have the soak check the end of limits at targets that are needed

The threshold and the check of the time under the limit are unchanged. The break limit-end (a limit stays in force at the entries) shows that a target which stays unused is found. Ruled out: a lower threshold; pauses of the others (all of the load would fall on one target of each service).

--- a/src/gateway/TargetLimits.ts
+++ b/src/gateway/TargetLimits.ts
@@ -134,6 +134,7 @@
     if (previous === undefined) {
       return false;
     }
+    TEST_ONLY: if (isMechanismDisabled('limit-end')) return false;
     const state = this._ensure(target);
     state.knownSince ??= now;
     const namedAt = state.observation?.perSecond === undefined ? 0 : state.observation.at;
