Answer with the error of an engine if no second target answers

Cause: a 500 on a safe route was discarded for a second attempt. If that one got no response (dark target, failed connection, refusal, no retry budget), the client got a 502 of the router instead.

Change: a complete error that is not relayed at once is kept with its body, up to 64 KB, and is the answer if no later attempt brings one. Errors that would promise more than is known are not kept. pickService and countTokens move to CallRouting.ts.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -13,6 +13,7 @@
   hasUnnumberedEnd,
   MAX_EVENT_BYTES,
 } from './EventFramer.js';
+import { DiscardedBody, mayRelay, type IKeptAnswer } from './KeptAnswer.js';
 import { isSilent } from './Silence.js';
 import { computeLatestStart } from './StopPolicy.js';
 import {
@@ -52,6 +53,8 @@
       readonly reason: string;
       /** True if the target ended the connection before the end of the response, as one that crashes does. */
       readonly isBroken?: boolean;
+      /** The error of the target if it is complete. */
+      readonly answer?: IKeptAnswer;
     }
   /** The deadline passed, or the client disconnected. */
   | { readonly kind: 'ended'; readonly reason: string }
@@ -131,19 +134,12 @@
 
 const SILENCE_CHECK_INTERVAL_MS = 250;
 
-/** To a client these state that its request was not run and will not be, so none is relayed without a target's proof. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
 const MIN_ERROR_STATUS = 300;
 
 /** Responses to safe requests and errors that wait are buffered up to this size. Larger ones are streamed, or fail. */
 const MAX_BUFFERED_BYTES = 64 * 1024;
 
-/**
- * Bounds of a body that is discarded. Its end lets the connection be used again, but a faulty target may send
- * it without end, and the request can go on elsewhere.
- */
-const MAX_DISCARDED_BYTES = 64 * 1024;
+/** A body that is discarded and takes longer than this is not read to its end. */
 const MAX_DISCARD_MS = 100;
 
 /**
@@ -179,7 +175,7 @@
   /** True if the response is an error that the client gets only if no other attempt brings a better one. */
   private _isDeferred = false;
   private _isComplete = false;
-  private _discardedBytes = 0;
+  private readonly _discarded = new DiscardedBody();
   private _discardTimer: NodeJS.Timeout | undefined;
   private _isPaused = false;
   /** True once the first event of this response has been checked. */
@@ -475,11 +471,7 @@
     if (head.load !== undefined) {
       recordLoad(state, head.load, now);
     }
-    this._isDiscarded =
-      head.isNotRun ||
-      head.isOtherTarget ||
-      NOT_RUN_STATUSES.has(head.status) ||
-      (isError && mayReplaceError(head.status));
+    this._isDiscarded = !mayRelay(head) || (isError && mayReplaceError(head.status));
     this._isDeferred = isError && !this._isDiscarded && isContested();
     if (this._isDiscarded) {
       this._discardTimer = setTimeout(() => {
@@ -601,8 +593,7 @@
   }
 
   private _discard(chunk: Buffer): void {
-    this._discardedBytes += chunk.length;
-    if (this._discardedBytes > MAX_DISCARDED_BYTES) {
+    if (!this._discarded.add(chunk)) {
       this._end(this._describeDiscarded());
     }
   }
@@ -617,7 +608,7 @@
     }
     if (this._isDiscarded) {
       this._hasEnded = true;
-      this._finish(this._describeDiscarded());
+      this._finish(this._describeDiscarded(true));
     } else if (this._isDeferred) {
       this._isComplete = true;
       this._options.onDeferred();
@@ -685,8 +676,12 @@
     }
   }
 
-  private _describeDiscarded(): AttemptOutcome {
+  private _describeDiscarded(isComplete = false): AttemptOutcome {
     const head = this._head;
+    if (isComplete && head !== undefined && mayRelay(head)) {
+      const answer = this._discarded.createAnswer(head);
+      return { kind: 'failed', reason: `status ${head.status}`, answer };
+    }
     if (head?.isOtherTarget === true) {
       return { kind: 'not_run', reason: 'another target has this address', isUnreachable: true };
     }
--- a/src/gateway/AttemptRunner.ts
+++ b/src/gateway/AttemptRunner.ts
@@ -146,6 +146,9 @@
         progress.mayHaveRun = true;
         break;
       case 'failed':
+        progress.mayHaveRun = true;
+        progress.kept = outcome.answer ?? progress.kept;
+        break;
       case 'ended':
       case 'withdrawn':
         progress.mayHaveRun = true;
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -3,14 +3,12 @@
 import { waitForPoll } from '../common/LoopDelay.js';
 import { runUntilAborted } from '../common/Tasks.js';
 import { isMechanismDisabled } from '../common/TestSwitches.js';
-import type { RouteTable } from '../fleet/RouteTable.js';
-import type { IClientAccount, IRoute, IService } from '../fleet/Types.js';
 import { getSoftwareVersion } from '../fleet/SoftwareVersions.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
-import { hashText } from '../policy/TargetTable.js';
 import { describeAbort, type AttemptOutcome } from './Attempt.js';
 import { AttemptRace, type IRaceMember, type RaceOutcome } from './AttemptRace.js';
 import { AttemptRunner, formatHash } from './AttemptRunner.js';
+import { countTokens, pickService } from './CallRouting.js';
 import {
   getOutputTokens,
   getPriority,
@@ -22,6 +20,7 @@
 import type { QuarantineStanding } from './CrashQuarantine.js';
 import type { IPlacementRequest } from './PlacementRequest.js';
 import { CallAdmission } from './queue/CallAdmission.js';
+import { relayKept } from './KeptAnswer.js';
 import { createStreamBinding, getStreamId } from './StreamBinding.js';
 import { TargetSelector, type TargetChoice } from './TargetSelector.js';
 import { getPauseMs } from './TargetStates.js';
@@ -109,6 +108,7 @@
       binding: createStreamBinding(this._context, call, admitted.route, admitted.service),
       attemptVersion: undefined,
       waitUntil: undefined,
+      kept: undefined,
       ticket: undefined,
     };
     const isQuotaSpent =
@@ -493,6 +493,9 @@
   }
 
   private _finish(call: T, sink: IAnswerSink, outcome: RaceOutcome, progress: ICallProgress): void {
+    if (outcome.kind !== 'answered' && !call.signal.aborted && relayKept(sink, progress.kept)) {
+      return;
+    }
     switch (outcome.kind) {
       case 'answered':
         return;
@@ -552,7 +555,7 @@
     progress: ICallProgress,
     reason: RefusalReason,
   ): void {
-    if (call.signal.aborted) {
+    if (call.signal.aborted || relayKept(sink, progress.kept)) {
       return;
     }
     if (sink.isStarted) {
@@ -622,37 +625,3 @@
   }
   return reason === 'version_gone' ? VERSION_GONE_RETRY_AFTER_MS : TARGETS_BUSY_RETRY_AFTER_MS;
 }
-
-/** Quota tokens of a call; the account's default if the request states no token counts. */
-function countTokens(call: ICall, account: IClientAccount | undefined): number {
-  return call.promptTokens === undefined && call.outputTokens === undefined
-    ? (account?.defaultTokens ?? 0)
-    : (call.promptTokens ?? 0) + (call.outputTokens ?? 0);
-}
-
-function getFirstServiceName(route: IRoute): string {
-  return route.shares[0]?.service ?? '';
-}
-
-/** Splits the requests of a route by weight; the same request id always selects the same service. */
-function pickService(table: RouteTable, route: IRoute, requestId: string): IService {
-  const total = route.shares.reduce((sum, share) => sum + share.weight, 0);
-  let point = (hashText(requestId) / 2 ** 32) * total;
-  let name = getFirstServiceName(route);
-  for (const share of route.shares) {
-    if (share.weight > 0) {
-      name = share.service;
-      if (point < share.weight) {
-        break;
-      }
-    }
-    point -= share.weight;
-  }
-  const service = table.getService(name);
-  if (service === undefined) {
-    throw new Error(
-      `route "${route.name}" refers to service "${name}", which the configuration does not define`,
-    );
-  }
-  return service;
-}
--- a/src/gateway/CallTypes.ts
+++ b/src/gateway/CallTypes.ts
@@ -10,6 +10,7 @@
 import type { SharedRetryBudget } from '../fleet/SharedRetryBudget.js';
 import type { IClientAccount, IRoute, IService } from '../fleet/Types.js';
 import type { CrashQuarantine, QuarantineStanding } from './CrashQuarantine.js';
+import type { IKeptAnswer } from './KeptAnswer.js';
 import type { IPlacement } from './Placement.js';
 import type { IPlacementRequest } from './PlacementRequest.js';
 import type { AdmissionQueue, IAdmissionTicket } from './queue/AdmissionQueue.js';
@@ -70,6 +71,8 @@
   attemptVersion: string | undefined;
   /** Time until which the request may wait for a target; undefined until it has to. */
   waitUntil: number | undefined;
+  /** Error of an earlier attempt, for the case that no later one brings a response. */
+  kept: IKeptAnswer | undefined;
   /** Defined once the request has been admitted to an engine. */
   ticket: IAdmissionTicket | undefined;
 }
