End requests early at targets that are gone

Cause: a request that may not be repeated waited at a dark target until its deadline of 12 s, as a silent target may be sound.

Change: while such a request has no byte and its target is silent, two new connections are tried (GoneTargets, once for all requests of a target). If both fail or time out, or the target has announced its end, the attempt ends as failed: the client gets its 502, or the kept error of an earlier target. A paused target accepts connections and keeps its requests; a process that did not run itself concludes nothing.

--- a/src/gateway/AttemptRunner.ts
+++ b/src/gateway/AttemptRunner.ts
@@ -10,12 +10,14 @@
 import {
   getOutputTokens,
   getPriority,
+  isRepeatable,
   type IAdmittedCall,
   type ICallContext,
   type ICallProgress,
   type IPlannedAttempt,
 } from './CallTypes.js';
 import type { IJudgedRequest } from './CrashQuarantine.js';
+import { GoneTargets } from './GoneTargets.js';
 import { formatCacheScope, type IPlacement } from './Placement.js';
 import type { IPlacementRequest } from './PlacementRequest.js';
 import type { PromptSource } from './PromptSources.js';
@@ -47,7 +49,10 @@
   /** Probes that have not ended, by target and its start time. */
   private readonly _probes = new Map<string, Promise<boolean>>();
 
+  private readonly _gone: GoneTargets;
+
   constructor(private readonly _context: ICallContext<T>) {
+    this._gone = new GoneTargets(_context);
     _context.quarantine.onChange((now) => {
       this._cancelQuarantined(now);
     });
@@ -99,6 +104,9 @@
       },
       onSilent: () => {
         race.handleSilence();
+        if (progress.kept !== undefined || !isRepeatable(route)) {
+          void this._endIfGone(attempt, target);
+        }
       },
       onNotice: (notice, sentAt) => {
         this._recordRateLimit(call, target, notice.rateLimit, sentAt);
@@ -262,6 +270,14 @@
     }
   }
 
+  /** Ends an attempt that has no byte yet and gets none, so that its client need not wait for the deadline. */
+  private async _endIfGone(attempt: Attempt<T>, target: TargetRecord): Promise<void> {
+    const isGone = !attempt.hasFirstByte && (await this._gone.isGone(target));
+    if (isGone && attempt.firstByteAt === undefined) {
+      attempt.cancel('the target is gone');
+    }
+  }
+
   /** Reports a request that is not known to be sound if its target has ended. */
   private async _checkCrash(
     judged: IJudgedRequest,
--- a/src/gateway/Fixtures.ts
+++ b/src/gateway/Fixtures.ts
@@ -62,6 +62,8 @@
 export class ScriptedTargetClient implements ITargetClient<ICall> {
   public readonly sent: { readonly target: string; readonly dispatch: IDispatch }[] = [];
   public aborted = 0;
+  /** True if targets accept no new connections. */
+  public isGone = false;
 
   constructor(
     private readonly _scripts: TargetScript[],
@@ -72,6 +74,10 @@
     private readonly _probeMs = 0,
   ) {}
 
+  public canConnect(): Promise<boolean> {
+    return Promise.resolve(!this.isGone);
+  }
+
   public async probe(): Promise<boolean> {
     if (this._probeMs > 0) {
       await sleep(this._probeMs);
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -170,4 +170,6 @@
   ): ITargetExchange;
   /** False if the target accepts no connection any more; true also if that is not known. */
   probe(target: TargetRecord): Promise<boolean>;
+  /** False if a new connection to the target fails, or is not accepted in time. */
+  canConnect(target: TargetRecord): Promise<boolean>;
 }
--- a/src/run/FleetProcess.test.ts
+++ b/src/run/FleetProcess.test.ts
@@ -64,6 +64,7 @@
           throw new Error('there is no target');
         },
         probe: () => Promise.resolve(true),
+        canConnect: () => Promise.resolve(true),
       },
       engineClient: {
         fetchReport: () => Promise.reject(new Error('there is no target')),
