Try no lane of the queue that another one holds back

Cause: each look at the queue tried four requests of each lane, and each try costs a placement over all targets; with three priorities up to 24 at each response that begins, although only the first lanes could send one.

Change: lanes behind one that still has requests are not tried.

Result: the patterns of load pass as before (LoadPatterns.test.ts). The cost in processor time was not measured.

--- a/src/gateway/queue/ServiceQueue.ts
+++ b/src/gateway/queue/ServiceQueue.ts
@@ -184,19 +184,24 @@
    */
   public next(now: number): boolean {
     const priorities = [...this._lanes.keys()].sort((left, right) => left - right);
+    // What waits in a lane holds back the lanes after it, so that they need not be tried.
+    let isHeld = false;
+    let isLateHeld = false;
     for (const priority of priorities) {
       const lanes = this._ensureLanes(priority);
       const { onTime, late } = lanes;
       for (const { payload } of onTime.dropExpired(now)) {
         this._enqueue(payload, undefined, now);
       }
-      for (const lane of [onTime, late]) {
-        const served = this._takeReady(lanes, lane, now);
-        if (served !== undefined) {
-          this._finish(served, { kind: 'serve', tokens: served.target.tokens }, now);
-          return true;
-        }
+      const served =
+        (isHeld ? undefined : this._takeReady(lanes, onTime, now)) ??
+        (isHeld || isLateHeld || onTime.size > 0 ? undefined : this._takeReady(lanes, late, now));
+      if (served !== undefined) {
+        this._finish(served, { kind: 'serve', tokens: served.target.tokens }, now);
+        return true;
       }
+      isHeld ||= onTime.size > 0;
+      isLateHeld ||= late.size > 0;
       for (const { payload } of late.dropExpired(now)) {
         this._decideLast(payload, now);
       }
