--- a/src/gateway/AttemptRunner.ts
+++ b/src/gateway/AttemptRunner.ts
@@ -18,6 +18,7 @@
   type IPlannedAttempt,
 } from './CallTypes.js';
 import type { IJudgedRequest } from './CrashQuarantine.js';
+import { GoneTargets } from './GoneTargets.js';
 import { formatCacheScope, type IPlacement } from './Placement.js';
 import type { IPlacementRequest } from './PlacementRequest.js';
 import type { PromptSource } from './PromptSources.js';
@@ -49,7 +50,10 @@
   /** Probes that have not ended, by target and its start time. */
   private readonly _probes = new Map<string, Promise<boolean>>();
 
+  private readonly _gone: GoneTargets;
+
   constructor(private readonly _context: ICallContext<T>) {
+    this._gone = new GoneTargets(_context);
     _context.quarantine.onChange((now) => {
       this._cancelQuarantined(now);
     });
@@ -103,6 +107,9 @@
       },
       onSilent: () => {
         race.handleSilence();
+        if (progress.kept !== undefined || !isRepeatable(route)) {
+          void this._endIfGone(attempt, target);
+        }
       },
       onNotice: (notice, sentAt) => {
         this._recordRateLimit(call, target, notice.rateLimit, sentAt);
@@ -165,6 +172,9 @@
         progress.mayHaveRun = true;
         break;
       case 'failed':
+        progress.mayHaveRun = true;
+        progress.kept = outcome.answer ?? progress.kept;
+        break;
       case 'ended':
       case 'withdrawn':
         progress.mayHaveRun = true;
@@ -316,6 +326,14 @@
     }
   }
 
+  /** Ends an attempt that has no byte yet and gets none, so that its client need not wait for the deadline. */
+  private async _endIfGone(attempt: Attempt<T>, target: TargetRecord): Promise<void> {
+    const isGone = !attempt.hasFirstByte && (await this._gone.isGone(target));
+    if (isGone && attempt.firstByteAt === undefined) {
+      attempt.cancel('the target is gone');
+    }
+  }
+
   /** Reports a request that is not known to be sound if its target has ended. */
   private async _checkCrash(
     judged: IJudgedRequest,
--- a/src/gateway/ServiceChoice.ts
+++ b/src/gateway/CallRouting.ts
@@ -1,7 +1,15 @@
-/** Chooses the service of a request among those that share its route. */
+/** Properties of a call that follow from the configuration: its service and its quota tokens. */
 import type { RouteTable } from '../fleet/RouteTable.js';
-import type { IRoute, IService } from '../fleet/Types.js';
+import type { IClientAccount, IRoute, IService } from '../fleet/Types.js';
 import { hashText } from '../policy/TargetTable.js';
+import type { ICall } from './Types.js';
+
+/** Quota tokens of a call; the account's default if the request states no token counts. */
+export function countTokens(call: ICall, account: IClientAccount | undefined): number {
+  return call.promptTokens === undefined && call.outputTokens === undefined
+    ? (account?.defaultTokens ?? 0)
+    : (call.promptTokens ?? 0) + (call.outputTokens ?? 0);
+}
 
 function getFirstServiceName(route: IRoute): string {
   return route.shares[0]?.service ?? '';
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -3,7 +3,6 @@
 import { waitForPoll } from '../common/LoopDelay.js';
 import { runUntilAborted } from '../common/Tasks.js';
 import { isMechanismDisabled } from '../common/TestSwitches.js';
-import type { IClientAccount } from '../fleet/Types.js';
 import { getSoftwareVersion } from '../fleet/SoftwareVersions.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import { describeAbort, type AttemptOutcome } from './Attempt.js';
@@ -14,6 +13,7 @@
   type StandbyReason,
 } from './AttemptRace.js';
 import { AttemptRunner, formatHash } from './AttemptRunner.js';
+import { countTokens, pickService } from './CallRouting.js';
 import {
   getOutputTokens,
   getPriority,
@@ -25,7 +25,7 @@
 import { mayOverlap, type QuarantineStanding } from './CrashQuarantine.js';
 import type { IPlacementRequest } from './PlacementRequest.js';
 import { CallAdmission } from './queue/CallAdmission.js';
-import { pickService } from './ServiceChoice.js';
+import { relayKept } from './KeptAnswer.js';
 import { createStreamBinding, getStreamId } from './StreamBinding.js';
 import { TargetSelector, type TargetChoice } from './TargetSelector.js';
 import { getPauseMs } from './TargetStates.js';
@@ -115,6 +115,7 @@
       binding: createStreamBinding(this._context, call, admitted.route, admitted.service),
       attemptVersion: undefined,
       waitUntil: undefined,
+      kept: undefined,
       ticket: undefined,
     };
     const isQuotaSpent =
@@ -506,6 +507,9 @@
   }
 
   private _finish(call: T, sink: IAnswerSink, outcome: RaceOutcome, progress: ICallProgress): void {
+    if (outcome.kind !== 'answered' && !call.signal.aborted && relayKept(sink, progress.kept)) {
+      return;
+    }
     switch (outcome.kind) {
       case 'answered':
         return;
@@ -565,7 +569,7 @@
     progress: ICallProgress,
     reason: RefusalReason,
   ): void {
-    if (call.signal.aborted) {
+    if (call.signal.aborted || relayKept(sink, progress.kept)) {
       return;
     }
     if (sink.isStarted) {
@@ -635,10 +639,3 @@
   }
   return reason === 'version_gone' ? VERSION_GONE_RETRY_AFTER_MS : TARGETS_BUSY_RETRY_AFTER_MS;
 }
-
-/** Quota tokens of a call; the account's default if the request states no token counts. */
-function countTokens(call: ICall, account: IClientAccount | undefined): number {
-  return call.promptTokens === undefined && call.outputTokens === undefined
-    ? (account?.defaultTokens ?? 0)
-    : (call.promptTokens ?? 0) + (call.outputTokens ?? 0);
-}
