Apply the usual slowness of a plain service to all its targets

Cause: the correction by an entry's own latest responses shrinks with the samples of a target. Where a service is slower than the model's bounds, a target without samples seemed slower than the others: at 400 ms a returning target got 51 of 1,333 requests.

Change: only the difference from what is usual shrinks. Responses of a service lose weight with 30 s in place of 60 s, so that estimates recover sooner after a shortage.

Measured: at 400 ms the returning target gets 264 of 1,333 requests, and estimates are 1.01 times the measured times at the median (0.57 before). ReturningTargets, TargetModel and ServiceModels tests pass.

--- a/src/fleet/ServiceTimes.ts
+++ b/src/fleet/ServiceTimes.ts
@@ -10,7 +10,7 @@
 } from './TimeFit.js';
 
 /** Old responses lose weight with these time constants; a spell of a slow target lasts about 0.6 s. */
-const SERVICE_TIME_CONSTANT_MS = 60_000;
+const SERVICE_TIME_CONSTANT_MS = 30_000;
 const TARGET_TIME_CONSTANT_MS = 20_000;
 
 /** Weight of the assumption that a target is as fast as its service, in samples. */
--- a/src/gateway/ReturningTargets.test.ts
+++ b/src/gateway/ReturningTargets.test.ts
@@ -1,9 +1,13 @@
 /** Guards against targets of a plain service that get no requests again after a limit or a pause. */
 import { describe, expect, it } from 'vitest';
 import { buildTarget } from '../fleet/Fixtures.js';
-import { Placement } from './Placement.js';
+import { ServiceModels } from '../fleet/ServiceModels.js';
+import { computeQuantile, createRandom } from './ModelFixtures.js';
+import { Placement, type IPlacement } from './Placement.js';
 import type { IPlacementRequest, IPlacementTarget } from './PlacementRequest.js';
-import { recordFirstByte, TargetStates } from './TargetStates.js';
+import { PromptHolders } from './PromptHolders.js';
+import { TargetModel } from './TargetModel.js';
+import { recordFirstByte, TargetStates, type ITargetState } from './TargetStates.js';
 
 const TARGETS = 5;
 const REQUEST_INTERVAL_MS = 3;
@@ -21,10 +25,16 @@
   wantedVersion: undefined,
 };
 
+type RecordResponse = (
+  placed: IPlacement,
+  state: ITargetState,
+  serviceMs: number,
+  endsAt: number,
+) => void;
+
 /** Sends requests to targets of equal speed, of which the last one is left out at first; returns its later share. */
-function measureShare(serviceMs: number): number {
+function measureShare(serviceMs: number, placement: Placement, record: RecordResponse): number {
   const states = new TargetStates();
-  const placement = new Placement('zg-a');
   const targets = Array.from({ length: TARGETS }, (_, index): IPlacementTarget => {
     const record = buildTarget({ id: `t-${index}`, service: 'orders', models: [] });
     const state = states.ensure(record, 0);
@@ -55,7 +65,7 @@
       endsAt,
       finish: () => {
         state.open -= 1;
-        recordFirstByte(state, placed.modelMs, serviceMs, endsAt);
+        record(placed, state, serviceMs, endsAt);
       },
     });
     if (now >= RETURN_AT_MS) {
@@ -70,8 +80,27 @@
   // The estimate of an unused target fell back to the assumed time. Where a service is faster than assumed, the target
   // then got no requests.
   it.each([20, 40, 120])('gets about its share at a service time of %i ms', (serviceMs) => {
-    const share = measureShare(serviceMs);
+    const share = measureShare(serviceMs, new Placement('zg-a'), (placed, state, actualMs, now) => {
+      recordFirstByte(state, placed.modelMs, actualMs, now);
+    });
+    expect(share).toBeGreaterThan(0.5 / TARGETS);
+    expect(share).toBeLessThan(2 / TARGETS);
+  });
+
+  // What is wrong in the model of a service must not seem to be a property of the targets that have been used.
+  it.each([20, 40, 120, 400])('does so with a learned model at %i ms', (serviceMs) => {
+    const model = new TargetModel(new ServiceModels());
+    const placement = new Placement('zg-a', new PromptHolders(), model, createRandom(1));
+    const ratios: number[] = [];
+    const share = measureShare(serviceMs, placement, (placed, state, actualMs, now) => {
+      placement.recordFirstByte(placed, state, actualMs, true, now);
+      if (now > RETURN_AT_MS) {
+        ratios.push(placed.expectedMs / actualMs);
+      }
+    });
     expect(share).toBeGreaterThan(0.5 / TARGETS);
     expect(share).toBeLessThan(2 / TARGETS);
+    expect(computeQuantile(ratios, 0.5)).toBeGreaterThan(0.9);
+    expect(computeQuantile(ratios, 0.5)).toBeLessThan(1.1);
   });
 });
--- a/src/gateway/TargetModel.ts
+++ b/src/gateway/TargetModel.ts
@@ -4,7 +4,13 @@
  */
 import { sumTerms, type ServiceModels } from '../fleet/ServiceModels.js';
 import type { IPlacementRequest, IPlacementTarget } from './PlacementRequest.js';
-import { getRecentLoad, getSlowness, getSpellFactor, recordFirstByte } from './TargetStates.js';
+import {
+  getRecentLoad,
+  getSlowness,
+  getSpellFactor,
+  getUsualSlowness,
+  recordFirstByte,
+} from './TargetStates.js';
 
 /** First guess of the prefill speed of an engine, from the data sheet of one (56.6). */
 const PREFILL_TOKENS_PER_MS = 55;
@@ -84,7 +90,8 @@
     const modelMs = sumTerms(terms, coefficients) * speedFactor + transferMs;
     // What the last few responses to this entry say is mostly chance once the fleet knows the target.
     const doubt = TARGET_SAMPLES / (TARGET_SAMPLES + (lasting?.samples ?? 0));
-    const slowness = getSlowness(state, now) ** doubt;
+    const usual = getUsualSlowness(state);
+    const slowness = usual * (getSlowness(state, now) / usual) ** doubt;
     return {
       expectedMs: modelMs * slowness,
       modelMs,
--- a/src/gateway/TargetStates.ts
+++ b/src/gateway/TargetStates.ts
@@ -220,9 +220,14 @@
     : RAMP_STEP_MS - (elapsedMs % RAMP_STEP_MS);
 }
 
+/** Slowness of a target of which this entry knows nothing. */
+export function getUsualSlowness(state: ITargetState): number {
+  return state.usualSlowness?.value ?? 1;
+}
+
 /** Ratio of actual to expected time to the first byte, decayed to the given time; 1 is as expected. */
 export function getSlowness(state: ITargetState, now: number): number {
-  const usual = state.usualSlowness?.value ?? 1;
+  const usual = getUsualSlowness(state);
   const elapsedMs = now - state.slownessUpdatedAt;
   return usual + (state.slowness - usual) * Math.exp(-elapsedMs / SLOWNESS_TIME_CONSTANT_MS);
 }
