Judge rollouts with fewer false alarms, and complete one without other versions

Change: higher thresholds (7.7 in place of 5.5, one more for response times); a rollout is completed if no other version has targets or began streams; the step at 60% waits for its share.

--- a/src/fleet/RolloutBudget.ts
+++ b/src/fleet/RolloutBudget.ts
@@ -99,6 +99,11 @@
     return this._requests;
   }
 
+  /** Requests that were sent to the new version, by the reports. */
+  public get sent(): number {
+    return this._sent;
+  }
+
   /**
    * Requests that were or may be sent to the new version. Above the exposure share permits follow the share, and of those
    * that are outstanding only as many are used as the requests of the time between two reports.
--- a/src/fleet/RolloutController.ts
+++ b/src/fleet/RolloutController.ts
@@ -285,7 +285,9 @@
           observed,
           {
             ...value,
-            reason: 'all traffic has left the other versions',
+            reason: observed.isOnlyVersion
+              ? 'no target has another version'
+              : 'all traffic has left the other versions',
             barredVersions: [...otherVersions],
           },
           signal,
@@ -302,14 +304,19 @@
     }
   }
 
-  private _decide(rollout: Rollout, { verdict, progress }: IObservedRollout): RolloutDecision {
+  private _decide(
+    rollout: Rollout,
+    { verdict, progress, isOnlyVersion }: IObservedRollout,
+  ): RolloutDecision {
     const { table } = this._view;
     if (table !== undefined && table.getService(rollout.service) === undefined) {
       return { kind: 'roll_back', reason: 'the configuration has dropped the service' };
     }
-    return verdict.kind === 'bad'
-      ? { kind: 'roll_back', reason: verdict.reason }
-      : decideRollout(progress);
+    if (verdict.kind === 'bad') {
+      return { kind: 'roll_back', reason: verdict.reason };
+    }
+    // The leader learned of the targets only after the order, or nothing is left to compare with.
+    return isOnlyVersion && progress.step === 0 ? { kind: 'complete' } : decideRollout(progress);
   }
 
   /** Returns the reason if the outcome is not known. */
@@ -390,9 +397,8 @@
   to: string,
   last: Rollout | undefined,
 ): boolean {
-  const versions = hub.listVersions(service);
   const isBarred = last?.barredVersions.includes(to) === true;
-  return versions.length === 1 && versions[0] === to && !isBarred;
+  return hub.isOnlyVersion(service, to) && !isBarred;
 }
 
 function answerOrder(
--- a/src/fleet/RolloutHub.ts
+++ b/src/fleet/RolloutHub.ts
@@ -46,6 +46,9 @@
 const MIN_ROUTE_PART = 0.02;
 const MAX_ROUTE_SHARE = 0.5;
 
+/** Time within which the entries hear of a step. */
+const STEP_SPREAD_MS = 300;
+
 /** Time after which the rate of a route is known. */
 const ROUTE_RATE_MS = 500;
 
@@ -65,6 +68,8 @@
   private _elapsed: { readonly ms: number; readonly at: number };
   private _step = -1;
   private _stepSince: number | undefined;
+  /** Requests of the service, and those to the new version, when the entries had heard of the step. */
+  private _stepUsage: { readonly requests: number; readonly sent: number } | undefined;
   private _stepAnswers = 0;
   private _stepRouteAnswers: ReadonlyMap<string, number> = new Map();
 
@@ -93,6 +98,7 @@
     if (step !== this._step) {
       this._step = step;
       this._stepSince = undefined;
+      this._stepUsage = undefined;
       this._stepAnswers = this.judge.answers;
       this._stepRouteAnswers = new Map(
         this.judge.listRoutes().map(({ route, fresh }) => [route, sumAnswers([fresh])]),
@@ -101,6 +107,17 @@
     if (hasReadyTarget) {
       this._stepSince ??= now;
     }
+    if (this.getStepMs(now) >= STEP_SPREAD_MS) {
+      const { requests, sent } = this.budget;
+      this._stepUsage ??= { requests, sent };
+    }
+  }
+
+  /** Share of the requests that has gone to the new version since the entries have heard of the step. */
+  public getStepShare(): number {
+    const { requests = 0, sent = 0 } = this._stepUsage ?? {};
+    const all = this.budget.requests - requests;
+    return this._stepUsage === undefined || all <= 0 ? 0 : (this.budget.sent - sent) / all;
   }
 
   public getStepMs(now: number): number {
@@ -144,6 +161,8 @@
   readonly exposed: number;
   /** Versions of the known targets of the service, except the one that is rolled out. */
   readonly otherVersions: readonly string[];
+  /** True if the service has had no other version for some time, as far as is known. */
+  readonly isOnlyVersion: boolean;
 }
 
 /** Circumstances of the hub. */
@@ -223,11 +242,16 @@
       requests: budget.requests,
       exposed: budget.getExposed(rollout),
       otherVersions: [...versions],
+      isOnlyVersion:
+        now - this.context.startedAt >= ENTRIES_KNOWN_MS &&
+        hasReadyTarget &&
+        this.isOnlyVersion(rollout.service, rollout.to),
       progress: {
         ...this._getTerms(rollout, tracker, now),
         stepMs: tracker.getStepMs(now),
         answers: tracker.stepAnswers,
         lacksRoute: tracker.lacksRoute,
+        stepShare: tracker.getStepShare(),
         isHealthy: verdict.kind === 'sound' && verdict.isHealthy,
         requestRate: budget.getRequestRate(now),
         hasReadyTarget,
@@ -242,9 +266,13 @@
     return this._trackers.get(id)?.judge.listRoutes() ?? [];
   }
 
-  /** Versions of the targets of a service that are not gone. */
-  public listVersions(service: string): readonly string[] {
-    return [...new Set(this._listTargets(service).map((target) => getSoftwareVersion(target)))];
+  /** True if all targets of the service have the version, and so had those that streams began at. */
+  public isOnlyVersion(service: string, version: string): boolean {
+    const versions = new Set(
+      this._listTargets(service).map((target) => getSoftwareVersion(target)),
+    );
+    const base = this.context.state.versionBases.get(service) ?? '';
+    return versions.size === 1 && versions.has(version) && (base === '' || base === version);
   }
 
   private _listTargets(service: string): readonly TargetRecord[] {
--- a/src/fleet/RolloutJudge.ts
+++ b/src/fleet/RolloutJudge.ts
@@ -50,11 +50,14 @@
  * A test rolls back above this threshold, which grows with the logarithm of the number of responses: harm is detected
  * after few responses, and the chance of a false alarm over thousands of them stays at about 1 in 1,000.
  */
-const BASE_THRESHOLD = 5.5;
-const THRESHOLD_UNIT_ANSWERS = 15;
+const BASE_THRESHOLD = 7.7;
+const THRESHOLD_UNIT_ANSWERS = 30;
+
+/** Added for response times, whose spread differs between targets. */
+const SLOWNESS_MARGIN = 1;
 
 /** Part of the threshold above which a route shows signs of harm. */
-const DOUBT_FRACTION = 0.3;
+const DOUBT_FRACTION = 0.25;
 
 const NO_ANSWERS: IAnswerCounts = { good: 0, bad: 0, times: 0, logSum: 0, logSquareSum: 0 };
 
@@ -107,7 +110,7 @@
       const failures = `${test.fresh.bad} of ${answers} responses failed`;
       const others = `${test.old.bad} of ${test.old.good + test.old.bad} of other versions`;
       this._verdict ??= { kind: 'bad', reason: `route ${route}: ${failures}, ${others}` };
-    } else if (test.slownessScore > threshold) {
+    } else if (test.slownessScore > threshold + SLOWNESS_MARGIN) {
       const factor = Math.exp(getMean(test.fresh) - getMean(test.old)).toFixed(1);
       const reason = `route ${route}: slower by a factor of ${factor} over ${test.fresh.times} responses`;
       this._verdict ??= { kind: 'bad', reason };
--- a/src/fleet/RolloutPlan.ts
+++ b/src/fleet/RolloutPlan.ts
@@ -42,6 +42,13 @@
 /** Part of the dwell time after which a step ends whose budget is used up: the responses to it have arrived. */
 const MIN_EXHAUSTED_DWELL = 0.9;
 
+/**
+ * A step of this share or more lasts until the version has got nearly its share: faults that show only under load would else
+ * show at 100% first.
+ */
+const MIN_LOAD_SHARE = 0.5;
+const LOAD_PART = 0.92;
+
 /** What is known of a running rollout. Times are milliseconds. */
 export interface IRolloutProgress {
   readonly step: number;
@@ -51,6 +58,8 @@
   readonly stepMs: number;
   /** Judged responses of the new version to requests of this step. */
   readonly answers: number;
+  /** Share of the requests that has gone to the new version since the entries have heard of the step. */
+  readonly stepShare: number;
   /** True if a route that the old version serves regularly has no response of the new one yet. */
   readonly lacksRoute: boolean;
   /** True if no route shows signs of harm that are not settled yet. */
@@ -98,7 +107,13 @@
   const hasDwelt =
     stepMs >= dwellMs || (progress.isExhausted && stepMs >= MIN_EXHAUSTED_DWELL * dwellMs);
   const waitsForRoute = progress.lacksRoute && stepMs < MAX_ROUTE_WAIT_FACTOR * dwellMs;
+  const lacksLoad =
+    share >= MIN_LOAD_SHARE &&
+    progress.stepShare < LOAD_PART * share &&
+    stepMs < MAX_ROUTE_WAIT_FACTOR * dwellMs &&
+    !progress.isExhausted;
   const mayAdvance =
+    !lacksLoad &&
     progress.hasReadyTarget &&
     hasDwelt &&
     !waitsForRoute &&
