--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -1,5 +1,5 @@
 // Bundles the program and the tools into dist. With --platform it bundles the platform adapter into
-// target instead. With --executable it also builds dist/redwingwharf, a single executable that
+// target instead, or into the folder that follows --into. With --executable it also builds dist/redwingwharf, a single executable that
 // needs no node_modules.
 import { execFileSync } from 'node:child_process';
 import {
@@ -32,9 +32,9 @@
 ];
 
 // Bundles without TEST_ONLY code; all others contain it.
-const SHIPPED_BUNDLES = new Set(['dist/redwingwharf.cjs', 'target/redwingwharf-platform.cjs']);
+const SHIPPED_BUNDLES = new Set(['dist/redwingwharf.cjs']);
 
-async function bundle(source, output) {
+async function bundle(source, output, isShipped = SHIPPED_BUNDLES.has(output)) {
   await build({
     entryPoints: [source],
     outfile: output,
@@ -47,7 +47,7 @@
     define: { __VERSION__: JSON.stringify(version) },
     logLevel: 'warning',
     // Switches that disable a mechanism for the soak are compiled out of the shipped bundles.
-    dropLabels: SHIPPED_BUNDLES.has(output) ? ['TEST_ONLY'] : [],
+    dropLabels: isShipped ? ['TEST_ONLY'] : [],
     minifySyntax: true,
   });
 }
@@ -77,8 +77,10 @@
 }
 
 if (process.argv.includes('--platform')) {
-  mkdirSync('target', { recursive: true });
-  await bundle('platform/main.ts', 'target/redwingwharf-platform.cjs');
+  const position = process.argv.indexOf('--into');
+  const folder = position < 0 ? 'target' : process.argv[position + 1];
+  mkdirSync(folder, { recursive: true });
+  await bundle('platform/main.ts', `${folder}/redwingwharf-platform.cjs`, true);
 } else {
   mkdirSync('dist/tools', { recursive: true });
   for (const [source, output] of ENTRY_POINTS) {
