Bound what clients that nobody controls take from a process

Cause: one body was bounded, their sum was not; a length over the limit was refused only with `Expect`; pipelined requests were all taken; tiny pieces were parsed in reads of up to 2 MB for each connection and round of the event loop; `limits` of the settings was not read.

ConnectionGate bounds connections at each of the three ports by `limits.maxFds`. Calls of other processes are bounded by connections and message size, not by the budget.

--- a/src/common/ByteBuffer.ts
+++ b/src/common/ByteBuffer.ts
@@ -21,6 +21,11 @@
     return this._size;
   }
 
+  /** Bytes of memory that the buffer takes. */
+  public get capacity(): number {
+    return this._buffer.length;
+  }
+
   /** A view of the bytes; valid until the next change. */
   public get bytes(): Buffer {
     return this._buffer.subarray(0, this._size);
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -1,5 +1,6 @@
 /** One process of a deployment whose targets announce themselves. */
 import { setMaxListeners } from 'node:events';
+import type { Socket } from 'node:net';
 import { MonotonicClock } from '../common/Clock.js';
 import { Emitter } from '../common/Lifecycle.js';
 import { describeError, type ILog } from '../common/Log.js';
@@ -54,6 +55,8 @@
   /** Time for which requests may still begin on older weights after newer ones were named. */
   readonly weightsRolloutLimitMs: number;
   readonly retryBudget: IRetryLimits;
+  /** Called with each connection of another process; may close it. */
+  readonly onInternalConnection?: (socket: Socket) => void;
 }
 
 /** Implementations that the adapter to a platform supplies. */
@@ -293,6 +296,7 @@
       },
       handleDispatch: undefined,
       metrics: this.metrics,
+      onConnection: this._options.onInternalConnection,
     });
   }
 }
--- a/src/run/InternalServer.ts
+++ b/src/run/InternalServer.ts
@@ -2,6 +2,7 @@
 import type { ConnectRouter } from '@connectrpc/connect';
 import { once } from 'node:events';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { parseAddress } from '../common/Address.js';
 import { TICKET_HEADER } from '../common/Headers.js';
 import type { Metrics } from '../common/Metrics.js';
@@ -25,6 +26,8 @@
   readonly handleDispatch:
     ((request: IncomingMessage, response: ServerResponse) => Promise<void>) | undefined;
   readonly metrics: Metrics;
+  /** Called with each connection; may close it. */
+  readonly onConnection?: ((socket: Socket) => void) | undefined;
 }
 
 /**
@@ -63,6 +66,9 @@
         }
       },
     );
+    if (services.onConnection !== undefined) {
+      this._server.on('connection', services.onConnection);
+    }
   }
 
   public async listen(): Promise<void> {
