Take statuses outside 100 to 599, and parts of early answers, for no responses

Statuses 600 and 999 were passed on with the seal of the engine. TargetClient and sendRequest now end such an exchange with an error and close the connection.

An engine that answers a long upload at once, without length, and resets: the part counted as a complete answer, since undici destroys the connection at its end before the probe behind the unsent body can fail. An end with unsent bytes now counts as a reset; the server has closed with unread bytes then.

--- a/src/common/HttpAnswer.test.ts
+++ b/src/common/HttpAnswer.test.ts
@@ -195,6 +195,14 @@
     expect(text).toBe('part');
   });
 
+  // 600 and 999 were passed on to clients.
+  it.each([600, 999])('rejects an answer with status %i', async (status) => {
+    respond = ({ socket }) => {
+      socket?.write(`HTTP/1.1 ${status} Odd\r\ncontent-length: 0\r\n\r\n`);
+    };
+    await expect(send()).rejects.toThrow(`status ${status}`);
+  });
+
   it('rejects and closes the connection when the callback throws', async () => {
     const closed = new Promise((resolve) => {
       respond = (response) => {
--- a/src/common/HttpAnswer.ts
+++ b/src/common/HttpAnswer.ts
@@ -131,6 +131,11 @@
   }
 }
 
+/** False for a status that no version of HTTP has; bytes with one are no valid response. */
+export function isValidStatus(status: number): boolean {
+  return status >= 100 && status <= 599;
+}
+
 /** Thrown by `sendRequest` for a request that its observer held back when it had a connection. */
 export class NotSentError extends Error {}
 
@@ -202,7 +207,11 @@
     statusCode: number,
     headers: IncomingHttpHeaders,
   ): void {
-    if (statusCode >= 200) {
+    if (!isValidStatus(statusCode)) {
+      const error = new Error(`status ${statusCode} is no valid response`);
+      this._finish(error);
+      controller.abort(error);
+    } else if (statusCode >= 200) {
       this._body = new AnswerBody(controller);
       this._status = statusCode;
       if (isCloseDelimited(this._method, statusCode, headers)) {
--- a/src/common/ResetDetector.ts
+++ b/src/common/ResetDetector.ts
@@ -76,7 +76,11 @@
         this._readConnection = connection;
       });
       socket.prependListener('end', () => {
-        if (connection.watchCount > 0) {
+        if (connection.watchCount > 0 && socket.writableLength > 0) {
+          // The server has closed before it read the request to its end. A close with unread bytes is a reset, and undici
+          // destroys the connection before a probe behind the rest of the request could fail.
+          connection.resetCount += 1;
+        } else if (connection.watchCount > 0) {
           socket.write('\r\n', countReset);
         }
       });
