--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -1,5 +1,6 @@
 /** One process of a deployment whose targets announce themselves. */
 import { setMaxListeners } from 'node:events';
+import type { Socket } from 'node:net';
 import { MonotonicClock } from '../common/Clock.js';
 import { Emitter } from '../common/Lifecycle.js';
 import { describeError, type ILog } from '../common/Log.js';
@@ -73,6 +74,8 @@
   readonly hedging?: IHedgingLimits;
   /** Limits of what a bad software version may get; the default ones if absent. */
   readonly rollouts?: IRolloutBounds;
+  /** Called with each connection of another process; may close it. */
+  readonly onInternalConnection?: (socket: Socket) => void;
 }
 
 /** Implementations that the adapter to a platform supplies. */
@@ -367,6 +370,7 @@
       },
       handleDispatch: undefined,
       metrics: this.metrics,
+      onConnection: this._options.onInternalConnection,
     });
   }
 }
