Add the largest prompts to short queues beside urgent requests

Cause: a prompt of 9,200 tokens that a slow engine lacks takes most of the objective of the urgent requests, so that it would have been sent to nearly empty engines only. A request that found others waiting looked at the queue up to 50 ms later.

Change: such a prompt is sent to a queue of up to 0.4 of the urgent objective. A request that is added behind others has the queue looked at at once.

--- a/src/gateway/queue/AdmissionDecision.test.ts
+++ b/src/gateway/queue/AdmissionDecision.test.ts
@@ -65,6 +65,16 @@
     expect(decideAdmission(letter, buildTarget(200), isElsewhere, 0).kind).toBe('wait');
   });
 
+  // Guards against long prompts that starve: one of 9,200 tokens that an engine lacks takes most of an urgent objective.
+  it('adds the largest prompts to a short queue beside more urgent requests', () => {
+    const competition = { ...NO_COMPETITION, urgentObjectiveMs: 400 };
+    const large = { serviceMs: 380, backlogTokens: 6_000, tokens: 9_200 };
+    const short = buildTarget(0, { ...large, expectedMs: 500 });
+    expect(decideAdmission(REQUEST, short, competition, 0).kind).toBe('serve');
+    const long = buildTarget(0, { ...large, expectedMs: 570 });
+    expect(decideAdmission(REQUEST, long, competition, 0).kind).toBe('wait');
+  });
+
   it('counts little of the queue for an urgent request if others cause it', () => {
     const competition = { ...NO_COMPETITION, queueShare: 0.1 };
     expect(decideAdmission(REQUEST, buildTarget(900), competition, 0).kind).toBe('serve');
--- a/src/gateway/queue/AdmissionDecision.ts
+++ b/src/gateway/queue/AdmissionDecision.ts
@@ -149,7 +149,7 @@
   const isOnTime = elapsedMs + firstByteMs <= onTimeMs;
   const hasRoom = !hasQueue && backlogTokens <= ROOM_TOKENS;
   const isDelayingUrgent =
-    !hasRoom && queueMs + serviceMs > computeUrgentLimitMs(competition, objectiveMs);
+    !hasRoom && queueMs > computeUrgentQueueMs(competition, objectiveMs, serviceMs);
   if (isOnTime && !competition.hasOnTimeFirst && !isDelayingUrgent) {
     return { kind: 'serve' };
   }
@@ -196,15 +196,21 @@
   return Math.max(objectiveMs * ON_TIME_FACTOR, serviceMs + objectiveMs * ON_TIME_WAIT_FACTOR);
 }
 
-/** Longest queue at an engine, with the request itself, that leaves more urgent requests on time. */
-function computeUrgentLimitMs(
+/**
+ * Longest queue at an engine that leaves more urgent requests on time after a request has been added. The largest prompts are
+ * added to a short queue, as they would never be sent otherwise.
+ */
+function computeUrgentQueueMs(
   { urgentObjectiveMs, hasOthersElsewhere }: ICompetition,
   objectiveMs: number,
+  serviceMs: number,
 ): number {
-  if (urgentObjectiveMs !== undefined) {
-    return urgentObjectiveMs * URGENT_WAIT_FACTOR * (hasOthersElsewhere ? OTHERS_URGENT_FACTOR : 1);
+  if (urgentObjectiveMs === undefined && !hasOthersElsewhere) {
+    return Number.POSITIVE_INFINITY;
   }
-  return hasOthersElsewhere ? objectiveMs * OTHERS_URGENT_FACTOR : Number.POSITIVE_INFINITY;
+  const limitMs =
+    (urgentObjectiveMs ?? objectiveMs) * (hasOthersElsewhere ? OTHERS_URGENT_FACTOR : 1);
+  return Math.max(limitMs * URGENT_WAIT_FACTOR - serviceMs, limitMs * ON_TIME_WAIT_FACTOR);
 }
 
 /** Factor by which more urgent requests that arrive meanwhile delay a request in the queue of an engine. */
--- a/src/gateway/queue/AdmissionQueue.ts
+++ b/src/gateway/queue/AdmissionQueue.ts
@@ -113,6 +113,9 @@
           };
           remove = queue.add(item, target, decision, finish, now);
           this._startTimer();
+          if (decision.reason === 'others_first') {
+            this.release(item.service);
+          }
         });
     }
   }
