--- a/src/fleet/ServiceModels.test.ts
+++ b/src/fleet/ServiceModels.test.ts
@@ -80,7 +80,7 @@
   return tokens / 110 + (tokens / 2_048 + 1) * (6.08 + 0.0413 * running);
 }
 
-/** Records responses of all entries, and exchanges with the hub twenty times a second of responses. */
+/** Records responses of all entries, each of which exchanges with the hub after every 14 responses of all. */
 function runResponses(
   fleet: Fleet,
   count: number,
--- a/src/gateway/ModelFixtures.ts
+++ b/src/gateway/ModelFixtures.ts
@@ -141,7 +141,7 @@
     );
   }
 
-  /** Exchanges with the hub; returns the sizes of what was added to the messages. */
+  /** Reports to the hub and takes its answer. */
   public exchange(hub: ServiceModelHub, epoch: string, now: number): void {
     const request = create(ExchangeRequestSchema, { takesRequests: true, epoch: this._epoch });
     const response = create(ExchangeResponseSchema, { epoch });
