Leave the old versions at 100% also when new targets are late, and refuse streams of barred versions

Cause: at 100% a request that was expected late at the new version went to an old one, which could hold the completion up; a stream of a version that was rolled back was refused with no_target while its targets drained; the gate built a text for each candidate of each request.

Change: the gate tells when all requests go to the new version; barred targets do not count as targets of a stream's version; known versions are kept by service.

--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -275,7 +275,8 @@
     now: number,
   ): RefusalReason {
     const version = binding?.version;
-    const targets = this._context.view.listTargets(service.name);
+    const { view, rollouts } = this._context;
+    const targets = view.listTargets(service.name).filter((target) => !rollouts.isBarred(target));
     const isGone =
       version !== undefined &&
       tried.size === 0 &&
--- a/src/gateway/RolloutGate.ts
+++ b/src/gateway/RolloutGate.ts
@@ -4,7 +4,7 @@
 import type { Metrics } from '../common/Metrics.js';
 import type { IExchangeContext, IExchangePart } from '../fleet/ExchangePart.js';
 import { CLOSING_STEP, FULL_STEP } from '../fleet/RolloutPlan.js';
-import { getSoftwareVersion, isNamedVersion } from '../fleet/SoftwareVersions.js';
+import { getSoftwareVersion } from '../fleet/SoftwareVersions.js';
 import {
   RolloutEvidenceSchema,
   RolloutReportSchema,
@@ -26,7 +26,7 @@
 const MAX_LOG_RATIO = 2.5;
 
 /** Versions of a service that are remembered. */
-const MAX_KNOWN_VERSIONS = 4_096;
+const MAX_KNOWN_VERSIONS = 256;
 
 /** What the response to one attempt tells of the version of its target. */
 export interface IAnswerEvidence {
@@ -42,6 +42,8 @@
 export interface IVersionGate {
   /** False for versions that must get nothing now. */
   isAllowed(record: TargetRecord): boolean;
+  /** True once all requests go to the new version, also those that are expected to be late there. */
+  readonly isFull: boolean;
   /** True for the version that the request goes to if a target of it can take it. */
   isPreferred(record: TargetRecord): boolean;
 }
@@ -83,8 +85,8 @@
 export class RolloutGate implements IExchangePart {
   private readonly _running = new Map<string, IRunningRollout>();
   private readonly _barred = new Map<string, ReadonlySet<string>>();
-  /** Versions by service of which the hub has told, oldest first. */
-  private readonly _known = new Set<string>();
+  /** Versions of each service of which the hub has told, oldest first. */
+  private readonly _known = new Map<string, Set<string>>();
   private _revision = 0n;
 
   constructor(private readonly _context: IRolloutGateContext) {}
@@ -120,7 +122,7 @@
     const isBarred = (record: TargetRecord): boolean =>
       (barred?.has(getSoftwareVersion(record)) ?? false) || (hidesUnknown && isUnknown(record));
     if (running === undefined) {
-      return { isAllowed: (record) => !isBarred(record), isPreferred: () => true };
+      return { isAllowed: (record) => !isBarred(record), isFull: false, isPreferred: () => true };
     }
     const { rollout, grant, step } = running;
     const hasPermit = hasValidPermit(running, now);
@@ -130,10 +132,16 @@
     const isNew = (record: TargetRecord): boolean => getSoftwareVersion(record) === rollout.to;
     return {
       isAllowed: (record) => (isNew(record) ? hasPermit : !isClosing && !isBarred(record)),
+      isFull: hasPermit && step >= FULL_STEP,
       isPreferred: (record) => isNew(record) === isChosen,
     };
   }
 
+  /** True for a version that was rolled back or replaced, which gets nothing. */
+  public isBarred(target: TargetRecord): boolean {
+    return this._barred.get(target.service)?.has(getSoftwareVersion(target)) === true;
+  }
+
   /** Spends a permit for an attempt that begins. */
   public recordSent(target: TargetRecord): void {
     const running = this._running.get(target.service);
@@ -193,12 +201,14 @@
   }
 
   public applyResponse(response: ExchangeResponse, { sentAt, now }: IExchangeContext): void {
-    for (const target of response.targets) {
-      this._known.delete(formatVersion(target));
-      this._known.add(formatVersion(target));
-    }
-    for (const version of [...this._known].slice(0, -MAX_KNOWN_VERSIONS)) {
-      this._known.delete(version);
+    for (const { service, softwareVersion } of response.targets) {
+      const versions = this._known.get(service) ?? new Set();
+      this._known.set(service, versions);
+      versions.delete(softwareVersion);
+      versions.add(softwareVersion);
+      for (const oldest of [...versions].slice(0, -MAX_KNOWN_VERSIONS)) {
+        versions.delete(oldest);
+      }
     }
     for (const running of this._running.values()) {
       settleReport(running);
@@ -253,7 +263,8 @@
 
   /** True if the hub has told of the version, or if the target names none. */
   private _isKnown(record: TargetRecord): boolean {
-    return !isNamedVersion(getSoftwareVersion(record)) || this._known.has(formatVersion(record));
+    const { service, softwareVersion } = record;
+    return softwareVersion === '' || this._known.get(service)?.has(softwareVersion) === true;
   }
 }
 
@@ -318,7 +329,3 @@
 function formatEvidenceKey(route: string, isNew: boolean): string {
   return `${isNew ? 'new' : 'old'} ${route}`;
 }
-
-function formatVersion(record: TargetRecord): string {
-  return JSON.stringify([record.service, record.softwareVersion]);
-}
--- a/src/gateway/TargetSelector.ts
+++ b/src/gateway/TargetSelector.ts
@@ -156,6 +156,9 @@
     if (preferred.length === allowed.length || usable.length === 0) {
       return allowed;
     }
+    if (gate.isFull) {
+      return preferred;
+    }
     const expectedMs = placement.choose(request, usable, store, now)?.expectedMs ?? 0;
     return expectedMs > MAX_PREFERRED_LATENESS * request.latencyObjectiveMs ? allowed : preferred;
   }
