Count the slots of an engine in the expected time

Cause: an engine of which all slots are taken queues requests although it has little to prefill, and the estimate counted prompts and running requests only. Change: TargetModel adds the time until a slot becomes free, from the open requests of all entries, the reported load and the mean duration of responses. Responses that waited for a slot are not taken for the engine's speed.

--- a/src/gateway/AttemptRunner.ts
+++ b/src/gateway/AttemptRunner.ts
@@ -169,6 +169,9 @@
         break;
       case 'answered':
         this._recordResponseTime(call, route, request, placement, attempt, now - startedAt);
+        if (request.isEngine && attempt.firstByteAt !== undefined) {
+          placements.recordRun(service.name, now - attempt.firstByteAt);
+        }
         progress.mayHaveRun = true;
         break;
       case 'failed':
--- a/src/gateway/Placement.ts
+++ b/src/gateway/Placement.ts
@@ -146,6 +146,11 @@
     this._model.record({ record: target, state }, estimate, actualMs, isSuccess, now);
   }
 
+  /** Records for how long a complete response of an engine went on after its first byte. */
+  public recordRun(service: string, runMs: number): void {
+    this._model.recordRun(service, runMs);
+  }
+
   /** The cheapest placement, or the cheaper one of two random ones that are about as good. */
   private _pickAmongEqual(
     request: IPlacementRequest,
--- a/src/gateway/TargetModel.test.ts
+++ b/src/gateway/TargetModel.test.ts
@@ -177,3 +177,39 @@
     expect(getSpellFactor(state, 0)).toBe(1);
   });
 });
+
+/**
+ * Guards against engines that get more and more requests although all their slots are taken: their prefill queues are
+ * short, so that an estimate by prompts alone expects their answers at once.
+ */
+describe('the slots of an engine', () => {
+  const request = buildPrompt(0, 198, 628, 58, 1_007);
+
+  function buildBusy(othersOpen: number): IPlacementTarget {
+    const record = buildTarget({
+      slots: 48,
+      models: [create(TargetModelSchema, { name: 'm', version: 1n })],
+    });
+    const state = new TargetStates().ensure(record, 0);
+    return { record, state, othersOpen, othersPendingTokens: 0, weightsUsableMs: Infinity };
+  }
+
+  function estimateMs(model: TargetModel, othersOpen: number): number {
+    const work = { missedTokens: 0, transferMs: 0 };
+    return model.estimate(request, buildBusy(othersOpen), work, 0).expectedMs;
+  }
+
+  it('cost nothing while one is free', () => {
+    const model = new TargetModel(undefined);
+    expect(estimateMs(model, 47) - estimateMs(model, 46)).toBeLessThan(5);
+  });
+
+  it('become free one after another, by the time that responses last', () => {
+    const model = new TargetModel(undefined);
+    expect(estimateMs(model, 48 + 47) - estimateMs(model, 47)).toBeCloseTo(1_500, -1);
+    for (let i = 0; i < 500; i++) {
+      model.recordRun(buildBusy(0).record.service, 3_000);
+    }
+    expect(estimateMs(model, 48 + 47) - estimateMs(model, 47)).toBeCloseTo(3_000, -1);
+  });
+});
--- a/src/gateway/TargetModel.ts
+++ b/src/gateway/TargetModel.ts
@@ -21,6 +21,12 @@
 /** First guess of the delay that each running request adds to the first token of another. */
 const DELAY_PER_RUNNING_REQUEST_MS = 1.5;
 
+/** First guess of the time for which a request occupies a slot of an engine after its first byte. */
+const ENGINE_RUN_MS = 1_500;
+
+/** Weight of one response in the mean time for which a request occupies a slot. */
+const RUN_SMOOTHING_FACTOR = 0.03;
+
 /** First guess of the service time of a request to a plain service. */
 const PLAIN_SERVICE_MS = 60;
 
@@ -49,6 +55,8 @@
   readonly serviceMs: number;
   /** Part of `modelMs` in which the target fetches prompt parts; it does not depend on the target's speed. */
   readonly transferMs: number;
+  /** Part of `modelMs` in which the request waits for a slot of an engine of which all are taken. */
+  readonly slotMs: number;
   /** The terms by the first guess. */
   readonly terms: readonly number[];
   /** How much longer work takes than usual, by the target's report at the time of the estimate. */
@@ -71,6 +79,9 @@
  * model.record(target, estimate, actualMs, now);
  */
 export class TargetModel {
+  /** Mean time for which a request occupies a slot after its first byte, by service. */
+  private readonly _runMs = new Map<string, number>();
+
   constructor(private readonly _models: ServiceModels | undefined) {}
 
   public estimate(
@@ -87,16 +98,18 @@
     const coefficients = service?.coefficients ?? [];
     const spellFactor = getSpellFactor(state, now);
     const speedFactor = (lasting?.factor ?? 1) * spellFactor;
-    const modelMs = sumTerms(terms, coefficients) * speedFactor + transferMs;
+    const slotMs = request.isEngine ? this._estimateSlotMs(target, now) : 0;
+    const modelMs = sumTerms(terms, coefficients) * speedFactor + transferMs + slotMs;
     // What the last few responses to this entry say is mostly chance once the fleet knows the target.
     const doubt = TARGET_SAMPLES / (TARGET_SAMPLES + (lasting?.samples ?? 0));
     const usual = getUsualSlowness(state);
     const slowness = usual * (getSlowness(state, now) / usual) ** doubt;
     return {
-      expectedMs: modelMs * slowness,
+      expectedMs: (modelMs - slotMs) * slowness + slotMs,
       modelMs,
       serviceMs: (sumTerms(idleTerms, coefficients) * speedFactor + transferMs) * slowness,
       transferMs,
+      slotMs,
       terms,
       spellFactor,
       isLearned: (service?.samples ?? 0) >= LEARNED_SAMPLES,
@@ -116,7 +129,11 @@
     isSuccess: boolean,
     now: number,
   ): void {
-    const { modelMs, transferMs, terms, spellFactor } = estimate;
+    const { modelMs, transferMs, slotMs, terms, spellFactor } = estimate;
+    if (slotMs > 0) {
+      // Most of the time passed in the engine's queue, which says nothing of its speed.
+      return;
+    }
     // The response states how long work took at its time, so that a spell is not taken for a lasting difference.
     const actualSpell = getSpellFactor(state, now);
     recordFirstByte(state, modelMs * (actualSpell / spellFactor), actualMs, now);
@@ -126,6 +143,24 @@
       this._models?.record({ service, target, terms, actualMs: usualMs }, now);
     }
   }
+
+  /** Records for how long a complete response occupied a slot of an engine after its first byte. */
+  public recordRun(service: string, runMs: number): void {
+    const mean = this._runMs.get(service) ?? ENGINE_RUN_MS;
+    this._runMs.set(service, mean + RUN_SMOOTHING_FACTOR * (runMs - mean));
+  }
+
+  /**
+   * Time until an engine has a free slot for a further request. Its slots become free one after another, each after the run
+   * of its request; the requests that wait there take them first.
+   */
+  private _estimateSlotMs(target: IPlacementTarget, now: number): number {
+    const load = getRecentLoad(target.state, now);
+    const slots = Math.max(1, load?.slots ?? target.record.slots);
+    const open = Math.max(countOpen(target), load === undefined ? 0 : load.running + load.waiting);
+    const runMs = this._runMs.get(target.record.service) ?? ENGINE_RUN_MS;
+    return (Math.max(0, open + 1 - slots) * runMs) / slots;
+  }
 }
 
 /** Terms of an idle engine that must compute `missedTokens` of the shared parts. */
@@ -142,7 +177,8 @@
 ): readonly number[] {
   const backlog = target.state.pendingTokens + target.othersPendingTokens;
   const load = getRecentLoad(target.state, now);
-  const running = Math.max(countOpen(target), load?.running ?? 0) + (load?.waiting ?? 0);
+  const slots = Math.max(1, load?.slots ?? target.record.slots);
+  const running = Math.min(slots, Math.max(countOpen(target), load?.running ?? 0));
   return [
     constantMs,
     promptMs,
