--- a/src/gateway/queue/AdmissionDecision.ts
+++ b/src/gateway/queue/AdmissionDecision.ts
@@ -66,6 +66,8 @@
   readonly arrivedAt: number;
   /** Time by which the response must have begun, as the client or the route gives up then. */
   readonly deadlineAt: number;
+  /** End of the call, until which a refused client may come back; `deadlineAt` if absent. */
+  readonly callEndsAt?: number;
 }
 
 /** The best target that a request could be sent to. */
@@ -176,7 +178,7 @@
  * It is a little shorter than what the client still honours, and different for clients that are refused together.
  */
 export function computeRetryAfter(
-  { id, deadlineAt }: Pick<IAdmissionRequest, 'id' | 'deadlineAt'>,
+  { id, deadlineAt, callEndsAt }: Pick<IAdmissionRequest, 'id' | 'deadlineAt' | 'callEndsAt'>,
   competition: ICompetition,
   now: number,
 ): number {
@@ -184,7 +186,7 @@
   const freeMs = estimateLateWaitMs(competition, tokensAhead + returningTokens);
   const longestMs = Math.min(
     MAX_RETRY_AFTER_MS,
-    (deadlineAt - now) * MAX_RETRY_AFTER_FACTOR * RETRY_AFTER_MARGIN,
+    ((callEndsAt ?? deadlineAt) - now) * MAX_RETRY_AFTER_FACTOR * RETRY_AFTER_MARGIN,
   );
   const spread = 1 - (hashText(id) / 2 ** 32) * RETRY_AFTER_SPREAD;
   const latestMs = Math.min(longestMs, freeMs / (1 - RETRY_AFTER_SPREAD));
