Check the queue for capacity less often

Cause: each check compares all targets for some waiting requests, and was made at each response and each 50 ms.

--- a/src/gateway/queue/AdmissionQueue.ts
+++ b/src/gateway/queue/AdmissionQueue.ts
@@ -14,6 +14,12 @@
 /** Interval at which waiting requests are decided on again, beside whenever a response begins or ends. */
 const CHECK_INTERVAL_MS = 50;
 
+/**
+ * Least time between two checks of a service. Each one compares all targets for some requests; on a machine with a quarter of
+ * a core, a check for each response took most of the processor time, and requests were sent after their clients had left.
+ */
+const MIN_CHECK_INTERVAL_MS = 25;
+
 /** A request of a service that asks for a target. */
 export interface IAdmissionItem extends IWaitingRequest {
   readonly service: string;
@@ -54,6 +60,8 @@
 export class AdmissionQueue {
   private readonly _services = new Map<string, ServiceQueue>();
   private readonly _scheduled = new Set<string>();
+  /** Time of the last check that began, by service. */
+  private readonly _checkedAt = new Map<string, number>();
   private _timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -126,12 +134,23 @@
     if (queue === undefined || queue.size === 0 || this._scheduled.has(service)) {
       return;
     }
+    const now = this._context.clock.now();
+    if (now - (this._checkedAt.get(service) ?? Number.NEGATIVE_INFINITY) < MIN_CHECK_INTERVAL_MS) {
+      // The timer checks again, as a request waits.
+      return;
+    }
+    this._checkedAt.set(service, now);
+    this._scheduleNext(service, queue);
+  }
+
+  /** Sends one waiting request after another until none is ready. */
+  private _scheduleNext(service: string, queue: ServiceQueue): void {
     this._scheduled.add(service);
     // A released request is counted at its target only once its call has gone on.
     setImmediate(() => {
       this._scheduled.delete(service);
       if (queue.next(this._context.clock.now())) {
-        this.release(service);
+        this._scheduleNext(service, queue);
       }
     });
   }
