--- a/src/gateway/queue/AdmissionDecision.test.ts
+++ b/src/gateway/queue/AdmissionDecision.test.ts
@@ -2,6 +2,7 @@
 import {
   computeRetryAfter,
   decideAdmission,
+  decideImmediately,
   type IAdmissionRequest,
   type IAssessedTarget,
 } from './AdmissionDecision.js';
@@ -139,3 +140,19 @@
     expect(Math.max(...times)).toBeGreaterThan(Math.min(...times) * 1.5);
   });
 });
+
+describe('decideImmediately', () => {
+  it('serves what is expected on time and refuses everything else, until the queue of the target is shorter', () => {
+    expect(decideImmediately(REQUEST, buildTarget(300))).toEqual({ kind: 'serve' });
+    expect(decideImmediately(REQUEST, buildTarget(700))).toEqual({
+      kind: 'refuse',
+      reason: 'no_room',
+      retryAfterMs: 260,
+    });
+  });
+
+  it('serves a prompt whose service time exceeds its objective, as long as the queue is short', () => {
+    const slow = buildTarget(0, { serviceMs: 650, expectedMs: 700 });
+    expect(decideImmediately(REQUEST, slow).kind).toBe('serve');
+  });
+});
--- a/src/gateway/queue/AdmissionDecision.ts
+++ b/src/gateway/queue/AdmissionDecision.ts
@@ -51,6 +51,7 @@
 /** Bounds of the Retry-After. Clients ignore one that is longer than this fraction of the time that they have left. */
 const MIN_RETRY_AFTER_MS = 150;
 const MAX_RETRY_AFTER_MS = 5_000;
+const MAX_IMMEDIATE_RETRY_AFTER_MS = 1_500;
 const MAX_RETRY_AFTER_FACTOR = 1 / 3;
 
 /** Rounds down below the third: the client computes it after the response has arrived. */
@@ -173,6 +174,28 @@
     : { kind: 'wait', onTimeUntil: undefined, reason: 'late' };
 }
 
+/**
+ * Decides on a request where none may wait: it is sent if it is expected on time, and refused if not. A client that comes back
+ * after the queue at the best target has become short enough is then served.
+ *
+ * @example
+ * const decision = decideImmediately(request, target);
+ */
+export function decideImmediately(
+  { objectiveMs }: Pick<IAdmissionRequest, 'objectiveMs'>,
+  { expectedMs, serviceMs }: Pick<IAssessedTarget, 'expectedMs' | 'serviceMs'>,
+): Exclude<AdmissionDecision, { readonly kind: 'wait' }> {
+  if (expectedMs <= computeOnTimeMs(objectiveMs, serviceMs)) {
+    return { kind: 'serve' };
+  }
+  const backlogMs = expectedMs - objectiveMs;
+  const retryAfterMs = Math.min(
+    MAX_IMMEDIATE_RETRY_AFTER_MS,
+    Math.max(MIN_RETRY_AFTER_MS, backlogMs),
+  );
+  return { kind: 'refuse', reason: 'no_room', retryAfterMs };
+}
+
 /**
  * Retry-After of a refused request: until the tokens that wait, and those of clients that were told to return, have been sent.
  * It is a little shorter than what the client still honours, and different for clients that are refused together.
--- a/src/gateway/queue/AdmissionQueue.test.ts
+++ b/src/gateway/queue/AdmissionQueue.test.ts
@@ -11,7 +11,7 @@
 const clock = new MonotonicClock();
 
 function buildQueue(): AdmissionQueue {
-  return new AdmissionQueue({ clock, metrics: new Metrics(), log: SILENT_LOG });
+  return new AdmissionQueue({ mayWait: true, clock, metrics: new Metrics(), log: SILENT_LOG });
 }
 
 function buildTarget(queueMs: number): IAssessedTarget {
--- a/src/gateway/queue/AdmissionQueue.ts
+++ b/src/gateway/queue/AdmissionQueue.ts
@@ -2,7 +2,7 @@
 import type { IClock } from '../../common/Clock.js';
 import type { ILog } from '../../common/Log.js';
 import type { Metrics } from '../../common/Metrics.js';
-import type { RefuseReason } from './AdmissionDecision.js';
+import { decideImmediately, type RefuseReason } from './AdmissionDecision.js';
 import {
   ServiceQueue,
   type IOtherEntries,
@@ -46,6 +46,8 @@
     };
 
 export interface IAdmissionQueueContext {
+  /** False: no request waits; one that is not expected on time is refused at once. */
+  readonly mayWait: boolean;
   readonly clock: IClock;
   readonly metrics: Metrics;
   readonly log: ILog;
@@ -86,7 +88,9 @@
     }
     const { load } = queue;
     load.recordArrival(item.priority, item.objectiveMs, target.tokens, now);
-    const decision = queue.decide(item, target, now);
+    const decision = this._context.mayWait
+      ? queue.decide(item, target, now)
+      : decideImmediately(item, target);
     switch (decision.kind) {
       case 'serve':
         return this._serve(item, target.tokens, now);
--- a/src/gateway/queue/ServiceQueue.ts
+++ b/src/gateway/queue/ServiceQueue.ts
@@ -17,7 +17,7 @@
 const MAX_REQUESTS_PER_ACCOUNT = 500;
 
 /** Waiting requests that are tried at most before the others of their lane have to wait, too: each costs a placement. */
-const MAX_TRIES = 2;
+const MAX_TRIES = 3;
 
 /** Requests with this much time left beyond the expected time are decided on for the last time. */
 const LAST_DECISION_MS = 60;
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -72,6 +72,8 @@
   readonly retryBudget: IRetryLimits;
   /** Undefined: no request is hedged. */
   readonly hedging?: IHedgingLimits;
+  /** Whether requests may wait for capacity; if not, one that is not expected on time is refused at once. */
+  readonly mayQueue?: boolean;
   /** Limits of what a bad software version may get; the default ones if absent. */
   readonly rollouts?: IRolloutBounds;
   /** Called with each connection of another process; may close it. */
@@ -143,8 +145,10 @@
       random: Math.random,
     });
     const queueExchange: QueueExchange = new QueueExchange(() => admission.services);
-    const admission: AdmissionQueue = new AdmissionQueue({ clock, metrics, log: _log }, (service) =>
-      queueExchange.getOthers(service),
+    const mayWait = _options.mayQueue === true;
+    const admission: AdmissionQueue = new AdmissionQueue(
+      { mayWait, clock, metrics, log: _log },
+      (service) => queueExchange.getOthers(service),
     );
     const gate = new RolloutGate({
       countOpenAtOthers: (service, version) => this._countOpenAtOthers(states, service, version),
