--- a/src/gateway/Fixtures.ts
+++ b/src/gateway/Fixtures.ts
@@ -340,7 +340,12 @@
     placement: new Placement('zg-a'),
     hedging: setup.hedging ?? new Hedging({ maxShare: 0 }),
     quarantine: setup.quarantine ?? new CrashQuarantine(),
-    admission: new AdmissionQueue({ mayWait: true, clock, metrics: new Metrics(), log: SILENT_LOG }),
+    admission: new AdmissionQueue({
+      mayWait: true,
+      clock,
+      metrics: new Metrics(),
+      log: SILENT_LOG,
+    }),
     origins: setup.origins ?? new ScriptedOrigins('v1', new Map()),
     store: new StoreIndex(view, () => Promise.reject(new Error('no store')), clock, SILENT_LOG),
     client: targets,
