Wait for a closed target by the time at which it was closed

Cause: a target was found closed at one time, and its pause was read again at a later one. If the pause had ended between the two, the request waited until its deadline and not for the rest of the pause.

--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -229,7 +229,7 @@
       }
       if (choice.kind === 'closed') {
         this._context.hedging.recordShortage(admitted.service.name, now);
-        if (await this._waitForTarget(call, sink, admitted, choice.target, progress)) {
+        if (await this._waitForTarget(call, sink, admitted, choice.target, progress, now)) {
           continue;
         }
         return progress.mayHaveRun;
@@ -397,16 +397,16 @@
     }
   }
 
-  /** Waits until a target may take the call; false if the call was ended instead. */
+  /** Waits until a target may take the call that was closed at `now`; false if the call was ended instead. */
   private async _waitForTarget(
     call: T,
     sink: IAnswerSink,
     { route, account, deadlineAt }: IAdmittedCall,
     target: TargetRecord,
     progress: ICallProgress,
+    now: number,
   ): Promise<boolean> {
-    const { clock, limits, states, shutdown } = this._context;
-    const now = clock.now();
+    const { limits, states, shutdown } = this._context;
     progress.waitUntil ??= Math.min(now + route.latencyObjectiveMs, deadlineAt - MIN_ATTEMPT_MS);
     const expectedWaitMs = this._selector.estimateWaitMs(target, now);
     const pauseMs = getPauseMs(states.ensure(target, now), now);
