Keep the platform's rule on event gaps, and reports of an unused queue, where they belong

Cause: read as a newcomer: the gap after which clients abandon a stream is a rule of the platform and stood in src/gateway; entries reported the load of a queue that is off; DiscardedBody keeps a body.

--- a/src/fleet/Fixtures.ts
+++ b/src/fleet/Fixtures.ts
@@ -22,6 +22,7 @@
     isPublic: false,
     isResumable: true,
     gapObjectiveMs: 400,
+    eventGapLimitMs: undefined,
     ...changes,
   };
 }
--- a/src/fleet/Types.ts
+++ b/src/fleet/Types.ts
@@ -35,6 +35,8 @@
   readonly isResumable: boolean;
   /** Objective for the longest gap between two events in milliseconds; undefined if not set. */
   readonly gapObjectiveMs: number | undefined;
+  /** Time without an event, also before the first one, after which clients give up a stream; undefined if not known. */
+  readonly eventGapLimitMs: number | undefined;
 }
 
 /** Properties of each engine of a service that runs language models. */
--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -13,7 +13,7 @@
   hasUnnumberedEnd,
   MAX_EVENT_BYTES,
 } from './EventFramer.js';
-import { DiscardedBody, mayRelay, type IKeptAnswer } from './KeptAnswer.js';
+import { DeferredBody, mayRelay, type IKeptAnswer } from './KeptAnswer.js';
 import { isSilent } from './Silence.js';
 import { computeLatestStart } from './StopPolicy.js';
 import {
@@ -175,7 +175,7 @@
   /** True if the response is an error that the client gets only if no other attempt brings a better one. */
   private _isDeferred = false;
   private _isComplete = false;
-  private readonly _discarded = new DiscardedBody();
+  private readonly _discarded = new DeferredBody();
   private _discardTimer: NodeJS.Timeout | undefined;
   private _isPaused = false;
   /** True once the first event of this response has been checked. */
--- a/src/gateway/KeptAnswer.ts
+++ b/src/gateway/KeptAnswer.ts
@@ -22,7 +22,7 @@
  * @example
  * if (!body.add(chunk)) { exchange.abort(); }
  */
-export class DiscardedBody {
+export class DeferredBody {
   private readonly _chunks: Uint8Array[] = [];
   private _bytes = 0;
 
--- a/src/gateway/queue/CallAdmission.ts
+++ b/src/gateway/queue/CallAdmission.ts
@@ -9,19 +9,10 @@
 import type { IPlacement } from '../Placement.js';
 import type { TargetChoice } from '../TargetSelector.js';
 import { getRecentLoad } from '../TargetStates.js';
-import type { IRoute } from '../../fleet/Types.js';
 import type { ICall } from '../Types.js';
 import type { IAssessedTarget } from './AdmissionDecision.js';
 import type { AdmissionOutcome, IAdmissionItem } from './AdmissionQueue.js';
 
-/**
- * Clients give up a stream after a gap of this time, of this many latency objectives or of this many gap objectives,
- * whichever is longest. The first event counts like all others.
- */
-const MIN_EVENT_GAP_MS = 2_000;
-const OBJECTIVES_PER_GAP = 4;
-const GAP_OBJECTIVES_PER_GAP = 8;
-
 export type CallAdmittance =
   | { readonly kind: 'admitted' }
   /** The call has waited, so that its target has to be chosen again. */
@@ -64,7 +55,10 @@
       account: account?.name ?? '',
       objectiveMs: route.latencyObjectiveMs,
       arrivedAt: call.arrivedAt,
-      deadlineAt: Math.min(deadlineAt, call.arrivedAt + computeFirstEventLimit(route)),
+      deadlineAt: Math.min(
+        deadlineAt,
+        call.arrivedAt + (route.eventGapLimitMs ?? Number.POSITIVE_INFINITY),
+      ),
       callEndsAt: deadlineAt,
       signals: [call.signal, shutdown.signal],
       assess: (at) => {
@@ -130,18 +124,3 @@
     };
   }
 }
-
-/** Time in milliseconds after which the client of a stream without an event gives up; infinite for other responses. */
-export function computeFirstEventLimit({
-  kind,
-  latencyObjectiveMs,
-  gapObjectiveMs = 0,
-}: Pick<IRoute, 'kind' | 'latencyObjectiveMs' | 'gapObjectiveMs'>): number {
-  return kind === 'streaming'
-    ? Math.max(
-        MIN_EVENT_GAP_MS,
-        OBJECTIVES_PER_GAP * latencyObjectiveMs,
-        GAP_OBJECTIVES_PER_GAP * gapObjectiveMs,
-      )
-    : Number.POSITIVE_INFINITY;
-}
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -160,7 +160,7 @@
       {
         address: internalAddress,
         takesRequests,
-        parts: [this._models, probes, queueExchange, gate, this.rollouts],
+        parts: [this._models, probes, ...(mayWait ? [queueExchange] : []), gate, this.rollouts],
         hub: {
           announceIntervalMs: _options.announceIntervalMs,
           quota: _options.quota,
