Give connections of unread answers to requests that wait for one

What callers saw: no answer from a target until their deadline, while 48 clients read nothing of answers of that target.

Cause: an answer whose client doesn't read is paused and keeps its connection to the target until its own time limit. An entry has 48 connections to a target, and requests beyond wait in the pool.

Ruled out: a time limit for paused answers, which would also cut them where nobody waits.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -784,7 +784,9 @@
       return;
     }
     this._isPaused = true;
-    this._exchange?.pause();
+    this._exchange?.pause(() => {
+      this._sink.cut();
+    });
     void this._sink.waitWritable().then(() => {
       this._isPaused = false;
       this._resumedAt = this._context.clock.now();
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -156,7 +156,11 @@
 /** A request in progress at a target. */
 export interface ITargetExchange {
   readonly wasSent: boolean;
-  pause(): void;
+  /**
+   * Reads nothing more of the response until `resume`. Once other requests have long waited for its connection, `giveUp` is
+   * called, which should end the exchange.
+   */
+  pause(giveUp?: () => void): void;
   resume(): void;
   /** Closes the exchange so that the target cancels the request. Calls no method of the listener. */
   abort(): void;
