--- a/src/common/ByteBudget.ts
+++ b/src/common/ByteBudget.ts
@@ -33,6 +33,14 @@
     }
   }
 
+  /** Ends the share as if the budget were exceeded, if that may be done. */
+  public evict(): void {
+    if (this.isEvictable && !this._isClosed) {
+      this.close();
+      this.onEvict?.();
+    }
+  }
+
   /** From now on the bytes count, but the share is not evicted. */
   public keep(): void {
     this._isPinned = true;
@@ -102,8 +110,7 @@
       if (victim === undefined) {
         return;
       }
-      victim.close();
-      victim.onEvict?.();
+      victim.evict();
     }
   }
 }
