Choose the target of a request anew if it changes while the request waits for a connection

Cause: a request is bound to a target when it is chosen, and then waits in the pool of that target. The last decision before the send asked for the stop and the deadline only, and nothing ended a wait when the target changed.

Change: SendCheck tells in one place why a request may not be sent to its target any more (drains, gone, restarted, leaving, paused, limited, other weights, route or key withdrawn, no connection for 3 s). Attempts ask it while they wait and right before the first byte. Such an attempt ends as `unsent`, which counts neither in maxAttempts nor in the retry budget; the target is chosen anew, or the request is refused as not run.

OverlappingAttempts.test.ts: its targets ran requests without the call of onSend that the contract of ITargetListener demands; they make it now, and start nothing if it returns false.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -14,6 +14,7 @@
   MAX_EVENT_BYTES,
 } from './EventFramer.js';
 import { DeferredBody, mayRelay, type IKeptAnswer } from './KeptAnswer.js';
+import type { UnsentReason } from './SendCheck.js';
 import { isSilent } from './Silence.js';
 import { computeLatestStart } from './StopPolicy.js';
 import {
@@ -47,6 +48,8 @@
       /** True if the target could not be reached or another target has its address. */
       readonly isUnreachable: boolean;
     }
+  /** The request waited for a connection, and nothing of it was sent, as its target may not take it any more. */
+  | { readonly kind: 'unsent'; readonly reason: UnsentReason }
   /** The target may have run the request. */
   | {
       readonly kind: 'failed';
@@ -92,6 +95,8 @@
   /** Deadline of the call: the earlier of the client's and the route's, on the monotonic clock. */
   readonly deadlineAt: number;
   readonly position: IStreamPosition;
+  /** Explains why the request may not be sent to the target any more; undefined if it may. */
+  readonly explainUnsent: (now: number) => UnsentReason | undefined;
   /** Prompt tokens that the target is expected to compute, that is, that are not in its cache. */
   readonly pendingTokens: number;
   /** Expected time to the first byte of the response body. */
@@ -132,7 +137,8 @@
 /** A target that crashes by a prompt does so when it begins to answer. */
 const SETTLE_TIME_MS = 250;
 
-const SILENCE_CHECK_INTERVAL_MS = 250;
+/** Interval at which an attempt checks whether its target is silent, or may not be sent the request any more. */
+const CHECK_INTERVAL_MS = 250;
 
 const MIN_ERROR_STATUS = 300;
 
@@ -229,6 +235,11 @@
     return this._isSettled;
   }
 
+  /** True once the request has been passed on to its target, or may have been. */
+  public get wasSent(): boolean {
+    return this.waitMs !== undefined;
+  }
+
   /** True once part of the response body has been received. */
   public get hasFirstByte(): boolean {
     return this.firstByteAt !== undefined;
@@ -281,9 +292,10 @@
     );
     const beginTimer = this._startBeginTimer();
     this._sentAt = clock.now();
-    const silenceTimer = setInterval(() => {
+    const checkTimer = setInterval(() => {
+      this._checkUnsent();
       this._checkSilence();
-    }, SILENCE_CHECK_INTERVAL_MS);
+    }, CHECK_INTERVAL_MS);
     const stopBegins = shutdown.onBegin(() => {
       this._startStopTimer();
     });
@@ -334,7 +346,7 @@
       clearTimeout(this._stopTimer);
       stopBegins.dispose();
       stopEnds.dispose();
-      clearInterval(silenceTimer);
+      clearInterval(checkTimer);
       signal.removeEventListener('abort', handleAbort);
       state.open -= 1;
       state.longStreams -= isLongStream ? 1 : 0;
@@ -349,6 +361,15 @@
     this._end({ kind: 'failed', reason });
   }
 
+  /** Cancels a request that is quarantined. */
+  public cancelQuarantined(): void {
+    if (this.wasSent) {
+      this.cancel('the request is quarantined');
+    } else {
+      this._end({ kind: 'unsent', reason: 'quarantined' });
+    }
+  }
+
   /** Cancels the request at the target, as another attempt of the call brings the response. */
   public withdraw(): void {
     this._end({ kind: 'withdrawn', reason: 'another attempt answers' });
@@ -372,7 +393,9 @@
       return undefined;
     }
     return setTimeout(() => {
-      if (!this.hasFirstByte) {
+      if (!this.wasSent) {
+        this._end({ kind: 'unsent', reason: 'weights_changed' });
+      } else if (!this.hasFirstByte) {
         this._end({ kind: 'failed', reason: 'the weights expired before the first byte' });
       }
     }, limitTimerMs(remainingMs));
@@ -393,6 +416,8 @@
       this._end({ kind: 'stopping', reason: 'the process stops before the response would end' });
     } else if (now >= this._options.deadlineAt) {
       this._end({ kind: 'ended', reason: 'time limit' });
+    } else {
+      this._checkUnsent();
     }
     if (this._hasEnded || this._call.signal.aborted) {
       return false;
@@ -401,12 +426,23 @@
     return true;
   }
 
+  /** Ends the attempt if its request still waits for a connection and may not be sent to the target any more. */
+  private _checkUnsent(): void {
+    if (this.wasSent || this._hasEnded) {
+      return;
+    }
+    const reason = this._options.explainUnsent(this._context.clock.now());
+    if (reason !== undefined) {
+      this._end({ kind: 'unsent', reason });
+    }
+  }
+
   /** Ends the attempt if its request still waits for a connection at the latest time at which it may be sent. */
   private _startStopTimer(): void {
     const waitMs = this._latestStart - this._context.clock.now();
     this._stopTimer = setTimeout(
       () => {
-        if (this.waitMs === undefined) {
+        if (!this.wasSent) {
           this._end({ kind: 'stopping', reason: 'the process stops' });
         }
       },
@@ -422,7 +458,7 @@
       this._end(this._describeDiscarded());
       return;
     }
-    const kind = this.waitMs === undefined ? 'stopping' : 'ended';
+    const kind = this.wasSent ? 'ended' : 'stopping';
     this._end({ kind, reason: 'the process stops' });
   }
 
--- a/src/gateway/AttemptRunner.ts
+++ b/src/gateway/AttemptRunner.ts
@@ -23,6 +23,7 @@
 import type { IPlacementRequest } from './PlacementRequest.js';
 import type { PromptSource } from './PromptSources.js';
 import { describeEvidence } from './RolloutEvidence.js';
+import { explainUnsent } from './SendCheck.js';
 import type { StoreIndex } from './StoreIndex.js';
 import { getStreamId } from './StreamBinding.js';
 import {
@@ -78,7 +79,9 @@
     const number = progress.attempts;
     const state = states.ensure(target, clock.now());
     const startedAt = clock.now();
-    limits.take(target, startedAt);
+    const permit = limits.take(target, startedAt);
+    const { mayHaveRun } = progress;
+    const pending = { ...judged, mayHaveRun, target, permit, chosenAt: startedAt };
     rollouts.recordSent(target);
     const { binding } = progress;
     progress.attemptVersion = getSoftwareVersion(target);
@@ -91,6 +94,7 @@
       runMs,
       beginBy: startedAt + placement.weightsUsableMs,
       position: progress,
+      explainUnsent: (at) => explainUnsent(this._context, pending, at),
       pendingTokens: Math.round(placement.missedTokens + (call.parts.at(-1)?.tokens ?? 0)),
       expectedMs: placement.expectedMs,
       isLongStream: request.isEngine && request.outputTokens > LONG_STREAM_TOKENS,
@@ -174,13 +178,22 @@
         }
         progress.mayHaveRun = true;
         break;
+      case 'unsent':
+        progress.attempts -= 1;
+        // The target may take the request after all, for example with the weights that it has loaded meanwhile.
+        if (outcome.reason === 'no_connection') {
+          progress.isCrowded = true;
+        } else {
+          progress.tried.delete(target.id);
+        }
+        break;
       case 'failed':
         progress.mayHaveRun = true;
         progress.kept = outcome.answer ?? progress.kept;
         break;
       case 'ended':
       case 'withdrawn':
-        progress.mayHaveRun = true;
+        progress.mayHaveRun ||= attempt.wasSent;
     }
     if (outcome.kind === 'withdrawn' && !attempt.hasFirstByte) {
       hedging.recordTime(service.name, placement.expectedMs, now - startedAt);
@@ -324,7 +337,7 @@
       const standing = this._context.quarantine.getStanding(judged, now, false);
       // A part crashes a target before its response has settled, a request may do so later.
       if (standing.kind === 'quarantined' && (standing.isRepetition || !attempt.isSettled)) {
-        attempt.cancel('the request is quarantined');
+        attempt.cancelQuarantined();
       }
     }
   }
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -26,6 +26,7 @@
 import type { IPlacementRequest } from './PlacementRequest.js';
 import { CallAdmission } from './queue/CallAdmission.js';
 import { relayKept } from './KeptAnswer.js';
+import { isWithdrawn } from './SendCheck.js';
 import { createStreamBinding, getStreamId } from './StreamBinding.js';
 import { TargetSelector, type TargetChoice } from './TargetSelector.js';
 import { getPauseMs } from './TargetStates.js';
@@ -44,6 +45,9 @@
 /** Retry-After of a request that all tried targets refused. */
 const TARGETS_BUSY_RETRY_AFTER_MS = 250;
 
+/** Retry-After of a request for which no connection became free. */
+const CROWDED_RETRY_AFTER_MS = 1_000;
+
 /** Retry-After of a request that would crash its target: a quarantine lasts for minutes. */
 const QUARANTINE_RETRY_AFTER_MS = 60_000;
 
@@ -62,6 +66,15 @@
 /** Lower bound of every Retry-After, so that clients do not retry in a tight loop. */
 const MIN_RETRY_AFTER_MS = 50;
 
+/** Retry-After by reason; of the other reasons it is `TARGETS_BUSY_RETRY_AFTER_MS`, or depends on the request. */
+const RETRY_AFTER_MS: Partial<Readonly<Record<RefusalReason, number>>> = {
+  no_target: NOT_READY_RETRY_AFTER_MS,
+  stopping: STOPPING_RETRY_AFTER_MS,
+  withdrawn: MIN_RETRY_AFTER_MS,
+  version_gone: VERSION_GONE_RETRY_AFTER_MS,
+  overloaded: CROWDED_RETRY_AFTER_MS,
+};
+
 /** Time limit of a request whose client sets none. */
 const DEFAULT_DEADLINE_MS = 60_000;
 
@@ -107,6 +120,7 @@
       tried: new Set(),
       attempts: 0,
       unreachable: 0,
+      isCrowded: false,
       status: undefined,
       lastEventId: call.resumeAfter,
       isUnnumbered: false,
@@ -211,6 +225,10 @@
         this._context.log.info(describeAbort(call.signal), detail);
         return progress.mayHaveRun;
       }
+      if (isWithdrawn(this._context.view, { ...judged, mayHaveRun: progress.mayHaveRun })) {
+        this._finishUnanswered(call, sink, progress, 'withdrawn');
+        return progress.mayHaveRun;
+      }
       const standing = this._context.quarantine.getStanding(judged, now);
       if (standing.kind === 'quarantined') {
         this._finishQuarantined(call, sink, progress, standing);
@@ -302,9 +320,12 @@
 
   private _explainNoTarget(
     { service }: IAdmittedCall,
-    { binding, tried }: ICallProgress,
+    { binding, tried, isCrowded }: ICallProgress,
     now: number,
   ): RefusalReason {
+    if (isCrowded) {
+      return 'overloaded';
+    }
     const version = binding?.version;
     const { view, rollouts } = this._context;
     const targets = view.listTargets(service.name).filter((target) => !rollouts.isBarred(target));
@@ -479,6 +500,10 @@
           );
         }
         break;
+      case 'unsent':
+        return (
+          outcome.reason === 'quarantined' || this._mayGoOn(call, sink, admitted, progress, now)
+        );
       case 'failed':
         if (!isRepeatable(route) || !progress.mayRepeat) {
           return false;
@@ -493,6 +518,20 @@
 
   /** Whether the call has time and attempts left, and its response can go on at another target. */
   private _mayTryAnother(
+    call: T,
+    sink: IAnswerSink,
+    admitted: IAdmittedCall,
+    progress: ICallProgress,
+    now: number,
+  ): boolean {
+    return (
+      progress.attempts < admitted.route.maxAttempts &&
+      this._mayGoOn(call, sink, admitted, progress, now)
+    );
+  }
+
+  /** Whether the call has time left, and its response can go on at another target. */
+  private _mayGoOn(
     call: T,
     sink: IAnswerSink,
     { route, deadlineAt }: IAdmittedCall,
@@ -503,8 +542,7 @@
     const canContinue =
       !sink.isStarted ||
       (route.kind === 'streaming' && progress.status === STREAM_STATUS && !progress.isUnnumbered);
-    const hasTime = !call.signal.aborted && deadlineAt - now >= MIN_ATTEMPT_MS;
-    return canContinue && hasTime && progress.attempts < route.maxAttempts;
+    return canContinue && !call.signal.aborted && deadlineAt - now >= MIN_ATTEMPT_MS;
   }
 
   private _finish(call: T, sink: IAnswerSink, outcome: RaceOutcome, progress: ICallProgress): void {
@@ -538,6 +576,7 @@
         }
         return;
       case 'not_run':
+      case 'unsent':
         this._finishUnanswered(call, sink, progress, 'not_run');
         return;
       case 'stopping':
@@ -578,7 +617,7 @@
     } else if (progress.mayHaveRun) {
       this._refuse(call, sink, 502, 'failed', undefined);
     } else {
-      this._refuse(call, sink, 503, reason, getRetryAfterMs(reason));
+      this._refuse(call, sink, 503, reason, RETRY_AFTER_MS[reason] ?? TARGETS_BUSY_RETRY_AFTER_MS);
     }
   }
 
@@ -630,13 +669,3 @@
     return undefined;
   }
 }
-
-function getRetryAfterMs(reason: RefusalReason): number {
-  if (reason === 'no_target') {
-    return NOT_READY_RETRY_AFTER_MS;
-  }
-  if (reason === 'stopping') {
-    return STOPPING_RETRY_AFTER_MS;
-  }
-  return reason === 'version_gone' ? VERSION_GONE_RETRY_AFTER_MS : TARGETS_BUSY_RETRY_AFTER_MS;
-}
--- a/src/gateway/CallTypes.ts
+++ b/src/gateway/CallTypes.ts
@@ -57,6 +57,8 @@
   readonly tried: Set<string>;
   attempts: number;
   unreachable: number;
+  /** True once no connection to a target became free in time. */
+  isCrowded: boolean;
   /** Status of the response that the client receives; undefined before its start. */
   status: number | undefined;
   /** Id of the last event relayed to the client. */
--- a/src/gateway/OverlappingAttempts.test.ts
+++ b/src/gateway/OverlappingAttempts.test.ts
@@ -247,9 +247,11 @@
     const isStream = this._scenario.route.kind === 'streaming';
     const version = target.softwareVersion;
     const run = new TargetRun(this, target.id, timeline, listener, dispatch, isStream, version);
-    this.runs.push(run);
-    this.sentAt.push(performance.now());
-    void run.start();
+    if (listener.onSend()) {
+      this.runs.push(run);
+      this.sentAt.push(performance.now());
+      void run.start();
+    }
     return {
       wasSent: true,
       pause: () => {
--- a/src/gateway/RolloutEvidence.ts
+++ b/src/gateway/RolloutEvidence.ts
@@ -53,6 +53,7 @@
         : undefined;
     case 'withdrawn':
     case 'not_run':
+    case 'unsent':
     case 'stopping':
       return undefined;
   }
--- a/src/gateway/TargetLimits.ts
+++ b/src/gateway/TargetLimits.ts
@@ -31,6 +31,13 @@
 /** A waiting request counts as older by this for each level of urgency. */
 const URGENCY_HEAD_START_MS = 100;
 
+/** Allows one request to a target. */
+export interface IPermit {
+  /** False if the target had no limit when the permit was taken. */
+  readonly isLimited: boolean;
+  readonly takenAt: number;
+}
+
 /** What the last response to this entry said: a limit, or none any more. */
 interface IObservation {
   readonly perSecond: number | undefined;
@@ -150,11 +157,11 @@
     return this._countPermits(target, now) > 0;
   }
 
-  /** Uses a permit for a request that is sent now. */
-  public take(target: TargetRecord, now: number): void {
+  /** Uses a permit for a request that is sent now, or once it has a connection. */
+  public take(target: TargetRecord, now: number): IPermit {
     const perSecond = this.getLimit(target);
     if (perSecond === undefined) {
-      return;
+      return { isLimited: false, takenAt: now };
     }
     const state = this._ensure(target);
     state.demand += 1;
@@ -164,6 +171,14 @@
       state.nextSlotAt += this._computeSlotInterval(perSecond);
     }
     state.knownSince ??= now;
+    return { isLimited: true, takenAt: now };
+  }
+
+  /** False if the request must not be sent with the permit: it has expired, or the target has named a limit since. */
+  public isValid(target: TargetRecord, { isLimited, takenAt }: IPermit, now: number): boolean {
+    return (
+      this.getLimit(target) === undefined || (isLimited && now - takenAt <= PERMIT_LIFETIME_MS)
+    );
   }
 
   /** Counts a request that found no permit and does not wait for one: the next ones may want some. */
--- a/src/gateway/TargetSelector.ts
+++ b/src/gateway/TargetSelector.ts
@@ -1,31 +1,24 @@
 /** Chooses the target of a request among those of its service that may be sent one. */
-import type { FleetView } from '../fleet/FleetView.js';
 import type { Shutdown } from '../common/Shutdown.js';
-import { getHeldVersion } from '../fleet/HeldWeights.js';
 import { getSoftwareVersion } from '../fleet/SoftwareVersions.js';
 import type { TargetRecord } from '../gen/redwingwharf/v1/fleet_pb.js';
 import type { IPlacement, Placement } from './Placement.js';
 import type { IPlacementRequest, IPlacementTarget } from './PlacementRequest.js';
 import type { ResponseTimes } from './ResponseTimes.js';
 import type { IVersionGate, RolloutGate } from './RolloutGate.js';
+import { getWeightsUsableMs, type ISendCheckContext } from './SendCheck.js';
 import { computeLatestStart, estimateRunMs, type IPlannedRun } from './StopPolicy.js';
 import type { StoreIndex } from './StoreIndex.js';
 import type { IVersionChoice } from './StreamBinding.js';
-import type { TargetLimits } from './TargetLimits.js';
-import { getPauseMs, type TargetStates } from './TargetStates.js';
+import { getPauseMs } from './TargetStates.js';
 
 /** Part of the objective; a request that is expected later at the version whose turn it is may go to another one. */
 const MAX_PREFERRED_LATENESS = 0.7;
 
 /** What the selection depends on beside the request. */
-export interface ITargetSelectorContext {
-  readonly view: FleetView;
-  readonly states: TargetStates;
-  readonly limits: TargetLimits;
+export interface ITargetSelectorContext extends ISendCheckContext {
   readonly placement: Placement;
   readonly store: StoreIndex;
-  /** Time after newer weights were named from which a target with older ones gets no requests. */
-  readonly weightsLimitMs: number;
   readonly shutdown: Shutdown;
   readonly responseTimes: ResponseTimes;
   readonly rollouts: RolloutGate;
@@ -170,7 +163,7 @@
     const { view, states } = this._context;
     const untried = view.listTargets(service).filter((record) => !tried.has(record.id));
     return untried.flatMap((record): IPlacementTarget[] => {
-      const weightsUsableMs = this._getWeightsUsableMs(request.model, record, now);
+      const weightsUsableMs = getWeightsUsableMs(this._context, request.model, record, now);
       const state = states.ensure(record, now);
       const isOtherVersion =
         versions?.required !== undefined && getSoftwareVersion(record) !== versions.required;
@@ -181,19 +174,6 @@
       return [{ record, state, othersOpen, othersPendingTokens: pendingTokens, weightsUsableMs }];
     });
   }
-
-  /** Time for which a request of the model may still begin on the weights that a target holds. */
-  private _getWeightsUsableMs(
-    model: string | undefined,
-    record: TargetRecord,
-    now: number,
-  ): number {
-    const { view, weightsLimitMs } = this._context;
-    const held = getHeldVersion(record, model);
-    return model === undefined || held === undefined
-      ? Number.POSITIVE_INFINITY
-      : view.weights.getUsableMs(model, held, weightsLimitMs, now);
-  }
 }
 
 /** The targets that fulfil a condition, or all if none does. */
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -57,6 +57,8 @@
   | 'origin_unknown'
   /** No target has the software version that began the stream. */
   | 'version_gone'
+  /** The configuration that admitted the request is not in force any more, and the present one does not allow it. */
+  | 'withdrawn'
   | 'not_run'
   | 'failed'
   | 'time_limit'
