Give accounts that share prompt parts another scope when one of them is isolated

Cause: all accounts that are not isolated had one cache scope for each version of the weights, for ever. An account that was isolated left it, but its parts stayed. Repetitions and waiting requests kept the isolation of the configuration that had admitted them.

Change: the scope that accounts share contains a digest of the set of isolated accounts. Requests are placed by the configuration in force, and placed anew if the set changes while they wait for a connection. No state is needed: what is found in a scope was made by accounts that were not isolated under the same set.

--- a/src/gateway/AttemptRunner.ts
+++ b/src/gateway/AttemptRunner.ts
@@ -81,7 +81,8 @@
     const startedAt = clock.now();
     const permit = limits.take(target, startedAt);
     const { mayHaveRun } = progress;
-    const pending = { ...judged, mayHaveRun, target, permit, chosenAt: startedAt };
+    const { isolationKey } = request;
+    const pending = { ...judged, mayHaveRun, target, permit, isolationKey, chosenAt: startedAt };
     rollouts.recordSent(target);
     const { binding } = progress;
     progress.attemptVersion = getSoftwareVersion(target);
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -463,13 +463,17 @@
     }
   }
 
-  private _describeRequest(call: T, { account, route, service }: IAdmittedCall): IPlacementRequest {
+  private _describeRequest(
+    call: T,
+    { table: admittedBy, account, route, service }: IAdmittedCall,
+  ): IPlacementRequest {
+    const { table = admittedBy } = this._context.view;
     return {
       parts: service.engine === undefined ? [] : call.parts,
       promptTokens: call.promptTokens ?? 0,
       outputTokens: call.lengthHint ?? call.outputTokens ?? 0,
       latencyObjectiveMs: route.latencyObjectiveMs,
-      isolationKey: account?.isIsolated === true ? account.name : undefined,
+      isolationKey: table.getIsolationKey(account?.name),
       isEngine: service.engine !== undefined,
       model: call.model,
       wantedVersion:
--- a/src/gateway/SendCheck.ts
+++ b/src/gateway/SendCheck.ts
@@ -24,6 +24,8 @@
   | 'target_limited'
   /** The target holds other weights of the model, or its weights have expired. */
   | 'weights_changed'
+  /** The configuration in force isolates other client accounts, so that the request has another cache scope. */
+  | 'scope_changed'
   /** The configuration in force has no route for the request, or its key belongs to no or another account. */
   | 'withdrawn'
   /** All connections to the target were in use for too long. */
@@ -51,6 +53,7 @@
 export interface IPendingSend extends IAdmission {
   readonly target: TargetRecord;
   readonly permit: IPermit;
+  readonly isolationKey: string | undefined;
   /** When the target was chosen. */
   readonly chosenAt: number;
 }
@@ -59,7 +62,7 @@
  * Explains why a request may not be sent any more; undefined if it may.
  *
  * @example
- * const reason = explainUnsent(context, { call, account: 'pag', mayHaveRun, target, permit, chosenAt }, now);
+ * const reason = explainUnsent(context, { call, account: 'pag', mayHaveRun, target, permit, isolationKey, chosenAt }, now);
  */
 export function explainUnsent(
   context: ISendCheckContext,
@@ -67,7 +70,7 @@
   now: number,
 ): UnsentReason | undefined {
   const { view, states, limits } = context;
-  const { target, permit, call, chosenAt } = pending;
+  const { target, permit, call, isolationKey, chosenAt } = pending;
   const current = view.getTarget(target.id);
   if (current === undefined || !isSameReadyTarget(current, target)) {
     return 'target_unavailable';
@@ -90,6 +93,9 @@
   if (isWithdrawn(view, pending)) {
     return 'withdrawn';
   }
+  if (view.table !== undefined && view.table.getIsolationKey(pending.account) !== isolationKey) {
+    return 'scope_changed';
+  }
   return now - chosenAt > MAX_CONNECTION_WAIT_MS ? 'no_connection' : undefined;
 }
 
