Bound what is held of all responses together

Callers would see: a machine over its memory, once several faulty targets send events without an end.

Cause: each event may have 256 KB, and each response to a safe request 64 KB, without a sum over streams and targets.

Beyond it the attempt that holds most and has grown least ends as failed. The budget of clients is not used, so that a faulty target evicts no body of a client.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -1,4 +1,5 @@
 /** Sends a request to one target and relays the response to the client. */
+import type { BudgetShare, ByteBudget } from '../common/ByteBudget.js';
 import type { IClock } from '../common/Clock.js';
 import type { Metrics } from '../common/Metrics.js';
 import type { Shutdown } from '../common/Shutdown.js';
@@ -129,6 +130,8 @@
   readonly clock: IClock;
   readonly metrics: Metrics;
   readonly shutdown: Shutdown;
+  /** Bounds what is held of all responses before it is relayed. */
+  readonly memory: ByteBudget;
 }
 
 /** What the head of a response says of its target beside the response itself. */
@@ -145,6 +148,9 @@
 /** Responses to safe requests and errors that wait are buffered up to this size. Larger ones are streamed, or fail. */
 const MAX_BUFFERED_BYTES = 64 * 1024;
 
+/** Less than this is held of an ordinary response, and is not counted. */
+const MIN_COUNTED_BYTES = 8 * 1024;
+
 /** A body that is discarded and takes longer than this is not read to its end. */
 const MAX_DISCARD_MS = 100;
 
@@ -191,6 +197,8 @@
   private _settleTimer: NodeJS.Timeout | undefined;
   private _stopTimer: NodeJS.Timeout | undefined;
   private _isSettled = false;
+  /** Counts what is held, once it is more than `MIN_COUNTED_BYTES`. */
+  private _memoryShare: BudgetShare | undefined;
   /** Events that may not be relayed yet; undefined once they may. */
   private _held: IHeldEvents | undefined;
 
@@ -346,6 +354,7 @@
       clearTimeout(this._stopTimer);
       stopBegins.dispose();
       stopEnds.dispose();
+      this._memoryShare?.close();
       clearInterval(checkTimer);
       signal.removeEventListener('abort', handleAbort);
       state.open -= 1;
@@ -544,6 +553,32 @@
     if (this._hasEnded || chunk.length === 0) {
       return;
     }
+    this._processData(chunk);
+    this._countHeld();
+  }
+
+  /** Ends the attempt if all attempts together hold too much of their responses, and this one holds most. */
+  private _countHeld(): void {
+    const held = this._held?.chunks ?? [];
+    const heldBytes = held.reduce((sum, { length }) => sum + length, this.incompleteBytes);
+    const bytes =
+      heldBytes + this._discarded.size + (this._sink.isStarted ? 0 : this._bufferedBytes);
+    if (this._hasEnded || (this._memoryShare === undefined && bytes < MIN_COUNTED_BYTES)) {
+      return;
+    }
+    this._memoryShare ??= this._openMemoryShare();
+    this._memoryShare.extend(bytes - this._memoryShare.bytes, this._context.clock.now());
+  }
+
+  private _openMemoryShare(): BudgetShare {
+    const share = this._context.memory.openShare();
+    share.onEvict = () => {
+      this._end({ kind: 'failed', reason: 'the memory for responses is exceeded' });
+    };
+    return share;
+  }
+
+  private _processData(chunk: Buffer): void {
     if (this._isDiscarded) {
       this._discard(chunk);
       return;
--- a/src/gateway/CallTypes.ts
+++ b/src/gateway/CallTypes.ts
@@ -1,4 +1,5 @@
 /** State of a call that the steps of its path share. */
+import type { ByteBudget } from '../common/ByteBudget.js';
 import type { IClock } from '../common/Clock.js';
 import type { ILog } from '../common/Log.js';
 import type { ILoopDelay } from '../common/LoopDelay.js';
@@ -32,6 +33,8 @@
   readonly admission: AdmissionQueue;
   readonly hedging: Hedging;
   readonly client: ITargetClient<T>;
+  /** Bounds what is held of all responses before it is relayed. */
+  readonly memory: ByteBudget;
   readonly clock: IClock;
   readonly loopDelay: ILoopDelay;
   readonly metrics: Metrics;
--- a/src/gateway/Fixtures.ts
+++ b/src/gateway/Fixtures.ts
@@ -1,5 +1,6 @@
 /** Scripted targets and a recording sink for tests of the request path. */
 import { create } from '@bufbuild/protobuf';
+import { ByteBudget } from '../common/ByteBudget.js';
 import { MonotonicClock } from '../common/Clock.js';
 import { SILENT_LOG } from '../common/Log.js';
 import { NO_LOOP_DELAY } from '../common/LoopDelay.js';
@@ -203,6 +204,8 @@
   readonly responseTimes?: ResponseTimes;
   /** The default has no rollouts, and knows the versions of all targets. */
   readonly rollouts?: RolloutGate;
+  /** For what is held of all responses; the default is more than a test needs. */
+  readonly memory?: ByteBudget;
   readonly queued?: { readonly target: string; readonly pendingTokens: number };
 }
 
@@ -349,6 +352,7 @@
     origins: setup.origins ?? new ScriptedOrigins('v1', new Map()),
     store: new StoreIndex(view, () => Promise.reject(new Error('no store')), clock, SILENT_LOG),
     client: targets,
+    memory: setup.memory ?? new ByteBudget(64 * 1024 * 1024),
     clock: { now: () => clock.now() - startAgeMs },
     loopDelay: NO_LOOP_DELAY,
     metrics: new Metrics(),
--- a/src/gateway/KeptAnswer.ts
+++ b/src/gateway/KeptAnswer.ts
@@ -26,6 +26,10 @@
   private readonly _chunks: Uint8Array[] = [];
   private _bytes = 0;
 
+  public get size(): number {
+    return this._bytes;
+  }
+
   /** False if the body is too long to be read to its end. */
   public add(chunk: Uint8Array): boolean {
     this._chunks.push(chunk);
--- a/src/run/FleetProcess.ts
+++ b/src/run/FleetProcess.ts
@@ -1,6 +1,7 @@
 /** One process of a deployment whose targets announce themselves. */
 import { setMaxListeners } from 'node:events';
 import type { Socket } from 'node:net';
+import { ByteBudget } from '../common/ByteBudget.js';
 import { MonotonicClock } from '../common/Clock.js';
 import { Emitter } from '../common/Lifecycle.js';
 import { describeError, type ILog } from '../common/Log.js';
@@ -76,6 +77,8 @@
   readonly mayQueue?: boolean;
   /** Limits of what a bad software version may get; the default ones if absent. */
   readonly rollouts?: IRolloutBounds;
+  /** Bounds what is held of all responses before it is relayed; unbounded if absent. */
+  readonly memory?: ByteBudget;
   /** Called with each connection of another process; may close it. */
   readonly onInternalConnection?: (socket: Socket) => void;
 }
@@ -206,6 +209,7 @@
       store: this._storeIndex,
       origins: this.origins,
       client: adapters.targetClient,
+      memory: _options.memory ?? new ByteBudget(Number.POSITIVE_INFINITY),
       clock,
       loopDelay: this._loopDelay,
       metrics,
