Close connections to targets on which only framing arrives

Callers would see: late answers, as the processor reads what faulty targets send until the deadlines of their requests.

Cause: undici drops a reason phrase, the extension of a chunk and interim heads as they come, without a limit.

Change: ResetDetector counts what the parser gets of a connection since the last final head or part of a body, and closes it beyond 128 KB.

Evidence: EndlessAnswers.test.ts, "are given up early". Before: 21 MB of each of 240 connections in 5 s for a chunk extension, and some 50 s until an ordinary request was answered beside interim heads.

--- a/src/common/ResetDetector.ts
+++ b/src/common/ResetDetector.ts
@@ -9,6 +9,12 @@
 /** Delay before an answer that ends with the close of its connection counts as complete, to detect a reset. */
 const RESET_DETECTION_DELAY_MS = 20;
 
+/**
+ * Bytes without a head or a part of a body after which a connection is closed. Heads, and what accompanies the length of a chunk,
+ * are a small part of it in every answer.
+ */
+const MAX_FRAMING_BYTES = 128 * 1024;
+
 const RESET_CODES: ReadonlySet<string | undefined> = new Set(['ECONNRESET', 'EPIPE']);
 
 const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
@@ -42,6 +48,8 @@
   resetCount: number;
   /** Answers on it that are being watched. */
   watchCount: number;
+  /** Bytes passed to the parser since the last head or part of a body. */
+  framingBytes: number;
 }
 
 /**
@@ -58,23 +66,37 @@
   public readonly connect: buildConnector.connector;
   private readonly _probe: buildConnector.connector;
   /** The connection that is being read, or was last. */
-  private _readConnection: IConnection = { resetCount: 0, watchCount: 0 };
+  private _readConnection: IConnection = { resetCount: 0, watchCount: 0, framingBytes: 0 };
 
-  /** @param connectTimeoutMs time limit of a connection attempt in milliseconds */
-  constructor(connectTimeoutMs: number) {
+  /**
+   * @param connectTimeoutMs time limit of a connection attempt in milliseconds
+   * @param isProgressReported whether all users of the connections call `recordProgress`; a connection on which nothing but
+   *   framing arrives is then closed
+   */
+  constructor(connectTimeoutMs: number, isProgressReported = false) {
     this._probe = buildConnector({ timeout: connectTimeoutMs });
     // The listeners run before undici's. Writing to a reset connection fails at once, so one that ends is probed.
     this.connect = createConnector(connectTimeoutMs, (socket, ordered) => {
-      const connection: IConnection = { resetCount: 0, watchCount: 0 };
+      const connection: IConnection = { resetCount: 0, watchCount: 0, framingBytes: 0 };
       const countReset = (error: Error | null | undefined): void => {
         if (RESET_CODES.has(getErrorCode(error))) {
           connection.resetCount += 1;
         }
       };
       socket.prependListener('error', countReset);
-      ordered.prependListener('readable', () => {
-        this._readConnection = connection;
-      });
+      const read = ordered.read.bind(ordered);
+      ordered.read = (size?: number): unknown => {
+        if (isProgressReported && connection.framingBytes > MAX_FRAMING_BYTES) {
+          ordered.destroy(new Error(`${connection.framingBytes} bytes are no part of an answer`));
+          return null;
+        }
+        const chunk: unknown = read(size);
+        if (chunk instanceof Uint8Array) {
+          this._readConnection = connection;
+          connection.framingBytes += chunk.length;
+        }
+        return chunk;
+      };
       socket.prependListener('end', () => {
         if (connection.watchCount > 0 && socket.writableLength > 0) {
           // The server has closed before it read the request to its end. A close with unread bytes is a reset, and undici
@@ -99,6 +121,11 @@
     });
   }
 
+  /** Records a final head or a part of a body; must be called when undici passes it on. */
+  public recordProgress(): void {
+    this._readConnection.framingBytes = 0;
+  }
+
   /** Begins with the head of an answer; must be called when undici passes it on. */
   public watch(): IResetWatch {
     const connection = this._readConnection;
