Read the connections to targets into one buffer

Callers would see: a machine over its memory while clients do not read what several targets send.

Cause: Node allocates 64 KB for each read, and the socket and its wrapper each kept up to 64 KB that were not read yet.

Change: sockets read into a common buffer of 16 KB, by the option onread of net.connect; what is kept is copied. An ordinary event or head is smaller than that.

--- a/src/common/OrderedSocket.ts
+++ b/src/common/OrderedSocket.ts
@@ -6,8 +6,19 @@
 import { Duplex } from 'node:stream';
 import { buildConnector } from 'undici';
 
-/** As undici sets it for the sockets that it creates. */
-const HIGH_WATER_MARK_BYTES = 64 * 1024;
+/** What is read at once; an ordinary event or head is smaller. */
+const READ_BYTES = 16 * 1024;
+
+/**
+ * All connections read into this buffer, and what they keep is copied. Otherwise Node allocates 64 KB for each read, which
+ * stay until they are collected.
+ */
+const readBuffer = Buffer.allocUnsafeSlow(READ_BYTES);
+
+/** Receives what a socket reads into the common buffer. */
+export interface ISocketReader {
+  onRead?: (chunk: Buffer) => void;
+}
 
 type SocketEnd = { readonly kind: 'ended' } | { readonly kind: 'failed'; readonly error: Error };
 
@@ -18,7 +29,7 @@
  * @example
  * const ordered = createOrderedSocket(connect(port, host));
  */
-export function createOrderedSocket(socket: Socket): Duplex {
+export function createOrderedSocket(socket: Socket, reader: ISocketReader = {}): Duplex {
   let end: SocketEnd | undefined;
   let isEndReported = false;
   let isEndOffered = false;
@@ -48,7 +59,7 @@
     });
   };
   const ordered = new Duplex({
-    readableHighWaterMark: HIGH_WATER_MARK_BYTES,
+    readableHighWaterMark: READ_BYTES,
     read: () => {
       socket.resume();
     },
@@ -85,11 +96,14 @@
     return null;
   };
 
-  socket.on('data', (chunk: Buffer) => {
+  const handleRead = (chunk: Buffer): void => {
     if (!ordered.push(chunk)) {
       socket.pause();
     }
-  });
+  };
+  reader.onRead = handleRead;
+  // Not emitted by a socket that reads into the common buffer.
+  socket.on('data', handleRead);
   socket.on('end', () => {
     finish({ kind: 'ended' });
   });
@@ -117,15 +131,23 @@
   timeoutMs: number,
   configure: (socket: Socket, ordered: Duplex) => void = () => undefined,
 ): buildConnector.connector {
-  const connect = buildConnector({ timeout: timeoutMs });
   return (options, callback) => {
+    const reader: ISocketReader = {};
+    const onread = {
+      buffer: readBuffer,
+      callback: (length: number): boolean => {
+        reader.onRead?.(Buffer.from(readBuffer.subarray(0, length)));
+        return true;
+      },
+    };
+    const connect = buildConnector({ timeout: timeoutMs, onread });
     connect(options, (...result) => {
       const [error, socket] = result;
       if (error !== null) {
         callback(error, null);
         return;
       }
-      const ordered = createOrderedSocket(socket);
+      const ordered = createOrderedSocket(socket, reader);
       configure(socket, ordered);
       // undici uses no more of a socket than a `Duplex` has.
       callback(null, ordered as unknown as Socket);
