Close connections on which only framing arrives in the second router too

The parameter by which users of ResetDetector said that they record progress is gone: all of them do now.

--- a/src/common/HttpAnswer.ts
+++ b/src/common/HttpAnswer.ts
@@ -212,6 +212,7 @@
       this._finish(error);
       controller.abort(error);
     } else if (statusCode >= 200) {
+      this._resets.recordProgress();
       this._body = new AnswerBody(controller);
       this._status = statusCode;
       if (isCloseDelimited(this._method, statusCode, headers)) {
@@ -222,6 +223,7 @@
   }
 
   public onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this._resets.recordProgress();
     // undici passes on an empty chunk when an answer is resumed.
     if (chunk.length > 0) {
       this._body?.push(chunk);
--- a/src/common/ResetDetector.ts
+++ b/src/common/ResetDetector.ts
@@ -56,9 +56,13 @@
  * Connector for the connections to one server or several, and the watch over their answers. undici does not tell on which
  * connection an answer arrives, but it passes on the head of an answer while it reads that connection.
  *
+ * A connection on which nothing but framing arrives is closed: undici drops a reason phrase, the extension of a chunk and
+ * interim heads as they come, without a limit. So all users of the connections have to call `recordProgress`.
+ *
  * @example
  * const detector = new ResetDetector(1_000);
  * const pool = new Pool(origin, { connect: detector.connect });
+ * detector.recordProgress();
  * const watch = detector.watch();
  */
 export class ResetDetector {
@@ -68,12 +72,8 @@
   /** The connection that is being read, or was last. */
   private _readConnection: IConnection = { resetCount: 0, watchCount: 0, framingBytes: 0 };
 
-  /**
-   * @param connectTimeoutMs time limit of a connection attempt in milliseconds
-   * @param isProgressReported whether all users of the connections call `recordProgress`; a connection on which nothing but
-   *   framing arrives is then closed
-   */
-  constructor(connectTimeoutMs: number, isProgressReported = false) {
+  /** @param connectTimeoutMs time limit of a connection attempt in milliseconds */
+  constructor(connectTimeoutMs: number) {
     this._probe = buildConnector({ timeout: connectTimeoutMs });
     // The listeners run before undici's. Writing to a reset connection fails at once, so one that ends is probed.
     this.connect = createConnector(connectTimeoutMs, (socket, ordered) => {
@@ -86,7 +86,7 @@
       socket.prependListener('error', countReset);
       const read = ordered.read.bind(ordered);
       ordered.read = (size?: number): unknown => {
-        if (isProgressReported && connection.framingBytes > MAX_FRAMING_BYTES) {
+        if (connection.framingBytes > MAX_FRAMING_BYTES) {
           ordered.destroy(new Error(`${connection.framingBytes} bytes are no part of an answer`));
           return null;
         }
