Let a request that waits for a connection go to a target with a free slot

Callers would see: an answer that is late by up to 3 s while another target is idle.

Cause: a request kept its target until the target changed, or until no connection had become free for 3 s.

Change: while it waits, it is asked four times a second whether another target was chosen now that has a free slot. Not in a process that stops, which refuses it soon. A call that has crashed a target is not repeated because another attempt of it waited.

Evidence: WaitingRequests.test.ts, "goes to another target that has a free slot"; it replaces "goes to another target if no connection becomes free", which allowed 3 s, and "is refused as not run if no connection becomes free" checks the bound of 3 s.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -98,6 +98,8 @@
   readonly position: IStreamPosition;
   /** Explains why the request may not be sent to the target any more; undefined if it may. */
   readonly explainUnsent: (now: number) => UnsentReason | undefined;
+  /** Whether another target could begin with the request now; asked while it waits for a connection. */
+  readonly hasFreeTarget: (now: number) => boolean;
   /** Prompt tokens that the target is expected to compute, that is, that are not in its cache. */
   readonly pendingTokens: number;
   /** Expected time to the first byte of the response body. */
@@ -301,7 +303,7 @@
     const beginTimer = this._startBeginTimer();
     this._sentAt = clock.now();
     const checkTimer = setInterval(() => {
-      this._checkUnsent();
+      this._checkWaiting();
       this._checkSilence();
     }, CHECK_INTERVAL_MS);
     const stopBegins = shutdown.onBegin(() => {
@@ -446,6 +448,17 @@
     }
   }
 
+  /** Ends the attempt if its request waits for a connection although another target could begin with it. */
+  private _checkWaiting(): void {
+    const { clock, shutdown } = this._context;
+    this._checkUnsent();
+    const isWaiting = !this.wasSent && !this._hasEnded;
+    // A process that stops refuses the request soon, so that another process serves it.
+    if (isWaiting && !shutdown.hasBegun && this._options.hasFreeTarget(clock.now())) {
+      this._end({ kind: 'unsent', reason: 'no_connection' });
+    }
+  }
+
   /** Ends the attempt if its request still waits for a connection at the latest time at which it may be sent. */
   private _startStopTimer(): void {
     const waitMs = this._latestStart - this._context.clock.now();
--- a/src/gateway/AttemptRunner.ts
+++ b/src/gateway/AttemptRunner.ts
@@ -65,7 +65,7 @@
     call: T,
     sink: IAnswerSink,
     admitted: IAdmittedCall,
-    { request, standing, placement, runMs, isHedge = false }: IPlannedAttempt,
+    { request, standing, placement, runMs, hasFreeTarget, isHedge = false }: IPlannedAttempt,
     progress: ICallProgress,
     race: IRaceMember<T>,
   ): Promise<AttemptOutcome> {
@@ -96,6 +96,7 @@
       beginBy: startedAt + placement.weightsUsableMs,
       position: progress,
       explainUnsent: (at) => explainUnsent(this._context, pending, at),
+      hasFreeTarget,
       pendingTokens: Math.round(placement.missedTokens + (call.parts.at(-1)?.tokens ?? 0)),
       expectedMs: placement.expectedMs,
       isLongStream: request.isEngine && request.outputTokens > LONG_STREAM_TOKENS,
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -282,7 +282,13 @@
           this._context.log.error('attempt failed', { request: call.id, reason });
         },
       );
-      const plan = { request, standing, placement, runMs };
+      const plan = {
+        request,
+        standing,
+        placement,
+        runMs,
+        hasFreeTarget: (at: number) => this._hasFreeTarget(assess(at), at),
+      };
       const outcome = await race.run(() =>
         this._attempts.run(call, sink, admitted, plan, progress, race),
       );
@@ -318,6 +324,17 @@
     return false;
   }
 
+  /** Whether a target was chosen that would begin with the request at once. */
+  private _hasFreeTarget(choice: TargetChoice, now: number): boolean {
+    if (choice.kind !== 'placed') {
+      return false;
+    }
+    const { states, view } = this._context;
+    const { target } = choice.placement;
+    const open = states.ensure(target, now).open + view.getRemoteWork(target.id).open;
+    return open < target.slots;
+  }
+
   private _explainNoTarget(
     { service }: IAdmittedCall,
     { binding, tried, isCrowded }: ICallProgress,
@@ -412,7 +429,8 @@
         }
         metrics.increment('gateway_repeats_total', { service: service.name });
         const { placement, runMs } = choice;
-        const plan = { request, standing, placement, runMs, isHedge };
+        const hasFreeTarget = (): boolean => false;
+        const plan = { request, standing, placement, runMs, isHedge, hasFreeTarget };
         return this._attempts.run(call, sink, admitted, plan, progress, race);
       }
     }
@@ -506,7 +524,9 @@
         break;
       case 'unsent':
         return (
-          outcome.reason === 'quarantined' || this._mayGoOn(call, sink, admitted, progress, now)
+          outcome.reason === 'quarantined' ||
+          ((progress.mayRepeat || !progress.mayHaveRun) &&
+            this._mayGoOn(call, sink, admitted, progress, now))
         );
       case 'failed':
         if (!isRepeatable(route) || !progress.mayRepeat) {
--- a/src/gateway/CallTypes.ts
+++ b/src/gateway/CallTypes.ts
@@ -91,6 +91,8 @@
   readonly placement: IPlacement;
   /** Expected duration of the response. */
   readonly runMs: number;
+  /** Whether another target could begin with the request now. */
+  readonly hasFreeTarget: (now: number) => boolean;
   /** True if another attempt runs that only takes unusually long. */
   readonly isHedge?: boolean;
 }
--- a/src/gateway/WaitingRequests.test.ts
+++ b/src/gateway/WaitingRequests.test.ts
@@ -162,15 +162,23 @@
     expect(targets.passedOn).toStrictEqual([1]);
   });
 
-  // Guards against requests that wait until their deadline while another target has free connections.
-  it('goes to another target if no connection becomes free', async () => {
+  // Guards against requests that wait while another target is idle.
+  it('goes to another target that has a free slot', async () => {
+    const { sink, targets, totalMs } = await runWaiting(() => undefined);
+    expect(sink.status).toBe(200);
+    expect(targets.passedOn).toStrictEqual([1]);
+    expect(totalMs).toBeLessThan(900);
+  });
+
+  // Guards against requests that wait until their deadline for targets whose connections are all in use.
+  it('is refused as not run if no connection becomes free', async () => {
     const { sink, targets, totalMs } = await runWaiting(
       () => undefined,
-      { call: { deadlineMs: 8_000 }, route: { ...ONCE, timeoutMs: 8_000 } },
+      { targets: 1, call: { deadlineMs: 8_000 }, route: { ...ONCE, timeoutMs: 8_000 } },
       7_000,
     );
-    expect(sink.status).toBe(200);
-    expect(targets.passedOn).toStrictEqual([1]);
+    expect([sink.endings, sink.status]).toStrictEqual([['refuse'], 503]);
+    expect(targets.passedOn).toStrictEqual([]);
     expect(totalMs).toBeLessThan(MAX_CONNECTION_WAIT_MS + 1_000);
   });
 
