Correct two comments

What LostDisks takes for granted was called a promise; `no_connection` is also the reason of a request that goes to another target with a free slot. Comments only.

--- a/src/consensus/LostDisks.ts
+++ b/src/consensus/LostDisks.ts
@@ -11,8 +11,8 @@
 
 /**
  * Remembers which disks were lost until the process ends; members that have not been admitted with their new disks repeat
- * their join requests. The promise is that a lost disk never votes again. A single wrong report does no harm: half of an
- * even group without one member overlaps with every majority of the group.
+ * their join requests. A lost disk is assumed never to vote again. A single wrong report does no harm: half of an even group
+ * without one member overlaps with every majority of the group.
  *
  * @example
  * lostDisks.recordJoin(membership, request);
--- a/src/gateway/SendCheck.ts
+++ b/src/gateway/SendCheck.ts
@@ -28,7 +28,7 @@
   | 'scope_changed'
   /** The configuration in force has no route for the request, or its key belongs to no or another account. */
   | 'withdrawn'
-  /** All connections to the target were in use for too long. */
+  /** All connections to the target are in use, for too long or while another target has a free slot. */
   | 'no_connection'
   | 'quarantined';
 
