--- a/src/fleet/Quota.test.ts
+++ b/src/fleet/Quota.test.ts
@@ -2,170 +2,13 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { buildAccount } from './Fixtures.js';
+import { LIMIT, NOTHING_SPENT, QuotaFleet, WINDOW_MS } from './QuotaHarness.js';
 import { QuotaPool } from './QuotaPool.js';
-import type { QuotaRecovery } from './QuotaRecovery.js';
 import { computeWindowLimit } from './QuotaRule.js';
 import { QuotaWallet } from './QuotaWallet.js';
 
-const WINDOW_MS = 8_000;
-const LIMIT = 100_000;
 const STARTED_AT_MS = 1_000;
 
-/** Exchanges and records each happen at least every 500 ms while there is a hub. */
-const MAX_LAG_MS = 1_000;
-
-const NOTHING_SPENT: QuotaRecovery = { kind: 'nothing_spent' };
-
-interface ISpent {
-  readonly at: number;
-  readonly tokens: number;
-}
-
-interface ITestEntry {
-  wallet: QuotaWallet;
-  incarnation: number;
-}
-
-/** Entries that call a hub in memory; a request that lacks tokens asks at once, as in production. */
-class Fleet {
-  public readonly spent: ISpent[] = [];
-  public readonly refused: ISpent[] = [];
-  private _isHubReachable = true;
-  private _frozen: number | undefined;
-  private _hubChangedAt = Number.NEGATIVE_INFINITY;
-  private readonly _entries: ITestEntry[];
-  private _pool = new QuotaPool(LIMIT, WINDOW_MS, NOTHING_SPENT);
-  private _records: ISpent[] = [];
-  private _ceiling = 0;
-
-  constructor(private readonly _size: number) {
-    this._entries = Array.from({ length: _size }, () => this._createEntry(0));
-  }
-
-  public setHubReachable(isReachable: boolean, now: number): void {
-    this._isHubReachable = isReachable;
-    this._hubChangedAt = now;
-  }
-
-  /** Exchanges with each entry in turn; the answers to some of them are lost. */
-  public exchangeAll(now: number, lost: (entry: number) => boolean = () => false): void {
-    for (let entry = 0; entry < this._size; entry += 1) {
-      this.exchange(entry, now, !lost(entry));
-    }
-  }
-
-  public exchange(entry: number, now: number, isAnswered = true): void {
-    const { wallet, incarnation } = this._get(entry);
-    wallet.setHubReachable(this._isHubReachable && isAnswered && entry !== this._frozen);
-    if (!this._isHubReachable || entry === this._frozen) {
-      return;
-    }
-    const run = { node: `n${entry}`, incarnation: String(incarnation) };
-    for (const { clientAccount, held, wanted, spent, total } of wallet.report(['pag'], now)) {
-      const usage = { lease: held + spent, wanted, spent, total };
-      const { lease, waitMs } = this._pool.exchange(run, usage, this._size, now);
-      if (isAnswered) {
-        wallet.applyLease(clientAccount, lease, waitMs, now, now);
-      }
-    }
-  }
-
-  public send(entry: number, tokens: number, now: number): void {
-    const { wallet } = this._get(entry);
-    let outcome = wallet.trySpend('pag', tokens, now);
-    if (outcome.kind === 'ask') {
-      this.exchange(entry, now);
-      outcome = wallet.retrySpend('pag', tokens, now);
-    }
-    (outcome.kind === 'spent' ? this.spent : this.refused).push({ at: now, tokens });
-  }
-
-  /** Records durably what was spent, as the leader does at intervals. */
-  public record(now: number): void {
-    const record = this._pool.takeRecord(now);
-    if (record !== undefined && this._isHubReachable) {
-      this._records = [...this._records, { at: now, tokens: record.tokens }].slice(-40);
-      this._ceiling = record.ceiling;
-      this._pool.raiseCeiling(record.ceiling);
-    }
-  }
-
-  /** Replaces the hub by a process that has just started, as after a stop of all, although the entries go on. */
-  public replaceHubByNewProcess(now: number): void {
-    this._pool = new QuotaPool(LIMIT, WINDOW_MS, this._planRecoveryFromStop(now));
-    this._records = [];
-  }
-
-  /** Keeps an entry from reporting, without a change of its lease. */
-  public setFrozen(entry: number | undefined): void {
-    this._frozen = entry;
-  }
-
-  public restartEntry(entry: number): void {
-    this._entries[entry] = this._createEntry(this._get(entry).incarnation + 1);
-  }
-
-  public replaceHub(now: number): void {
-    this._pool = new QuotaPool(LIMIT, WINDOW_MS, {
-      kind: 'earlier_leases',
-      startedAt: now,
-      ceiling: this._ceiling,
-    });
-    // The time between the records of two hubs is unknown, so earlier ones are not used.
-    this._records = [];
-  }
-
-  /** False while recent spending may be missing in the records because there was no hub. */
-  public isRecorded(now: number): boolean {
-    return this._isHubReachable && now - this._hubChangedAt > MAX_LAG_MS;
-  }
-
-  public restartAll(now: number): void {
-    this._entries.forEach((_, entry) => {
-      this.restartEntry(entry);
-    });
-    this._pool = new QuotaPool(LIMIT, WINDOW_MS, this._planRecoveryFromStop(now));
-    this._hubChangedAt = now;
-    this._records = [];
-  }
-
-  /** Restarts all entries but one. */
-  public restartAllBut(survivor: number, now: number): void {
-    const surviving = this._get(survivor);
-    this.restartAll(now);
-    this._entries[survivor] = surviving;
-  }
-
-  public sumWorstWindow(): number {
-    return Math.max(0, ...this.spent.map(({ at }) => this.sumSpent(at, at + WINDOW_MS)));
-  }
-
-  public sumSpent(from: number, to: number): number {
-    return this.spent
-      .filter(({ at }) => at >= from && at < to)
-      .reduce((sum, { tokens }) => sum + tokens, 0);
-  }
-
-  private _planRecoveryFromStop(now: number): QuotaRecovery {
-    const last = this._records.at(-1)?.at ?? now;
-    const slices = this._records.map(({ at, tokens }) => ({ tokens, ageMs: last - at }));
-    const history = { ceiling: this._ceiling, slices, maxLagMs: MAX_LAG_MS };
-    return { kind: 'all_stopped', startedAt: now, stoppedAt: now, history };
-  }
-
-  private _get(entry: number): ITestEntry {
-    const found = this._entries[entry];
-    if (found === undefined) {
-      throw new Error(`there is no entry ${entry}`);
-    }
-    return found;
-  }
-
-  private _createEntry(incarnation: number): ITestEntry {
-    return { wallet: new QuotaWallet(WINDOW_MS), incarnation };
-  }
-}
-
 /** What happens in one step of 100 ms. */
 interface IStep {
   /** Requests, each with the fraction of the entries that selects its entry. */
@@ -208,7 +51,7 @@
   lostAnswers: fc.double({ min: 0, max: 0.5, noNaN: true }),
 });
 
-function runStep(fleet: Fleet, size: number, step: IStep, index: number): void {
+function runStep(fleet: QuotaFleet, size: number, step: IStep, index: number): void {
   const now = STARTED_AT_MS + index * 100;
   switch (step.event) {
     case 'none':
@@ -259,7 +102,7 @@
     (size) => {
       fc.assert(
         fc.property(fc.array(STEP, { minLength: 100, maxLength: 250 }), (steps) => {
-          const fleet = new Fleet(size);
+          const fleet = new QuotaFleet(size);
           steps.forEach((step, index) => {
             runStep(fleet, size, step, index);
           });
@@ -274,7 +117,7 @@
   it.each([3, 8, 70])(
     'never exceeds the limit when a restarted process becomes the hub while one of %i entries is cut off with a lease',
     (size) => {
-      const fleet = new Fleet(size);
+      const fleet = new QuotaFleet(size);
       for (let now = 0; now < 40_000; now += 100) {
         if (now === 14_000) {
           fleet.setFrozen(1);
@@ -298,7 +141,7 @@
 
   // The records do not name the processes that hold leases, so the hub takes all as stopped.
   it('never exceeds the limit when one of 3 entries survives a stop of the others and is cut off', () => {
-    const fleet = new Fleet(3);
+    const fleet = new QuotaFleet(3);
     for (let now = 0; now < 40_000; now += 100) {
       if (now === 16_000) {
         fleet.setFrozen(1);
@@ -319,7 +162,7 @@
     'refuses no request of a client account that stays at half of its limit with %i entries',
     (size) => {
       // Each of 70 entries sees a request of the account only once in 54 s.
-      const fleet = new Fleet(size);
+      const fleet = new QuotaFleet(size);
       for (let now = 0; now < 60_000; now += 100) {
         if (now % 700 === 0) {
           fleet.exchangeAll(now);
@@ -334,7 +177,7 @@
   );
 
   it('serves a client account whose requests all arrive at one of 70 entries', () => {
-    const fleet = new Fleet(70);
+    const fleet = new QuotaFleet(70);
     for (let now = 0; now < 30_000; now += 100) {
       if (now % 700 === 0) {
         fleet.exchangeAll(now);
@@ -348,7 +191,7 @@
   });
 
   it('goes on within its leases while the hub is away for the time of an election', () => {
-    const fleet = new Fleet(8);
+    const fleet = new QuotaFleet(8);
     for (let now = 0; now < 20_000; now += 100) {
       if (now === 10_000) {
         fleet.setHubReachable(false, now);
@@ -365,7 +208,7 @@
   });
 
   it('goes on at the earlier pace after a simultaneous stop, and never above the limit', () => {
-    const fleet = new Fleet(8);
+    const fleet = new QuotaFleet(8);
     for (let now = 0; now < 30_000; now += 100) {
       if (now === 15_000) {
         fleet.restartAll(now);
@@ -384,7 +227,7 @@
   });
 
   it('spends the whole limit, but no more, when a client account sends twice as much', () => {
-    const fleet = new Fleet(8);
+    const fleet = new QuotaFleet(8);
     for (let now = 0; now < 24_000; now += 100) {
       fleet.exchangeAll(now);
       fleet.record(now);
