Grant the quota lease of a process that is gone to others

Callers saw: nothing by itself; part of a client account's limit was lost for each process that had gone for good without a successor at its address.

Cause: QuotaPool looked for expired shares from `_nextExpiryAt` on, which only a pass over the shares set. The first pass met no share and set it to infinity, and only a restarted process at a known address lowered it again.

Now storing a share lowers the time of the next pass to its expiry.

--- a/src/fleet/Quota.test.ts
+++ b/src/fleet/Quota.test.ts
@@ -249,6 +249,22 @@
     expect(waitMs).toBe(800);
   });
 
+  // Guards against a process that is gone for good and whose lease nobody else can ever use.
+  it('grants the lease of an entry that no longer reports to others after two windows', () => {
+    const pool = new QuotaPool(LIMIT, WINDOW_MS, NOTHING_SPENT);
+    const usage = { lease: 0, spent: 0, wanted: 0, total: 0 };
+    const full = { lease: LIMIT, spent: LIMIT, wanted: 0, total: LIMIT };
+    pool.exchange({ node: 'n1', incarnation: 'a' }, full, 2, STARTED_AT_MS);
+    const run = { node: 'n2', incarnation: 'a' };
+    const exchange = (now: number): number => {
+      pool.raiseCeiling(LIMIT);
+      return pool.exchange(run, { ...usage, wanted: 10_000 }, 2, now).lease;
+    };
+    expect(exchange(STARTED_AT_MS + 2 * WINDOW_MS - 1)).toBe(0);
+    expect(exchange(STARTED_AT_MS + 2 * WINDOW_MS)).toBeGreaterThanOrEqual(10_000);
+    expect(pool.isUnused(STARTED_AT_MS + 4 * WINDOW_MS)).toBe(true);
+  });
+
   it('spends nothing under a lease that has expired', () => {
     // The hub may grant the tokens of a process that it has not heard of for two windows to others.
     const wallet = new QuotaWallet(WINDOW_MS);
--- a/src/fleet/QuotaPool.ts
+++ b/src/fleet/QuotaPool.ts
@@ -67,7 +67,7 @@
   private _spent = 0;
   /** Sum of the leases of an earlier hub that entries have reported to this one. */
   private _brought = 0;
-  private _nextExpiryAt = Number.NEGATIVE_INFINITY;
+  private _nextExpiryAt = Number.POSITIVE_INFINITY;
   private _spentSinceRecord = 0;
   /** Most tokens that may be leased, by the durable records. */
   private _ceiling: number;
@@ -192,7 +192,6 @@
       if (share.node === node) {
         const expiresAt = Math.min(share.expiresAt, now + this._windowMs);
         this._store(key, { ...share, wanted: 0, spent: share.lease, expiresAt });
-        this._nextExpiryAt = Math.min(this._nextExpiryAt, expiresAt);
       }
     }
   }
@@ -200,6 +199,7 @@
   private _store(key: string, share: IShare): void {
     this._remove(key);
     this._shares.set(key, share);
+    this._nextExpiryAt = Math.min(this._nextExpiryAt, share.expiresAt);
     this._leased += share.lease;
     this._spent += share.spent;
   }
