Confirm the end of an answer without length before it counts as whole

Cause: a reset that follows the end of the bytes was seen by nobody. undici closes the connection at the end; the probe at the end fails only if the reset has arrived by then, and went into the middle of a body that was still being written; and what was left to send was looked at only if the head had been read before the end reached the socket.

The check writes no bytes.

Ruled out: a longer wait for all such answers, as most are complete; breaking each answer that ends before its request, as a server may answer early and read on (RFC 9112, 9.6).

--- a/src/common/HttpAnswer.ts
+++ b/src/common/HttpAnswer.ts
@@ -3,9 +3,11 @@
  * iterator would cost several promises for each token event.
  */
 import type { IncomingHttpHeaders } from 'node:http';
+import { Readable } from 'node:stream';
 import type { Dispatcher } from 'undici';
 import { ByteBuffer } from './ByteBuffer.js';
-import { isCloseDelimited, type IResetWatch, type ResetDetector } from './ResetDetector.js';
+import type { ISentRequest } from './CloseCheck.js';
+import { isCloseDelimited, type ResetDetector } from './ResetDetector.js';
 
 /** An answer whose head has arrived; the body may be incomplete. */
 export interface IHttpAnswer {
@@ -177,11 +179,11 @@
   private _body: AnswerBody | undefined;
   private _status = 0;
   /** Defined if only the close of its connection ends the answer. */
-  private _resetWatch: IResetWatch | undefined;
+  /** Defined if only the close of its connection ends the answer. */
+  private _wasReset: (() => boolean) | undefined;
 
   constructor(
-    private readonly _method: string,
-    private readonly _origin: string,
+    private readonly _options: IRequestOptions,
     private readonly _resets: ResetDetector,
     private readonly _signal: AbortSignal,
     private readonly _onHead: (answer: IHttpAnswer) => void,
@@ -215,8 +217,8 @@
       this._resets.recordProgress();
       this._body = new AnswerBody(controller);
       this._status = statusCode;
-      if (isCloseDelimited(this._method, statusCode, headers)) {
-        this._resetWatch = this._resets.watch();
+      if (isCloseDelimited(this._options.method, statusCode, headers)) {
+        this._wasReset = this._resets.watch(describeBody(this._options.body));
       }
       this._onHead({ statusCode, headers, body: this._body });
     }
@@ -231,27 +233,22 @@
   }
 
   public onResponseEnd(): void {
-    if (this._resetWatch === undefined) {
+    if (this._wasReset === undefined) {
       this._finish(undefined);
-      return;
+    } else if (this._wasReset()) {
+      this._finish(new Error('reset before the end of the answer'));
+    } else {
+      this._finishIfAccepting();
     }
-    this._resetWatch.finish((wasReset) => {
-      if (wasReset) {
-        this._finish(new Error('reset before the end of the answer'));
-      } else {
-        this._finishIfAccepting();
-      }
-    });
   }
 
   public onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
-    this._resetWatch?.cancel();
     this._finish(error);
   }
 
   /** A server that has crashed closes its connections too. */
   private _finishIfAccepting(): void {
-    this._resets.probe(this._origin, (isAccepting) => {
+    this._resets.probe(String(this._options.origin), (isAccepting) => {
       const message = 'the server ended before the end of the answer';
       this._finish(isAccepting ? undefined : new Error(message));
     });
@@ -298,15 +295,13 @@
 ): Promise<IHttpAnswer> {
   signal.throwIfAborted();
   return new Promise((resolve, reject) => {
-    const handler = new ResponseHandler(
-      options.method,
-      String(options.origin),
-      resets,
-      signal,
-      resolve,
-      reject,
-      observer,
-    );
+    const handler = new ResponseHandler(options, resets, signal, resolve, reject, observer);
     dispatcher.dispatch(options, handler);
   });
 }
+
+function describeBody(body: IRequestOptions['body']): ISentRequest {
+  return body instanceof Readable
+    ? { bodyBytes: Number.POSITIVE_INFINITY, isBodyWritten: () => body.readableEnded }
+    : { bodyBytes: Buffer.isBuffer(body) ? body.length : 0, isBodyWritten: () => true };
+}
--- a/src/common/OrderedSocket.ts
+++ b/src/common/OrderedSocket.ts
@@ -15,9 +15,14 @@
  */
 const readBuffer = Buffer.allocUnsafeSlow(READ_BYTES);
 
-/** Receives what a socket reads into the common buffer. */
+/** Receives what a socket reads into the common buffer, and decides about its end. */
 export interface ISocketReader {
   onRead?: (chunk: Buffer) => void;
+  /**
+   * Called when all bytes before an end have been read. The end is reported once `confirm` has been called, unless an error
+   * follows. By default it is reported at once.
+   */
+  onEnd?: (confirm: () => void) => void;
 }
 
 type SocketEnd = { readonly kind: 'ended' } | { readonly kind: 'failed'; readonly error: Error };
@@ -33,6 +38,8 @@
   let end: SocketEnd | undefined;
   let isEndReported = false;
   let isEndOffered = false;
+  let isEndConfirmed = false;
+  let isConfirming = false;
 
   // A reader that has not paused reads now and finds nothing. One that reads at another time may pause right after it.
   const offerEnd = (): void => {
@@ -41,7 +48,8 @@
     isEndOffered = false;
   };
   const finish = (how: SocketEnd): void => {
-    if (end === undefined && !ordered.destroyed) {
+    const isLater = end?.kind === 'ended' && how.kind === 'failed' && !isEndReported;
+    if ((end === undefined || isLater) && !ordered.destroyed) {
       end = how;
       offerEnd();
     }
@@ -77,6 +85,24 @@
       onDestroyed(error);
     },
   });
+  const confirmEnd = (): void => {
+    if (isConfirming) {
+      return;
+    }
+    isConfirming = true;
+    if (reader.onEnd === undefined) {
+      isEndConfirmed = true;
+      return;
+    }
+    let isCalling = true;
+    reader.onEnd(() => {
+      isEndConfirmed = true;
+      if (!isCalling) {
+        offerEnd();
+      }
+    });
+    isCalling = false;
+  };
   const readBytes = ordered.read.bind(ordered);
   ordered.read = (size?: number): unknown => {
     const chunk: unknown = readBytes(size);
@@ -87,6 +113,12 @@
       process.nextTick(offerEnd);
       return null;
     }
+    if (end.kind === 'ended' && !isEndConfirmed) {
+      confirmEnd();
+    }
+    if (end.kind === 'ended' && !isEndConfirmed) {
+      return null;
+    }
     isEndReported = true;
     if (end.kind === 'failed') {
       ordered.destroy(end.error);
@@ -129,7 +161,7 @@
  */
 export function createConnector(
   timeoutMs: number,
-  configure: (socket: Socket, ordered: Duplex) => void = () => undefined,
+  configure: (socket: Socket, ordered: Duplex, reader: ISocketReader) => void = () => undefined,
 ): buildConnector.connector {
   return (options, callback) => {
     const reader: ISocketReader = {};
@@ -140,7 +172,8 @@
         return true;
       },
     };
-    const connect = buildConnector({ timeout: timeoutMs, onread });
+    // A request is still sent after the server has ended its side.
+    const connect = buildConnector({ timeout: timeoutMs, onread, allowHalfOpen: true });
     connect(options, (...result) => {
       const [error, socket] = result;
       if (error !== null) {
@@ -148,7 +181,7 @@
         return;
       }
       const ordered = createOrderedSocket(socket, reader);
-      configure(socket, ordered);
+      configure(socket, ordered, reader);
       // undici uses no more of a socket than a `Duplex` has.
       callback(null, ordered as unknown as Socket);
     });
--- a/src/common/ResetDetector.ts
+++ b/src/common/ResetDetector.ts
@@ -3,11 +3,14 @@
  * Node reports only the end where the end of the bytes and a reset arrive together.
  */
 import type { IncomingHttpHeaders } from 'node:http';
+import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import { buildConnector } from 'undici';
+import { CloseCheck, type ISentRequest } from './CloseCheck.js';
 import { createConnector } from './OrderedSocket.js';
 
-/** Delay before an answer that ends with the close of its connection counts as complete, to detect a reset. */
-const RESET_DETECTION_DELAY_MS = 20;
+/** Interval at which a connection is checked between the end of an answer and the decision that it is complete. */
+const CHECK_INTERVAL_MS = 10;
 
 /**
  * Bytes without a head or a part of a body after which a connection is closed. Heads, and what accompanies the length of a chunk,
@@ -15,6 +18,8 @@
  */
 const MAX_FRAMING_BYTES = 128 * 1024;
 
+const NO_BYTES = Buffer.alloc(0);
+
 const RESET_CODES: ReadonlySet<string | undefined> = new Set(['ECONNRESET', 'EPIPE']);
 
 const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
@@ -35,19 +40,11 @@
   return !hasEnd && !isBodyless(method, status);
 }
 
-/** Watches one answer that ends with the close of its connection. */
-export interface IResetWatch {
-  /** Calls back, a moment after the end of the bytes, whether the connection was reset. */
-  finish(onResult: (wasReset: boolean) => void): void;
-  /** Ends the watch of an answer that has failed. */
-  cancel(): void;
-}
-
 /** What is known of one connection. */
 interface IConnection {
-  resetCount: number;
-  /** Answers on it that are being watched. */
-  watchCount: number;
+  wasReset: boolean;
+  /** The request whose answer only the close of the connection ends. */
+  request: ISentRequest | undefined;
   /** Bytes passed to the parser since the last head or part of a body. */
   framingBytes: number;
 }
@@ -63,27 +60,31 @@
  * const detector = new ResetDetector(1_000);
  * const pool = new Pool(origin, { connect: detector.connect });
  * detector.recordProgress();
- * const watch = detector.watch();
+ * const wasReset = detector.watch({ bodyBytes: 0, isBodyWritten: () => true });
  */
 export class ResetDetector {
   /** Connector for the connections of a client. */
   public readonly connect: buildConnector.connector;
   private readonly _probe: buildConnector.connector;
   /** The connection that is being read, or was last. */
-  private _readConnection: IConnection = { resetCount: 0, watchCount: 0, framingBytes: 0 };
+  private _readConnection: IConnection = { wasReset: false, request: undefined, framingBytes: 0 };
 
   /** @param connectTimeoutMs time limit of a connection attempt in milliseconds */
   constructor(connectTimeoutMs: number) {
     this._probe = buildConnector({ timeout: connectTimeoutMs });
-    // The listeners run before undici's. Writing to a reset connection fails at once, so one that ends is probed.
-    this.connect = createConnector(connectTimeoutMs, (socket, ordered) => {
-      const connection: IConnection = { resetCount: 0, watchCount: 0, framingBytes: 0 };
-      const countReset = (error: Error | null | undefined): void => {
-        if (RESET_CODES.has(getErrorCode(error))) {
-          connection.resetCount += 1;
+    // The listener runs before undici's.
+    this.connect = createConnector(connectTimeoutMs, (socket, ordered, reader) => {
+      const connection: IConnection = { wasReset: false, request: undefined, framingBytes: 0 };
+      ordered.prependListener('error', (error) => {
+        connection.wasReset ||= RESET_CODES.has(getErrorCode(error));
+      });
+      reader.onEnd = (confirm) => {
+        if (connection.request === undefined) {
+          confirm();
+        } else {
+          checkClose(socket, ordered, connection.request, confirm);
         }
       };
-      socket.prependListener('error', countReset);
       const read = ordered.read.bind(ordered);
       ordered.read = (size?: number): unknown => {
         if (connection.framingBytes > MAX_FRAMING_BYTES) {
@@ -97,15 +98,6 @@
         }
         return chunk;
       };
-      socket.prependListener('end', () => {
-        if (connection.watchCount > 0 && socket.writableLength > 0) {
-          // The server has closed before it read the request to its end. A close with unread bytes is a reset, and undici
-          // destroys the connection before a probe behind the rest of the request could fail.
-          connection.resetCount += 1;
-        } else if (connection.watchCount > 0) {
-          socket.write('\r\n', countReset);
-        }
-      });
     });
   }
 
@@ -126,24 +118,57 @@
     this._readConnection.framingBytes = 0;
   }
 
-  /** Begins with the head of an answer; must be called when undici passes it on. */
-  public watch(): IResetWatch {
+  /**
+   * Watches an answer that only the close of its connection ends; must be called when undici passes its head on. At the end of
+   * the answer the result says whether the connection was reset.
+   */
+  public watch(request: ISentRequest): () => boolean {
     const connection = this._readConnection;
-    connection.watchCount += 1;
-    return {
-      finish: (onResult) => {
-        setTimeout(() => {
-          connection.watchCount -= 1;
-          onResult(connection.resetCount > 0);
-        }, RESET_DETECTION_DELAY_MS);
-      },
-      cancel: () => {
-        connection.watchCount -= 1;
-      },
-    };
+    connection.request = request;
+    return () => connection.wasReset;
   }
 }
 
+/** Calls back once a connection that the server has closed was not reset; the socket reports a reset as its error. */
+function checkClose(
+  socket: Socket,
+  ordered: Duplex,
+  request: ISentRequest,
+  onComplete: () => void,
+): void {
+  const check = new CloseCheck(request, performance.now());
+  const decide = (): void => {
+    const verdict = check.decide(ordered.writableLength + socket.writableLength, performance.now());
+    switch (verdict) {
+      case 'wait':
+        setTimeout(probe, CHECK_INTERVAL_MS);
+        break;
+      case 'complete':
+        onComplete();
+        break;
+      case 'stalled':
+        ordered.destroy(new Error('the server closed the connection before it read the request'));
+        break;
+    }
+  };
+  const probe = (): void => {
+    if (ordered.destroyed) {
+      return;
+    }
+    if (socket.writableLength > 0) {
+      decide();
+      return;
+    }
+    // Nothing is sent, but the write fails if a reset has arrived, which nothing else reports after the end.
+    socket.write(NO_BYTES, (error) => {
+      if (!ordered.destroyed && getErrorCode(error) === undefined) {
+        decide();
+      }
+    });
+  };
+  probe();
+}
+
 function getErrorCode(error: Error | null | undefined): string | undefined {
   return (error as NodeJS.ErrnoException | null | undefined)?.code;
 }
