--- a/src/fleet/QuotaChanges.test.ts
+++ b/src/fleet/QuotaChanges.test.ts
@@ -224,3 +224,13 @@
     expect(fleet.askCount).toBeLessThan(0.02 * fleet.spent.length);
   });
 });
+
+describe('a limit of which 70 entries want more', () => {
+  // Guards against leases that are each too small for a request, so that a part of the limit serves nobody.
+  it.each([500, 4_000])('is used by requests of %i tokens', (tokensPerRequest) => {
+    const fleet = new QuotaFleet(70);
+    const load = { entries: 70, tokensPerSecond: 50_000, tokensPerRequest };
+    runLoad(fleet, { ...load, from: 0, to: END });
+    expect(sumLeastWindow(fleet, WINDOW_MS, END)).toBeGreaterThan(0.5 * LIMIT);
+  });
+});
