Simplify how an ordered socket confirms its end

Reading no further than an end that is not confirmed is now one step. An end is no longer offered to a reader that has destroyed the connection. Ran: tests of src/common, src/entry, src/sidecar and of the connections to targets.

--- a/src/common/OrderedSocket.ts
+++ b/src/common/OrderedSocket.ts
@@ -43,13 +43,16 @@
 
   // A reader that has not paused reads now and finds nothing. One that reads at another time may pause right after it.
   const offerEnd = (): void => {
+    if (ordered.destroyed) {
+      return;
+    }
     isEndOffered = true;
     ordered.emit('readable');
     isEndOffered = false;
   };
   const finish = (how: SocketEnd): void => {
-    const isLater = end?.kind === 'ended' && how.kind === 'failed' && !isEndReported;
-    if ((end === undefined || isLater) && !ordered.destroyed) {
+    const isFailureAfterEnd = end?.kind === 'ended' && how.kind === 'failed' && !isEndReported;
+    if ((end === undefined || isFailureAfterEnd) && !ordered.destroyed) {
       end = how;
       offerEnd();
     }
@@ -85,23 +88,16 @@
       onDestroyed(error);
     },
   });
-  const confirmEnd = (): void => {
-    if (isConfirming) {
-      return;
-    }
-    isConfirming = true;
-    if (reader.onEnd === undefined) {
-      isEndConfirmed = true;
-      return;
+  /** False until the end is confirmed, which is then offered again. */
+  const confirmEnd = (): boolean => {
+    if (!isConfirming && reader.onEnd !== undefined) {
+      isConfirming = true;
+      reader.onEnd(() => {
+        isEndConfirmed = true;
+        process.nextTick(offerEnd);
+      });
     }
-    let isCalling = true;
-    reader.onEnd(() => {
-      isEndConfirmed = true;
-      if (!isCalling) {
-        offerEnd();
-      }
-    });
-    isCalling = false;
+    return isEndConfirmed || reader.onEnd === undefined;
   };
   const readBytes = ordered.read.bind(ordered);
   ordered.read = (size?: number): unknown => {
@@ -113,10 +109,7 @@
       process.nextTick(offerEnd);
       return null;
     }
-    if (end.kind === 'ended' && !isEndConfirmed) {
-      confirmEnd();
-    }
-    if (end.kind === 'ended' && !isEndConfirmed) {
+    if (end.kind === 'ended' && !confirmEnd()) {
       return null;
     }
     isEndReported = true;
--- a/src/fleet/QuotaPool.ts
+++ b/src/fleet/QuotaPool.ts
@@ -91,6 +91,7 @@
     this._ceiling = this._computeWithheld(Number.NEGATIVE_INFINITY);
   }
 
+  /** Sets the most tokens within the window. A lower limit comes into force over one window. */
   public setLimit(limit: number, now: number): void {
     this._expire(now);
     this._limit.set(limit, this._spent, now);
