--- a/src/common/Metrics.ts
+++ b/src/common/Metrics.ts
@@ -20,6 +20,7 @@
   dispatches_in_progress: 'Dispatches of this entry that have not ended.',
   dispatches_total: 'Dispatches sent to sidecars.',
   feed_revision: 'Revision of the copy of the configuration.',
+  gateway_accept_backlog_ms: 'Time for which new connections may wait until they are accepted.',
   gateway_admissions_total: 'Requests for engines, by service, priority and outcome.',
   gateway_cuts_total: 'Responses ended after their client had received a part, by reason.',
   gateway_first_byte_ms: 'Time from the arrival of a request to the first byte of its answer.',
--- a/src/gateway/CallRunner.ts
+++ b/src/gateway/CallRunner.ts
@@ -221,7 +221,8 @@
       }
       const now = clock.now();
       if (call.signal.aborted) {
-        const detail = { request: call.id, attempts: progress.attempts };
+        const sinceReadMs = Math.round(now - call.arrivedAt);
+        const detail = { request: call.id, attempts: progress.attempts, sinceReadMs };
         this._context.log.info(describeAbort(call.signal), detail);
         return progress.mayHaveRun;
       }
