--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -40,6 +40,7 @@
   private readonly _rateLimitChanges = new Emitter<TargetRecord>();
   private _remoteWork: ReadonlyMap<string, IRemoteWork> = new Map();
   private _table: RouteTable | undefined;
+  private _documentBytes = 0;
   private _entryCount = 1;
 
   public readonly onTableChange = this._tableChanges.onFire;
@@ -71,6 +72,11 @@
     return this._table?.version ?? 0;
   }
 
+  /** Length of the document of the configuration in force; 0 until the first one arrived. */
+  public get documentBytes(): number {
+    return this._documentBytes;
+  }
+
   /** Number of processes that take requests; at least 1, which is this one. */
   public get entryCount(): number {
     return this._entryCount;
@@ -117,6 +123,7 @@
       return;
     }
     this._table = new RouteTable(decoded.val);
+    this._documentBytes = document.content.length;
     this._log.info('configuration in force', {
       version: this._table.version,
       routes: decoded.val.routes.length,
