Send heartbeats while a large entry is transferred

Cause: the leader awaited the answer to entries before it sent the next heartbeat. A configuration of 1.7 MB to five members takes longer over a link of 100 Mbit/s than an election timeout, so that the members elected another leader, which began the transfer anew. A transfer was also sent again after 600 ms, beside the first one, and given up after 1.2 s whatever its size.

Change: while entries are on their way to a member it gets heartbeats, and the entries once only. The next index never falls behind what a member has confirmed, since heartbeats may be answered after entries that were sent before them.

--- a/src/consensus/ConsensusStore.ts
+++ b/src/consensus/ConsensusStore.ts
@@ -436,7 +436,8 @@
   return { index: Number(file.lastIndex), term: Number(file.lastTerm), membership };
 }
 
-function measureCommand(entry: LogEntry | undefined): number {
+/** Bytes of the command of an entry; 0 if it has none. */
+export function measureCommand(entry: LogEntry | undefined): number {
   return entry?.body.case === 'command' ? entry.body.value.length : 0;
 }
 
--- a/src/consensus/Leadership.ts
+++ b/src/consensus/Leadership.ts
@@ -17,6 +17,7 @@
   type Sender,
   type SnapshotFile,
 } from '../gen/redwingwharf/v1/consensus_pb.js';
+import { measureCommand } from './ConsensusStore.js';
 import type { IActiveLeadership, MemberState } from './MemberState.js';
 import {
   findMember,
@@ -41,8 +42,11 @@
 /** After the timeout of a call the next one is sent, and the answer of the first one is awaited for this many in all. */
 const MAX_CALL_TIMEOUTS = 2;
 
-/** Bytes of a snapshot in one call. */
-const SNAPSHOT_CHUNK_BYTES = 1024 * 1024;
+/** Slowest link to a member for which the time limit of a call leaves room. */
+const MIN_TRANSFER_BYTES_PER_MS = 1_000;
+
+/** Bytes of a snapshot in one call; transferred in less than an election timeout, as no heartbeats are sent meanwhile. */
+const SNAPSHOT_CHUNK_BYTES = 256 * 1024;
 
 type EntryBody = LogEntry['body'];
 
@@ -60,6 +64,8 @@
   answerMs: number;
   /** True while the member's disk stores what it got last; it gets heartbeats only. */
   isStoring: boolean;
+  /** True while entries are on their way to the member; it gets heartbeats only, since these must not wait for large entries. */
+  isTransferring: boolean;
   wake: () => void;
 }
 
@@ -226,6 +232,7 @@
       contactAt: this._state.clock.now(),
       answerMs: 0,
       isStoring: false,
+      isTransferring: false,
       wake: () => undefined,
     };
   }
@@ -238,13 +245,13 @@
       const isAnswered = await this._sendNext(peer, startedAt, signal);
       if (!isAnswered) {
         await sleep(this._timings.heartbeatIntervalMs, signal);
-      } else if (peer.nextIndex > this._state.store.lastIndex) {
+      } else if (peer.isTransferring || peer.nextIndex > this._state.store.lastIndex) {
         await this._waitForEntryOrHeartbeat(peer, startedAt);
       }
     }
   }
 
-  /** Waits until there is a new entry or the next heartbeat is due. */
+  /** Waits until there is a new entry, a transfer has ended, or the next heartbeat is due. */
   private async _waitForEntryOrHeartbeat(peer: IPeer, startedAt: number): Promise<void> {
     const wakeUp = new AbortController();
     peer.wake = () => {
@@ -269,26 +276,37 @@
     }
   }
 
-  /** Sends entries or a heartbeat; false without an answer in time. One that comes later still counts. */
+  /**
+   * Sends entries or a heartbeat; false without an answer in time. One that comes later still counts. Entries that take longer
+   * than a heartbeat interval are left to their transfer.
+   */
   private async _sendAppend(
     peer: IPeer,
     request: AppendRequest,
     startedAt: number,
   ): Promise<boolean> {
-    const { callTimeoutMs } = this._timings;
+    const { callTimeoutMs, heartbeatIntervalMs } = this._timings;
     const { signal } = peer.controller;
-    const answer = runWithTimeout(signal, MAX_CALL_TIMEOUTS * callTimeoutMs, async (limited) => {
+    const hasEntries = request.entries.length > 0;
+    const timeoutMs = MAX_CALL_TIMEOUTS * callTimeoutMs + computeTransferMs(request.entries);
+    peer.isTransferring ||= hasEntries;
+    const answer = runWithTimeout(signal, timeoutMs, async (limited) => {
       const { address } = peer.member;
       const response = await this._transport.appendEntries(address, request, limited);
       return this._handleAppendResponse(peer, request, response, startedAt);
+    }).finally(() => {
+      if (hasEntries) {
+        peer.isTransferring = false;
+        peer.wake();
+      }
     });
-    if (await isSettledWithin(answer, callTimeoutMs)) {
+    if (await isSettledWithin(answer, hasEntries ? heartbeatIntervalMs : callTimeoutMs)) {
       return answer;
     }
     answer.catch((error: unknown) => {
       this._state.log.debug('append failed', { address: peer.member.address, error });
     });
-    return false;
+    return hasEntries;
   }
 
   private _hasEntry(index: number): boolean {
@@ -298,13 +316,14 @@
 
   private _createAppendRequest(peer: IPeer, previousTerm: number): AppendRequest {
     const { store, commitIndex, address } = this._state;
-    const { nextIndex, isStoring } = peer;
+    const { nextIndex } = peer;
+    const isBusy = peer.isStoring || peer.isTransferring;
     return create(AppendRequestSchema, {
       sender: this._state.createSender(),
       previousIndex: BigInt(nextIndex - 1),
       previousTerm: BigInt(previousTerm),
       commitIndex: BigInt(commitIndex),
-      entries: isStoring ? [] : store.listEntries(nextIndex, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES),
+      entries: isBusy ? [] : store.listEntries(nextIndex, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES),
       leaderAddress: address,
     });
   }
@@ -369,7 +388,8 @@
 
   private _recordMatch(peer: IPeer, matchIndex: number): void {
     peer.matchIndex = Math.max(peer.matchIndex, matchIndex);
-    peer.nextIndex = matchIndex + 1;
+    // The answer to a heartbeat may follow that to entries that were sent before it.
+    peer.nextIndex = peer.matchIndex + 1;
     this._advanceCommit();
   }
 
@@ -382,7 +402,9 @@
     do {
       const startedAt = this._state.clock.now();
       const request = this._createSnapshotRequest(file, offset);
-      const response = await runWithTimeout(signal, this._timings.callTimeoutMs, (limited) =>
+      const timeoutMs =
+        this._timings.callTimeoutMs + request.data.length / MIN_TRANSFER_BYTES_PER_MS;
+      const response = await runWithTimeout(signal, timeoutMs, (limited) =>
         this._transport.installSnapshot(peer.member.address, request, limited),
       );
       if (!(await this._acceptResponse(peer, response.sender, startedAt))) {
@@ -511,6 +533,12 @@
   }
 }
 
+/** Time in milliseconds that entries take over the slowest link. */
+function computeTransferMs(entries: readonly LogEntry[]): number {
+  const bytes = entries.reduce((sum, entry) => sum + measureCommand(entry), 0);
+  return bytes / MIN_TRANSFER_BYTES_PER_MS;
+}
+
 /** True if a disk that was admitted does not know yet to which group it belongs, as its join request is unanswered. */
 function isJoining(sender: Sender, identity: IMemberIdentity): boolean {
   return sender.clusterId.length === 0 && isSameMember(sender, identity);
--- a/src/consensus/TestCluster.ts
+++ b/src/consensus/TestCluster.ts
@@ -92,6 +92,10 @@
   public maxDelayMs = 0;
   /** Milliseconds that each answer takes longer, as from a process that is short of processor time. */
   public answerDelayMs = 0;
+  /** Bytes of requests that each link carries in a millisecond. */
+  public bytesPerMs = Number.POSITIVE_INFINITY;
+  /** Bytes of all requests that have been sent with entries or snapshots. */
+  public transferredBytes = 0;
   private readonly _handlers = new Map<string, IConsensusHandlers>();
   private readonly _cutLinks = new Set<string>();
 
@@ -126,14 +130,20 @@
         this._call(from, to, signal, VoteResponseSchema, (handlers) =>
           handlers.requestVote(copyMessage(VoteRequestSchema, request)),
         ),
-      appendEntries: (to, request, signal) =>
-        this._call(from, to, signal, AppendResponseSchema, (handlers) =>
-          handlers.appendEntries(copyMessage(AppendRequestSchema, request)),
-        ),
-      installSnapshot: (to, request, signal) =>
-        this._call(from, to, signal, SnapshotResponseSchema, (handlers) =>
-          handlers.installSnapshot(copyMessage(SnapshotRequestSchema, request)),
-        ),
+      appendEntries: async (to, request, signal) => {
+        const bytes = toBinary(AppendRequestSchema, request);
+        await this._transfer(bytes, signal);
+        return this._call(from, to, signal, AppendResponseSchema, (handlers) =>
+          handlers.appendEntries(fromBinary(AppendRequestSchema, bytes)),
+        );
+      },
+      installSnapshot: async (to, request, signal) => {
+        const bytes = toBinary(SnapshotRequestSchema, request);
+        await this._transfer(bytes, signal);
+        return this._call(from, to, signal, SnapshotResponseSchema, (handlers) =>
+          handlers.installSnapshot(fromBinary(SnapshotRequestSchema, bytes)),
+        );
+      },
       join: (to, request, signal) =>
         this._call(from, to, signal, JoinResponseSchema, (handlers) =>
           handlers.join(copyMessage(JoinRequestSchema, request), { signal }),
@@ -145,6 +155,14 @@
     };
   }
 
+  private async _transfer(bytes: Uint8Array, signal: AbortSignal): Promise<void> {
+    this.transferredBytes += bytes.length;
+    const transferMs = bytes.length / this.bytesPerMs;
+    if (transferMs > 1) {
+      await sleep(transferMs, signal);
+    }
+  }
+
   private async _call<T extends DescMessage>(
     from: string,
     to: string,
