--- a/src/common/AcceptBacklog.ts
+++ b/src/common/AcceptBacklog.ts
@@ -13,8 +13,7 @@
  * const backlog = new AcceptBacklog();
  * server.on('connection', (socket) => { backlog.recordAccept(socket, performance.now()); });
  * server.on('request', async ({ socket }) => {
- *   await backlog.waitForEnd(socket);
- *   // If the client had left by now, `socket` has emitted `end`.
+ *   const hasLeft = await backlog.waitForEnd(socket);
  * });
  */
 export class AcceptBacklog {
@@ -37,13 +36,14 @@
   }
 
   /**
-   * Returns once the end of the connection has been read, if it had arrived before the call. The end of a connection that waited is
-   * read a turn after its first request; later requests are not kept from being read.
+   * Returns once the end of the connection has been read, if it had arrived before the call; true if the client has ended its side.
+   * The end of a connection that waited is read a turn after its first request; later requests are not kept from being read.
    */
-  public async waitForEnd(socket: Socket): Promise<void> {
+  public async waitForEnd(socket: Socket): Promise<boolean> {
     if (this._late.delete(socket)) {
       await waitForPoll();
     }
+    return socket.readableEnded || socket.destroyed;
   }
 
   /** Time for which a connection has been accepted in each turn, in milliseconds; 0 if the queue was empty in the last one. */
--- a/src/entry/Entry.ts
+++ b/src/entry/Entry.ts
@@ -3,6 +3,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { once } from 'node:events';
+import { AcceptBacklog } from '../common/AcceptBacklog.js';
 import { parseAddress } from '../common/Address.js';
 import { describeError } from '../common/Log.js';
 import { sleep } from '../common/Tasks.js';
@@ -91,6 +92,7 @@
  */
 export class Entry {
   private readonly _server: Server;
+  private readonly _backlog = new AcceptBacklog();
   private readonly _checkTimer: NodeJS.Timeout;
   /** Responses that are not yet completely handed to the network. */
   private readonly _responses = new Set<ServerResponse>();
@@ -119,6 +121,9 @@
         void this._handle(request, response);
       },
     );
+    this._server.on('connection', (socket) => {
+      this._backlog.recordAccept(socket, _services.clock.now());
+    });
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
       this._handleClientError(error, socket);
     });
@@ -223,6 +228,10 @@
     if (this._isDraining) {
       closeAfterResponse(response);
     }
+    if (await this._backlog.waitForEnd(request.socket)) {
+      response.destroy();
+      return;
+    }
     try {
       const failure = await this._route(request, response, requestId, startedAt);
       if (failure !== undefined) {
--- a/src/run/InternalServer.ts
+++ b/src/run/InternalServer.ts
@@ -3,7 +3,9 @@
 import { once } from 'node:events';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { AcceptBacklog } from '../common/AcceptBacklog.js';
 import { parseAddress } from '../common/Address.js';
+import { MonotonicClock } from '../common/Clock.js';
 import { TICKET_HEADER } from '../common/Headers.js';
 import type { Metrics } from '../common/Metrics.js';
 import {
@@ -36,6 +38,8 @@
  */
 export class InternalServer {
   private readonly _server: Server;
+  private readonly _clock = new MonotonicClock();
+  private readonly _backlog = new AcceptBacklog();
 
   constructor(
     private readonly _address: string,
@@ -57,7 +61,7 @@
         } else if (!hasClusterSecret(request, clusterSecret)) {
           refuseUnauthenticatedRequest(response);
         } else if (request.headers[TICKET_HEADER] !== undefined) {
-          handleDispatch(services, request, response);
+          void this._handleDispatch(services, request, response);
         } else if (path.startsWith(RPC_PATH_PREFIX)) {
           handleRpc(request, response);
         } else {
@@ -66,9 +70,10 @@
         }
       },
     );
-    if (services.onConnection !== undefined) {
-      this._server.on('connection', services.onConnection);
-    }
+    this._server.on('connection', (socket) => {
+      this._backlog.recordAccept(socket, this._clock.now());
+      services.onConnection?.(socket);
+    });
   }
 
   public async listen(): Promise<void> {
@@ -81,19 +86,26 @@
     this._server.close();
     this._server.closeAllConnections();
   }
-}
 
-function handleDispatch(
-  services: IInternalServices,
-  request: IncomingMessage,
-  response: ServerResponse,
-): void {
-  if (services.handleDispatch === undefined) {
-    response.writeHead(404);
-    response.end();
-    return;
+  /** Passes a dispatch on unless the entry that sent it has ended the connection, as its client has left. */
+  private async _handleDispatch(
+    { handleDispatch }: IInternalServices,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (handleDispatch === undefined) {
+      response.writeHead(404);
+      response.end();
+      return;
+    }
+    try {
+      if (await this._backlog.waitForEnd(request.socket)) {
+        response.destroy();
+      } else {
+        await handleDispatch(request, response);
+      }
+    } catch {
+      response.destroy();
+    }
   }
-  services.handleDispatch(request, response).catch(() => {
-    response.destroy();
-  });
 }
