Keep the compressed form of a configuration beside the document

The compressed bytes belong to the document and not to the node: a weak map from the one to the other takes the place of a cache that each caller has to hold, and encoding and decoding stand in one file. Behaviour as before.

--- a/src/fleet/CompressedDocument.ts
+++ b/src/fleet/CompressedDocument.ts
@@ -1,7 +1,12 @@
 /** The configuration document in the compressed form in which exchanges pass it on. */
 import { fromBinary, toBinary } from '@bufbuild/protobuf';
 import { gunzipSync, gzipSync } from 'node:zlib';
-import { FleetDocumentSchema, type FleetDocument } from '../gen/redwingwharf/v1/fleet_pb.js';
+import {
+  FleetDocumentSchema,
+  type ExchangeRequest,
+  type ExchangeResponse,
+  type FleetDocument,
+} from '../gen/redwingwharf/v1/fleet_pb.js';
 
 /** Shorter documents are sent as they are. */
 const MIN_COMPRESSED_BYTES = 32 * 1024;
@@ -9,33 +14,51 @@
 /** Longer than any document that an operator may send. */
 const MAX_DOCUMENT_BYTES = 16 * 1024 * 1024;
 
+type CompressedDocument = ExchangeResponse['compressedDocument'];
+
+/** Each document is compressed once, however many processes fetch it. */
+const compressedDocuments = new WeakMap<FleetDocument, CompressedDocument>();
+
+function encodeDocument(document: FleetDocument): CompressedDocument {
+  const existing = compressedDocuments.get(document);
+  if (existing !== undefined) {
+    return existing;
+  }
+  const encoded = new Uint8Array(gzipSync(toBinary(FleetDocumentSchema, document)));
+  compressedDocuments.set(document, encoded);
+  return encoded;
+}
+
 /**
- * Compresses each document once, however many processes fetch it.
+ * Adds the document to the answer of a process that has an older one.
  *
  * @example
- * const encoded = cache.encode(state.document);
+ * addDocument(response, request, state.document);
  */
-export class CompressedDocumentCache {
-  private _document: FleetDocument | undefined;
-  private _compressed: Uint8Array<ArrayBuffer> | undefined;
-
-  /** Returns undefined for a short document, which is to be sent as it is. */
-  public encode(document: FleetDocument): Uint8Array<ArrayBuffer> | undefined {
-    if (document !== this._document) {
-      this._document = document;
-      this._compressed =
-        document.content.length < MIN_COMPRESSED_BYTES
-          ? undefined
-          : new Uint8Array(gzipSync(toBinary(FleetDocumentSchema, document)));
-    }
-    return this._compressed;
+export function addDocument(
+  response: ExchangeResponse,
+  request: ExchangeRequest,
+  document: FleetDocument | undefined,
+): void {
+  if (document === undefined || document.version <= request.documentVersion) {
+    return;
+  }
+  if (request.acceptsCompressedDocument && document.content.length >= MIN_COMPRESSED_BYTES) {
+    response.compressedDocument = encodeDocument(document);
+  } else {
+    response.document = document;
   }
 }
 
-/** Restores a document; throws if the bytes are damaged. */
-export function decodeCompressedDocument(compressed: Uint8Array): FleetDocument {
-  return fromBinary(
-    FleetDocumentSchema,
-    gunzipSync(compressed, { maxOutputLength: MAX_DOCUMENT_BYTES }),
-  );
+/** The document of an answer; undefined if it has none. Throws if a compressed one is damaged. */
+export function extractDocument({
+  document,
+  compressedDocument,
+}: Pick<ExchangeResponse, 'document' | 'compressedDocument'>): FleetDocument | undefined {
+  return compressedDocument.length === 0
+    ? document
+    : fromBinary(
+        FleetDocumentSchema,
+        gunzipSync(compressedDocument, { maxOutputLength: MAX_DOCUMENT_BYTES }),
+      );
 }
--- a/src/fleet/FleetNode.ts
+++ b/src/fleet/FleetNode.ts
@@ -34,7 +34,7 @@
   type SubmitResponse,
   type TargetRecord,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
-import { CompressedDocumentCache, decodeCompressedDocument } from './CompressedDocument.js';
+import { addDocument } from './CompressedDocument.js';
 import { DepartureRecorder, isLeaving } from './Departures.js';
 import type { IExchangePart, IHubPart } from './ExchangePart.js';
 import type { IQuarantineSource, IRateLimitSource, IWorkSource } from './ExchangeSources.js';
@@ -146,7 +146,6 @@
   private readonly _incarnation = randomUUID().slice(0, 8);
   private readonly _leases: LeaseReporter;
   private readonly _origins: OriginCalls;
-  private readonly _compressedDocuments = new CompressedDocumentCache();
   private _pendingCommands: PendingCommands | undefined;
   private readonly _departures = new DepartureRecorder(async (record, signal) => {
     const body = { case: 'recordDeparture', value: record } as const;
@@ -483,29 +482,10 @@
       .grantPermits(request.node, request.demands, now)
       .map((grant) => create(PermitGrantSchema, grant));
     response.grants = hub.grantLeases(request, now).map((grant) => create(QuotaGrantSchema, grant));
-    this._addDocument(response, request, state);
+    addDocument(response, request, state.document);
     return response;
   }
 
-  /** Adds the configuration document if the process that asks has an older one. */
-  private _addDocument(
-    response: ExchangeResponse,
-    request: ExchangeRequest,
-    { document }: FleetState,
-  ): void {
-    if (document === undefined || document.version <= request.documentVersion) {
-      return;
-    }
-    const compressed = request.acceptsCompressedDocument
-      ? this._compressedDocuments.encode(document)
-      : undefined;
-    if (compressed === undefined) {
-      response.document = document;
-    } else {
-      response.compressedDocument = compressed;
-    }
-  }
-
   /** Grants leases if this process is the hub. */
   public handleLeaseRequest(request: LeaseRequest, now: number): LeaseResponse {
     const hub = this.getHub(now);
@@ -769,9 +749,6 @@
     now: number,
   ): void {
     const isNewEpoch = answer.epoch !== this._view.epoch;
-    if (answer.compressedDocument.length > 0) {
-      answer.document = decodeCompressedDocument(answer.compressedDocument);
-    }
     this._view.applyResponse(answer, now);
     for (const { id } of answer.targets.filter((record) => !isLeaving(record))) {
       this._departures.forget(id);
--- a/src/fleet/FleetView.ts
+++ b/src/fleet/FleetView.ts
@@ -10,6 +10,7 @@
   type TargetRecord,
   type TargetWork,
 } from '../gen/redwingwharf/v1/fleet_pb.js';
+import { extractDocument } from './CompressedDocument.js';
 import { RouteTable } from './RouteTable.js';
 import { KnownVersions, type IVersionBase } from './KnownVersions.js';
 import { checkTarget } from './TargetCheck.js';
@@ -216,8 +217,9 @@
     this.epoch = answer.epoch;
     this.revision = Number(answer.revision);
     this._entryCount = Math.max(1, answer.entries);
-    if (answer.document !== undefined) {
-      this.applyDocument(answer.document);
+    const document = extractDocument(answer);
+    if (document !== undefined) {
+      this.applyDocument(document);
     }
     this.applyWeights(answer.weights, now);
     for (const record of answer.targets) {
